--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# Everything a newcomer runs. Each target sets up the environment it needs.
+VENV ?= .venv
+PY = $(VENV)/bin/python
+SETUP = $(VENV)/.installed
+PACKAGES = packages/wheatslip packages/wheatslipd packages/wheatslip-cli
+
+.PHONY: demo test lint format bench bench-decisions clean
+
+$(SETUP): requirements-dev.txt $(addsuffix /pyproject.toml,$(PACKAGES))
+	python3 -m venv $(VENV)
+	$(PY) -m pip install --quiet $(addprefix -e ,$(PACKAGES)) -r requirements-dev.txt
+	touch $(SETUP)
+
+demo: $(SETUP)
+	$(PY) -m demo.demo
+
+test: $(SETUP)
+	$(PY) -m pytest
+
+lint: $(SETUP)
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+	$(VENV)/bin/mypy
+
+format: $(SETUP)
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+bench: $(SETUP)
+	$(PY) -m bench.path
+
+bench-decisions: $(SETUP)
+	$(PY) -m bench.decisions
+
+clean:
+	rm -rf $(VENV) out
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstration: the whole path as separate processes on loopback."""
--- /dev/null
+++ b/demo/demo.py
@@ -0,0 +1,219 @@
+"""The demonstration: two deployments on loopback, traffic, failures, and a summary.
+
+Exit code 0 only if the promises to callers held.
+"""
+
+import asyncio
+import signal
+import sys
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+
+import aiohttp
+from hdrh.histogram import HdrHistogram
+from rich.console import Console
+from rich.table import Table
+from wheatslip.instances import InstanceState
+
+from demo.deployments import (
+    AT_EAST,
+    AT_EAST_CALLERS,
+    DSS,
+    DSS_CALLERS,
+    ONCE_KINDS,
+    bundle_text,
+    credential,
+    plans,
+)
+from demo.operators import Desk
+from standins.backend import Record, Run
+from standins.caller import Asked, Caller, make_key
+from standins.cluster import Cluster
+from standins.verdict import Verdict, judge
+
+TRAFFIC_SECONDS = 25.0
+CALLS_PER_SECOND = 20.0  # of each of the six calling workspaces
+SEED = 20261202
+KILLED = "papers-2"
+DRAINED = "tarifs-1"
+SECOND_BUNDLE = "\n[kind papers/preview]\nrepeatable = yes\n"
+MICROSECONDS = 1e6
+LONGEST_MICROSECONDS = 60_000_000
+
+
+@dataclass(slots=True)
+class Observed:
+    """What the run showed besides requests."""
+
+    rollout_seconds: list[float]
+    records: dict[str, Record]
+    lost_records: list[str]
+    exit_codes: list[int]
+    traffic_seconds: float = 0.0
+
+
+async def traffic(caller: Caller, services: list[str], cluster: Cluster, end: float) -> None:
+    """Poisson traffic of one workspace over its deployment's services and all entries."""
+    tasks: set[asyncio.Task[Asked]] = set()
+    while time.monotonic() < end:
+        await asyncio.sleep(caller.rng.expovariate(CALLS_PER_SECOND))
+        service = caller.rng.choice(services)
+        entries = [m for m in cluster.members.values() if m.plan.pool in services]
+        entry = caller.rng.choice(entries).instance.entry_port
+        once = service in ONCE_KINDS and caller.rng.random() < 0.5
+        kind = ONCE_KINDS[service] if once else "look-up"
+        key = make_key(caller.rng, time.time()) if once else ""
+        body = b"a" * caller.rng.randrange(200) if once else b""
+        task = asyncio.create_task(
+            caller.ask(entry, service, kind, once=once, key=key, body=body)
+        )
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+    await asyncio.gather(*tasks)
+
+
+async def trouble(cluster: Cluster, desk: Desk, observed: Observed) -> None:
+    """A backend server with its daemon is killed, another drains, a bundle is rolled out."""
+    part = TRAFFIC_SECONDS / 5
+    await asyncio.sleep(part)
+    print(f"killing {KILLED} and its daemon", flush=True)
+    killed = cluster.members[KILLED]
+    observed.records[KILLED] = await cluster.record(KILLED)
+    killed.backend.send(signal.SIGKILL)
+    killed.daemon.send(signal.SIGKILL)
+    await asyncio.sleep(part)
+    await cluster.unlist(killed)
+    print(f"draining {DRAINED}", flush=True)
+    await cluster.list_instance(cluster.members[DRAINED], InstanceState.LEAVING)
+    await asyncio.sleep(part)
+    print("rolling out the second bundle", flush=True)
+    await roll_out(cluster, desk, 2, observed)
+
+
+async def roll_out(cluster: Cluster, desk: Desk, version: int, observed: Observed) -> None:
+    """Release a bundle, and time from its release until it is in force everywhere."""
+    text = bundle_text(version, SECOND_BUNDLE if version > 1 else "")
+    await desk.release(version, text)
+    released = time.monotonic()
+    await cluster.wait_for_version(version)
+    observed.rollout_seconds.append(time.monotonic() - released)
+
+
+async def run(folder: Path) -> tuple[list[Asked], Observed]:
+    """Start everything, run the traffic and the troubles, stop everything."""
+    cluster = Cluster(folder)
+    observed = Observed([], {}, [], [])
+    await cluster.open()
+    try:
+        desk = Desk(folder)
+        await desk.prepare(cluster.platform_address)
+        started = time.monotonic()
+        await cluster.add(plans())
+        print(f"{len(cluster.members)} backend servers with their daemons are up", flush=True)
+        await roll_out(cluster, desk, 1, observed)
+        await cluster.wait_for_members(len(cluster.members))
+        print(f"ready after {time.monotonic() - started:.1f} s; traffic starts", flush=True)
+        callers = make_callers(cluster)
+        end = time.monotonic() + TRAFFIC_SECONDS
+        await asyncio.gather(
+            *(traffic(caller, services, cluster, end) for caller, services in callers),
+            trouble(cluster, desk, observed),
+        )
+        observed.traffic_seconds = TRAFFIC_SECONDS
+        await collect(cluster, observed)
+        asked = [one for caller, _ in callers for one in caller.asked]
+    finally:
+        observed.exit_codes = await cluster.close()
+    return asked, observed
+
+
+def make_callers(cluster: Cluster) -> list[tuple[Caller, list[str]]]:
+    """The six calling workspaces with the services that they call."""
+    at_east = [(name, list(AT_EAST)) for name in AT_EAST_CALLERS]
+    dss = [(name, list(DSS)) for name in DSS_CALLERS]
+    return [
+        (Caller(cluster.session, name, credential(name), Random(f"{SEED}-{name}")), services)
+        for name, services in at_east + dss
+    ]
+
+
+async def collect(cluster: Cluster, observed: Observed) -> None:
+    """Read what each backend server ran; a killed one's record is from before its end."""
+    for name in cluster.members:
+        try:
+            observed.records[name] = await cluster.record(name)
+        except aiohttp.ClientError:
+            observed.lost_records.append(name)
+
+
+def report(asked: list[Asked], observed: Observed) -> Verdict:
+    """Print the summary; returns the verdict."""
+    runs: list[Run] = [run for record in observed.records.values() for run in record.runs]
+    lost = set(observed.lost_records)
+    verdict = judge(asked, runs)
+    if lost:
+        # What a killed server ran after its record was read can't be known.
+        verdict.not_run_though_answered.clear()
+    table = Table(title="wheatslip demonstration")
+    table.add_column("what")
+    table.add_column("figure", justify="right")
+    for what, figure in summary(asked, observed, verdict):
+        table.add_row(what, figure)
+    Console(width=100).print(table)
+    for sentence in verdict.broken:
+        print(f"BROKEN: {sentence}")
+    return verdict
+
+
+def summary(asked: list[Asked], observed: Observed, verdict: Verdict) -> list[tuple[str, str]]:
+    """The rows of the summary."""
+    histogram = HdrHistogram(1, LONGEST_MICROSECONDS, 3)
+    for one in asked:
+        histogram.record_value(max(1, int(one.took * MICROSECONDS)))
+    probes = [record.probes / observed.traffic_seconds for record in observed.records.values()]
+    reasons = sorted({one.reason for one in asked if one.reason})
+    return [
+        ("requests asked", str(verdict.asked)),
+        ("answered", str(verdict.answered)),
+        ("refused, not run", str(verdict.not_run)),
+        ("outcome unknown", str(verdict.unknown)),
+        ("reasons", ", ".join(reasons) or "-"),
+        ("run twice (must be 0)", str(len(verdict.ran_twice))),
+        ("run though told not (must be 0)", str(len(verdict.ran_though_told_not))),
+        ("wrong answers (must be 0)", str(len(verdict.wrong_answers))),
+        ("p50 / p99 at the caller, ms", _percentiles(histogram)),
+        ("rollout to in force everywhere, s", _seconds(observed.rollout_seconds)),
+        ("probes a second at a backend server, most", f"{max(probes):.2f}"),
+        ("daemons that stopped as asked", str(observed.exit_codes.count(0))),
+    ]
+
+
+def _percentiles(histogram: HdrHistogram) -> str:
+    median = histogram.get_value_at_percentile(50) / 1000
+    high = histogram.get_value_at_percentile(99) / 1000
+    return f"{median:.1f} / {high:.1f}"
+
+
+def _seconds(values: list[float]) -> str:
+    return ", ".join(f"{value:.2f}" for value in values)
+
+
+def main() -> int:
+    """Run the demonstration; returns the exit code."""
+    with tempfile.TemporaryDirectory() as folder:
+        asked, observed = asyncio.run(run(Path(folder)))
+    verdict = report(asked, observed)
+    stopped_well = observed.exit_codes.count(0) == len(observed.exit_codes) - 1
+    if not stopped_well:
+        print(f"BROKEN: exit codes of the daemons: {observed.exit_codes}")
+    if verdict.broken or not stopped_well or not verdict.answered:
+        return 1
+    print("all promises held")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/wheatslip-cli/wheatslip_cli/bundle_commands.py
@@ -0,0 +1,236 @@
+"""The commands `wheatslip bundle …`: each one object with its arguments and what it does."""
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+import msgspec
+from result import Err, Ok
+from wheatslip.bundle import Bundle, parse_bundle
+from wheatslip.changes import changes_between
+from wheatslip.releases import Proposal, Releases
+from wheatslip.signing import load_private_key
+
+from wheatslip_cli.operator import complain_about, run_step
+from wheatslip_cli.output import ExitCode, Format, complain, show
+from wheatslip_cli.settings import Settings
+
+SettingsFile = Annotated[Path, cappa.Arg(short="-s", long="settings", help="Settings (INI).")]
+Output = Annotated[Format, cappa.Arg(short="-o", long="output", help="table or json.")]
+DEFAULT_SETTINGS = Path("wheatslip.ini")
+
+
+class BundleRow(msgspec.Struct, frozen=True):
+    """One bundle, as listed."""
+
+    version: int
+    digest: str
+    state: str
+    signed_by: str
+    workspaces: int
+    services: int
+    pools: int
+
+
+def read_bundle(path: Path) -> Bundle | None:
+    """The bundle in a file; None after its problems were printed."""
+    try:
+        text = path.read_text()
+    except OSError as error:
+        complain(ExitCode.BAD_USAGE, str(error))
+        return None
+    match parse_bundle(text, str(path)):
+        case Ok(bundle):
+            return bundle
+        case Err(problems):
+            complain(ExitCode.BAD_USAGE, *(str(problem) for problem in problems))
+    return None
+
+
+@cappa.command(name="check")
+@dataclass
+class Check:
+    """Check a bundle file and print its version and digest."""
+
+    file: Annotated[Path, cappa.Arg(help="The bundle (INI).")]
+    output: Output = Format.TABLE
+
+    def __call__(self) -> ExitCode:
+        """Carry out the command."""
+        bundle = read_bundle(self.file)
+        if bundle is None:
+            return ExitCode.BAD_USAGE
+        show([_row(bundle, "checked", ())], self.output)
+        return ExitCode.GOOD
+
+
+@cappa.command(name="diff")
+@dataclass
+class Diff:
+    """Show what differs between two bundle files."""
+
+    old: Annotated[Path, cappa.Arg(help="The older bundle (INI).")]
+    new: Annotated[Path, cappa.Arg(help="The newer bundle (INI).")]
+    output: Output = Format.TABLE
+
+    def __call__(self) -> ExitCode:
+        """Carry out the command."""
+        old, new = read_bundle(self.old), read_bundle(self.new)
+        if old is None or new is None:
+            return ExitCode.BAD_USAGE
+        show(changes_between(old, new), self.output)
+        return ExitCode.GOOD
+
+
+@cappa.command(name="propose")
+@dataclass
+class Propose:
+    """Put a bundle up for sign-off at the platform."""
+
+    file: Annotated[Path, cappa.Arg(help="The bundle (INI).")]
+    settings: SettingsFile = DEFAULT_SETTINGS
+    output: Output = Format.TABLE
+
+    def __call__(self) -> ExitCode:
+        """Carry out the command."""
+        bundle = read_bundle(self.file)
+        if bundle is None:
+            return ExitCode.BAD_USAGE
+
+        async def step(releases: Releases, settings: Settings) -> ExitCode:
+            match await releases.propose(bundle):
+                case Ok(proposal):
+                    show([_proposal_row(proposal, "proposed")], self.output)
+                    return ExitCode.GOOD
+                case Err(error):
+                    return complain_about(error)
+            raise AssertionError
+
+        return run_step(self.settings, step)
+
+
+@cappa.command(name="sign")
+@dataclass
+class Sign:
+    """Sign a proposed bundle, after reviewing it, with your own key."""
+
+    file: Annotated[Path, cappa.Arg(help="The bundle (INI) that you reviewed.")]
+    settings: SettingsFile = DEFAULT_SETTINGS
+    output: Output = Format.TABLE
+
+    def __call__(self) -> ExitCode:
+        """Carry out the command."""
+        bundle = read_bundle(self.file)
+        if bundle is None:
+            return ExitCode.BAD_USAGE
+
+        async def step(releases: Releases, settings: Settings) -> ExitCode:
+            if not settings.operator or settings.key is None:
+                return complain(
+                    ExitCode.BAD_USAGE, f"{self.settings}: [operator] name and key are needed"
+                )
+            try:
+                key = load_private_key(settings.key)
+            except (OSError, ValueError) as error:
+                return complain(ExitCode.BAD_USAGE, str(error))
+            answer = await releases.sign(
+                bundle.version, bundle.digest(), settings.operator, key
+            )
+            match answer:
+                case Ok(proposal):
+                    show([_proposal_row(proposal, "proposed")], self.output)
+                    return ExitCode.GOOD
+                case Err(error):
+                    return complain_about(error)
+            raise AssertionError
+
+        return run_step(self.settings, step)
+
+
+@cappa.command(name="rollout")
+@dataclass
+class Rollout:
+    """Bring a signed-off bundle in force."""
+
+    file: Annotated[Path, cappa.Arg(help="The bundle (INI).")]
+    settings: SettingsFile = DEFAULT_SETTINGS
+
+    def __call__(self) -> ExitCode:
+        """Carry out the command."""
+        bundle = read_bundle(self.file)
+        if bundle is None:
+            return ExitCode.BAD_USAGE
+
+        async def step(releases: Releases, settings: Settings) -> ExitCode:
+            match await releases.roll_out(bundle.version, bundle.digest()):
+                case Ok(head):
+                    print(f"version {head.version} ({head.digest[:12]}) is in force")
+                    return ExitCode.GOOD
+                case Err(error):
+                    return complain_about(error)
+            raise AssertionError
+
+        return run_step(self.settings, step)
+
+
+@cappa.command(name="history")
+@dataclass
+class History:
+    """List the bundles at the platform, with the one in force."""
+
+    settings: SettingsFile = DEFAULT_SETTINGS
+    output: Output = Format.TABLE
+
+    def __call__(self) -> ExitCode:
+        """Carry out the command."""
+
+        async def step(releases: Releases, settings: Settings) -> ExitCode:
+            head, proposals = await releases.head(), await releases.proposals()
+            if isinstance(head, Err):
+                return complain_about(head.err_value)
+            if isinstance(proposals, Err):
+                return complain_about(proposals.err_value)
+            now = head.ok_value
+            rows = [
+                _proposal_row(proposal, _state(proposal, now.version, now.digest))
+                if now
+                else _proposal_row(proposal, "proposed")
+                for proposal in proposals.ok_value
+            ]
+            show(rows, self.output)
+            return ExitCode.GOOD
+
+        return run_step(self.settings, step)
+
+
+@cappa.command(name="bundle")
+@dataclass
+class BundleCommand:
+    """Review, sign off and roll out versions of the configuration."""
+
+    command: cappa.Subcommands[Check | Diff | Propose | Sign | Rollout | History]
+
+
+def _state(proposal: Proposal, version: int, digest: str) -> str:
+    if proposal.bundle.version > version:
+        return "proposed"
+    if proposal.bundle.version < version:
+        return "past"
+    return "in force" if proposal.bundle.digest() == digest else "beaten"
+
+
+def _proposal_row(proposal: Proposal, state: str) -> BundleRow:
+    return _row(proposal.bundle, state, proposal.signers)
+
+
+def _row(bundle: Bundle, state: str, signers: object) -> BundleRow:
+    return BundleRow(
+        version=bundle.version,
+        digest=bundle.digest()[:12],
+        state=state,
+        signed_by=", ".join(signers) if isinstance(signers, list) else "",
+        workspaces=len(bundle.workspaces),
+        services=len(bundle.services),
+        pools=len(bundle.pools),
+    )
--- /dev/null
+++ b/packages/wheatslip-cli/wheatslip_cli/key_commands.py
@@ -0,0 +1,49 @@
+"""The commands for secrets: operators' key pairs and the digests of credentials."""
+
+import getpass
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+from wheatslip.bundle import credential_digest
+from wheatslip.signing import write_key_pair
+
+from wheatslip_cli.output import ExitCode, complain
+
+
+@cappa.command(name="make-keys")
+@dataclass
+class MakeKeys:
+    """Make an operator's key pair: OPERATOR.key (keep it to yourself) and OPERATOR.pub."""
+
+    operator: Annotated[str, cappa.Arg(help="The operator's name.")]
+    folder: Annotated[Path, cappa.Arg(long=True, help="Where to write the two files.")] = Path(
+        "."
+    )
+
+    def __call__(self) -> ExitCode:
+        """Carry out the command."""
+        if (self.folder / f"{self.operator}.key").exists():
+            return complain(ExitCode.REFUSED, f"{self.operator}.key exists already")
+        for path in write_key_pair(self.operator, self.folder):
+            print(path)
+        return ExitCode.GOOD
+
+
+@cappa.command(name="credential-digest")
+@dataclass
+class CredentialDigest:
+    """Read a workspace's credential from standard input and print its digest for a bundle."""
+
+    def __call__(self) -> ExitCode:
+        """Carry out the command."""
+        if sys.stdin.isatty():
+            credential = getpass.getpass("credential: ")
+        else:
+            credential = sys.stdin.readline().rstrip("\n")
+        if not credential:
+            return complain(ExitCode.BAD_USAGE, "the credential is empty")
+        print(credential_digest(credential))
+        return ExitCode.GOOD
--- /dev/null
+++ b/packages/wheatslip-cli/wheatslip_cli/main.py
@@ -0,0 +1,37 @@
+"""The command `wheatslip`, for operators."""
+
+import sys
+from dataclasses import dataclass
+
+import cappa
+
+from wheatslip_cli import __version__
+from wheatslip_cli.bundle_commands import BundleCommand
+from wheatslip_cli.key_commands import CredentialDigest, MakeKeys
+
+
+@cappa.command(
+    name="wheatslip",
+    description=(
+        "Operates the wheatslip load balancer. Exit codes: 0 done, 1 refused, 2 bad usage or "
+        "input, 3 the platform is unavailable, 4 another version came into force first."
+    ),
+)
+@dataclass
+class Wheatslip:
+    """Operate the wheatslip load balancer."""
+
+    command: cappa.Subcommands[BundleCommand | MakeKeys | CredentialDigest]
+
+
+def main() -> None:
+    """Entry point of the `wheatslip` command."""
+    parsed = cappa.parse(Wheatslip, version=__version__, completion=False)
+    command = parsed.command
+    if isinstance(command, BundleCommand):
+        command = command.command
+    sys.exit(int(command()))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/wheatslip-cli/wheatslip_cli/operator.py
@@ -0,0 +1,51 @@
+"""What every command that talks to the platform needs: settings, a client, the releases."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from random import SystemRandom
+
+from result import Err, Ok
+from wheatslip.objects import ObjectClient, Unavailable
+from wheatslip.releases import Beaten, Refused, ReleaseError, Releases
+from wheatslip.signing import load_keyring
+
+from wheatslip_cli.output import ExitCode, complain
+from wheatslip_cli.settings import Settings, load_settings
+
+Step = Callable[[Releases, Settings], Awaitable[ExitCode]]
+
+
+def run_step(settings_path: Path, step: Step) -> ExitCode:
+    """Load the settings and run one step against the platform."""
+    match load_settings(settings_path):
+        case Err(problems):
+            return complain(ExitCode.BAD_USAGE, *(str(problem) for problem in problems))
+        case Ok(settings):
+            return asyncio.run(_run(settings, step))
+    raise AssertionError
+
+
+async def _run(settings: Settings, step: Step) -> ExitCode:
+    client = ObjectClient(settings.platform, SystemRandom())
+    try:
+        keyring = load_keyring(settings.keyring)
+    except ValueError as error:
+        return complain(ExitCode.BAD_USAGE, str(error))
+    try:
+        return await step(Releases(client, keyring), settings)
+    finally:
+        await client.close()
+
+
+def complain_about(error: ReleaseError) -> ExitCode:
+    """Print why a step was not taken."""
+    match error:
+        case Refused(why):
+            return complain(ExitCode.REFUSED, why)
+        case Beaten(head):
+            what = f"version {head.version} ({head.digest[:12]}) is in force"
+            return complain(ExitCode.BEATEN, f"not rolled out: {what}")
+        case Unavailable(detail):
+            return complain(ExitCode.UNAVAILABLE, f"the platform: {detail}")
+    raise AssertionError(error)
--- /dev/null
+++ b/packages/wheatslip/wheatslip/admission.py
@@ -0,0 +1,172 @@
+"""Admission at one backend server: how many requests run, who waits, who is refused.
+
+Pure decision code: the caller passes the time in (seconds, monotonic) and carries out what
+is decided. One `Admission` is the only way to its backend server, so its count is exact.
+"""
+
+from dataclasses import dataclass, field
+
+from wheatslip.call import Call, CallClass
+from wheatslip.fairqueue import FairQueue
+from wheatslip.limit import ConcurrencyLimit
+from wheatslip.outcome import NotRun, Reason
+
+MIN_RETRY_AFTER = 0.05  # seconds
+DEFAULT_URGENT_SHARE = 0.25
+
+
+@dataclass(slots=True, eq=False)
+class Ticket:
+    """One request at the gate. `started` is None while it waits."""
+
+    call: Call
+    arrived: float
+    started: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class AdmissionSettings:
+    """Bounds of one gate. `slots` 0 means: find the concurrency limit."""
+
+    slots: int = 0
+    queue: int = 64
+    urgent_share: float = DEFAULT_URGENT_SHARE
+
+
+@dataclass(slots=True)
+class Admission:
+    """The gate of one backend server."""
+
+    settings: AdmissionSettings
+    limit: ConcurrencyLimit = field(init=False)
+    draining: bool = False
+    last_finished: float = float("-inf")
+    _queue: FairQueue[Ticket] = field(init=False)
+    _running: set[Ticket] = field(init=False, default_factory=set)
+    _started_sum: float = field(init=False, default=0.0)
+
+    def __post_init__(self) -> None:
+        self.limit = ConcurrencyLimit(self.settings.slots)
+        self._queue = FairQueue(self.settings.urgent_share)
+
+    @property
+    def in_flight(self) -> int:
+        """Requests the backend server is working on."""
+        return len(self._running)
+
+    @property
+    def queued(self) -> int:
+        """Requests that wait here."""
+        return len(self._queue)
+
+    def set_shares(self, shares: dict[str, float]) -> None:
+        """Weights of the workspaces, by name; one that is missing has weight 1."""
+        self._queue.shares = shares
+
+    def resize(self, settings: AdmissionSettings) -> None:
+        """Take new bounds; what waits or runs stays."""
+        if settings.slots != self.settings.slots:
+            self.limit = ConcurrencyLimit(settings.slots)
+        self.settings = settings
+        self._queue.urgent_share = settings.urgent_share
+
+    def service_estimate(self, now: float) -> float:
+        """Seconds one request takes now.
+
+        The age of what runs counts too, so that a server which stopped answering is seen
+        before its first slow answer comes.
+        """
+        estimate = self.limit.service
+        if not self._running:
+            return estimate
+        mean_age = now - self._started_sum / len(self._running)
+        # Of requests caught at a random moment, the mean age equals the mean service time
+        # only in the worst case; beyond twice the estimate it speaks of a slow-down.
+        return mean_age if mean_age > 2 * estimate else estimate
+
+    def expected_wait(self, now: float) -> float:
+        """Seconds until a request that arrives now would start."""
+        if self.in_flight < self.limit.value and not self.queued:
+            return 0.0
+        return (self.queued + 1) / self.limit.value * self.service_estimate(now)
+
+    def arrive(self, call: Call, now: float, *, may_bounce: bool = False) -> Ticket | NotRun:
+        """Take a request: a started ticket runs, another waits; or it is refused.
+
+        `may_bounce` says that the sender has other upstreams to try: a request that would
+        have to wait is then refused at once.
+        """
+        if self.draining:
+            return NotRun(Reason.DRAINING)
+        if call.remaining(now) <= 0:
+            return NotRun(Reason.DEADLINE)
+        ticket = Ticket(call, now)
+        if self.in_flight < self.limit.value and not self.queued:
+            self._start(ticket, now)
+            return ticket
+        wait = self.expected_wait(now)
+        if may_bounce or self._too_late(call, wait, now):
+            return self._refusal(wait)
+        return self._enqueue(ticket, wait)
+
+    def finish(self, ticket: Ticket, now: float, *, worked: bool) -> list[Ticket]:
+        """A started request has ended. `worked`: its time tells of the server's speed.
+
+        Returns the tickets that start now.
+        """
+        assert ticket.started is not None
+        if ticket not in self._running:
+            return []
+        self._running.remove(ticket)
+        self._started_sum -= ticket.started
+        self.last_finished = now
+        if worked:
+            busy = bool(self.queued)
+            self.limit.observe(now - ticket.started, self.in_flight + 1, now, saturated=busy)
+        return self.admit(now)
+
+    def withdraw(self, ticket: Ticket) -> bool:
+        """Take a waiting ticket out of the queue; False if it does not wait."""
+        if ticket.started is not None:
+            return False
+        return self._queue.remove(ticket.call.workspace, ticket)
+
+    def admit(self, now: float) -> list[Ticket]:
+        """Start waiting requests while there is room."""
+        started = []
+        while self.in_flight < self.limit.value:
+            ticket = self._queue.pop()
+            if ticket is None:
+                break
+            self._start(ticket, now)
+            started.append(ticket)
+        return started
+
+    def latest_start(self, call: Call, now: float) -> float:
+        """The moment after which a waiting request can't meet its deadline any more."""
+        return call.deadline - min(self.service_estimate(now), call.remaining(now) / 2)
+
+    def evicted(self) -> list[Ticket]:
+        """Tickets pushed out of a full queue since the last call."""
+        return self._queue.take_evicted()
+
+    def _enqueue(self, ticket: Ticket, wait: float) -> Ticket | NotRun:
+        call = ticket.call
+        urgent = call.call_class is CallClass.URGENT
+        is_full = len(self._queue) >= self.settings.queue
+        if is_full and (urgent or not self._queue.evict_for(call.workspace)):
+            return self._refusal(wait)
+        self._queue.push(call.workspace, call.deadline, ticket, urgent=urgent)
+        return ticket
+
+    def _start(self, ticket: Ticket, now: float) -> None:
+        ticket.started = now
+        self._running.add(ticket)
+        self._started_sum += now
+
+    def _too_late(self, call: Call, wait: float, now: float) -> bool:
+        needed = wait + self.service_estimate(now)
+        return call.remaining(now) < needed
+
+    def _refusal(self, wait: float) -> NotRun:
+        return NotRun(Reason.OVERLOADED, max(MIN_RETRY_AFTER, wait))
--- /dev/null
+++ b/packages/wheatslip/wheatslip/call.py
@@ -0,0 +1,36 @@
+"""A call: one request as the decisions see it, without its bytes."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class CallClass(StrEnum):
+    """How a call stands in a queue: urgent calls go first but earn no share."""
+
+    NORMAL = "normal"
+    URGENT = "urgent"
+
+
+@dataclass(frozen=True, slots=True)
+class RequestKind:
+    """What a service's bundle says of a kind of request."""
+
+    name: str
+    repeatable: bool
+    call_class: CallClass = CallClass.NORMAL
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One request on its way. `deadline` is in seconds on the local monotonic clock."""
+
+    workspace: str
+    service: str
+    kind: RequestKind
+    deadline: float
+    key: str = ""
+    depth: int = 0
+
+    def remaining(self, now: float) -> float:
+        """Seconds left at `now`; not positive once the deadline has passed."""
+        return self.deadline - now
--- /dev/null
+++ b/packages/wheatslip/wheatslip/changes.py
@@ -0,0 +1,55 @@
+"""What differs between two bundles, item by item."""
+
+from collections.abc import Iterable
+from enum import StrEnum
+
+import msgspec
+
+from wheatslip.bundle import Bundle, Pool, Service, Workspace
+
+
+class ChangeKind(StrEnum):
+    """How an item differs."""
+
+    ADDED = "added"
+    REMOVED = "removed"
+    CHANGED = "changed"
+
+
+class Change(msgspec.Struct, frozen=True):
+    """One item that differs; `fields` names the changed ones."""
+
+    kind: ChangeKind
+    item: str
+    fields: tuple[str, ...] = ()
+
+
+Item = Workspace | Service | Pool
+
+
+def changes_between(old: Bundle, new: Bundle) -> list[Change]:
+    """The changes from `old` to `new`, sorted by item."""
+    found = [
+        *_compare("workspace", old.workspaces, new.workspaces),
+        *_compare("service", old.services, new.services),
+        *_compare("pool", old.pools, new.pools),
+    ]
+    return sorted(found, key=lambda change: change.item)
+
+
+def _compare(word: str, old: Iterable[Item], new: Iterable[Item]) -> Iterable[Change]:
+    before = {item.name: item for item in old}
+    after = {item.name: item for item in new}
+    for name in before.keys() | after.keys():
+        label = f"{word} {name}"
+        if name not in before:
+            yield Change(ChangeKind.ADDED, label)
+        elif name not in after:
+            yield Change(ChangeKind.REMOVED, label)
+        elif before[name] != after[name]:
+            yield Change(ChangeKind.CHANGED, label, _fields(before[name], after[name]))
+
+
+def _fields(before: Item, after: Item) -> tuple[str, ...]:
+    names = before.__struct_fields__
+    return tuple(name for name in names if getattr(before, name) != getattr(after, name))
--- /dev/null
+++ b/packages/wheatslip/wheatslip/head.py
@@ -0,0 +1,24 @@
+"""The head: the one object that says which bundle version is in force."""
+
+import msgspec
+
+KIND = "head"
+NAME = "bundle"
+BUNDLE_KIND = "bundle"
+DIGEST_CHARS = 16
+
+
+class Head(msgspec.Struct, frozen=True):
+    """The version in force, and the digest of its canonical bytes."""
+
+    version: int
+    digest: str
+
+
+def bundle_name(version: int, digest: str) -> str:
+    """The platform's name of a bundle; sorts as the versions do.
+
+    The digest is part of it, so that two proposals of one version stand side by side and
+    the head alone decides between them.
+    """
+    return f"v{version:012d}-{digest[:DIGEST_CHARS]}"
--- /dev/null
+++ b/packages/wheatslip/wheatslip/limit.py
@@ -0,0 +1,66 @@
+"""The concurrency limit of one backend server, found from what its answers take.
+
+While there is room, a request takes the same time whatever the concurrency; past the
+server's slots the time grows with it. The limit goes up while saturated answers take about
+as long as unhurried ones, and down when they take clearly longer.
+"""
+
+from dataclasses import dataclass
+
+INITIAL_LIMIT = 8
+MIN_LIMIT = 2
+MAX_LIMIT = 1000
+SERVICE_WEIGHT = 0.1  # weight of one answer in the service time
+GROW_BELOW = 1.25  # ratio of recent to unhurried time under which the limit grows
+SHRINK_ABOVE = 1.6
+SHRINK_FACTOR = 0.9
+BASELINE_DRIFT = 0.02  # per window; lets a lasting slow-down become the new normal
+INITIAL_SERVICE = 0.005  # seconds, until the first answer
+
+
+@dataclass(slots=True)
+class ConcurrencyLimit:
+    """The limit and the service time. `slots` above 0 fixes the limit."""
+
+    slots: int = 0
+    service: float = INITIAL_SERVICE
+    _value: float = INITIAL_LIMIT
+    _baseline: float = 0.0
+    _seen: bool = False
+    _window_sum: float = 0.0
+    _window_count: int = 0
+    _window_saturated: int = 0
+
+    @property
+    def value(self) -> int:
+        """Requests that may run at one time."""
+        return self.slots or int(self._value)
+
+    def observe(self, took: float, in_flight: int, now: float, *, saturated: bool) -> None:
+        """One answer: it took `took` seconds among `in_flight`; `saturated`: others waited."""
+        weight = SERVICE_WEIGHT if self._seen else 1.0
+        self._seen = True
+        self.service += weight * (took - self.service)
+        if self.slots:
+            return
+        self._window_sum += took
+        self._window_count += 1
+        self._window_saturated += saturated
+        if self._window_count >= 2 * self.value:
+            self._close_window()
+
+    def _close_window(self) -> None:
+        mean = self._window_sum / self._window_count
+        was_saturated = 2 * self._window_saturated > self._window_count
+        self._window_sum = 0.0
+        self._window_count = 0
+        self._window_saturated = 0
+        if not self._baseline or mean < self._baseline:
+            self._baseline = mean
+        else:
+            self._baseline += BASELINE_DRIFT * (mean - self._baseline)
+        ratio = mean / self._baseline
+        if ratio > SHRINK_ABOVE:
+            self._value = max(MIN_LIMIT, self._value * SHRINK_FACTOR)
+        elif ratio < GROW_BELOW and was_saturated:
+            self._value = min(MAX_LIMIT, self._value + max(1.0, self._value**0.5 / 2))
--- /dev/null
+++ b/packages/wheatslip/wheatslip/outcome.py
@@ -0,0 +1,75 @@
+"""Outcomes of a request, as values.
+
+A request ends in exactly one of three ways: it was answered, it was surely not run, or it
+is unknown whether it ran. Nothing in the library raises to report one of these.
+"""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class Reason(StrEnum):
+    """Why a request was not run, or why its outcome is unknown."""
+
+    BAD_REQUEST = "bad-request"
+    UNAUTHENTICATED = "unauthenticated"
+    FORBIDDEN = "forbidden"
+    NO_SUCH_SERVICE = "no-such-service"
+    NO_UPSTREAM = "no-upstream"
+    OVERLOADED = "overloaded"
+    OVER_SHARE = "over-share"
+    DEADLINE = "deadline"
+    DRAINING = "draining"
+    UNREACHABLE = "unreachable"
+    SHED = "shed"
+    DUPLICATE = "duplicate"
+    KEY_TOO_OLD = "key-too-old"
+    NOT_KEY_OWNER = "not-key-owner"
+    VERSION_BEHIND = "version-behind"
+    NO_CONFIGURATION = "no-configuration"
+    CONNECTION_LOST = "connection-lost"
+    CANCELLED = "cancelled"
+
+
+# Reasons for which another upstream may well take the request.
+RETRYABLE = frozenset(
+    {
+        Reason.OVERLOADED,
+        Reason.DRAINING,
+        Reason.UNREACHABLE,
+        Reason.SHED,
+        Reason.VERSION_BEHIND,
+        Reason.NO_CONFIGURATION,
+        Reason.NOT_KEY_OWNER,
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """The backend server answered; `status` is its HTTP status."""
+
+    status: int
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """The request was not run, for certain. `retry_after` is in seconds, None if pointless."""
+
+    reason: Reason
+    retry_after: float | None = None
+
+    @property
+    def retryable(self) -> bool:
+        """Whether another upstream may take the request now."""
+        return self.reason in RETRYABLE
+
+
+@dataclass(frozen=True, slots=True)
+class Unknown:
+    """The request may or may not have run."""
+
+    reason: Reason
+
+
+Outcome = Answered | NotRun | Unknown
--- /dev/null
+++ b/packages/wheatslip/wheatslip/owners.py
@@ -0,0 +1,56 @@
+"""Who owns a request key: rendezvous hashing over the members of a pool.
+
+The history of memberships tells since when a daemon has been a key's owner without a gap,
+as far as it knows itself.
+"""
+
+import hashlib
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+KEPT_VIEWS = 256
+
+
+def rank(key: str, members: Sequence[str]) -> list[str]:
+    """The members in the order in which they own `key`; the first is the owner."""
+    return sorted(members, key=lambda name: _weight(key, name), reverse=True)
+
+
+def owner(key: str, members: Sequence[str]) -> str | None:
+    """The owner of `key`, None if there are no members."""
+    if not members:
+        return None
+    return max(members, key=lambda name: _weight(key, name))
+
+
+def _weight(key: str, member: str) -> bytes:
+    return hashlib.blake2b(f"{key}\0{member}".encode(), digest_size=8).digest()
+
+
+@dataclass(frozen=True, slots=True)
+class _View:
+    since: float
+    members: tuple[str, ...]
+
+
+class OwnerHistory:
+    """The memberships of one pool that a daemon has seen, latest last."""
+
+    def __init__(self) -> None:
+        self._views: deque[_View] = deque(maxlen=KEPT_VIEWS)
+
+    def change(self, members: Sequence[str], now: float) -> None:
+        """The members are these from `now` on (unix seconds)."""
+        ordered = tuple(sorted(members))
+        if not self._views or self._views[-1].members != ordered:
+            self._views.append(_View(now, ordered))
+
+    def owned_since(self, key: str, name: str) -> float | None:
+        """Since when `name` owns `key` without a gap; None if it does not own it now."""
+        since: float | None = None
+        for view in reversed(self._views):
+            if owner(key, view.members) != name:
+                break
+            since = view.since
+        return since
--- /dev/null
+++ b/packages/wheatslipd/wheatslipd/backend.py
@@ -0,0 +1,65 @@
+"""The way to the local backend server: its connections and one request on one of them."""
+
+from dataclasses import dataclass
+
+from wheatslip.outcome import NotRun, Reason, Unknown
+
+from wheatslipd.http.body import Body, BodyBroken
+from wheatslipd.http.client import ClientConnection, Pool, Response
+from wheatslipd.http.messages import RequestHead
+
+NO_LENGTH = frozenset({b"GET", b"HEAD"})
+
+
+@dataclass(slots=True, eq=False)
+class BackendAnswer:
+    """An answer that has begun; `release` must be called when it is read or given up."""
+
+    response: Response
+    connection: ClientConnection
+
+
+class Backend:
+    """The local backend server."""
+
+    def __init__(self, address: str, port: int, connections: int, connect_timeout: float):
+        """`connections` bounds those open at one time; `connect_timeout` in seconds."""
+        self._pool = Pool(address, port, connections)
+        self._connect_timeout = connect_timeout
+
+    async def send(self, head: RequestHead, body: Body) -> BackendAnswer | NotRun | Unknown:
+        """Send a request; `NotRun` if surely nothing of it reached the server."""
+        connection = await self._pool.take(self._connect_timeout)
+        if connection is None:
+            return NotRun(Reason.UNREACHABLE, retry_after=1.0)
+        try:
+            await self._send_request(connection, head, body)
+            return BackendAnswer(await connection.response(), connection)
+        except (ConnectionError, BodyBroken):
+            self._pool.give_back(connection)
+            return Unknown(Reason.CONNECTION_LOST)
+        except BaseException:
+            self._pool.give_back(connection)
+            raise
+
+    def release(self, answer: BackendAnswer) -> None:
+        """Keep the answer's connection if it was read to the end, close it otherwise."""
+        self._pool.give_back(answer.connection)
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        self._pool.close()
+
+    async def _send_request(
+        self, connection: ClientConnection, head: RequestHead, body: Body
+    ) -> None:
+        if body.complete:
+            whole = await body.read_up_to(body.held + 1)
+            if whole or head.method not in NO_LENGTH:
+                head.headers.append((b"content-length", b"%d" % len(whole)))
+            await connection.start_with_body(head, whole)
+            return
+        await connection.start(head, chunked=True, end=False)
+        async for chunk in body.chunks():
+            await connection.write(chunk, chunked=True)
+        await connection.finish(chunked=True)
--- /dev/null
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -0,0 +1,248 @@
+"""The daemon: wires entry, admission and control together and runs them until told to stop."""
+
+import asyncio
+import signal
+import time
+from collections.abc import Callable
+from random import Random
+
+from circuits import Component
+from wheatslip.admission import Admission, AdmissionSettings
+from wheatslip.bundle import Bundle
+from wheatslip.chooser import Chooser
+from wheatslip.ledger import KeyLedger
+from wheatslip.owners import OwnerHistory
+
+from wheatslipd import logs
+from wheatslipd.backend import Backend
+from wheatslipd.bundles import BundleController
+from wheatslipd.bus import Bus
+from wheatslipd.chain import build_chain
+from wheatslipd.entry import Entry
+from wheatslipd.events import leaving, newer_version_seen
+from wheatslipd.feed import PlatformFeed
+from wheatslipd.filters import entry_filters
+from wheatslipd.forward import Forwarder
+from wheatslipd.gate import Gate
+from wheatslipd.http.server import Server
+from wheatslipd.measure import Measurer
+from wheatslipd.membership import MembershipController
+from wheatslipd.metrics import Metrics
+from wheatslipd.pages import PageServer, PageSource, Status
+from wheatslipd.peerport import PeerPort
+from wheatslipd.settings import Settings
+from wheatslipd.tracing import HopTracer
+from wheatslipd.view import View
+
+BACKEND_CONNECTIONS = 220
+DRAIN_POLL = 0.02  # seconds
+
+
+class _Lifecycle(Component):
+    """Controller of drain, of bounds from the bundle, and of hints about newer versions."""
+
+    channel = "*"
+
+    def __init__(self, daemon: "Daemon"):
+        super().__init__()
+        self._daemon = daemon
+
+    def leaving(self, cause: str) -> None:
+        """Stop taking new work; what is in flight goes on."""
+        self._daemon.drain(cause)
+
+    def bundle_in_force(self, bundle: Bundle) -> None:
+        """Take over the bounds of our pool and the workspaces' shares."""
+        self._daemon.take_bounds(bundle)
+
+    def newer_version_seen(self, version: int) -> None:
+        """Look at the head now rather than wait for the watch."""
+        if version > self._daemon.view.version:
+            self._daemon.feed.check_head()
+
+
+class Daemon:
+    """One wheatslipd."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        rng: Random,
+        monotonic: Callable[[], float] = time.monotonic,
+        unix: Callable[[], float] = time.time,
+    ):
+        """Build everything; nothing runs before `run`."""
+        self.settings = settings
+        self.view = View()
+        self.metrics = Metrics(settings.name, settings.zone)
+        self._monotonic = monotonic
+        self._started = asyncio.Event()
+        self._stopping = asyncio.Event()
+        self.bus = Bus()
+        self.feed = PlatformFeed(settings.platform, settings.keyring, self.bus, rng)
+        self._tracer = HopTracer(settings.name, settings.trace_sample, settings.trace_file, rng)
+        self.gate = Gate(Admission(AdmissionSettings()), self.view, self.metrics, monotonic)
+        self._backend = Backend(
+            settings.backend_address,
+            settings.backend_port,
+            BACKEND_CONNECTIONS,
+            settings.connect_timeout,
+        )
+        owners = OwnerHistory()
+        self._register_controllers(owners, monotonic, unix)
+        self.entry_server = Server(self._build_entry(rng).handle)
+        peer_port = PeerPort(
+            self.view,
+            settings.name,
+            self.gate,
+            self._backend,
+            KeyLedger(watching_since=unix()),
+            owners,
+            self.metrics,
+            self._tracer,
+            monotonic,
+            unix,
+            self._hint_newer_version,
+        )
+        self.peer_server = Server(peer_port.handle)
+        self.measurer = Measurer(
+            self._backend,
+            settings.health_path,
+            self.bus,
+            self.metrics,
+            monotonic,
+            self._is_silent,
+        )
+
+    async def run(self) -> int:
+        """Run until stopped; returns the process's exit code."""
+        self.bus.attach()
+        pages = await self._listen()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stop)
+        tasks = [loop.create_task(self.feed.run())]
+        if self.settings.health_path:
+            tasks.append(loop.create_task(self.measurer.run()))
+        stopped = loop.create_task(self._stopping.wait())
+        assert self.bus.failed is not None
+        await asyncio.wait(
+            [stopped, self.bus.failed, *tasks], return_when=asyncio.FIRST_COMPLETED
+        )
+        was_asked = self._stopping.is_set()
+        if was_asked:
+            await self._finish_in_flight()
+        for task in (stopped, *tasks):
+            task.cancel()
+        await asyncio.gather(stopped, *tasks, return_exceptions=True)
+        await pages.stop()
+        self._tracer.close()
+        logs.info("stopped", asked=was_asked)
+        return 0 if was_asked else 1
+
+    def stop(self) -> None:
+        """Begin a planned stop."""
+        self.bus.fire(leaving("asked to stop"))
+        self._stopping.set()
+
+    def drain(self, cause: str) -> None:
+        """Take no new work."""
+        if not self.view.draining:
+            logs.info("draining", cause=cause, in_flight=self.gate.admission.in_flight)
+        self.view.draining = True
+        self.gate.drain()
+
+    def take_bounds(self, bundle: Bundle) -> None:
+        """Apply the pool's limits and the workspaces' shares."""
+        pool = next((p for p in bundle.pools if p.name == self.settings.pool), None)
+        if pool is None:
+            logs.warning("pool-not-in-bundle", pool=self.settings.pool, version=bundle.version)
+            return
+        admission = self.gate.admission
+        admission.resize(AdmissionSettings(slots=pool.slots, queue=pool.queue))
+        admission.set_shares({w.name: w.share for w in bundle.workspaces})
+        self.measurer.budget.per_second = pool.probes_per_second
+
+    def status(self) -> Status:
+        """The state for the status page."""
+        admission = self.gate.admission
+        members = sum(len(peers) for peers in self.view.membership.pools.values())
+        return Status(
+            name=self.settings.name,
+            zone=self.settings.zone,
+            pool=self.settings.pool,
+            entry_port=self.entry_server.port,
+            peer_port=self.peer_server.port,
+            version=self.view.version,
+            draining=self.view.draining,
+            in_flight=admission.in_flight,
+            queued=admission.queued,
+            limit=admission.limit.value,
+            members=members,
+            platform_calls=self.feed.client.calls,
+        )
+
+    def _register_controllers(
+        self, owners: OwnerHistory, monotonic: Callable[[], float], unix: Callable[[], float]
+    ) -> None:
+        settings = self.settings
+        BundleController(self.view, self.metrics, self.feed.fetch).register(self.bus)
+        MembershipController(
+            self.view, settings.name, settings.pool, owners, monotonic, unix
+        ).register(self.bus)
+        _Lifecycle(self).register(self.bus)
+
+    def _build_entry(self, rng: Random) -> Entry:
+        forwarder = Forwarder(
+            self.view,
+            self.settings.name,
+            Chooser(self.settings.zone, rng),
+            self.metrics,
+            rng,
+            self._monotonic,
+            self._hint_newer_version,
+        )
+        filters = entry_filters(self.view, self.metrics, self._tracer, self._monotonic)
+        return Entry(build_chain(filters, forwarder), self._monotonic)
+
+    def _hint_newer_version(self, version: int) -> None:
+        self.bus.fire(newer_version_seen(version))
+
+    def _is_silent(self, seconds: float) -> bool:
+        admission = self.gate.admission
+        last = admission.last_finished
+        return admission.in_flight == 0 and self._monotonic() - last >= seconds
+
+    async def _listen(self) -> PageServer:
+        settings = self.settings
+        await self.entry_server.listen(settings.address, settings.entry_port)
+        await self.peer_server.listen(settings.address, settings.peer_port)
+        loop = asyncio.get_running_loop()
+        source = PageSource(loop, self.status, self._render_metrics)
+        pages = PageServer(settings.address, settings.pages_port, source)
+        pages_port = await pages.start()
+        logs.info(
+            "listening",
+            name=settings.name,
+            zone=settings.zone,
+            entry_port=self.entry_server.port,
+            peer_port=self.peer_server.port,
+            pages_port=pages_port,
+        )
+        return pages
+
+    def _render_metrics(self) -> bytes:
+        self.metrics.platform_calls.set({}, self.feed.client.calls)
+        self.metrics.connections.set({"port": "entry"}, self.entry_server.open_connections)
+        self.metrics.connections.set({"port": "peer"}, self.peer_server.open_connections)
+        return self.metrics.render()
+
+    async def _finish_in_flight(self) -> None:
+        """Let what is in flight finish, within the grace of the settings."""
+        grace = self.settings.stop_grace
+        finished = await asyncio.gather(
+            self.entry_server.stop(grace), self.peer_server.stop(grace)
+        )
+        if not all(finished):
+            logs.error("stop-cut-requests", grace=grace)
+        self._backend.close()
--- /dev/null
+++ b/packages/wheatslipd/wheatslipd/events.py
@@ -0,0 +1,48 @@
+"""Events between the controllers: typed circuits events, named for what has happened."""
+
+from circuits import Event
+from wheatslip.bundle import Bundle
+from wheatslip.head import Head
+from wheatslip.instances import Instance
+
+
+class head_seen(Event):
+    """The platform's head was read."""
+
+    def __init__(self, head: Head):
+        super().__init__(head)
+
+
+class newer_version_seen(Event):
+    """A peer has a newer bundle version than we."""
+
+    def __init__(self, version: int):
+        super().__init__(version)
+
+
+class bundle_verified(Event):
+    """A bundle's signatures and digest were found good."""
+
+    def __init__(self, bundle: Bundle, head: Head):
+        super().__init__(bundle, head)
+
+
+class bundle_in_force(Event):
+    """A bundle is in force in this daemon from now on."""
+
+    def __init__(self, bundle: Bundle):
+        super().__init__(bundle)
+
+
+class instances_seen(Event):
+    """The platform's list, or changes of it, were read. `gone` holds names."""
+
+    def __init__(self, instances: tuple[Instance, ...], gone: tuple[str, ...], whole: bool):
+        super().__init__(instances, gone, whole)
+
+
+class leaving(Event):
+    """This daemon and its backend server leave; `cause` is for the log."""
+
+    def __init__(self, cause: str):
+        super().__init__(cause)
--- /dev/null
+++ b/packages/wheatslipd/wheatslipd/filters.py
@@ -0,0 +1,220 @@
+"""The entry's filters, in the order in which `entry_filters` lists them."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from wheatslip.bundle import Service, credential_digest
+from wheatslip.call import Call, CallClass, RequestKind
+from wheatslip.ledger import key_time
+from wheatslip.outcome import Answered, NotRun, Outcome, Reason, Unknown
+
+from wheatslipd import logs
+from wheatslipd.chain import EntryRequest, Filter, Proceed
+from wheatslipd.http.messages import RequestHead
+from wheatslipd.metrics import Metrics
+from wheatslipd.tracing import TRACEPARENT, HopTracer
+from wheatslipd.view import View
+
+SERVICE_HEADER = b"wheatslip-service"
+KIND_HEADER = b"wheatslip-kind"
+KEY_HEADER = b"wheatslip-key"
+DEADLINE_HEADER = b"wheatslip-deadline-ms"
+DEPTH_HEADER = b"wheatslip-depth"
+MAX_DEPTH = 16
+BEARER = b"Bearer "
+# Methods that HTTP defines as safe: repeatable unless the caller names a kind.
+SAFE_METHODS = frozenset({b"GET", b"HEAD", b"OPTIONS"})
+READ_ONLY = RequestKind("read", repeatable=True)
+ONCE = RequestKind("once", repeatable=False)
+MILLISECONDS = 1000.0
+
+
+@dataclass(slots=True)
+class TraceFilter:
+    """Begins and ends the entry's span."""
+
+    tracer: HopTracer
+
+    async def __call__(self, request: EntryRequest, proceed: Proceed) -> Outcome:
+        """Trace the rest of the chain."""
+        incoming = request.exchange.head.get(TRACEPARENT)
+        request.trace = self.tracer.hop("entry", incoming, is_head=True)
+        try:
+            outcome = await proceed(request)
+            request.trace.set("wheatslip.outcome", describe(outcome))
+            return outcome
+        finally:
+            request.trace.end()
+
+
+@dataclass(slots=True)
+class CountFilter:
+    """Counts and logs what became of each request."""
+
+    metrics: Metrics
+    clock: Callable[[], float]
+
+    async def __call__(self, request: EntryRequest, proceed: Proceed) -> Outcome:
+        """Count the outcome of the rest of the chain."""
+        outcome = await proceed(request)
+        workspace = request.workspace.name if request.workspace else "-"
+        service = request.service.name if request.service else "-"
+        took = self.clock() - request.arrived
+        labels = {"workspace": workspace, "service": service, "outcome": describe(outcome)}
+        self.metrics.requests.inc(labels)
+        self.metrics.request_seconds.observe({"service": service}, took)
+        if not isinstance(outcome, Answered):
+            logs.debug(
+                "request-not-answered",
+                workspace=workspace,
+                service=service,
+                outcome=describe(outcome),
+                seconds=round(took, 4),
+            )
+        return outcome
+
+
+@dataclass(slots=True)
+class ReadyFilter:
+    """Refuses everything while no configuration is in force or the daemon leaves."""
+
+    view: View
+
+    async def __call__(self, request: EntryRequest, proceed: Proceed) -> Outcome:
+        """Fix the configuration that the request is served under."""
+        if self.view.draining:
+            return NotRun(Reason.DRAINING, retry_after=1.0)
+        if self.view.configuration is None:
+            return NotRun(Reason.NO_CONFIGURATION, retry_after=1.0)
+        request.configuration = self.view.configuration
+        return await proceed(request)
+
+
+class IdentifyFilter:
+    """Finds the workspace by its credential, and by nothing else."""
+
+    async def __call__(self, request: EntryRequest, proceed: Proceed) -> Outcome:
+        """Set the workspace."""
+        assert request.configuration is not None
+        value = request.exchange.head.get(b"authorization") or b""
+        if not value.startswith(BEARER):
+            return NotRun(Reason.UNAUTHENTICATED)
+        credential = value[len(BEARER) :].decode("ascii", "replace").strip()
+        request.workspace = request.configuration.workspace_of(credential_digest(credential))
+        if request.workspace is None:
+            return NotRun(Reason.UNAUTHENTICATED)
+        return await proceed(request)
+
+
+class AuthoriseFilter:
+    """Finds the service, if the workspace may call it."""
+
+    async def __call__(self, request: EntryRequest, proceed: Proceed) -> Outcome:
+        """Set the service. One that is not the workspace's to call does not exist for it."""
+        assert request.configuration is not None and request.workspace is not None
+        name = (request.exchange.head.get(SERVICE_HEADER) or b"").decode("ascii", "replace")
+        service = request.configuration.services.get(name)
+        if service is None or not _may_call(request.workspace.name, service):
+            return NotRun(Reason.NO_SUCH_SERVICE)
+        request.service = service
+        return await proceed(request)
+
+
+@dataclass(slots=True)
+class ClassifyFilter:
+    """Reads kind, key and deadline into a `Call`."""
+
+    clock: Callable[[], float]
+
+    async def __call__(self, request: EntryRequest, proceed: Proceed) -> Outcome:
+        """Set the call, or refuse what can't be read."""
+        assert request.workspace is not None and request.service is not None
+        head = request.exchange.head
+        kind = _kind(head, request.service)
+        allowed = _allowed_seconds(head, request.service.max_deadline)
+        depth = _depth(head)
+        key = (head.get(KEY_HEADER) or b"").decode("ascii", "replace")
+        if kind is None or allowed is None or depth is None:
+            return NotRun(Reason.BAD_REQUEST)
+        if key and key_time(key) is None:
+            return NotRun(Reason.BAD_REQUEST)
+        if allowed <= 0:
+            return NotRun(Reason.DEADLINE)
+        request.call = Call(
+            workspace=request.workspace.name,
+            service=request.service.name,
+            kind=kind,
+            deadline=request.arrived + allowed,
+            key=key,
+            depth=depth,
+        )
+        return await proceed(request)
+
+
+def entry_filters(
+    view: View, metrics: Metrics, tracer: HopTracer, clock: Callable[[], float]
+) -> list[Filter]:
+    """The entry's chain up to forwarding; the order matters."""
+    return [
+        TraceFilter(tracer),
+        CountFilter(metrics, clock),
+        ReadyFilter(view),
+        IdentifyFilter(),
+        AuthoriseFilter(),
+        ClassifyFilter(clock),
+    ]
+
+
+def describe(outcome: Outcome) -> str:
+    """An outcome in a word or two, for logs, metrics and spans."""
+    match outcome:
+        case NotRun(reason):
+            return f"not-run:{reason.value}"
+        case Unknown(reason):
+            return f"unknown:{reason.value}"
+    return "answered"
+
+
+def _may_call(workspace: str, service: Service) -> bool:
+    return workspace == service.workspace or workspace in service.callers
+
+
+def _kind(head: RequestHead, service: Service) -> RequestKind | None:
+    name = head.get(KIND_HEADER)
+    if name is None:
+        return READ_ONLY if head.method in SAFE_METHODS else ONCE
+    kind = service.kind(name.decode("ascii", "replace"))
+    return kind.as_request_kind() if kind else None
+
+
+def _allowed_seconds(head: RequestHead, most: float) -> float | None:
+    value = head.get(DEADLINE_HEADER)
+    if value is None:
+        return most
+    try:
+        milliseconds = int(value)
+    except ValueError:
+        return None
+    return min(most, milliseconds / MILLISECONDS)
+
+
+def _depth(head: RequestHead) -> int | None:
+    value = head.get(DEPTH_HEADER)
+    if value is None:
+        return 0
+    if not value.isdigit() or int(value) > MAX_DEPTH:
+        return None
+    return int(value)
+
+
+__all__ = [
+    "AuthoriseFilter",
+    "CallClass",
+    "ClassifyFilter",
+    "CountFilter",
+    "IdentifyFilter",
+    "ReadyFilter",
+    "TraceFilter",
+    "describe",
+    "entry_filters",
+]
--- /dev/null
+++ b/packages/wheatslipd/wheatslipd/gate.py
@@ -0,0 +1,101 @@
+"""The task around an `Admission`: lets requests wait for their turn at the backend server."""
+
+import asyncio
+from collections.abc import Callable
+
+from wheatslip.admission import Admission, Ticket
+from wheatslip.call import Call
+from wheatslip.hop import LoadReport
+from wheatslip.outcome import NotRun, Reason
+
+from wheatslipd.metrics import Metrics
+from wheatslipd.view import View
+
+EVICTED_RETRY_AFTER = 0.5  # seconds
+
+
+class Gate:
+    """Owns the admission of one backend server."""
+
+    def __init__(
+        self, admission: Admission, view: View, metrics: Metrics, clock: Callable[[], float]
+    ):
+        self.admission = admission
+        self._view = view
+        self._metrics = metrics
+        self._clock = clock
+        self._waiting: dict[Ticket, asyncio.Future[NotRun | None]] = {}
+
+    async def enter(self, call: Call, *, may_bounce: bool) -> Ticket | NotRun:
+        """Wait for a turn; the ticket that comes back has started and must be left with."""
+        now = self._clock()
+        ticket = self.admission.arrive(call, now, may_bounce=may_bounce)
+        self._tell_evicted()
+        if isinstance(ticket, NotRun) or ticket.started is not None:
+            self._measure()
+            return ticket
+        return await self._wait(ticket, now)
+
+    def leave(self, ticket: Ticket, *, worked: bool) -> None:
+        """A started request has ended; `worked`: the backend server answered it."""
+        started = self.admission.finish(ticket, self._clock(), worked=worked)
+        self._wake(started)
+        self._measure()
+
+    def drain(self) -> None:
+        """Refuse new work from now on; what waits is refused too, as it has not run."""
+        self.admission.draining = True
+        for ticket, future in list(self._waiting.items()):
+            if not future.done():
+                self.admission.withdraw(ticket)
+                future.set_result(NotRun(Reason.DRAINING))
+
+    def report(self) -> LoadReport:
+        """The load now, to ride on an answer."""
+        admission = self.admission
+        return LoadReport(
+            in_flight=admission.in_flight,
+            queued=admission.queued,
+            limit=admission.limit.value,
+            service=round(admission.service_estimate(self._clock()), 6),
+            version=self._view.version,
+            draining=admission.draining,
+        )
+
+    async def _wait(self, ticket: Ticket, now: float) -> Ticket | NotRun:
+        future: asyncio.Future[NotRun | None] = asyncio.get_running_loop().create_future()
+        self._waiting[ticket] = future
+        self._measure()
+        patience = self.admission.latest_start(ticket.call, now) - now
+        try:
+            async with asyncio.timeout(max(0.0, patience)):
+                refusal = await future
+            return ticket if refusal is None else refusal
+        except TimeoutError:
+            if ticket.started is not None:
+                return ticket
+            self.admission.withdraw(ticket)
+            return NotRun(Reason.DEADLINE)
+        except asyncio.CancelledError:
+            if not self.admission.withdraw(ticket) and ticket.started is not None:
+                self.leave(ticket, worked=False)
+            raise
+        finally:
+            del self._waiting[ticket]
+
+    def _wake(self, started: list[Ticket]) -> None:
+        for ticket in started:
+            future = self._waiting.get(ticket)
+            if future is not None and not future.done():
+                future.set_result(None)
+
+    def _tell_evicted(self) -> None:
+        for ticket in self.admission.evicted():
+            future = self._waiting.get(ticket)
+            if future is not None and not future.done():
+                future.set_result(NotRun(Reason.OVER_SHARE, EVICTED_RETRY_AFTER))
+
+    def _measure(self) -> None:
+        self._metrics.in_flight.set({}, self.admission.in_flight)
+        self._metrics.queued.set({}, self.admission.queued)
+        self._metrics.limit.set({}, self.admission.limit.value)
--- /dev/null
+++ b/packages/wheatslipd/wheatslipd/http/body.py
@@ -0,0 +1,86 @@
+"""A message body as a stream of chunks with back-pressure on the socket it comes from."""
+
+import asyncio
+from collections import deque
+from collections.abc import AsyncIterator, Callable
+
+HIGH_WATER = 64 * 1024  # bytes held before the socket is no longer read
+
+
+class BodyBroken(Exception):
+    """The connection ended before the body did."""
+
+
+class Body:
+    """Chunks that the connection feeds and one reader takes."""
+
+    def __init__(self, pause: Callable[[], None], resume: Callable[[], None]):
+        self._pause = pause
+        self._resume = resume
+        self._chunks: deque[bytes] = deque()
+        self.held = 0  # bytes that have come and are not read
+        self._paused = False
+        self._broken = False
+        self._waiter: asyncio.Future[None] | None = None
+        self.complete = False
+
+    @property
+    def exhausted(self) -> bool:
+        """Whether all of the body has come and been read."""
+        return self.complete and not self._chunks
+
+    def feed(self, chunk: bytes) -> None:
+        """Add a chunk; stops the socket when too much is held."""
+        self._chunks.append(chunk)
+        self.held += len(chunk)
+        if self.held > HIGH_WATER and not self._paused:
+            self._paused = True
+            self._pause()
+        self._wake()
+
+    def finish(self) -> None:
+        """The body is whole."""
+        self.complete = True
+        self._wake()
+
+    def break_off(self) -> None:
+        """The connection ended; a reader meets `BodyBroken` unless the body is whole."""
+        self._broken = True
+        self._wake()
+
+    async def read(self) -> bytes:
+        """The next chunk; empty at the end."""
+        while not self._chunks:
+            if self.complete:
+                return b""
+            if self._broken:
+                raise BodyBroken
+            self._waiter = asyncio.get_running_loop().create_future()
+            await self._waiter
+        chunk = self._chunks.popleft()
+        self.held -= len(chunk)
+        if self._paused and self.held <= HIGH_WATER // 2:
+            self._paused = False
+            self._resume()
+        return chunk
+
+    async def read_up_to(self, limit: int) -> bytes:
+        """Bytes until the end of the body or until `limit` or more have come."""
+        parts = []
+        size = 0
+        while size < limit:
+            chunk = await self.read()
+            if not chunk:
+                break
+            parts.append(chunk)
+            size += len(chunk)
+        return b"".join(parts)
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """The rest of the body."""
+        while chunk := await self.read():
+            yield chunk
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
--- /dev/null
+++ b/packages/wheatslipd/wheatslipd/http/client.py
@@ -0,0 +1,258 @@
+"""The client side of HTTP/1.1: one connection, and a pool of them to one address."""
+
+import asyncio
+from collections import deque
+
+import httptools
+
+from wheatslipd.http.body import Body
+from wheatslipd.http.connection import Connection
+from wheatslipd.http.messages import (
+    LAST_CHUNK,
+    RequestHead,
+    ResponseHead,
+    encode_chunk,
+    encode_request,
+)
+
+IDLE_SECONDS = 30.0  # shorter than a server's, so that we rarely write to a closing one
+INTERIM_LIMIT = 200
+
+
+class Response:
+    """A response head and its body."""
+
+    __slots__ = ("body", "head")
+
+    def __init__(self, head: ResponseHead, body: Body):
+        self.head = head
+        self.body = body
+
+
+class ClientConnection(Connection):
+    """A connection that carries one request at a time.
+
+    Any byte that no request waits for means that the two ends no longer agree on where
+    messages start, so the connection is closed and never used again.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._parser = httptools.HttpResponseParser(self)
+        self._method = b""
+        self._response: asyncio.Future[Response] | None = None
+        self._continue: asyncio.Future[bool] | None = None
+        self._body: Body | None = None
+        self._busy = False
+        self._sent_all = True
+        self._reusable = True
+        self._until_close = False
+        self.idle_since = 0.0
+
+    @property
+    def reusable(self) -> bool:
+        """Whether another request may be sent: all was sent, all was read, nothing extra."""
+        return (
+            self._reusable
+            and not self.closed
+            and not self._busy
+            and self._sent_all
+            and (self._body is None or self._body.exhausted)
+        )
+
+    async def start(self, head: RequestHead, *, chunked: bool, end: bool) -> None:
+        """Send a request head; `end` says that no body follows."""
+        self._method = head.method
+        self._busy = True
+        self._sent_all = end
+        self._body = None
+        loop = asyncio.get_running_loop()
+        self._response = loop.create_future()
+        self._continue = loop.create_future()
+        await self.send(encode_request(head, chunked=chunked))
+
+    async def start_with_body(self, head: RequestHead, body: bytes) -> None:
+        """Send a request whose whole body is at hand in one write."""
+        self._method = head.method
+        self._busy = True
+        self._sent_all = True
+        self._body = None
+        self._response = asyncio.get_running_loop().create_future()
+        self._continue = None
+        await self.send(encode_request(head, chunked=False) + body)
+
+    async def write(self, chunk: bytes, *, chunked: bool) -> None:
+        """Send a part of the body."""
+        await self.send(encode_chunk(chunk) if chunked else chunk)
+
+    async def finish(self, *, chunked: bool) -> None:
+        """The request is whole."""
+        if chunked:
+            await self.send(LAST_CHUNK)
+        self._sent_all = True
+
+    async def wait_continue(self) -> bool:
+        """True once the other end asks for the body, False if it answered instead."""
+        assert self._continue is not None
+        return await self._continue
+
+    async def response(self) -> Response:
+        """The final response; raises ConnectionError if the connection ends before it."""
+        assert self._response is not None
+        return await self._response
+
+    # asyncio's callbacks.
+
+    def data_received(self, data: bytes) -> None:
+        """Feed the parser; what is malformed or unasked for ends the connection."""
+        if not self._busy:
+            self._break()
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._break()
+
+    def eof_received(self) -> bool:
+        """Bodies without a length end with the connection."""
+        self._reusable = False
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail what is under way."""
+        super().connection_lost(exc)
+        if self._body is not None and not self._body.complete:
+            if exc is None and self._until_close:
+                self._body.finish()
+            else:
+                self._body.break_off()
+        self._fail()
+
+    # The parser's callbacks.
+
+    def on_headers_complete(self) -> None:
+        """A response head is whole; an interim one is passed over."""
+        self._in_head = False
+        status = self._parser.get_status_code()
+        if status < INTERIM_LIMIT:
+            if status == 100 and self._continue is not None and not self._continue.done():
+                self._continue.set_result(True)
+            return
+        if self._body is not None or self._response is None:
+            raise ConnectionError("a second response to one request")
+        keep_alive = self._parser.should_keep_alive()
+        head = ResponseHead(status, self._headers, keep_alive)
+        self._reusable = self._reusable and keep_alive
+        self._until_close = not self._has_framing(head)
+        self._body = Body(self.pause, self.resume)
+        if self._method == b"HEAD":
+            # The parser can't know that no body follows, so it can't be used again.
+            self._reusable = False
+            self._busy = False
+            self._body.finish()
+        if not self._response.done():
+            self._response.set_result(Response(head, self._body))
+        if self._continue is not None and not self._continue.done():
+            self._continue.set_result(False)
+
+    def on_body(self, chunk: bytes) -> None:
+        """A part of the body."""
+        if self._method == b"HEAD":
+            raise ConnectionError("a body in answer to HEAD")
+        if self._body is not None:
+            self._body.feed(chunk)
+
+    def on_message_complete(self) -> None:
+        """The response is whole, unless it was an interim one."""
+        if self._parser.get_status_code() < INTERIM_LIMIT:
+            return
+        if self._body is not None and not self._body.complete:
+            self._body.finish()
+        self._busy = False
+
+    @staticmethod
+    def _has_framing(head: ResponseHead) -> bool:
+        return (
+            head.get(b"content-length") is not None
+            or head.get(b"transfer-encoding") is not None
+        )
+
+    def _break(self) -> None:
+        self._reusable = False
+        if self._body is not None and not self._body.complete:
+            self._body.break_off()
+        self._fail()
+        self.abort()
+
+    def _fail(self) -> None:
+        error = ConnectionResetError("connection ended before the response")
+        if self._response is not None and not self._response.done():
+            self._response.set_exception(error)
+            self._response.exception()  # marks it as seen; a reader may have left already
+        if self._continue is not None and not self._continue.done():
+            self._continue.set_result(False)
+
+
+class Pool:
+    """Connections to one address, the one used last first."""
+
+    def __init__(self, host: str, port: int, limit: int):
+        """`limit` bounds the connections open at one time."""
+        self._host = host
+        self._port = port
+        self._limit = limit
+        self._idle: deque[ClientConnection] = deque()
+        self._open = 0
+        self.opened = 0
+
+    async def take(self, connect_timeout: float) -> ClientConnection | None:
+        """A connection ready for a request; None if none can be had, so nothing was sent."""
+        now = asyncio.get_running_loop().time()
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.reusable and now - connection.idle_since < IDLE_SECONDS:
+                return connection
+            self._discard(connection)
+        if self._open >= self._limit:
+            return None
+        return await self._connect(connect_timeout)
+
+    def give_back(self, connection: ClientConnection) -> None:
+        """Keep the connection if it may be used again, close it otherwise."""
+        if not connection.reusable:
+            self._discard(connection)
+            return
+        connection.idle_since = asyncio.get_running_loop().time()
+        self._idle.append(connection)
+
+    def drop_idle(self) -> None:
+        """Close the connections not used for long."""
+        oldest = asyncio.get_running_loop().time() - IDLE_SECONDS
+        while self._idle and self._idle[0].idle_since < oldest:
+            self._discard(self._idle.popleft())
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        while self._idle:
+            self._discard(self._idle.pop())
+
+    async def _connect(self, timeout: float) -> ClientConnection | None:
+        self._open += 1
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(timeout):
+                _, connection = await loop.create_connection(
+                    ClientConnection, self._host, self._port
+                )
+        except (OSError, TimeoutError):
+            self._open -= 1
+            return None
+        except BaseException:
+            self._open -= 1
+            raise
+        self.opened += 1
+        return connection
+
+    def _discard(self, connection: ClientConnection) -> None:
+        self._open -= 1
+        connection.abort()
--- /dev/null
+++ b/packages/wheatslipd/wheatslipd/http/server.py
@@ -0,0 +1,288 @@
+"""The server side of HTTP/1.1: reads requests, hands each to a handler, in order."""
+
+import asyncio
+from collections import deque
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import httptools
+
+from wheatslipd.http.body import Body
+from wheatslipd.http.connection import MAX_HEAD_BYTES, Connection, HeadTooLarge
+from wheatslipd.http.messages import (
+    LAST_CHUNK,
+    NO_BODY_STATUSES,
+    RequestHead,
+    ResponseHead,
+    encode_chunk,
+    encode_response,
+)
+
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+MAX_PIPELINED = 8
+IDLE_SECONDS = 60.0
+
+
+@dataclass(slots=True, eq=False)
+class Exchange:
+    """One request on a server connection, and the means to answer it."""
+
+    connection: "ServerConnection"
+    head: RequestHead
+    body: Body
+    expects_continue: bool
+    started: bool = False
+    finished: bool = False
+    _chunked: bool = False
+    _bodyless: bool = False
+
+    async def send_continue(self) -> None:
+        """Ask the sender for its body, if it waits to be asked."""
+        if self.expects_continue:
+            self.expects_continue = False
+            await self.connection.send(CONTINUE)
+
+    async def start(self, head: ResponseHead) -> None:
+        """Send the response head.
+
+        Without a content-length the body is chunked, or for HTTP/1.0 ends with the connection.
+        """
+        self.started = True
+        has_length = head.get(b"content-length") is not None
+        self._bodyless = self.head.method == b"HEAD" or head.status in NO_BODY_STATUSES
+        needs_framing = not has_length and not self._bodyless
+        self._chunked = needs_framing and not self.head.is_http_1_0
+        close = not self.head.keep_alive or self.expects_continue
+        close = close or (needs_framing and self.head.is_http_1_0)
+        self.head.keep_alive = not close
+        await self.connection.send(encode_response(head, chunked=self._chunked, close=close))
+
+    async def write(self, chunk: bytes) -> None:
+        """Send a part of the body."""
+        if self._bodyless or not chunk:
+            return
+        await self.connection.send(encode_chunk(chunk) if self._chunked else chunk)
+
+    async def finish(self) -> None:
+        """The response is whole."""
+        if self._chunked:
+            await self.connection.send(LAST_CHUNK)
+        self.finished = True
+
+    async def respond(self, head: ResponseHead, body: bytes = b"") -> None:
+        """Send a whole small response."""
+        head.headers.append((b"content-length", b"%d" % len(body)))
+        await self.start(head)
+        await self.write(body)
+        await self.finish()
+
+
+Handler = Callable[[Exchange], Awaitable[None]]
+
+
+class ServerConnection(Connection):
+    """One connection of a caller or a peer. Pipelined requests are answered in order."""
+
+    def __init__(self, handler: Handler, connections: set["ServerConnection"]):
+        super().__init__()
+        self._handler = handler
+        self._connections = connections
+        self._parser = httptools.HttpRequestParser(self)
+        self._target = b""
+        self._waiting: deque[Exchange] = deque()
+        self._current: Exchange | None = None
+        self._incoming: Exchange | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._failed_status = 0
+        self._fed_in_head = 0
+        self._idle_timer: asyncio.TimerHandle | None = None
+
+    @property
+    def idle(self) -> bool:
+        """Whether no request is under way."""
+        return self._current is None and not self._waiting
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start to wait for a request."""
+        super().connection_made(transport)
+        self._connections.add(self)
+        self._watch_idle()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel the work: the caller has left."""
+        super().connection_lost(exc)
+        self._connections.discard(self)
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
+        if self._incoming is not None:
+            self._incoming.body.break_off()
+        if self._task is not None:
+            self._task.cancel()
+
+    def data_received(self, data: bytes) -> None:
+        """Feed the parser; a malformed request is answered with 4xx and the end."""
+        if self._failed_status:
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._fail(501)
+        except httptools.HttpParserCallbackError as error:
+            too_large = isinstance(error.__context__, HeadTooLarge)
+            self._fail(431 if too_large else 400)
+        except httptools.HttpParserError:
+            self._fail(400)
+        else:
+            self._check_head_size(len(data))
+
+    def eof_received(self) -> bool:
+        """A caller that half-closes has left."""
+        return False
+
+    # The parser's callbacks.
+
+    def on_message_begin(self) -> None:
+        """A new request starts."""
+        super().on_message_begin()
+        self._target = b""
+        self._fed_in_head = 0
+
+    def on_url(self, url: bytes) -> None:
+        """A part of the request target."""
+        self._target += url
+        if len(self._target) > MAX_HEAD_BYTES:
+            raise HeadTooLarge
+
+    def on_headers_complete(self) -> None:
+        """The head is whole: queue the request."""
+        self._in_head = False
+        head = RequestHead(
+            self._parser.get_method(),
+            self._target,
+            self._headers,
+            self._parser.should_keep_alive(),
+            self._parser.get_http_version() == "1.0",
+        )
+        expects = (head.get(b"expect") or b"").lower() == b"100-continue"
+        exchange = Exchange(self, head, Body(self.pause, self.resume), expects)
+        self._incoming = exchange
+        self._waiting.append(exchange)
+        if len(self._waiting) > MAX_PIPELINED:
+            self.pause()
+        # The parser may still find this message malformed, so it is started a turn later.
+        asyncio.get_running_loop().call_soon(self._next)
+
+    def on_body(self, chunk: bytes) -> None:
+        """A part of the body."""
+        if self._incoming is not None:
+            self._incoming.body.feed(chunk)
+
+    def on_message_complete(self) -> None:
+        """The request is whole."""
+        if self._incoming is not None:
+            self._incoming.body.finish()
+            self._incoming = None
+        self._in_head = True
+
+    # The order of answers.
+
+    def _next(self) -> None:
+        if self._current is not None or self.closed:
+            return
+        if not self._waiting:
+            self._rest()
+            return
+        if self._failed_status and self._waiting[0] is self._incoming:
+            self._rest()
+            return
+        self._current = self._waiting.popleft()
+        if len(self._waiting) == MAX_PIPELINED:
+            self.resume()
+        self._task = asyncio.get_running_loop().create_task(self._run(self._current))
+
+    async def _run(self, exchange: Exchange) -> None:
+        try:
+            await self._handler(exchange)
+        except (ConnectionError, asyncio.CancelledError):
+            self.abort()
+            return
+        self._current = None
+        self._task = None
+        if not exchange.finished:
+            self.abort()
+        elif not exchange.head.keep_alive or not exchange.body.exhausted:
+            # What is left of a request's body must never be read as the next request.
+            self.close()
+        else:
+            self._next()
+
+    def _rest(self) -> None:
+        if self._failed_status:
+            head = ResponseHead(self._failed_status, [(b"content-length", b"0")])
+            head.headers.append((b"wheatslip-outcome", b"not-run; bad-request"))
+            assert self.transport is not None
+            self.transport.write(encode_response(head, chunked=False, close=True))
+            self.close()
+            return
+        self._watch_idle()
+
+    def _fail(self, status: int) -> None:
+        self._failed_status = status
+        if self._incoming is not None:
+            self._incoming.body.break_off()
+        self._next()
+
+    def _check_head_size(self, fed: int) -> None:
+        if self._incoming is None and self._in_head:
+            self._fed_in_head += fed
+            if self._fed_in_head > 2 * MAX_HEAD_BYTES and self.idle:
+                self._fail(431)
+
+    def _watch_idle(self) -> None:
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
+        loop = asyncio.get_running_loop()
+        self._idle_timer = loop.call_later(IDLE_SECONDS, self._close_idle)
+
+    def _close_idle(self) -> None:
+        if self.idle:
+            self.close()
+
+
+class Server:
+    """A listening socket and its connections."""
+
+    def __init__(self, handler: Handler):
+        self._handler = handler
+        self._connections: set[ServerConnection] = set()
+        self._server: asyncio.Server | None = None
+        self.port = 0
+
+    async def listen(self, host: str, port: int) -> None:
+        """Listen; `port` 0 takes a free one. Raises OSError."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: ServerConnection(self._handler, self._connections), host, port, backlog=1024
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    @property
+    def open_connections(self) -> int:
+        """Connections that are open now."""
+        return len(self._connections)
+
+    async def stop(self, grace: float) -> bool:
+        """Listen no more and wait up to `grace` seconds until nothing is in flight.
+
+        Returns whether everything in flight was finished.
+        """
+        if self._server is not None:
+            self._server.close()
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + grace
+        while any(not c.idle for c in self._connections) and loop.time() < deadline:
+            await asyncio.sleep(0.02)
+        finished = all(connection.idle for connection in self._connections)
+        for connection in list(self._connections):
+            connection.close()
+        return finished
--- /dev/null
+++ b/packages/wheatslipd/wheatslipd/main.py
@@ -0,0 +1,89 @@
+"""The command `wheatslipd`: checks its settings and runs one daemon."""
+
+import asyncio
+import sys
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+from typing import Annotated
+
+import cappa
+from result import Err, Ok
+
+from wheatslipd import __version__, logs
+from wheatslipd.daemon import Daemon
+from wheatslipd.settings import Settings, default_text, load_settings
+
+EXIT_BAD_SETTINGS = 2
+
+
+@cappa.command(
+    name="wheatslipd",
+    description=(
+        "Runs one wheatslip daemon beside a backend server. "
+        "Exit codes: 0 stopped as asked, 1 failed, 2 bad settings or usage."
+    ),
+)
+@dataclass
+class Wheatslipd:
+    """Run one wheatslip daemon beside a backend server."""
+
+    settings: Annotated[
+        Path | None, cappa.Arg(short="-s", long=True, help="The settings file (INI).")
+    ] = None
+    check_settings: Annotated[
+        bool, cappa.Arg(long=True, help="Check the settings file and stop.")
+    ] = False
+    print_defaults: Annotated[
+        bool, cappa.Arg(long=True, help="Print the commented default settings and stop.")
+    ] = False
+
+    def __call__(self) -> int:
+        """Carry out the command; returns the exit code."""
+        if self.print_defaults:
+            print(default_text(), end="")
+            return 0
+        if self.settings is None:
+            print("wheatslipd: --settings FILE is needed", file=sys.stderr)
+            return EXIT_BAD_SETTINGS
+        match load_settings(self.settings):
+            case Err(problems):
+                for problem in problems:
+                    print(problem, file=sys.stderr)
+                return EXIT_BAD_SETTINGS
+            case Ok(settings):
+                return self._run(settings)
+        raise AssertionError
+
+    def _run(self, settings: Settings) -> int:
+        if self.check_settings:
+            print(f"{self.settings}: settings are good")
+            return 0
+        logs.start_logging(settings.log_level, settings.log_file)
+        return run_daemon(settings)
+
+
+def run_daemon(settings: Settings) -> int:
+    """Run a daemon on the loop that the settings name; returns the exit code."""
+    seed = time.time_ns()
+    logs.info("starting", version=__version__, seed=seed)
+
+    async def main() -> int:
+        return await Daemon(settings, Random(seed)).run()
+
+    if settings.loop == "uvloop":
+        import uvloop
+
+        return uvloop.run(main())
+    return asyncio.run(main())
+
+
+def main() -> None:
+    """Entry point of the `wheatslipd` command."""
+    command = cappa.parse(Wheatslipd, version=__version__, completion=False)
+    sys.exit(command())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/wheatslipd/wheatslipd/measure.py
@@ -0,0 +1,93 @@
+"""The task that measures the local backend server, within the operator's budget.
+
+Answers tell the load for nothing, so the health endpoint is asked only in silence: when no
+request has ended for a while. It is the only active measuring there is.
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from wheatslipd import logs
+from wheatslipd.backend import Backend, BackendAnswer
+from wheatslipd.bus import Bus
+from wheatslipd.events import leaving
+from wheatslipd.http.body import Body
+from wheatslipd.http.messages import RequestHead
+from wheatslipd.metrics import Metrics
+
+DRAINING_HEADER = b"x-draining"
+PROBE_TIMEOUT = 1.0  # seconds
+
+
+@dataclass(slots=True)
+class ProbeBudget:
+    """Allows at most `per_second` probes, evenly spaced. Pure; seconds, monotonic."""
+
+    per_second: float
+    last: float = float("-inf")
+
+    def take(self, now: float) -> bool:
+        """Whether a probe may be sent now; counts it if so."""
+        if self.per_second <= 0 or now - self.last < 1.0 / self.per_second:
+            return False
+        self.last = now
+        return True
+
+
+class Measurer:
+    """Probes one backend server while it is silent."""
+
+    def __init__(
+        self,
+        backend: Backend,
+        path: str,
+        bus: Bus,
+        metrics: Metrics,
+        clock: Callable[[], float],
+        is_silent: Callable[[float], bool],
+    ):
+        """`is_silent(seconds)` tells whether nothing was answered for so long."""
+        self._backend = backend
+        self._path = path.encode()
+        self._bus = bus
+        self._metrics = metrics
+        self._clock = clock
+        self._is_silent = is_silent
+        self.budget = ProbeBudget(1.0)
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        while True:
+            pause = 1.0 / self.budget.per_second if self.budget.per_second > 0 else 1.0
+            await asyncio.sleep(pause)
+            if self._is_silent(pause) and self.budget.take(self._clock()):
+                await self._probe()
+
+    async def _probe(self) -> None:
+        started = self._clock()
+        body = Body(_nothing, _nothing)
+        body.finish()
+        head = RequestHead(b"GET", self._path, [(b"host", b"localhost")])
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT):
+                answer = await self._backend.send(head, body)
+        except TimeoutError:
+            logs.warning("probe-late", repeat_key="probe")
+            return
+        finally:
+            self._metrics.probes.inc({})
+            self._metrics.probe_seconds.add({}, self._clock() - started)
+        if not isinstance(answer, BackendAnswer):
+            logs.warning("probe-failed", why=answer.reason.value, repeat_key="probe")
+            return
+        try:
+            await answer.response.body.read_up_to(4096)
+        finally:
+            self._backend.release(answer)
+        if answer.response.head.get(DRAINING_HEADER) == b"yes":
+            self._bus.fire(leaving("the backend server says so"))
+
+
+def _nothing() -> None:
+    pass
--- /dev/null
+++ b/packages/wheatslipd/wheatslipd/membership.py
@@ -0,0 +1,101 @@
+"""Controller of the members: the platform's list, turned into peers by pool."""
+
+from collections.abc import Callable
+from types import MappingProxyType
+
+from circuits import Component
+from wheatslip.chooser import Upstream
+from wheatslip.instances import Instance, InstanceState
+from wheatslip.owners import OwnerHistory
+
+from wheatslipd import logs
+from wheatslipd.events import leaving
+from wheatslipd.http.client import Pool
+from wheatslipd.view import Membership, Peer, View
+
+PEER_CONNECTIONS = 256  # to one peer
+
+
+class MembershipController(Component):
+    """Owns the table of peers. `clocks` gives monotonic and unix seconds."""
+
+    channel = "*"
+
+    def __init__(
+        self,
+        view: View,
+        name: str,
+        pool: str,
+        owners: OwnerHistory,
+        monotonic: Callable[[], float],
+        unix: Callable[[], float],
+    ):
+        super().__init__()
+        self._view = view
+        self._name = name
+        self._pool = pool
+        self._owners = owners
+        self._monotonic = monotonic
+        self._unix = unix
+        self._peers: dict[str, Peer] = {}
+        self._has_list = False
+
+    def instances_seen(
+        self, instances: tuple[Instance, ...], gone: tuple[str, ...], whole: bool
+    ) -> None:
+        """Take over the list, or changes of it."""
+        if whole:
+            listed = {instance.name for instance in instances}
+            gone = tuple(name for name in self._peers if name not in listed)
+        for name in gone:
+            self._remove(name)
+        for instance in instances:
+            self._update(instance)
+        self._has_list = True
+        self._publish()
+
+    def _update(self, instance: Instance) -> None:
+        known = self._peers.get(instance.name)
+        if known is not None and instance.incarnation < known.instance.incarnation:
+            return
+        if known is None or not self._is_same_start(known.instance, instance):
+            if known is not None:
+                self._remove(instance.name)
+            self._peers[instance.name] = self._new_peer(instance)
+        else:
+            known.instance = instance
+        is_leaving = instance.state is InstanceState.LEAVING
+        self._peers[instance.name].upstream.draining |= is_leaving
+        if is_leaving and instance.name == self._name:
+            self.fire(leaving("listed as leaving"))
+
+    def _new_peer(self, instance: Instance) -> Peer:
+        # Who stands in the first list was here before us and is warm, as far as we know.
+        joined = self._monotonic() if self._has_list else 0.0
+        upstream = Upstream(instance.name, instance.zone, joined=joined)
+        connections = Pool(instance.address, instance.peer_port, PEER_CONNECTIONS)
+        return Peer(instance, upstream, connections)
+
+    def _remove(self, name: str) -> None:
+        peer = self._peers.pop(name, None)
+        if peer is not None:
+            peer.connections.close()
+
+    @staticmethod
+    def _is_same_start(old: Instance, new: Instance) -> bool:
+        return (old.incarnation, old.address, old.peer_port) == (
+            new.incarnation,
+            new.address,
+            new.peer_port,
+        )
+
+    def _publish(self) -> None:
+        pools: dict[str, list[Peer]] = {}
+        for name in sorted(self._peers):
+            peer = self._peers[name]
+            pools.setdefault(peer.instance.pool, []).append(peer)
+        frozen = MappingProxyType({pool: tuple(peers) for pool, peers in pools.items()})
+        self._view.membership = Membership(frozen)
+        members = [peer.instance.name for peer in frozen.get(self._pool, ())]
+        self._owners.change(members, self._unix())
+        logs.info("members", instances=len(self._peers), own_pool=len(members))
--- /dev/null
+++ b/packages/wheatslipd/wheatslipd/metrics.py
@@ -0,0 +1,55 @@
+"""Metrics of the daemon, as aioprometheus collectors. docs/OPERATIONS.md lists them."""
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.formats import text
+
+LATENCY_BUCKETS = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0]
+
+
+class Metrics:
+    """The collectors of one daemon."""
+
+    def __init__(self, instance: str, zone: str):
+        labels = {"instance": instance, "zone": zone}
+        self.registry = Registry()
+
+        def counter(name: str, doc: str) -> Counter:
+            return Counter(name, doc, const_labels=labels, registry=self.registry)
+
+        def gauge(name: str, doc: str) -> Gauge:
+            return Gauge(name, doc, const_labels=labels, registry=self.registry)
+
+        self.requests = counter(
+            "wheatslip_requests_total", "Requests by workspace, service, outcome and reason"
+        )
+        self.request_seconds = Histogram(
+            "wheatslip_request_seconds",
+            "Time from a request's head to the end of its answer, by service",
+            const_labels=labels,
+            registry=self.registry,
+            buckets=LATENCY_BUCKETS,
+        )
+        self.sends = counter(
+            "wheatslip_sends_total",
+            "Tries sent to upstreams, by service and try (first, retry)",
+        )
+        self.admissions = counter(
+            "wheatslip_admissions_total", "Requests at the local gate, by outcome and reason"
+        )
+        self.in_flight = gauge("wheatslip_in_flight", "Requests at the local backend server")
+        self.queued = gauge("wheatslip_queued", "Requests waiting at the local gate")
+        self.limit = gauge("wheatslip_limit", "Concurrency limit of the local backend server")
+        self.probes = counter(
+            "wheatslip_probes_total", "Active measurements of the local backend server"
+        )
+        self.probe_seconds = counter(
+            "wheatslip_probe_seconds_total", "Time the local backend server spent on them"
+        )
+        self.platform_calls = counter("wheatslip_platform_calls_total", "Calls to the platform")
+        self.bundle_version = gauge("wheatslip_bundle_version", "Bundle version in force here")
+        self.key_records = gauge("wheatslip_key_records", "Request keys remembered here")
+        self.connections = gauge("wheatslip_connections", "Open connections, by port")
+
+    def render(self) -> bytes:
+        """All collectors in Prometheus' text format."""
+        return text.TextFormatter().marshall(self.registry)
--- /dev/null
+++ b/packages/wheatslipd/wheatslipd/pages.py
@@ -0,0 +1,116 @@
+"""The operators' pages on circuits.web: health, status and metrics.
+
+circuits.web brings a loop of its own, so the pages run in a thread of theirs and ask the
+daemon's loop for what they show; they share no state with it.
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from threading import Event as ThreadEvent
+
+import msgspec
+from circuits import Component, handler
+from circuits.web import Controller, Server
+
+ASK_SECONDS = 2.0
+START_SECONDS = 10.0
+
+
+class Status(msgspec.Struct, frozen=True):
+    """What the status page shows, as JSON."""
+
+    name: str
+    zone: str
+    pool: str
+    entry_port: int
+    peer_port: int
+    version: int
+    draining: bool
+    in_flight: int
+    queued: int
+    limit: int
+    members: int
+    platform_calls: int
+
+
+@dataclass(slots=True)
+class PageSource:
+    """Where the pages get their content; called in the daemon's loop."""
+
+    loop: asyncio.AbstractEventLoop
+    status: Callable[[], Status]
+    metrics: Callable[[], bytes]
+
+    def ask(self, what: Callable[[], Status] | Callable[[], bytes]) -> Status | bytes:
+        """Call `what` in the daemon's loop and wait for it."""
+
+        async def call() -> Status | bytes:
+            return what()
+
+        return asyncio.run_coroutine_threadsafe(call(), self.loop).result(ASK_SECONDS)
+
+
+class _Pages(Controller):
+    """The pages, by method name."""
+
+    channel = "/"
+
+    def __init__(self, source: PageSource):
+        super().__init__()
+        self._source = source
+
+    def health(self):
+        """200 once a configuration is in force and the daemon does not leave."""
+        status = self._source.ask(self._source.status)
+        assert isinstance(status, Status)
+        ready = status.version > 0 and not status.draining
+        self.response.status = 200 if ready else 503
+        return "ready\n" if ready else "not ready\n"
+
+    def status(self):
+        """The daemon's state."""
+        self.response.headers["Content-Type"] = "application/json"
+        return msgspec.json.encode(self._source.ask(self._source.status)).decode()
+
+    def metrics(self):
+        """Prometheus' text format."""
+        self.response.headers["Content-Type"] = "text/plain; version=0.0.4"
+        content = self._source.ask(self._source.metrics)
+        assert isinstance(content, bytes)
+        return content.decode()
+
+
+class _ReadyWatch(Component):
+    """Notes the port that the server got."""
+
+    channel = "*"
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_ready = ThreadEvent()
+        self.port = 0
+
+    @handler("ready", channel="*")
+    def _on_ready(self, server, bind, *rest) -> None:
+        self.port = bind[1]
+        self.is_ready.set()
+
+
+class PageServer:
+    """The thread with the pages."""
+
+    def __init__(self, address: str, port: int, source: PageSource):
+        self._server = Server((address, port), display_banner=False)
+        self._watch = _ReadyWatch().register(self._server)
+        _Pages(source).register(self._server)
+
+    async def start(self) -> int:
+        """Start the thread; returns the port."""
+        self._server.start()
+        await asyncio.to_thread(self._watch.is_ready.wait, START_SECONDS)
+        return self._watch.port
+
+    async def stop(self) -> None:
+        """Stop the thread."""
+        await asyncio.to_thread(self._server.stop)
--- /dev/null
+++ b/packages/wheatslipd/wheatslipd/peerport.py
@@ -0,0 +1,245 @@
+"""The peer port: the only way to the local backend server.
+
+Takes forwarded requests from entries, checks them as outside input, and lets each through
+the key ledger and the gate to the backend server.
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from wheatslip.admission import Ticket
+from wheatslip.call import Call, CallClass, RequestKind
+from wheatslip.hop import (
+    HOP_HEADER,
+    LOAD_HEADER,
+    OUTCOME_HEADER,
+    Hop,
+    decode_hop,
+    encode,
+)
+from wheatslip.ledger import KeptAnswer, KeyLedger, KeyState, key_time
+from wheatslip.outcome import Answered, NotRun, Outcome, Reason, Unknown
+from wheatslip.owners import OwnerHistory
+
+from wheatslipd.answers import send_refusal
+from wheatslipd.backend import Backend, BackendAnswer
+from wheatslipd.filters import DEADLINE_HEADER, DEPTH_HEADER, MILLISECONDS, describe
+from wheatslipd.gate import Gate
+from wheatslipd.http.body import BodyBroken
+from wheatslipd.http.messages import Headers, RequestHead, ResponseHead
+from wheatslipd.http.server import Exchange
+from wheatslipd.metrics import Metrics
+from wheatslipd.tracing import TRACEPARENT, HopTrace, HopTracer
+from wheatslipd.view import View
+
+CATCH_UP_SECONDS = 0.5  # how long a request waits for a version that its entry has already
+CATCH_UP_STEP = 0.02
+MAX_KEPT_BODY = 16 * 1024  # bytes of an answer that are kept for a re-send of its key
+
+
+@dataclass(slots=True, eq=False)
+class _Passage:
+    """One forwarded request on its way through the peer port."""
+
+    exchange: Exchange
+    hop: Hop
+    call: Call
+    trace: HopTrace
+
+
+class PeerPort:
+    """Handles forwarded requests."""
+
+    def __init__(
+        self,
+        view: View,
+        name: str,
+        gate: Gate,
+        backend: Backend,
+        ledger: KeyLedger,
+        owners: OwnerHistory,
+        metrics: Metrics,
+        tracer: HopTracer,
+        clock: Callable[[], float],
+        unix: Callable[[], float],
+        on_newer_version: Callable[[int], None],
+    ):
+        self._view = view
+        self._name = name
+        self._gate = gate
+        self._backend = backend
+        self._ledger = ledger
+        self._owners = owners
+        self._metrics = metrics
+        self._tracer = tracer
+        self._clock = clock
+        self._unix = unix
+        self._on_newer_version = on_newer_version
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one forwarded request."""
+        trace = self._tracer.hop("admission", exchange.head.get(TRACEPARENT), is_head=False)
+        outcome: Outcome = Unknown(Reason.CANCELLED)
+        try:
+            outcome = await self._pass(exchange, trace)
+            if not isinstance(outcome, Answered) and not exchange.started:
+                await send_refusal(exchange, outcome, self._load_header())
+        finally:
+            self._metrics.admissions.inc({"outcome": describe(outcome)})
+            trace.set("wheatslip.outcome", describe(outcome))
+            trace.end()
+
+    async def _pass(self, exchange: Exchange, trace: HopTrace) -> Outcome:
+        hop = decode_hop(exchange.head.get(HOP_HEADER) or b"")
+        if hop is None or (hop.key and key_time(hop.key) is None):
+            return NotRun(Reason.BAD_REQUEST)
+        kind = RequestKind(
+            hop.kind, hop.repeatable, CallClass.URGENT if hop.urgent else CallClass.NORMAL
+        )
+        deadline = self._clock() + hop.remaining
+        call = Call(hop.workspace, hop.service, kind, deadline, hop.key, hop.depth)
+        passage = _Passage(exchange, hop, call, trace)
+        refusal = await self._check_version(hop.version)
+        if refusal is not None:
+            return refusal
+        if hop.key and not hop.repeatable:
+            return await self._run_keyed(passage)
+        return await self._run(passage, None)
+
+    async def _check_version(self, version: int) -> NotRun | None:
+        """Catch up with the entry's bundle version before answering."""
+        if self._view.version >= version and self._view.configuration is not None:
+            return None
+        self._on_newer_version(version)
+        give_up = self._clock() + CATCH_UP_SECONDS
+        while self._clock() < give_up:
+            await asyncio.sleep(CATCH_UP_STEP)
+            if self._view.version >= version:
+                return None
+        if self._view.configuration is None:
+            return NotRun(Reason.NO_CONFIGURATION)
+        return NotRun(Reason.VERSION_BEHIND)
+
+    async def _run_keyed(self, passage: _Passage) -> Outcome:
+        workspace, key = passage.hop.workspace, passage.hop.key
+        owned_since = self._owners.owned_since(f"{workspace}/{key}", self._name)
+        if owned_since is None:
+            return NotRun(Reason.NOT_KEY_OWNER, retry_after=1.0)
+        claim = self._ledger.claim(workspace, key, owned_since, self._unix())
+        match claim.state:
+            case KeyState.FROM_THE_FUTURE:
+                return NotRun(Reason.BAD_REQUEST)
+            case KeyState.TOO_OLD:
+                return Unknown(Reason.KEY_TOO_OLD)
+            case KeyState.RUNNING:
+                return Unknown(Reason.DUPLICATE)
+            case KeyState.DONE:
+                return await self._answer_again(passage.exchange, claim.answer)
+        kept = KeptAnswer(0, [], b"")
+        outcome: Outcome = Unknown(Reason.CANCELLED)
+        try:
+            outcome = await self._run(passage, kept)
+        finally:
+            self._settle(workspace, key, outcome, kept)
+        return outcome
+
+    def _settle(self, workspace: str, key: str, outcome: Outcome, kept: KeptAnswer) -> None:
+        match outcome:
+            case NotRun():
+                self._ledger.not_run(workspace, key)
+            case Answered():
+                self._ledger.done(workspace, key, kept if kept.status else None)
+            case _:
+                self._ledger.done(workspace, key, None)
+        self._metrics.key_records.set({}, len(self._ledger))
+
+    async def _answer_again(self, exchange: Exchange, kept: KeptAnswer | None) -> Outcome:
+        if kept is None:
+            return Unknown(Reason.DUPLICATE)
+        headers = [h for h in kept.headers if h[0] != b"content-length"]
+        headers += [(OUTCOME_HEADER, b"answered"), *self._load_header()]
+        await exchange.respond(ResponseHead(kept.status, headers), kept.body)
+        return Answered(kept.status)
+
+    async def _run(self, passage: _Passage, kept: KeptAnswer | None) -> Outcome:
+        ticket = await self._gate.enter(passage.call, may_bounce=passage.hop.may_bounce)
+        if isinstance(ticket, NotRun):
+            return ticket
+        return await self._run_started(passage, ticket, kept)
+
+    async def _run_started(
+        self, passage: _Passage, ticket: Ticket, kept: KeptAnswer | None
+    ) -> Outcome:
+        worked = False
+        try:
+            remaining = passage.call.remaining(self._clock())
+            async with asyncio.timeout(max(0.0, remaining)):
+                await passage.exchange.send_continue()
+                answer = await self._backend.send(
+                    self._backend_head(passage), passage.exchange.body
+                )
+            if not isinstance(answer, BackendAnswer):
+                return answer
+            worked = True
+            try:
+                return await self._answer(passage, answer, kept)
+            finally:
+                self._backend.release(answer)
+        except TimeoutError:
+            return Unknown(Reason.DEADLINE)
+        finally:
+            self._gate.leave(ticket, worked=worked)
+
+    async def _answer(
+        self, passage: _Passage, answer: BackendAnswer, kept: KeptAnswer | None
+    ) -> Outcome:
+        response = answer.response
+        if response.head.status == self._shed_status(passage.call.service):
+            return NotRun(Reason.SHED, retry_after=1.0)
+        headers = response.head.forwarded()
+        if kept is not None:
+            kept.headers = list(headers)
+        headers += [(OUTCOME_HEADER, b"answered"), *self._load_header()]
+        await passage.exchange.start(ResponseHead(response.head.status, headers))
+        try:
+            async for chunk in response.body.chunks():
+                if kept is not None and len(kept.body) <= MAX_KEPT_BODY:
+                    kept.body += chunk
+                await passage.exchange.write(chunk)
+        except BodyBroken:
+            return Unknown(Reason.CONNECTION_LOST)
+        if kept is not None and len(kept.body) <= MAX_KEPT_BODY:
+            kept.status = response.head.status
+        await passage.exchange.finish()
+        return Answered(response.head.status)
+
+    def _backend_head(self, passage: _Passage) -> RequestHead:
+        head = passage.exchange.head
+        headers = [
+            (name, value)
+            for name, value in head.forwarded()
+            if name not in (b"content-length", TRACEPARENT)
+        ]
+        call = passage.call
+        left = max(1, int(call.remaining(self._clock()) * MILLISECONDS))
+        headers += [
+            (b"wheatslip-workspace", call.workspace.encode()),
+            (DEADLINE_HEADER, b"%d" % left),
+            (DEPTH_HEADER, b"%d" % (call.depth + 1)),
+        ]
+        if call.key:
+            headers.append((b"wheatslip-key", call.key.encode()))
+        if passage.trace.outgoing is not None:
+            headers.append((TRACEPARENT, passage.trace.outgoing))
+        return RequestHead(head.method, head.target, headers)
+
+    def _shed_status(self, service_name: str) -> int:
+        configuration = self._view.configuration
+        service = configuration.services.get(service_name) if configuration else None
+        if configuration is None or service is None:
+            return 0
+        return configuration.pools[service.pool].shed_status
+
+    def _load_header(self) -> Headers:
+        return [(LOAD_HEADER, encode(self._gate.report()))]
--- /dev/null
+++ b/packages/wheatslipd/wheatslipd/tracing.py
@@ -0,0 +1,99 @@
+"""Traces: a span for each hop, with W3C traceparent in and out.
+
+The head of a trace decides whether it is sampled. A request that is not sampled costs one
+random number or one look at a header, and no span.
+"""
+
+from dataclasses import dataclass
+from random import Random
+
+from opentelemetry import trace
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import TracerProvider
+from opentelemetry.sdk.trace.export import BatchSpanProcessor, ConsoleSpanExporter
+from opentelemetry.trace import NonRecordingSpan, Span, SpanContext, SpanKind, TraceFlags
+
+TRACEPARENT = b"traceparent"
+_PARTS = 4
+_TRACE_ID_LENGTH = 32
+_SPAN_ID_LENGTH = 16
+
+
+@dataclass(slots=True)
+class HopTrace:
+    """The trace of one request in this daemon: a span if sampled, and what to pass on."""
+
+    span: Span | None = None
+    outgoing: bytes | None = None
+
+    def set(self, key: str, value: str | int | float) -> None:
+        """Note an attribute on the span, if there is one."""
+        if self.span is not None:
+            self.span.set_attribute(key, value)
+
+    def end(self) -> None:
+        """The hop is over."""
+        if self.span is not None:
+            self.span.end()
+
+
+class HopTracer:
+    """Starts the spans of a daemon."""
+
+    def __init__(self, instance: str, sample: float, path: str, rng: Random):
+        """`path` of the file for spans; empty drops them."""
+        self._sample = sample
+        self._rng = rng
+        self._provider = TracerProvider(resource=Resource({"service.instance.id": instance}))
+        self._file = open(path, "a", encoding="utf-8") if path else None  # noqa: SIM115
+        if self._file is not None:
+            exporter = ConsoleSpanExporter(
+                out=self._file, formatter=lambda span: span.to_json(indent=None) + "\n"
+            )
+            self._provider.add_span_processor(BatchSpanProcessor(exporter))
+        self._tracer = self._provider.get_tracer("wheatslipd")
+
+    def hop(self, name: str, incoming: bytes | None, *, is_head: bool) -> HopTrace:
+        """Begin a hop. `is_head`: a request without a trace may start one here."""
+        parent = parse_traceparent(incoming) if incoming else None
+        if parent is None:
+            if not is_head or not self._sample or self._rng.random() >= self._sample:
+                return HopTrace(None, incoming)
+            return self._start(name, None)
+        if not parent.trace_flags & TraceFlags.SAMPLED:
+            return HopTrace(None, incoming)
+        return self._start(name, parent)
+
+    def close(self) -> None:
+        """Write what is left."""
+        self._provider.shutdown()
+        if self._file is not None:
+            self._file.close()
+
+    def _start(self, name: str, parent: SpanContext | None) -> HopTrace:
+        context = trace.set_span_in_context(NonRecordingSpan(parent)) if parent else None
+        span = self._tracer.start_span(name, context=context, kind=SpanKind.SERVER)
+        return HopTrace(span, format_traceparent(span.get_span_context()))
+
+
+def parse_traceparent(value: bytes) -> SpanContext | None:
+    """The parent named by a traceparent header, None if it is malformed."""
+    parts = value.decode("ascii", "replace").split("-")
+    if len(parts) != _PARTS or parts[0] != "00":
+        return None
+    trace_id, span_id, flags = parts[1:]
+    if len(trace_id) != _TRACE_ID_LENGTH or len(span_id) != _SPAN_ID_LENGTH:
+        return None
+    try:
+        context = SpanContext(
+            int(trace_id, 16), int(span_id, 16), True, TraceFlags(int(flags, 16))
+        )
+    except ValueError:
+        return None
+    return context if context.is_valid else None
+
+
+def format_traceparent(context: SpanContext) -> bytes:
+    """The header value for a span."""
+    flags = int(context.trace_flags)
+    return f"00-{context.trace_id:032x}-{context.span_id:016x}-{flags:02x}".encode()
--- /dev/null
+++ b/packages/wheatslipd/wheatslipd/view.py
@@ -0,0 +1,64 @@
+"""What the request path knows of configuration and membership: replaced whole, never edited.
+
+Controllers publish here; filters only read. All run in the loop's thread.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from wheatslip.bundle import Bundle, Pool, Service, Workspace
+from wheatslip.chooser import Upstream
+from wheatslip.instances import Instance
+
+from wheatslipd.http.client import Pool as ConnectionPool
+
+NO_POOL = Pool("")
+
+
+@dataclass(slots=True, eq=False)
+class Peer:
+    """Another daemon (or this one) as a way to its backend server."""
+
+    instance: Instance
+    upstream: Upstream
+    connections: ConnectionPool
+
+
+class Configuration:
+    """A bundle in force, indexed for look-ups."""
+
+    def __init__(self, bundle: Bundle):
+        self.version = bundle.version
+        self.services: dict[str, Service] = {s.name: s for s in bundle.services}
+        self.pools: dict[str, Pool] = {p.name: p for p in bundle.pools}
+        self.shares = {w.name: w.share for w in bundle.workspaces}
+        self._by_credential = {w.credential_sha256: w for w in bundle.workspaces}
+
+    def workspace_of(self, credential_sha256: str) -> Workspace | None:
+        """The workspace that a credential's hash belongs to."""
+        return self._by_credential.get(credential_sha256)
+
+
+@dataclass(slots=True)
+class Membership:
+    """The peers by pool and by name."""
+
+    pools: Mapping[str, tuple[Peer, ...]] = field(default_factory=dict)
+
+    def peers(self, pool: str) -> tuple[Peer, ...]:
+        """The peers of a pool."""
+        return self.pools.get(pool, ())
+
+
+@dataclass(slots=True)
+class View:
+    """The present state, as the request path sees it."""
+
+    configuration: Configuration | None = None
+    membership: Membership = field(default_factory=Membership)
+    draining: bool = False
+
+    @property
+    def version(self) -> int:
+        """The bundle version in force here; 0 if none is."""
+        return self.configuration.version if self.configuration else 0
--- /dev/null
+++ b/standins/backend.py
@@ -0,0 +1,142 @@
+"""Stand-in for a backend server: slots, service times with a tail, load and health, faults.
+
+It writes down every request that it ran, so that a checker can compare that with what
+callers were told.
+"""
+
+import argparse
+import asyncio
+from random import Random
+
+import msgspec
+from wheatslipd.http.messages import ResponseHead
+from wheatslipd.http.server import Exchange, Server
+
+
+class Behaviour(msgspec.Struct):
+    """What the stand-in does. Times in seconds; `slow` multiplies the service time."""
+
+    slots: int = 12
+    service: float = 0.004
+    sigma: float = 0.5  # of the lognormal service time
+    slow: float = 1.0
+    fail_fast: bool = False
+    draining: bool = False
+    answer_bytes: int = 0
+
+
+class Run(msgspec.Struct, frozen=True):
+    """One request that was run: the caller's id of it and its key."""
+
+    request_id: str
+    key: str
+    workspace: str
+    finished: bool
+
+
+class Record(msgspec.Struct):
+    """What happened at a backend server."""
+
+    runs: list[Run]
+    probes: int
+
+
+class BackendStandIn:
+    """One backend server."""
+
+    def __init__(self, name: str, behaviour: Behaviour, rng: Random):
+        self._name = name
+        self._behaviour = behaviour
+        self._rng = rng
+        self._slots = asyncio.Semaphore(behaviour.slots)
+        self._started: list[tuple[str, str, str]] = []
+        self._finished: set[int] = set()
+        self._probes = 0
+
+        self.server = Server(self.handle)
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one request."""
+        path = exchange.head.target.partition(b"?")[0]
+        if path == b"/health":
+            await self._health(exchange)
+        elif path == b"/stand-in/behaviour":
+            body = await exchange.body.read_up_to(65536)
+            self._behaviour = msgspec.json.decode(body, type=Behaviour)
+            await exchange.respond(ResponseHead(204, []))
+        elif path == b"/stand-in/record":
+            await exchange.respond(ResponseHead(200), msgspec.json.encode(self._record()))
+        else:
+            await self._serve(exchange)
+
+    async def _health(self, exchange: Exchange) -> None:
+        self._probes += 1
+        behaviour = self._behaviour
+        headers = [(b"x-draining", b"yes" if behaviour.draining else b"no")]
+        await exchange.respond(ResponseHead(200, headers), b"{}")
+
+    async def _serve(self, exchange: Exchange) -> None:
+        behaviour = self._behaviour
+        await exchange.send_continue()
+        size = 0
+        async for chunk in exchange.body.chunks():
+            size += len(chunk)
+        if behaviour.fail_fast:
+            await exchange.respond(ResponseHead(500), b"failed")
+            return
+        async with self._slots:
+            number = self._note_start(exchange)
+            await asyncio.sleep(self._service_time(behaviour))
+            self._finished.add(number)
+        await self._answer(exchange, size)
+
+    def _note_start(self, exchange: Exchange) -> int:
+        head = exchange.head
+        names = (b"x-request-id", b"wheatslip-key", b"wheatslip-workspace")
+        request_id, key, workspace = ((head.get(name) or b"").decode() for name in names)
+        self._started.append((request_id, key, workspace))
+        return len(self._started) - 1
+
+    def _service_time(self, behaviour: Behaviour) -> float:
+        if not behaviour.service:
+            return 0.0
+        factor = self._rng.lognormvariate(-(behaviour.sigma**2) / 2, behaviour.sigma)
+        return behaviour.service * behaviour.slow * factor
+
+    async def _answer(self, exchange: Exchange, size: int) -> None:
+        head = exchange.head
+        headers = [(b"content-type", b"text/plain")]
+        request_id = head.get(b"x-request-id") or b""
+        workspace = head.get(b"wheatslip-workspace") or b""
+        words = [self._name.encode(), workspace, request_id, b"%d" % size]
+        body = b" ".join(words) + b"\n"
+        body += b"x" * self._behaviour.answer_bytes
+        await exchange.respond(ResponseHead(200, headers), body)
+
+    def _record(self) -> Record:
+        runs = [
+            Run(request_id, key, workspace, number in self._finished)
+            for number, (request_id, key, workspace) in enumerate(self._started)
+        ]
+        return Record(runs, self._probes)
+
+
+async def _main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--name", default="backend")
+    parser.add_argument("--host", default="127.0.0.1")
+    parser.add_argument("--port", type=int, default=0)
+    parser.add_argument("--slots", type=int, default=12)
+    parser.add_argument("--service", type=float, default=0.004)
+    parser.add_argument("--sigma", type=float, default=0.5)
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
+    behaviour = Behaviour(options.slots, options.service, options.sigma)
+    stand_in = BackendStandIn(options.name, behaviour, Random(options.seed))
+    await stand_in.server.listen(options.host, options.port)
+    print(f"listening {stand_in.server.port}", flush=True)
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    asyncio.run(_main())
