--- a/packages/wheatslip/wheatslip/admission.py
+++ b/packages/wheatslip/wheatslip/admission.py
@@ -152,7 +152,7 @@
 
     def _enqueue(self, ticket: Ticket, wait: float) -> Ticket | NotRun:
         call = ticket.call
-        urgent = call.call_class is CallClass.URGENT
+        urgent = call.kind.call_class is CallClass.URGENT
         is_full = len(self._queue) >= self.settings.queue
         if is_full and (urgent or not self._queue.evict_for(call.workspace)):
             return self._refusal(wait)
--- a/packages/wheatslip/wheatslip/chooser.py
+++ b/packages/wheatslip/wheatslip/chooser.py
@@ -20,6 +20,7 @@
 FAILURE_LAST_PAUSE = 5.0
 WARM_UP_SECONDS = 5.0
 WARM_UP_FLOOR = 0.1
+COST_JITTER = 0.02
 
 
 @dataclass(slots=True, eq=False)
@@ -38,7 +39,12 @@
     done_since_report: int = 0
     failures: int = 0
     paused_until: float = 0.0
-    draining: bool = False
+    leaving: bool = False  # listed as leaving; a report can't take that back
+
+    @property
+    def draining(self) -> bool:
+        """Whether it takes no new work."""
+        return self.leaving or (self.report is not None and self.report.draining)
 
     def on_sent(self) -> None:
         """A request goes there."""
@@ -56,7 +62,6 @@
         self.reported_at = now
         self.sent_since_report = 0
         self.done_since_report = 0
-        self.draining = report.draining
 
     def on_answer(self, took: float) -> None:
         """It answered after `took` seconds."""
@@ -100,11 +105,19 @@
         open_ones = [u for u in upstreams if u.name not in tried and not u.draining]
         if not open_ones:
             return None
-        well = [u for u in open_ones if u.healthy and u.paused_until <= now]
+        well = [u for u in open_ones if _is_well(u, now)]
         if not well:
             return self.rng.choice(open_ones)
         drawn = self._draw(well)
-        return min(drawn, key=lambda u: self.cost(u, now))
+        return min(drawn, key=lambda u: self.cost(u, now) * self._jitter())
+
+    def has_choice(
+        self, upstreams: Sequence[Upstream], now: float, tried: frozenset[str]
+    ) -> bool:
+        """Whether an upstream in good standing is left that was not tried."""
+        return any(
+            u.name not in tried and not u.draining and _is_well(u, now) for u in upstreams
+        )
 
     def cost(self, upstream: Upstream, now: float) -> float:
         """Expected seconds until an answer, if the request went to `upstream`."""
@@ -116,11 +129,13 @@
             cost += self.settings.far_penalty
         return cost / self._warmth(upstream, now)
 
+    def _jitter(self) -> float:
+        """Parts ties, and keeps entries that know the same from choosing the same."""
+        return 1.0 + COST_JITTER * self.rng.random()
+
     def _draw(self, upstreams: list[Upstream]) -> list[Upstream]:
         if len(upstreams) <= self.settings.candidates:
-            drawn = list(upstreams)
-            self.rng.shuffle(drawn)
-            return drawn
+            return upstreams
         return self.rng.sample(upstreams, self.settings.candidates)
 
     def _estimate(self, upstream: Upstream, now: float) -> tuple[float, float, float]:
@@ -141,3 +156,7 @@
             return 1.0
         age = now - upstream.joined
         return min(1.0, max(WARM_UP_FLOOR, age / WARM_UP_SECONDS))
+
+
+def _is_well(upstream: Upstream, now: float) -> bool:
+    return upstream.healthy and upstream.paused_until <= now
--- a/packages/wheatslip/wheatslip/ledger.py
+++ b/packages/wheatslip/wheatslip/ledger.py
@@ -6,7 +6,7 @@
 """
 
 from collections import OrderedDict
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from uuid import UUID
 
@@ -33,9 +33,14 @@
 class KeptAnswer:
     """The first run's answer, for a re-send. `headers` in wire order."""
 
-    status: int
-    headers: list[tuple[bytes, bytes]]
-    body: bytes
+    status: int = 0
+    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
+    body: bytes = b""
+
+    def add(self, chunk: bytes) -> None:
+        """Add a part of the body; what goes on beyond the limit is not kept."""
+        if len(self.body) <= MAX_KEPT_ANSWER:
+            self.body += chunk
 
 
 @dataclass(slots=True)
--- a/packages/wheatslip/wheatslip/objects.py
+++ b/packages/wheatslip/wheatslip/objects.py
@@ -83,7 +83,7 @@
 
     def next(self) -> float:
         """The next wait in seconds, drawn evenly below a doubling bound."""
-        bound = min(self._last, self._first * 2**self._tries)
+        bound = min(self._last, self._first * 2.0**self._tries)
         self._tries = min(self._tries + 1, 30)
         return self._first / 2 + self._rng.random() * bound
 
--- a/packages/wheatslip/wheatslip/releases.py
+++ b/packages/wheatslip/wheatslip/releases.py
@@ -14,7 +14,7 @@
 from wheatslip.bundle import Bundle, decode_bundle
 from wheatslip.head import Head
 from wheatslip.objects import Conflict, ObjectClient, StoredObject, Unavailable
-from wheatslip.signing import Keyring, Signature, SignedBundle, sign, verify
+from wheatslip.signing import Keyring, SignedBundle, sign, verify
 
 SIGN_TRIES = 5
 
@@ -59,14 +59,8 @@
 
     async def head(self) -> Result[Head | None, Unavailable]:
         """The version in force, None before the first."""
-        match await self._client.get(heads.KIND, heads.NAME):
-            case Ok(None):
-                return Ok(None)
-            case Ok(found):
-                return Ok(msgspec.json.decode(found.value, type=Head))
-            case Err(trouble):
-                return Err(trouble)
-        raise AssertionError
+        answer = await self._client.get(heads.KIND, heads.NAME)
+        return answer.map(lambda stored: _as_head(stored) if stored else None)
 
     async def proposals(self) -> Result[list[Proposal], Unavailable]:
         """Every bundle at the platform, oldest version first."""
@@ -81,93 +75,82 @@
         """Put a bundle up for sign-off. The same one again is no error."""
         signed = SignedBundle(bundle.canonical().decode())
         name = heads.bundle_name(bundle.version, bundle.digest())
-        match await self._client.put(heads.BUNDLE_KIND, name, signed, expected=0):
-            case Ok(stored):
-                return Ok(Proposal(bundle, signed, stored))
-            case Err(Conflict(current)) if current is not None:
-                return _found(current, bundle.version)
-            case Err(Conflict()):
-                return Err(Refused(f"version {bundle.version} changed while it was written"))
-            case Err(trouble):
+        answer = await self._client.put(heads.BUNDLE_KIND, name, signed, expected=0)
+        if isinstance(answer, Ok):
+            return Ok(Proposal(bundle, signed, answer.ok_value))
+        match answer.err_value:
+            case Unavailable() as trouble:
                 return Err(trouble)
-        raise AssertionError
+            case Conflict(StoredObject() as current):
+                return _found(current, bundle.version)
+        return Err(Refused(f"version {bundle.version} changed while it was written"))
 
     async def sign(
         self, version: int, digest: str, operator: str, key: Ed25519PrivateKey
     ) -> Result[Proposal, ReleaseError]:
         """Add an operator's signature to a proposal."""
         for _ in range(SIGN_TRIES):
-            match await self._load(version, digest):
-                case Ok(proposal):
-                    pass
-                case Err(error):
-                    return Err(error)
+            loaded = await self._load(version, digest)
+            if isinstance(loaded, Err):
+                return loaded
+            proposal = loaded.ok_value
             others = [s for s in proposal.signed.signatures if s.operator != operator]
             signatures = (*others, sign(proposal.bundle, operator, key))
-            answer = await self._put_signatures(proposal, signatures)
-            match answer:
-                case Err(Conflict()):
-                    continue  # another operator signed in between
-                case Err(Unavailable() as trouble):
-                    return Err(trouble)
-                case Ok(stored):
-                    signed = SignedBundle(proposal.signed.body, signatures)
-                    return Ok(Proposal(proposal.bundle, signed, stored))
+            signed = SignedBundle(proposal.signed.body, signatures)
+            stored = proposal.stored
+            answer = await self._client.put(stored.kind, stored.name, signed, stored.version)
+            if isinstance(answer, Ok):
+                return Ok(Proposal(proposal.bundle, signed, answer.ok_value))
+            if isinstance(answer.err_value, Unavailable):
+                return Err(answer.err_value)
+            # Another operator signed in between: read again.
         return Err(Refused(f"version {version} changed {SIGN_TRIES} times meanwhile"))
 
     async def roll_out(self, version: int, digest: str) -> Result[Head, ReleaseError]:
         """Bring a signed-off bundle in force, as the next after the present one."""
-        match await self._load(version, digest):
-            case Ok(proposal):
-                pass
-            case Err(error):
-                return Err(error)
+        loaded = await self._load(version, digest)
+        if isinstance(loaded, Err):
+            return loaded
+        proposal = loaded.ok_value
         checked = verify(proposal.signed, self._keyring)
         if isinstance(checked, Err):
             return Err(Refused(f"version {version}: {checked.err_value}"))
         return await self._move_head(Head(version, proposal.bundle.digest()))
 
     async def _move_head(self, new: Head) -> Result[Head, ReleaseError]:
-        match await self._client.get(heads.KIND, heads.NAME):
-            case Err(trouble):
-                return Err(trouble)
-            case Ok(stored):
-                pass
-        current = msgspec.json.decode(stored.value, type=Head) if stored else Head(0, "")
+        answer = await self._client.get(heads.KIND, heads.NAME)
+        if isinstance(answer, Err):
+            return Err(answer.err_value)
+        stored = answer.ok_value
+        current = _as_head(stored) if stored else Head(0, "")
         if current == new:
             return Ok(new)
         if new.version != current.version + 1:
             return Err(Beaten(current))
         expected = stored.version if stored else 0
-        match await self._client.put(heads.KIND, heads.NAME, new, expected):
-            case Ok(_):
-                return Ok(new)
-            case Err(Conflict(found)) if found is not None:
-                winner = msgspec.json.decode(found.value, type=Head)
-                return Ok(new) if winner == new else Err(Beaten(winner))
-            case Err(Conflict()):
-                return Err(Refused("the head vanished while it was moved"))
-            case Err(trouble):
+        written = await self._client.put(heads.KIND, heads.NAME, new, expected)
+        if isinstance(written, Ok):
+            return Ok(new)
+        match written.err_value:
+            case Unavailable() as trouble:
                 return Err(trouble)
-        raise AssertionError
+            case Conflict(StoredObject() as found):
+                winner = _as_head(found)
+                return Ok(new) if winner == new else Err(Beaten(winner))
+        return Err(Refused("the head vanished while it was moved"))
 
     async def _load(self, version: int, digest: str) -> Result[Proposal, ReleaseError]:
         name = heads.bundle_name(version, digest)
-        match await self._client.get(heads.BUNDLE_KIND, name):
-            case Ok(None):
-                return Err(Refused(f"no bundle {name} at the platform"))
-            case Ok(found):
-                return _found(found, version)
-            case Err(trouble):
-                return Err(trouble)
-        raise AssertionError
+        answer = await self._client.get(heads.BUNDLE_KIND, name)
+        if isinstance(answer, Err):
+            return Err(answer.err_value)
+        if answer.ok_value is None:
+            return Err(Refused(f"no bundle {name} at the platform"))
+        return _found(answer.ok_value, version)
+
 
-    async def _put_signatures(
-        self, proposal: Proposal, signatures: tuple[Signature, ...]
-    ) -> Result[StoredObject, Conflict | Unavailable]:
-        signed = SignedBundle(proposal.signed.body, signatures)
-        stored = proposal.stored
-        return await self._client.put(stored.kind, stored.name, signed, stored.version)
+def _as_head(stored: StoredObject) -> Head:
+    return msgspec.json.decode(stored.value, type=Head)
 
 
 def _found(stored: StoredObject, version: int) -> Result[Proposal, ReleaseError]:
--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -1,7 +1,6 @@
 """The daemon: wires entry, admission and control together and runs them until told to stop."""
 
 import asyncio
-import signal
 import time
 from collections.abc import Callable
 from random import Random
@@ -35,7 +34,6 @@
 from wheatslipd.view import View
 
 BACKEND_CONNECTIONS = 220
-DRAIN_POLL = 0.02  # seconds
 
 
 class _Lifecycle(Component):
@@ -76,12 +74,12 @@
         self.view = View()
         self.metrics = Metrics(settings.name, settings.zone)
         self._monotonic = monotonic
-        self._started = asyncio.Event()
+        self.listening = asyncio.Event()
         self._stopping = asyncio.Event()
         self.bus = Bus()
         self.feed = PlatformFeed(settings.platform, settings.keyring, self.bus, rng)
         self._tracer = HopTracer(settings.name, settings.trace_sample, settings.trace_file, rng)
-        self.gate = Gate(Admission(AdmissionSettings()), self.view, self.metrics, monotonic)
+        self.gate = Gate(Admission(AdmissionSettings()), self.view, monotonic)
         self._backend = Backend(
             settings.backend_address,
             settings.backend_port,
@@ -119,8 +117,6 @@
         self.bus.attach()
         pages = await self._listen()
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.stop)
         tasks = [loop.create_task(self.feed.run())]
         if self.settings.health_path:
             tasks.append(loop.create_task(self.measurer.run()))
@@ -141,7 +137,8 @@
         return 0 if was_asked else 1
 
     def stop(self) -> None:
-        """Begin a planned stop."""
+        """Begin a planned stop: no new callers, no new work, finish what is in flight."""
+        self.view.stopping = True
         self.bus.fire(leaving("asked to stop"))
         self._stopping.set()
 
@@ -229,9 +226,15 @@
             peer_port=self.peer_server.port,
             pages_port=pages_port,
         )
+        self.listening.set()
         return pages
 
     def _render_metrics(self) -> bytes:
+        # Gauges are set when they are read: setting them on each request would cost more.
+        admission = self.gate.admission
+        self.metrics.in_flight.set({}, admission.in_flight)
+        self.metrics.queued.set({}, admission.queued)
+        self.metrics.limit.set({}, admission.limit.value)
         self.metrics.platform_calls.set({}, self.feed.client.calls)
         self.metrics.connections.set({"port": "entry"}, self.entry_server.open_connections)
         self.metrics.connections.set({"port": "peer"}, self.peer_server.open_connections)
--- a/packages/wheatslipd/wheatslipd/filters.py
+++ b/packages/wheatslipd/wheatslipd/filters.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from wheatslip.bundle import Service, credential_digest
-from wheatslip.call import Call, CallClass, RequestKind
+from wheatslip.call import Call, RequestKind
 from wheatslip.ledger import key_time
 from wheatslip.outcome import Answered, NotRun, Outcome, Reason, Unknown
 
@@ -76,13 +76,13 @@
 
 @dataclass(slots=True)
 class ReadyFilter:
-    """Refuses everything while no configuration is in force or the daemon leaves."""
+    """Refuses everything while no configuration is in force or the daemon stops."""
 
     view: View
 
     async def __call__(self, request: EntryRequest, proceed: Proceed) -> Outcome:
         """Fix the configuration that the request is served under."""
-        if self.view.draining:
+        if self.view.stopping:
             return NotRun(Reason.DRAINING, retry_after=1.0)
         if self.view.configuration is None:
             return NotRun(Reason.NO_CONFIGURATION, retry_after=1.0)
@@ -205,16 +205,3 @@
     if not value.isdigit() or int(value) > MAX_DEPTH:
         return None
     return int(value)
-
-
-__all__ = [
-    "AuthoriseFilter",
-    "CallClass",
-    "ClassifyFilter",
-    "CountFilter",
-    "IdentifyFilter",
-    "ReadyFilter",
-    "TraceFilter",
-    "describe",
-    "entry_filters",
-]
--- a/packages/wheatslipd/wheatslipd/forward.py
+++ b/packages/wheatslipd/wheatslipd/forward.py
@@ -47,6 +47,7 @@
     tries: int = 0
     tried: frozenset[str] = frozenset()
     body_sent: bool = False
+    may_bounce: bool = False
     # The outcome to report while a try may have run and no answer has come.
     doubt: Unknown | None = None
 
@@ -112,24 +113,35 @@
                 return outcome
             attempt.tries += 1
             attempt.tried |= {peer.instance.name}
+            attempt.may_bounce = self._may_bounce(attempt)
             outcome = await self._send(attempt, peer, limit)
             if not self._may_try_again(attempt, outcome):
                 return outcome
         return outcome
 
     def _pick(self, attempt: _Attempt) -> Peer | None:
-        call = attempt.call
-        configuration = attempt.request.configuration
-        assert configuration is not None
-        peers = self._view.membership.peers(configuration.services[call.service].pool)
-        if _is_keyed(call):
-            return self._owner_of(call, peers, attempt)
+        peers = self._peers(attempt)
+        if _is_keyed(attempt.call):
+            return self._owner_of(attempt.call, peers, attempt)
         upstreams = [peer.upstream for peer in peers]
         chosen = self._chooser.pick(upstreams, self._clock(), attempt.tried)
         if chosen is None:
             return None
         return next(peer for peer in peers if peer.upstream is chosen)
 
+    def _may_bounce(self, attempt: _Attempt) -> bool:
+        """Whether the next upstream may refuse rather than queue: others are left to try."""
+        if attempt.tries > MAX_BOUNCES or _is_keyed(attempt.call):
+            return False
+        upstreams = [peer.upstream for peer in self._peers(attempt)]
+        return self._chooser.has_choice(upstreams, self._clock(), attempt.tried)
+
+    def _peers(self, attempt: _Attempt) -> tuple[Peer, ...]:
+        configuration = attempt.request.configuration
+        assert configuration is not None
+        pool = configuration.services[attempt.call.service].pool
+        return self._view.membership.peers(pool)
+
     @staticmethod
     def _owner_of(call: Call, peers: tuple[Peer, ...], attempt: _Attempt) -> Peer | None:
         """A keyed request that may run once goes to the key's owner, and nowhere else."""
@@ -227,7 +239,7 @@
             entry=self._name,
             key=call.key,
             depth=call.depth,
-            may_bounce=attempt.tries <= MAX_BOUNCES and not _is_keyed(call),
+            may_bounce=attempt.may_bounce,
         )
         headers = [
             (name, value)
@@ -263,14 +275,12 @@
     async def _relay(request: EntryRequest, response: Response) -> Outcome:
         head = ResponseHead(response.head.status, response.head.forwarded())
         head.headers.append((OUTCOME_HEADER, b"answered"))
-        await request.exchange.start(head)
+        request.exchange.start(head)
         try:
-            async for chunk in response.body.chunks():
-                await request.exchange.write(chunk)
+            await request.exchange.relay(response.body)
         except BodyBroken:
             # The caller sees a broken connection, never a shortened answer that looks whole.
             return Unknown(Reason.CONNECTION_LOST)
-        await request.exchange.finish()
         return Answered(head.status)
 
 
--- a/packages/wheatslipd/wheatslipd/gate.py
+++ b/packages/wheatslipd/wheatslipd/gate.py
@@ -8,7 +8,6 @@
 from wheatslip.hop import LoadReport
 from wheatslip.outcome import NotRun, Reason
 
-from wheatslipd.metrics import Metrics
 from wheatslipd.view import View
 
 EVICTED_RETRY_AFTER = 0.5  # seconds
@@ -17,12 +16,9 @@
 class Gate:
     """Owns the admission of one backend server."""
 
-    def __init__(
-        self, admission: Admission, view: View, metrics: Metrics, clock: Callable[[], float]
-    ):
+    def __init__(self, admission: Admission, view: View, clock: Callable[[], float]):
         self.admission = admission
         self._view = view
-        self._metrics = metrics
         self._clock = clock
         self._waiting: dict[Ticket, asyncio.Future[NotRun | None]] = {}
 
@@ -32,7 +28,6 @@
         ticket = self.admission.arrive(call, now, may_bounce=may_bounce)
         self._tell_evicted()
         if isinstance(ticket, NotRun) or ticket.started is not None:
-            self._measure()
             return ticket
         return await self._wait(ticket, now)
 
@@ -40,7 +35,6 @@
         """A started request has ended; `worked`: the backend server answered it."""
         started = self.admission.finish(ticket, self._clock(), worked=worked)
         self._wake(started)
-        self._measure()
 
     def drain(self) -> None:
         """Refuse new work from now on; what waits is refused too, as it has not run."""
@@ -65,7 +59,6 @@
     async def _wait(self, ticket: Ticket, now: float) -> Ticket | NotRun:
         future: asyncio.Future[NotRun | None] = asyncio.get_running_loop().create_future()
         self._waiting[ticket] = future
-        self._measure()
         patience = self.admission.latest_start(ticket.call, now) - now
         try:
             async with asyncio.timeout(max(0.0, patience)):
@@ -94,8 +87,3 @@
             future = self._waiting.get(ticket)
             if future is not None and not future.done():
                 future.set_result(NotRun(Reason.OVER_SHARE, EVICTED_RETRY_AFTER))
-
-    def _measure(self) -> None:
-        self._metrics.in_flight.set({}, self.admission.in_flight)
-        self._metrics.queued.set({}, self.admission.queued)
-        self._metrics.limit.set({}, self.admission.limit.value)
--- a/packages/wheatslipd/wheatslipd/http/body.py
+++ b/packages/wheatslipd/wheatslipd/http/body.py
@@ -29,6 +29,11 @@
         """Whether all of the body has come and been read."""
         return self.complete and not self._chunks
 
+    @property
+    def has_more_now(self) -> bool:
+        """Whether `read` returns without waiting."""
+        return bool(self._chunks) or self.complete
+
     def feed(self, chunk: bytes) -> None:
         """Add a chunk; stops the socket when too much is held."""
         self._chunks.append(chunk)
--- a/packages/wheatslipd/wheatslipd/http/connection.py
+++ b/packages/wheatslipd/wheatslipd/http/connection.py
@@ -1,6 +1,7 @@
 """What a server's and a client's connection share: flow control and the parser's callbacks."""
 
 import asyncio
+from typing import cast
 
 MAX_HEAD_BYTES = 32 * 1024
 MAX_HEADERS = 100
@@ -23,8 +24,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
-        assert isinstance(transport, asyncio.Transport)
-        self.transport = transport
+        # uvloop's transports do not derive from asyncio's, so this can't be asserted.
+        self.transport = cast(asyncio.Transport, transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Wake who waits to write."""
--- a/packages/wheatslipd/wheatslipd/http/server.py
+++ b/packages/wheatslipd/wheatslipd/http/server.py
@@ -1,12 +1,14 @@
 """The server side of HTTP/1.1: reads requests, hands each to a handler, in order."""
 
 import asyncio
+import traceback
 from collections import deque
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import httptools
 
+from wheatslipd import logs
 from wheatslipd.http.body import Body
 from wheatslipd.http.connection import MAX_HEAD_BYTES, Connection, HeadTooLarge
 from wheatslipd.http.messages import (
@@ -21,6 +23,8 @@
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 MAX_PIPELINED = 8
 IDLE_SECONDS = 60.0
+SWEEP_SECONDS = 10.0
+HOLD_AT_MOST = 16 * 1024  # bytes of a response that wait for more before they are sent
 
 
 @dataclass(slots=True, eq=False)
@@ -35,6 +39,8 @@
     finished: bool = False
     _chunked: bool = False
     _bodyless: bool = False
+    _held: list[bytes] = field(default_factory=list)
+    _held_size: int = 0
 
     async def send_continue(self) -> None:
         """Ask the sender for its body, if it waits to be asked."""
@@ -42,8 +48,8 @@
             self.expects_continue = False
             await self.connection.send(CONTINUE)
 
-    async def start(self, head: ResponseHead) -> None:
-        """Send the response head.
+    def start(self, head: ResponseHead) -> None:
+        """Begin the response; the head is sent with what follows, see `flush`.
 
         Without a content-length the body is chunked, or for HTTP/1.0 ends with the connection.
         """
@@ -52,30 +58,61 @@
         self._bodyless = self.head.method == b"HEAD" or head.status in NO_BODY_STATUSES
         needs_framing = not has_length and not self._bodyless
         self._chunked = needs_framing and not self.head.is_http_1_0
-        close = not self.head.keep_alive or self.expects_continue
+        # A body that has not come yet may never be read, so the next request would not be
+        # found behind it. The other end must hear of the close with the response, or it
+        # sends its next request into a closing connection.
+        close = not self.head.keep_alive or not self.body.complete
         close = close or (needs_framing and self.head.is_http_1_0)
         self.head.keep_alive = not close
-        await self.connection.send(encode_response(head, chunked=self._chunked, close=close))
+        self._hold(encode_response(head, chunked=self._chunked, close=close))
 
     async def write(self, chunk: bytes) -> None:
-        """Send a part of the body."""
+        """Add a part of the body; it may be held until more has come, see `flush`."""
         if self._bodyless or not chunk:
             return
-        await self.connection.send(encode_chunk(chunk) if self._chunked else chunk)
+        self._hold(encode_chunk(chunk) if self._chunked else chunk)
+        if self._held_size >= HOLD_AT_MOST:
+            await self.flush()
+
+    async def flush(self) -> None:
+        """Send what is held. One packet wakes the other end once, so small parts wait."""
+        if self._held:
+            data = b"".join(self._held)
+            self._held.clear()
+            self._held_size = 0
+            await self.connection.send(data)
 
     async def finish(self) -> None:
         """The response is whole."""
         if self._chunked:
-            await self.connection.send(LAST_CHUNK)
+            self._hold(LAST_CHUNK)
+        await self.flush()
         self.finished = True
 
+    async def relay(self, body: Body, on_chunk: Callable[[bytes], None] | None = None) -> None:
+        """Send a body as it comes, to its end; raises BodyBroken if it is broken off."""
+        while True:
+            if not body.has_more_now:
+                await self.flush()
+            chunk = await body.read()
+            if not chunk:
+                break
+            if on_chunk is not None:
+                on_chunk(chunk)
+            await self.write(chunk)
+        await self.finish()
+
     async def respond(self, head: ResponseHead, body: bytes = b"") -> None:
         """Send a whole small response."""
         head.headers.append((b"content-length", b"%d" % len(body)))
-        await self.start(head)
+        self.start(head)
         await self.write(body)
         await self.finish()
 
+    def _hold(self, data: bytes) -> None:
+        self._held.append(data)
+        self._held_size += len(data)
+
 
 Handler = Callable[[Exchange], Awaitable[None]]
 
@@ -94,8 +131,9 @@
         self._incoming: Exchange | None = None
         self._task: asyncio.Task[None] | None = None
         self._failed_status = 0
+        self._broken: Exchange | None = None
         self._fed_in_head = 0
-        self._idle_timer: asyncio.TimerHandle | None = None
+        self.idle_since = 0.0
 
     @property
     def idle(self) -> bool:
@@ -112,8 +150,6 @@
         """Cancel the work: the caller has left."""
         super().connection_lost(exc)
         self._connections.discard(self)
-        if self._idle_timer is not None:
-            self._idle_timer.cancel()
         if self._incoming is not None:
             self._incoming.body.break_off()
         if self._task is not None:
@@ -169,8 +205,8 @@
         self._waiting.append(exchange)
         if len(self._waiting) > MAX_PIPELINED:
             self.pause()
-        # The parser may still find this message malformed, so it is started a turn later.
-        asyncio.get_running_loop().call_soon(self._next)
+        # A task's first step runs a turn later: by then the parser has seen all that came.
+        self._next()
 
     def on_body(self, chunk: bytes) -> None:
         """A part of the body."""
@@ -192,26 +228,32 @@
         if not self._waiting:
             self._rest()
             return
-        if self._failed_status and self._waiting[0] is self._incoming:
-            self._rest()
-            return
         self._current = self._waiting.popleft()
         if len(self._waiting) == MAX_PIPELINED:
             self.resume()
         self._task = asyncio.get_running_loop().create_task(self._run(self._current))
 
     async def _run(self, exchange: Exchange) -> None:
+        if self._failed_status and exchange is self._broken:
+            self._current = None
+            self._rest()
+            return
         try:
             await self._handler(exchange)
         except (ConnectionError, asyncio.CancelledError):
             self.abort()
             return
+        except Exception as error:
+            # A defect of ours. Only this request is lost: its sender sees the connection end.
+            trace = "".join(traceback.format_exception(error))
+            logs.error("handler-failed", error=repr(error), trace=trace, repeat_key="handler")
+            self.abort()
+            return
         self._current = None
         self._task = None
         if not exchange.finished:
             self.abort()
-        elif not exchange.head.keep_alive or not exchange.body.exhausted:
-            # What is left of a request's body must never be read as the next request.
+        elif not exchange.head.keep_alive or not exchange.body.complete:
             self.close()
         else:
             self._next()
@@ -228,6 +270,7 @@
 
     def _fail(self, status: int) -> None:
         self._failed_status = status
+        self._broken = self._incoming
         if self._incoming is not None:
             self._incoming.body.break_off()
         self._next()
@@ -239,14 +282,7 @@
                 self._fail(431)
 
     def _watch_idle(self) -> None:
-        if self._idle_timer is not None:
-            self._idle_timer.cancel()
-        loop = asyncio.get_running_loop()
-        self._idle_timer = loop.call_later(IDLE_SECONDS, self._close_idle)
-
-    def _close_idle(self) -> None:
-        if self.idle:
-            self.close()
+        self.idle_since = asyncio.get_running_loop().time()
 
 
 class Server:
@@ -256,6 +292,7 @@
         self._handler = handler
         self._connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
+        self._sweep_timer: asyncio.TimerHandle | None = None
         self.port = 0
 
     async def listen(self, host: str, port: int) -> None:
@@ -265,6 +302,7 @@
             lambda: ServerConnection(self._handler, self._connections), host, port, backlog=1024
         )
         self.port = self._server.sockets[0].getsockname()[1]
+        self._sweep()
 
     @property
     def open_connections(self) -> int:
@@ -278,6 +316,8 @@
         """
         if self._server is not None:
             self._server.close()
+        if self._sweep_timer is not None:
+            self._sweep_timer.cancel()
         loop = asyncio.get_running_loop()
         deadline = loop.time() + grace
         while any(not c.idle for c in self._connections) and loop.time() < deadline:
@@ -286,3 +326,12 @@
         for connection in list(self._connections):
             connection.close()
         return finished
+
+    def _sweep(self) -> None:
+        """Close connections that were idle for long. One timer serves all of them."""
+        loop = asyncio.get_running_loop()
+        oldest = loop.time() - IDLE_SECONDS
+        for connection in list(self._connections):
+            if connection.idle and connection.idle_since < oldest:
+                connection.close()
+        self._sweep_timer = loop.call_later(SWEEP_SECONDS, self._sweep)
--- a/packages/wheatslipd/wheatslipd/main.py
+++ b/packages/wheatslipd/wheatslipd/main.py
@@ -1,6 +1,9 @@
 """The command `wheatslipd`: checks its settings and runs one daemon."""
 
 import asyncio
+import gc
+import os
+import signal
 import sys
 import time
 from dataclasses import dataclass
@@ -15,7 +18,9 @@
 from wheatslipd.daemon import Daemon
 from wheatslipd.settings import Settings, default_text, load_settings
 
+EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 2
+COLLECT_AFTER = 20_000  # new objects before the youngest generation is collected
 
 
 @cappa.command(
@@ -70,13 +75,47 @@
     logs.info("starting", version=__version__, seed=seed)
 
     async def main() -> int:
-        return await Daemon(settings, Random(seed)).run()
-
-    if settings.loop == "uvloop":
-        import uvloop
-
-        return uvloop.run(main())
-    return asyncio.run(main())
+        if uses_io_uring():
+            logs.error("io-uring-in-use", loop=settings.loop, remedy="set loop = asyncio")
+            return EXIT_FAILED
+        daemon = Daemon(settings, Random(seed))
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, daemon.stop)
+        _spare_collector()
+        return await daemon.run()
+
+    if settings.loop == "asyncio":
+        return asyncio.run(main())
+    # libuv may use io_uring, which instances forbid; it reads this when its loop is made.
+    os.environ["UV_USE_IO_URING"] = "0"
+    import uvloop
+
+    return uvloop.run(main())
+
+
+def _spare_collector() -> None:
+    """Keep what was loaded at the start out of the collector's sight, and let it look less
+    often: a full collection would stop all requests for tens of milliseconds.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(COLLECT_AFTER, 20, 100)
+
+
+def uses_io_uring() -> bool:
+    """Whether this process holds an io_uring, which instances forbid."""
+    folder = Path("/proc/self/fd")
+    if not folder.exists():
+        return False
+    return any("io_uring" in _target(link) for link in folder.iterdir())
+
+
+def _target(link: Path) -> str:
+    try:
+        return os.readlink(link)
+    except OSError:  # it was closed while we looked
+        return ""
 
 
 def main() -> None:
--- a/packages/wheatslipd/wheatslipd/membership.py
+++ b/packages/wheatslipd/wheatslipd/membership.py
@@ -65,7 +65,7 @@
         else:
             known.instance = instance
         is_leaving = instance.state is InstanceState.LEAVING
-        self._peers[instance.name].upstream.draining |= is_leaving
+        self._peers[instance.name].upstream.leaving |= is_leaving
         if is_leaving and instance.name == self._name:
             self.fire(leaving("listed as leaving"))
 
--- a/packages/wheatslipd/wheatslipd/peerport.py
+++ b/packages/wheatslipd/wheatslipd/peerport.py
@@ -35,7 +35,6 @@
 
 CATCH_UP_SECONDS = 0.5  # how long a request waits for a version that its entry has already
 CATCH_UP_STEP = 0.02
-MAX_KEPT_BODY = 16 * 1024  # bytes of an answer that are kept for a re-send of its key
 
 
 @dataclass(slots=True, eq=False)
@@ -136,7 +135,7 @@
                 return Unknown(Reason.DUPLICATE)
             case KeyState.DONE:
                 return await self._answer_again(passage.exchange, claim.answer)
-        kept = KeptAnswer(0, [], b"")
+        kept = KeptAnswer()
         outcome: Outcome = Unknown(Reason.CANCELLED)
         try:
             outcome = await self._run(passage, kept)
@@ -201,17 +200,13 @@
         if kept is not None:
             kept.headers = list(headers)
         headers += [(OUTCOME_HEADER, b"answered"), *self._load_header()]
-        await passage.exchange.start(ResponseHead(response.head.status, headers))
+        passage.exchange.start(ResponseHead(response.head.status, headers))
         try:
-            async for chunk in response.body.chunks():
-                if kept is not None and len(kept.body) <= MAX_KEPT_BODY:
-                    kept.body += chunk
-                await passage.exchange.write(chunk)
+            await passage.exchange.relay(response.body, kept.add if kept is not None else None)
         except BodyBroken:
             return Unknown(Reason.CONNECTION_LOST)
-        if kept is not None and len(kept.body) <= MAX_KEPT_BODY:
+        if kept is not None:
             kept.status = response.head.status
-        await passage.exchange.finish()
         return Answered(response.head.status)
 
     def _backend_head(self, passage: _Passage) -> RequestHead:
--- a/packages/wheatslipd/wheatslipd/settings.py
+++ b/packages/wheatslipd/wheatslipd/settings.py
@@ -102,7 +102,7 @@
         zone=daemon.text("zone", must=True),
         pool=daemon.text("pool", must=True),
         address=address,
-        loop=daemon.choice("loop", "asyncio", {"asyncio": "asyncio", "uvloop": "uvloop"}),
+        loop=daemon.choice("loop", "uvloop", {"asyncio": "asyncio", "uvloop": "uvloop"}),
         stop_grace=daemon.duration("stop-grace", 30.0),
         entry_port=_port(sections["entry"]),
         peer_port=_port(sections["peer"]),
--- a/packages/wheatslipd/wheatslipd/view.py
+++ b/packages/wheatslipd/wheatslipd/view.py
@@ -52,11 +52,16 @@
 
 @dataclass(slots=True)
 class View:
-    """The present state, as the request path sees it."""
+    """The present state, as the request path sees it.
+
+    `draining`: the backend server here takes no new work. `stopping`: nor does the entry
+    take callers; before that it still forwards theirs to others.
+    """
 
     configuration: Configuration | None = None
     membership: Membership = field(default_factory=Membership)
     draining: bool = False
+    stopping: bool = False
 
     @property
     def version(self) -> int:
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -123,6 +123,7 @@
 
     folder: Path
     extra_settings: str = ""
+    loop: str = "asyncio"
     session: aiohttp.ClientSession = field(init=False)
     platform: Running = field(init=False)
     platform_address: str = field(init=False)
@@ -236,6 +237,7 @@
         path = self.folder / f"{plan.name}.ini"
         path.write_text(
             f"[daemon]\nname = {plan.name}\nzone = {plan.zone}\npool = {plan.pool}\n"
+            f"loop = {self.loop}\n"
             f"[peer]\nplain-text = yes\n"
             f"[backend]\nport = {backend_port}\n"
             f"[platform]\naddress = {self.platform_address}\n"
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -201,7 +201,9 @@
 async def serve(host: str, port: int) -> tuple[web.AppRunner, int, PlatformStandIn]:
     """Start a stand-in; returns its runner, its port and itself."""
     stand_in = PlatformStandIn()
-    runner = web.AppRunner(stand_in.app(), access_log=None)
+    runner = web.AppRunner(
+        stand_in.app(), access_log=None, handler_cancellation=True, shutdown_timeout=0.1
+    )
     await runner.setup()
     site = web.TCPSite(runner, host, port)
     await site.start()
--- /dev/null
+++ b/test/helper.py
@@ -0,0 +1,185 @@
+"""The shared helper of the tests: an installation inside one process, and small makers.
+
+Daemons, backend servers and the platform's stand-in run as tasks of one loop, on ports that
+the system picks; every wait is for a condition.
+"""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+
+import aiohttp
+import msgspec
+from aiohttp import web
+from wheatslip import instances as lists
+from wheatslip.bundle import Bundle, credential_digest, parse_bundle
+from wheatslip.instances import Instance, InstanceState
+from wheatslip.objects import ObjectClient
+from wheatslip.releases import Releases
+from wheatslip.signing import load_keyring, load_private_key, write_key_pair
+from wheatslipd.daemon import Daemon
+from wheatslipd.settings import parse_settings
+
+from standins.backend import BackendStandIn, Behaviour
+from standins.caller import Caller
+from standins.cluster import HOST, eventually
+from standins.platform import PlatformStandIn, serve
+
+OPERATORS = ("anna", "moussa")
+SEED = 11
+
+BUNDLE = f"""
+[bundle]
+version = 1
+[workspace alpha]
+credential-sha256 = {credential_digest("alpha-secret")}
+[workspace beta]
+credential-sha256 = {credential_digest("beta-secret")}
+[pool papers]
+slots = 4
+[service papers]
+workspace = alpha
+pool = papers
+[kind papers/submit]
+repeatable = no
+"""
+
+
+def bundle(text: str = BUNDLE, version: int = 1) -> Bundle:
+    """A bundle from INI."""
+    return parse_bundle(text.replace("version = 1", f"version = {version}"), "test").unwrap()
+
+
+def run(scenario: Callable[[], Awaitable[None]], seconds: float = 60.0) -> None:
+    """Run an async test; the bound only stops one that hangs."""
+
+    async def bounded() -> None:
+        async with asyncio.timeout(seconds):
+            await scenario()
+
+    asyncio.run(bounded())
+
+
+@dataclass(slots=True)
+class ShiftedClock:
+    """Unix time that a test moves; daemons start in its past, so that keys made now are
+    surely younger than their records.
+    """
+
+    shift: float = -100.0
+
+    def __call__(self) -> float:
+        return time.time() + self.shift
+
+
+@dataclass(slots=True)
+class Node:
+    """A backend server with its daemon."""
+
+    instance: Instance
+    backend: BackendStandIn
+    daemon: Daemon
+    task: asyncio.Task[int]
+    listed_version: int = 0
+
+    @property
+    def entry(self) -> int:
+        """The entry's port."""
+        return self.instance.entry_port
+
+
+@dataclass(slots=True)
+class Installation:
+    """Use with `async with`; starts the platform's stand-in and the operators' keys."""
+
+    folder: Path
+    nodes: dict[str, Node] = field(default_factory=dict)
+    clock: ShiftedClock = field(default_factory=ShiftedClock)
+    platform: PlatformStandIn = field(init=False)
+    client: ObjectClient = field(init=False)
+    session: aiohttp.ClientSession = field(init=False)
+    _runner: web.AppRunner = field(init=False)
+    _address: str = field(init=False)
+
+    async def __aenter__(self) -> "Installation":
+        self._runner, port, self.platform = await serve(HOST, 0)
+        self._address = f"{HOST}:{port}"
+        self.client = ObjectClient(self._address, Random(SEED))
+        self.session = aiohttp.ClientSession()
+        for operator in OPERATORS:
+            if not (self.folder / f"{operator}.key").exists():
+                write_key_pair(operator, self.folder)
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        for node in self.nodes.values():
+            node.daemon.stop()
+        await asyncio.gather(*(node.task for node in self.nodes.values()))
+        for node in self.nodes.values():
+            await node.backend.server.stop(0.0)
+        await self.client.close()
+        await self.session.close()
+        await self._runner.cleanup()
+
+    async def add(
+        self,
+        name: str,
+        behaviour: Behaviour | None = None,
+        pool: str = "papers",
+    ) -> Node:
+        """Start a backend server and its daemon, and list them."""
+        behaviour = behaviour or Behaviour(slots=4, service=0.001)
+        backend = BackendStandIn(name, behaviour, Random(SEED))
+        await backend.server.listen(HOST, 0)
+        settings = parse_settings(
+            f"[daemon]\nname = {name}\nzone = one\npool = {pool}\n"
+            f"[peer]\nplain-text = yes\n"
+            f"[backend]\nport = {backend.server.port}\n"
+            f"[platform]\naddress = {self._address}\n"
+            f"[operators]\nkeyring = {self.folder}\n",
+            name,
+        ).unwrap()
+        daemon = Daemon(settings, Random(SEED), unix=self.clock)
+        task = asyncio.create_task(daemon.run())
+        await daemon.listening.wait()
+        ports = (daemon.entry_server.port, daemon.peer_server.port)
+        node = Node(Instance(name, pool, "one", HOST, *ports), backend, daemon, task)
+        self.nodes[name] = node
+        await self.list_instance(node, InstanceState.LIVE)
+        return node
+
+    async def list_instance(self, node: Node, state: InstanceState) -> None:
+        """Write an instance into the platform's list."""
+        instance = msgspec.structs.replace(node.instance, state=state)
+        name = node.instance.name
+        stored = await self.client.put(lists.KIND, name, instance, node.listed_version)
+        node.listed_version = stored.unwrap().version
+
+    async def release(self, new: Bundle) -> None:
+        """Propose, sign twice and roll out a bundle."""
+        releases = Releases(self.client, load_keyring(self.folder))
+        (await releases.propose(new)).unwrap()
+        for operator in OPERATORS:
+            key = load_private_key(self.folder / f"{operator}.key")
+            (await releases.sign(new.version, new.digest(), operator, key)).unwrap()
+        (await releases.roll_out(new.version, new.digest())).unwrap()
+
+    async def ready(self, version: int = 1) -> None:
+        """Wait until every daemon has the version in force and knows every instance."""
+        await eventually(self._is_ready(version))
+        self.clock.shift = 0.0
+
+    def caller(self, workspace: str = "alpha", seed: int = SEED) -> Caller:
+        """A caller of a workspace."""
+        return Caller(self.session, workspace, f"{workspace}-secret", Random(seed))
+
+    def _is_ready(self, version: int) -> Callable[[], Awaitable[bool]]:
+        async def check() -> bool:
+            states = [node.daemon.status() for node in self.nodes.values()]
+            count = len(self.nodes)
+            return all(s.version == version and s.members == count for s in states)
+
+        return check
--- /dev/null
+++ b/test/test_admission.py
@@ -0,0 +1,157 @@
+"""Admission and its queue: never over the limit, nothing lost, nobody starved."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from wheatslip.admission import Admission, AdmissionSettings, Ticket
+from wheatslip.call import Call, CallClass, RequestKind
+from wheatslip.fairqueue import FairQueue
+from wheatslip.outcome import NotRun, Reason
+
+READ = RequestKind("read", repeatable=True)
+URGENT = RequestKind("urgent", repeatable=True, call_class=CallClass.URGENT)
+
+
+def call(workspace="alpha", deadline=1000.0, kind=READ):
+    return Call(workspace, "papers", kind, deadline)
+
+
+class AdmissionMachine(RuleBasedStateMachine):
+    """Random arrivals, ends, withdrawals and drains against one gate."""
+
+    def __init__(self):
+        super().__init__()
+        self.admission = Admission(AdmissionSettings(slots=3, queue=4))
+        self.now = 0.0
+        self.open = []
+        self.arrived = self.refused = self.ended = 0
+
+    @rule(
+        workspace=st.sampled_from("abc"),
+        urgent=st.booleans(),
+        patience=st.floats(0.0, 2.0),
+        may_bounce=st.booleans(),
+    )
+    def arrive(self, workspace, urgent, patience, may_bounce):
+        self.arrived += 1
+        kind = URGENT if urgent else READ
+        one = call(workspace, self.now + patience, kind)
+        ticket = self.admission.arrive(one, self.now, may_bounce=may_bounce)
+        if isinstance(ticket, NotRun):
+            self.refused += 1
+        else:
+            self.open.append(ticket)
+        self._drop_evicted()
+
+    @rule(index=st.integers(0, 20), took=st.floats(0.0, 0.5))
+    def end(self, index, took):
+        started = [t for t in self.open if t.started is not None]
+        if started:
+            self.now += took
+            ticket = started[index % len(started)]
+            self.admission.finish(ticket, self.now, worked=True)
+            self.open.remove(ticket)
+            self.ended += 1
+
+    @rule(index=st.integers(0, 20))
+    def withdraw(self, index):
+        waiting = [t for t in self.open if t.started is None]
+        if waiting:
+            ticket = waiting[index % len(waiting)]
+            assert self.admission.withdraw(ticket)
+            self.open.remove(ticket)
+            self.ended += 1
+
+    @rule()
+    def drain(self):
+        self.admission.draining = True
+        assert self.admission.arrive(call(), self.now) == NotRun(Reason.DRAINING)
+
+    def _drop_evicted(self):
+        for ticket in self.admission.evicted():
+            self.open.remove(ticket)
+            self.refused += 1
+
+    @invariant()
+    def never_over_the_limit(self):
+        assert self.admission.in_flight <= 3
+        assert self.admission.queued <= 4
+
+    @invariant()
+    def nothing_is_lost(self):
+        assert self.arrived == self.refused + self.ended + len(self.open)
+        assert len(self.open) == self.admission.in_flight + self.admission.queued
+
+    @invariant()
+    def nobody_waits_beside_a_free_slot(self):
+        if self.admission.queued:
+            assert self.admission.in_flight == 3
+
+
+TestAdmission = AdmissionMachine.TestCase
+TestAdmission.settings = settings(max_examples=60, derandomize=True, deadline=None)
+
+
+def full_gate(**bounds):
+    admission = Admission(AdmissionSettings(slots=1, **bounds))
+    running = admission.arrive(call(), 0.0)
+    assert isinstance(running, Ticket)
+    return admission, running
+
+
+def test_what_cannot_meet_its_deadline_is_refused_before_it_waits():
+    admission, running = full_gate()
+    admission.finish(running, 1.0, worked=True)  # the server takes a second
+    admission.arrive(call(), 1.0)
+    assert isinstance(admission.arrive(call(deadline=1.5), 1.0), NotRun)
+    assert isinstance(admission.arrive(call(deadline=9.0), 1.0), Ticket)
+
+
+def test_a_server_that_stopped_answering_is_seen_before_its_first_answer():
+    admission, _ = full_gate()
+    assert admission.service_estimate(0.005) == admission.limit.service
+    assert admission.service_estimate(0.5) == 0.5
+
+
+def test_a_full_queue_makes_room_for_who_waits_with_less():
+    admission, _ = full_gate(queue=3)
+    greedy = [admission.arrive(call("greedy", 100.0 + i), 0.0) for i in range(3)]
+    modest = admission.arrive(call("modest"), 0.0)
+    assert isinstance(modest, Ticket)
+    assert admission.evicted() == [greedy[2]]
+
+
+def test_shares_hold_among_waiting_workspaces():
+    queue = FairQueue(urgent_share=0.25)
+    queue.shares = {"heavy": 3.0, "light": 1.0}
+    for number in range(400):
+        queue.push("heavy", number, "heavy")
+        queue.push("light", number, "light")
+    first = [queue.pop() for _ in range(200)]
+    assert first.count("heavy") == 150
+
+
+def test_a_workspace_that_pauses_keeps_its_place():
+    queue = FairQueue(urgent_share=0.25)
+    queue.push("a", 1.0, "a")
+    assert queue.pop() == "a"
+    queue.push("a", 1.0, "a")
+    queue.push("b", 1.0, "b")
+    assert queue.pop() == "b"
+
+
+def test_urgent_items_go_first_but_only_for_their_part():
+    queue = FairQueue(urgent_share=0.25)
+    for number in range(400):
+        queue.push("a", number, "urgent", urgent=True)
+        queue.push("a", number, "normal")
+    first = [queue.pop() for _ in range(200)]
+    assert first[0] == "urgent"
+    assert 45 <= first.count("urgent") <= 55
+
+
+def test_the_earliest_deadline_goes_first_within_a_workspace():
+    queue = FairQueue(urgent_share=0.25)
+    for deadline in (3.0, 1.0, 2.0):
+        queue.push("a", deadline, deadline)
+    assert [queue.pop() for _ in range(3)] == [1.0, 2.0, 3.0]
--- /dev/null
+++ b/test/test_bundle.py
@@ -0,0 +1,168 @@
+"""Bundles, sign-off and releases, with operators who race and answers that are lost."""
+
+import asyncio
+from random import Random
+
+import pytest
+from result import Err, Ok
+from wheatslip.bundle import decode_bundle, parse_bundle
+from wheatslip.changes import Change, ChangeKind, changes_between
+from wheatslip.head import Head
+from wheatslip.objects import Conflict, ObjectClient, TooOld
+from wheatslip.releases import Beaten, Refused, Releases
+from wheatslip.signing import (
+    SignedBundle,
+    load_keyring,
+    load_private_key,
+    sign,
+    verify,
+    write_key_pair,
+)
+
+from standins.platform import Faults
+from test.helper import BUNDLE, OPERATORS, Installation, bundle, run
+
+
+def test_a_bundle_survives_its_canonical_form():
+    assert decode_bundle(bundle().canonical()) == Ok(bundle())
+
+
+@pytest.mark.parametrize(
+    ("text", "complaint"),
+    [
+        ("", "[bundle] version"),
+        ("[bundle]\nversion = 0", "[bundle] version = '0'"),
+        ("[bundle]\nversion = 1\ncolour = red", "colour = 'red': expected a known key"),
+        ("[bundle]\nversion = 1\n[pool p]\nslots = many", "slots = 'many'"),
+        ("[bundle]\nversion = 1\n[service s]\nworkspace = w\npool = p", "pool = 'p'"),
+        ("[bundle]\nversion = 1\n[kind nowhere/k]\n", "nowhere"),
+        ("[bundle]\nversion = 1\n[castle c]\n", "[castle c]"),
+        ("[bundle\nversion", "an INI file"),
+    ],
+)
+def test_what_is_wrong_is_named(text, complaint):
+    problems = parse_bundle(text, "b.ini").unwrap_err()
+    assert any(complaint in str(problem) for problem in problems)
+    assert all(str(problem).startswith("b.ini: ") for problem in problems)
+
+
+def test_all_problems_are_reported_at_once():
+    text = BUNDLE.replace("slots = 4", "slots = x\nqueue = y")
+    assert len(parse_bundle(text, "b.ini").unwrap_err()) == 2
+
+
+def test_changes_are_named():
+    new = bundle(BUNDLE.replace("slots = 4", "slots = 5"))
+    assert changes_between(bundle(), new) == [
+        Change(ChangeKind.CHANGED, "pool papers", ("slots",))
+    ]
+
+
+@pytest.fixture
+def keys(tmp_path):
+    for operator in OPERATORS:
+        write_key_pair(operator, tmp_path)
+    private = {name: load_private_key(tmp_path / f"{name}.key") for name in OPERATORS}
+    return private, load_keyring(tmp_path)
+
+
+def test_two_operators_must_have_signed_these_very_bytes(keys):
+    private, keyring = keys
+    body = bundle().canonical().decode()
+    both = tuple(sign(bundle(), name, private[name]) for name in OPERATORS)
+    assert verify(SignedBundle(body, both), keyring) == Ok(bundle())
+    assert isinstance(verify(SignedBundle(body, both[:1]), keyring), Err)
+    assert isinstance(verify(SignedBundle(body, (both[0], both[0])), keyring), Err)
+    tampered = body.replace('"slots":4', '"slots":9')
+    assert tampered != body
+    assert isinstance(verify(SignedBundle(tampered, both), keyring), Err)
+    stranger = sign(bundle(), "stranger", private["anna"])
+    assert isinstance(verify(SignedBundle(body, (both[0], stranger)), keyring), Err)
+
+
+async def put_up(installation, new):
+    """Propose and sign a bundle, without rolling it out."""
+    releases = Releases(installation.client, load_keyring(installation.folder))
+    (await releases.propose(new)).unwrap()
+    for operator in OPERATORS:
+        key = load_private_key(installation.folder / f"{operator}.key")
+        (await releases.sign(new.version, new.digest(), operator, key)).unwrap()
+    return releases
+
+
+def test_of_two_operators_who_race_one_wins_and_the_other_is_told(tmp_path):
+    async def main():
+        async with Installation(tmp_path) as installation:
+            rivals = [bundle(), bundle(BUNDLE.replace("slots = 4", "slots = 5"))]
+            for rival in rivals:
+                releases = await put_up(installation, rival)
+            answers = await asyncio.gather(
+                *(releases.roll_out(1, rival.digest()) for rival in rivals)
+            )
+            winners = [a.ok_value for a in answers if isinstance(a, Ok)]
+            losers = [a.err_value for a in answers if isinstance(a, Err)]
+            assert losers == [Beaten(winners[0])]
+            assert (await releases.head()).ok_value == winners[0]
+
+    run(main)
+
+
+def test_a_rollout_whose_answer_was_lost_reports_the_truth(tmp_path):
+    async def main():
+        async with Installation(tmp_path) as installation:
+            releases = await put_up(installation, bundle())
+            installation.platform.faults = Faults(lose_write_answers=1)
+            answer = await releases.roll_out(1, bundle().digest())
+            assert answer == Ok(Head(1, bundle().digest()))
+            assert installation.platform.store.version == 4  # proposal, two signatures, head
+
+    run(main)
+
+
+def test_an_unsigned_or_skipped_version_is_not_rolled_out(tmp_path):
+    async def main():
+        async with Installation(tmp_path) as installation:
+            releases = Releases(installation.client, load_keyring(tmp_path))
+            await releases.propose(bundle())
+            answer = await releases.roll_out(1, bundle().digest())
+            assert isinstance(answer.err_value, Refused)
+            third = bundle(version=3)
+            await put_up(installation, third)
+            answer = await releases.roll_out(3, third.digest())
+            assert isinstance(answer.err_value, Beaten)
+
+    run(main)
+
+
+def test_daemons_refuse_a_head_without_signatures(tmp_path):
+    async def main():
+        async with Installation(tmp_path) as installation:
+            node = await installation.add("papers-1")
+            releases = Releases(installation.client, load_keyring(tmp_path))
+            await releases.propose(bundle())
+            head = Head(1, bundle().digest())
+            await installation.client.put("head", "bundle", head, 0)
+            calls = node.daemon.feed.client.calls
+            # Once it has read head and bundle it has had the chance to be taken in.
+            while node.daemon.feed.client.calls < calls + 2:
+                await asyncio.sleep(0.01)
+            assert node.daemon.view.version == 0
+
+    run(main)
+
+
+def test_a_conditional_update_conflicts_and_a_forgotten_watch_is_too_old(tmp_path):
+    async def main():
+        async with Installation(tmp_path) as installation:
+            client: ObjectClient = installation.client
+            first = (await client.put("thing", "a", 1, 0)).unwrap()
+            conflict = (await client.put("thing", "a", 2, 0)).unwrap_err()
+            assert conflict == Conflict(first)
+            assert await client.changes("thing", 99, wait=0) == Err(TooOld())
+            listing = (await client.changes("thing", 0, wait=5)).unwrap()
+            assert [item.name for item in listing.items] == ["a"]
+            other = ObjectClient("127.0.0.1:1", Random(1))
+            assert isinstance(await other.get("thing", "a"), Err)
+            await other.close()
+
+    run(main)
--- /dev/null
+++ b/test/test_http.py
@@ -0,0 +1,245 @@
+"""The HTTP edge: what is malformed is refused, and bytes never pair with a wrong request."""
+
+import asyncio
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from wheatslipd.http.body import BodyBroken
+from wheatslipd.http.client import Pool
+from wheatslipd.http.messages import RequestHead, ResponseHead
+from wheatslipd.http.server import Server
+
+from standins.cluster import HOST
+from test.helper import run
+
+
+async def echo(exchange):
+    body = await exchange.body.read_up_to(1 << 20)
+    await exchange.respond(ResponseHead(200), exchange.head.target + b" " + body)
+
+
+def with_server(scenario, handler=echo):
+    async def main():
+        server = Server(handler)
+        await server.listen(HOST, 0)
+        try:
+            await scenario(server.port)
+        finally:
+            await server.stop(0.0)
+
+    run(main)
+
+
+MALFORMED = {
+    "bare line feed": b"GET / HTTP/1.1\nHost: a\n\n",
+    "folded header": b"GET / HTTP/1.1\r\nA: b\r\n c\r\n\r\n",
+    "length and chunked": (
+        b"POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+    ),
+    "two lengths": b"POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc",
+    "unknown coding": b"POST / HTTP/1.1\r\nTransfer-Encoding: xchunked\r\n\r\nabc",
+    "space before colon": b"POST / HTTP/1.1\r\nContent-Length : 3\r\n\r\nabc",
+    "signed length": b"POST / HTTP/1.1\r\nContent-Length: +3\r\n\r\nabc",
+    "bad chunk end": b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\nabc\n0\n\n",
+    "control character": b"GET / HTTP/1.1\r\nA: \x00\r\n\r\n",
+    "not http": b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03 hello\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("name", MALFORMED)
+def test_malformed_requests_are_refused_and_the_connection_closed(name):
+    async def scenario(port):
+        reader, writer = await asyncio.open_connection(HOST, port)
+        writer.write(MALFORMED[name])
+        answer = await reader.read()  # to the end: the server must close
+        assert answer.startswith(b"HTTP/1.1 400")
+        assert answer.count(b"HTTP/1.1") == 1
+        writer.close()
+
+    with_server(scenario)
+
+
+def test_a_head_that_is_too_large_is_refused():
+    async def scenario(port):
+        reader, writer = await asyncio.open_connection(HOST, port)
+        writer.write(b"GET / HTTP/1.1\r\nA: " + b"a" * 100_000)
+        assert (await reader.read()).startswith(b"HTTP/1.1 431")
+        writer.close()
+
+    with_server(scenario)
+
+
+def test_pipelined_requests_are_answered_in_order():
+    async def slow_first(exchange):
+        if exchange.head.target == b"/0":
+            await asyncio.sleep(0.05)
+        await echo(exchange)
+
+    async def scenario(port):
+        reader, writer = await asyncio.open_connection(HOST, port)
+        writer.write(b"".join(b"GET /%d HTTP/1.1\r\n\r\n" % i for i in range(30)))
+        answer = b""
+        while answer.count(b"HTTP/1.1 200") < 30 or not answer.endswith(b"/29 "):
+            answer += await reader.read(65536)
+        positions = [answer.index(b"/%d " % i) for i in range(30)]
+        assert positions == sorted(positions)
+        writer.close()
+
+    with_server(scenario, slow_first)
+
+
+def test_a_refused_body_is_announced_as_the_end_of_the_connection():
+    async def refuse(exchange):
+        await exchange.respond(ResponseHead(503))
+
+    async def scenario(port):
+        reader, writer = await asyncio.open_connection(HOST, port)
+        writer.write(b"POST / HTTP/1.1\r\nContent-Length: 100\r\n\r\nonly a part")
+        answer = await reader.read()
+        assert b"connection: close" in answer
+        writer.close()
+
+    with_server(scenario, refuse)
+
+
+@given(st.lists(st.binary(max_size=40), max_size=6), st.integers(0, 2**32))
+@settings(
+    max_examples=60, derandomize=True, deadline=None, suppress_health_check=list(HealthCheck)
+)
+def test_garbage_neither_crashes_nor_confuses_the_server(parts, number):
+    async def scenario(port):
+        data = b"".join(parts)
+        _, writer = await asyncio.open_connection(HOST, port)
+        writer.write(data + b"\r\n\r\n")
+        writer.close()
+        pool = Pool(HOST, port, 4)
+        connection = await pool.take(1.0)
+        target = b"/%d" % number
+        await connection.start_with_body(RequestHead(b"GET", target, []), b"")
+        response = await connection.response()
+        assert await response.body.read_up_to(100) == target + b" "
+        pool.give_back(connection)
+        pool.close()
+
+    with_server(scenario)
+
+
+async def raw_server(answer):
+    """A server that sends fixed bytes for whatever it reads."""
+
+    async def serve(reader, writer):
+        try:
+            while await reader.read(65536):
+                writer.write(answer)
+        except ConnectionError:
+            pass
+        writer.close()
+
+    server = await asyncio.start_server(serve, HOST, 0)
+    return server, server.sockets[0].getsockname()[1]
+
+
+async def _fetch(pool, method=b"GET"):
+    connection = await pool.take(1.0)
+    try:
+        await connection.start_with_body(RequestHead(method, b"/", []), b"")
+        response = await connection.response()
+        return await response.body.read_up_to(1 << 20), connection
+    finally:
+        pool.give_back(connection)
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok and more",
+    ],
+)
+def test_a_connection_with_unasked_bytes_is_never_used_again(answer):
+    async def main():
+        server, port = await raw_server(answer)
+        pool = Pool(HOST, port, 4)
+        body, first = await _fetch(pool)
+        assert body == b"ok"
+        assert not first.reusable
+        _, second = await _fetch(pool)
+        assert second is not first
+        server.close()
+
+    run(main)
+
+
+def test_late_bytes_on_an_idle_connection_close_it():
+    async def main():
+        late = asyncio.Event()
+
+        async def serve(reader, writer):
+            await reader.read(65536)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            await late.wait()
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate")
+
+        server = await asyncio.start_server(serve, HOST, 0)
+        pool = Pool(HOST, server.sockets[0].getsockname()[1], 4)
+        _, first = await _fetch(pool)
+        assert first.reusable
+        late.set()
+        while not first.closed:
+            await asyncio.sleep(0.005)
+        assert not first.reusable
+        server.close()
+
+    run(main)
+
+
+def test_an_answer_to_head_ends_the_connection_without_a_body():
+    async def main():
+        server, port = await raw_server(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n")
+        body, connection = await _fetch(Pool(HOST, port, 4), b"HEAD")
+        assert body == b""
+        assert not connection.reusable
+        server.close()
+
+    run(main)
+
+
+def test_a_body_that_is_cut_short_is_not_taken_for_whole():
+    async def main():
+        async def serve(reader, writer):
+            await reader.read(65536)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nonly")
+            writer.close()
+
+        server = await asyncio.start_server(serve, HOST, 0)
+        with pytest.raises(BodyBroken):
+            await _fetch(Pool(HOST, server.sockets[0].getsockname()[1], 4))
+        server.close()
+
+    run(main)
+
+
+def test_a_large_body_is_not_held_in_memory():
+    total = 20 << 20
+    held = []
+
+    async def stream(exchange):
+        exchange.start(ResponseHead(200))
+        for _ in range(total // 65536):
+            await exchange.write(b"x" * 65536)
+        await exchange.finish()
+
+    async def scenario(port):
+        connection = await Pool(HOST, port, 1).take(1.0)
+        await connection.start_with_body(RequestHead(b"GET", b"/", []), b"")
+        response = await connection.response()
+        size = 0
+        async for chunk in response.body.chunks():
+            held.append(response.body.held)
+            size += len(chunk)
+            await asyncio.sleep(0)
+        assert size == total
+        assert max(held) < 2 << 20
+
+    with_server(scenario, stream)
--- /dev/null
+++ b/test/test_ledger.py
@@ -0,0 +1,96 @@
+"""The key ledger: whatever is forgotten, restarted or re-owned, no key runs twice."""
+
+from random import Random
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
+from wheatslip.ledger import KEPT_SECONDS, KeptAnswer, KeyLedger, KeyState, key_time
+from wheatslip.owners import OwnerHistory, owner, rank
+
+from standins.caller import make_key
+
+
+class LedgerMachine(RuleBasedStateMachine):
+    """A ledger that is restarted and overflows, against a list of what ran."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 10_000.0
+        self.rng = Random(5)
+        self.ledger = KeyLedger(self.now, max_records=5)
+        self.keys = []
+        self.ran = set()
+
+    @rule(skew=st.floats(-2.0, 2.0))
+    def make(self, skew):
+        self.keys.append(make_key(self.rng, self.now + skew))
+
+    @rule(index=st.integers(0, 50), ends=st.sampled_from(["answered", "lost", "refused"]))
+    def send(self, index, ends):
+        if not self.keys:
+            return
+        key = self.keys[index % len(self.keys)]
+        if self.ledger.claim("w", key, 0.0, self.now).state is not KeyState.FRESH:
+            return
+        if ends == "refused":
+            self.ledger.not_run("w", key)
+            return
+        assert key not in self.ran
+        self.ran.add(key)
+        self.ledger.done("w", key, KeptAnswer(200) if ends == "answered" else None)
+
+    @rule(seconds=st.sampled_from([0.01, 0.5, 3.0, KEPT_SECONDS]))
+    def wait(self, seconds):
+        self.now += seconds
+
+    @rule()
+    def restart(self):
+        self.ledger = KeyLedger(self.now, max_records=5)
+
+
+TestLedger = LedgerMachine.TestCase
+TestLedger.settings = settings(max_examples=200, derandomize=True, deadline=None)
+
+
+def test_keys_tell_when_they_were_made():
+    assert abs(key_time(make_key(Random(1), 1234.5)) - 1234.5) < 0.001
+    assert key_time("not a key") is None
+    assert key_time("c232ab00-9414-11ec-b3c8-9f6bdeced846") is None
+
+
+def test_the_first_answer_is_kept_and_another_workspaces_key_is_its_own():
+    ledger = KeyLedger(0.0)
+    key = make_key(Random(1), 100.0)
+    assert ledger.claim("a", key, 0.0, 100.0).state is KeyState.FRESH
+    assert ledger.claim("a", key, 0.0, 100.0).state is KeyState.RUNNING
+    ledger.done("a", key, KeptAnswer(200, [], b"first"))
+    assert ledger.claim("a", key, 0.0, 100.0).answer.body == b"first"
+    assert ledger.claim("b", key, 0.0, 100.0).state is KeyState.FRESH
+
+
+def test_a_new_owner_does_not_run_what_the_old_one_may_have():
+    ledger = KeyLedger(0.0)
+    key = make_key(Random(1), 100.0)
+    assert ledger.claim("a", key, owned_since=101.0, now=102.0).state is KeyState.TOO_OLD
+
+
+def test_a_leaving_member_moves_only_its_own_keys():
+    members = [f"papers-{i}" for i in range(6)]
+    keys = [f"key-{i}" for i in range(300)]
+    for key in keys:
+        before = rank(key, members)
+        after = owner(key, [m for m in members if m != "papers-3"])
+        assert after == next(m for m in before if m != "papers-3")
+
+
+def test_owned_since_is_the_start_of_the_unbroken_time():
+    history = OwnerHistory()
+    key = next(f"k{i}" for i in range(100) if owner(f"k{i}", ["a", "b"]) == "b")
+    history.change(["a"], 1.0)
+    assert history.owned_since(key, "b") is None
+    history.change(["a", "b"], 2.0)
+    history.change(["a", "b", "c"], 3.0)
+    if owner(key, ["a", "b", "c"]) == "b":
+        assert history.owned_since(key, "b") == 2.0
+    assert history.owned_since(key, "a") is None
--- /dev/null
+++ b/test/test_settings.py
@@ -0,0 +1,117 @@
+"""Settings, logs, traces and the chooser's small rules."""
+
+import io
+from random import Random
+
+from opentelemetry.sdk.trace.export import SimpleSpanProcessor
+from opentelemetry.sdk.trace.export.in_memory_span_exporter import InMemorySpanExporter
+from wheatslip.chooser import Chooser, Upstream
+from wheatslip.hop import LoadReport
+from wheatslipd.logs import KeyValueDestination, render
+from wheatslipd.main import uses_io_uring
+from wheatslipd.settings import LogLevel, parse_settings
+from wheatslipd.tracing import HopTracer
+
+GOOD = """
+[daemon]
+name = papers-1
+zone = wien-a
+pool = papers
+[peer]
+plain-text = yes
+[backend]
+port = 8000
+[platform]
+address = 127.0.0.1:9000
+[operators]
+keyring = keys
+"""
+
+
+def test_good_settings_are_read_over_the_defaults():
+    settings = parse_settings(GOOD, "d.ini").unwrap()
+    assert settings.backend_port == 8000
+    assert settings.stop_grace == 30.0
+    assert settings.peer_tls is None
+
+
+def test_every_problem_is_named_with_file_section_key_and_what_is_right():
+    bad = (
+        GOOD.replace("port = 8000", "port = high\ncolour = red")
+        .replace("127.0.0.1:9000", "platform.example:9000")
+        .replace("name = papers-1\n", "")
+        + "[castle]\nmoat = deep\n"
+    )
+    problems = [str(p) for p in parse_settings(bad, "d.ini").unwrap_err()]
+    assert len(problems) == 5
+    for part in ("[backend] port = 'high'", "colour", "[platform] address", "name", "castle"):
+        assert any(part in problem for problem in problems), part
+
+
+def test_plain_text_between_daemons_is_for_loopback_only():
+    bad = GOOD.replace("[daemon]", "[daemon]\naddress = 192.0.2.1")
+    (problem,) = parse_settings(bad, "d.ini").unwrap_err()
+    assert problem.key == "plain-text"
+
+
+def test_an_event_is_one_line_whatever_is_in_it():
+    event = {"timestamp": 0.0, "message_type": "x", "detail": 'two\nlines "quoted"'}
+    line = render(event)
+    assert line.startswith("time=1970-01-01T00:00:00.000+00:00 level=info event=x ")
+    assert line.endswith('detail="two\\nlines \\"quoted\\""')
+
+
+def test_repeats_are_held_back_and_counted():
+    stream = io.StringIO()
+    destination = KeyValueDestination(stream, LogLevel.INFO)
+    for moment in (100.0, 101.0, 102.0, 111.0):
+        destination({"timestamp": moment, "message_type": "x", "repeat_key": "k"})
+    lines = stream.getvalue().splitlines()
+    assert len(lines) == 2
+    assert lines[1].endswith("held_back=2")
+
+
+def test_spans_follow_the_callers_trace_and_nothing_is_made_unsampled():
+    tracer = HopTracer("papers-1", 0.0, "", Random(1))
+    exporter = InMemorySpanExporter()
+    tracer._provider.add_span_processor(SimpleSpanProcessor(exporter))
+    assert tracer.hop("entry", None, is_head=True).span is None
+    parent = b"00-" + b"a" * 32 + b"-" + b"b" * 16 + b"-01"
+    hop = tracer.hop("entry", parent, is_head=True)
+    hop.end()
+    (span,) = exporter.get_finished_spans()
+    assert span.parent.span_id == int("b" * 16, 16)
+    assert hop.outgoing.startswith(b"00-" + b"a" * 32)
+    unsampled = parent[:-1] + b"0"
+    assert tracer.hop("entry", unsampled, is_head=True).outgoing == unsampled
+    assert tracer.hop("entry", b"nonsense", is_head=True).span is None
+
+
+def test_no_io_uring_is_opened():
+    assert not uses_io_uring()
+
+
+def upstream(name, **known):
+    made = Upstream(name, "one", **known)
+    made.on_report(LoadReport(0, 0, 4, 0.005, 1), 0.0)
+    return made
+
+
+def test_a_failing_upstream_is_left_alone_and_comes_back():
+    chooser = Chooser("one", Random(1))
+    failing, well = upstream("a"), upstream("b")
+    failing.on_failure(0.0, Random(1))
+    assert {chooser.pick([failing, well], 0.01).name for _ in range(20)} == {"b"}
+    assert {chooser.pick([failing, well], 60.0).name for _ in range(50)} == {"a", "b"}
+
+
+def test_when_none_is_well_the_picks_spread_over_all():
+    chooser = Chooser("one", Random(1))
+    group = [upstream(name, healthy=False) for name in "abc"]
+    assert {chooser.pick(group, 0.0).name for _ in range(50)} == {"a", "b", "c"}
+
+
+def test_draining_and_tried_upstreams_are_never_picked():
+    chooser = Chooser("one", Random(1))
+    group = [upstream("a", leaving=True), upstream("b")]
+    assert chooser.pick(group, 0.0, frozenset({"b"})) is None
