--- a/packages/wheatslip/wheatslip/admission.py
+++ b/packages/wheatslip/wheatslip/admission.py
@@ -13,6 +13,7 @@
 
 MIN_RETRY_AFTER = 0.05  # seconds
 DEFAULT_URGENT_SHARE = 0.25
+ANY_WAIT = float("inf")
 
 
 @dataclass(slots=True, eq=False)
@@ -44,6 +45,7 @@
     _queue: FairQueue[Ticket] = field(init=False)
     _running: set[Ticket] = field(init=False, default_factory=set)
     _started_sum: float = field(init=False, default=0.0)
+    _was_full: bool = field(init=False, default=False)  # someone had to wait or go away
 
     def __post_init__(self) -> None:
         self.limit = ConcurrencyLimit(self.settings.slots)
@@ -84,17 +86,18 @@
         # only in the worst case; beyond twice the estimate it speaks of a slow-down.
         return mean_age if mean_age > 2 * estimate else estimate
 
-    def expected_wait(self, now: float) -> float:
-        """Seconds until a request that arrives now would start."""
+    def expected_wait(self, call: Call, now: float) -> float:
+        """Seconds until a call that arrives now would start, given its workspace's share."""
         if self.in_flight < self.limit.value and not self.queued:
             return 0.0
-        return (self.queued + 1) / self.limit.value * self.service_estimate(now)
+        urgent = call.call_class is CallClass.URGENT
+        ahead = self._queue.ahead_of(call.workspace, urgent=urgent)
+        return (ahead + 1) / self.limit.value * self.service_estimate(now)
 
-    def arrive(self, call: Call, now: float, *, may_bounce: bool = False) -> Ticket | NotRun:
+    def arrive(self, call: Call, now: float, max_wait: float = ANY_WAIT) -> Ticket | NotRun:
         """Take a request: a started ticket runs, another waits; or it is refused.
 
-        `may_bounce` says that the sender has other upstreams to try: a request that would
-        have to wait is then refused at once.
+        `max_wait`: the sender would rather try elsewhere than wait so many seconds.
         """
         if self.draining:
             return NotRun(Reason.DRAINING)
@@ -104,8 +107,9 @@
         if self.in_flight < self.limit.value and not self.queued:
             self._start(ticket, now)
             return ticket
-        wait = self.expected_wait(now)
-        if may_bounce or self._too_late(call, wait, now):
+        self._was_full = True
+        wait = self.expected_wait(call, now)
+        if wait > max_wait or self._too_late(call, wait, now):
             return self._refusal(wait)
         return self._enqueue(ticket, wait)
 
@@ -121,8 +125,8 @@
         self._started_sum -= ticket.started
         self.last_finished = now
         if worked:
-            busy = bool(self.queued)
-            self.limit.observe(now - ticket.started, self.in_flight + 1, now, saturated=busy)
+            self.limit.observe(now - ticket.started, saturated=self._was_full)
+            self._was_full = bool(self.queued)
         return self.admit(now)
 
     def withdraw(self, ticket: Ticket) -> bool:
@@ -152,7 +156,7 @@
 
     def _enqueue(self, ticket: Ticket, wait: float) -> Ticket | NotRun:
         call = ticket.call
-        urgent = call.kind.call_class is CallClass.URGENT
+        urgent = call.call_class is CallClass.URGENT
         is_full = len(self._queue) >= self.settings.queue
         if is_full and (urgent or not self._queue.evict_for(call.workspace)):
             return self._refusal(wait)
--- /dev/null
+++ b/packages/wheatslip/wheatslip/attempts.py
@@ -0,0 +1,128 @@
+"""The tries of one call: where to send it, whether again, and what to say in the end.
+
+Pure decision code, the same in the daemon's forwarder and in the decision bench. It holds
+the two promises of retrying: what may have run is never sent again unless the call may be
+repeated, and a call of which any try may have run is never reported as not run.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from wheatslip.budget import RetryBudget
+from wheatslip.call import Call
+from wheatslip.chooser import Chooser, Upstream
+from wheatslip.outcome import Answered, NotRun, Outcome, Reason, Unknown
+from wheatslip.owners import owner
+
+MAX_TRIES = 5
+# A refusal costs the backend server nothing; after these a call queues where it is sent.
+MAX_BOUNCES = 2
+NO_UPSTREAM = NotRun(Reason.NO_UPSTREAM, retry_after=1.0)
+ANY_WAIT = float("inf")
+
+
+@dataclass(frozen=True, slots=True)
+class Try:
+    """One try. An upstream where the call would wait longer than `max_wait` seconds refuses
+    it at once instead, as others are left to try.
+    """
+
+    upstream: Upstream
+    max_wait: float
+
+
+@dataclass(slots=True)
+class Attempts:
+    """The tries of one call so far."""
+
+    call: Call
+    chooser: Chooser
+    budget: RetryBudget
+    tries: int = 0
+    last: Outcome = NO_UPSTREAM
+    # Whether the request can still be sent whole: its body is kept or was not touched.
+    can_resend: bool = True
+    _tried: set[str] = field(default_factory=set)
+    _bounced: set[str] = field(default_factory=set)
+    _present: Try | None = None
+    _doubt: Unknown | None = None
+    _in_doubt_now: bool = False
+
+    def __post_init__(self) -> None:
+        self.budget.on_request()
+
+    def next(self, upstreams: Sequence[Upstream], now: float) -> Try | None:
+        """Where to send the call now; None if there is nowhere left."""
+        if self.tries >= MAX_TRIES:
+            return None
+        self._present = self._choose(upstreams, now)
+        if self._present is not None:
+            self.tries += 1
+            self._tried.add(self._present.upstream.name)
+        return self._present
+
+    def on_bytes_sent(self) -> None:
+        """From here on the present try may run."""
+        self._in_doubt_now = True
+
+    def ended(self, outcome: Outcome) -> bool:
+        """The present try ended; whether there should be another."""
+        self.last = outcome
+        self._in_doubt_now = False
+        match outcome:
+            case Answered():
+                return False
+            case NotRun():
+                return self._again_elsewhere(outcome)
+            case Unknown():
+                self._doubt = outcome
+        if not (self.call.kind.repeatable and self.can_resend):
+            return False
+        return self.budget.take()
+
+    def result(self) -> Outcome:
+        """What to tell the caller after the last try."""
+        if isinstance(self.last, NotRun) and self._doubt is not None:
+            return self._doubt
+        return self.last
+
+    def expired(self) -> Outcome:
+        """What to tell the caller when the deadline passes during a try."""
+        if self._in_doubt_now or self._doubt is not None:
+            return Unknown(Reason.DEADLINE)
+        return NotRun(Reason.DEADLINE)
+
+    def _choose(self, upstreams: Sequence[Upstream], now: float) -> Try | None:
+        if self.call.runs_once_by_key:
+            owning = self._key_owner(upstreams)
+            return Try(owning, ANY_WAIT) if owning else None
+        chosen = self.chooser.pick(upstreams, now, self._tried)
+        if chosen is None:
+            # All were tried: queue at the best of those that were only too busy.
+            busy = [u for u in upstreams if u.name in self._bounced]
+            chosen = self.chooser.pick(busy, now)
+            return Try(chosen, ANY_WAIT) if chosen else None
+        left = self._tried | {chosen.name}
+        may_bounce = len(self._bounced) < MAX_BOUNCES
+        if may_bounce and self.chooser.has_choice(upstreams, now, left):
+            return Try(chosen, self.chooser.settings.bounce_wait)
+        return Try(chosen, ANY_WAIT)
+
+    def _again_elsewhere(self, refusal: NotRun) -> bool:
+        """Whether to go on after a refusal; a refused wait in line costs the budget."""
+        assert self._present is not None
+        if not (refusal.retryable and self.can_resend):
+            return False
+        if refusal.reason is not Reason.OVERLOADED:
+            return True
+        if self._present.max_wait < ANY_WAIT:
+            self._bounced.add(self._present.upstream.name)
+            return True
+        return self.budget.take()
+
+    def _key_owner(self, upstreams: Sequence[Upstream]) -> Upstream | None:
+        """A call bound by its key goes to the key's owner, and nowhere else."""
+        if self.tries:
+            return None
+        name = owner(self.call.owned_key, [upstream.name for upstream in upstreams])
+        return next((u for u in upstreams if u.name == name), None)
--- a/packages/wheatslip/wheatslip/call.py
+++ b/packages/wheatslip/wheatslip/call.py
@@ -34,3 +34,18 @@
     def remaining(self, now: float) -> float:
         """Seconds left at `now`; not positive once the deadline has passed."""
         return self.deadline - now
+
+    @property
+    def call_class(self) -> CallClass:
+        """The class of its kind."""
+        return self.kind.call_class
+
+    @property
+    def runs_once_by_key(self) -> bool:
+        """Whether the call's key binds it to run at most once, however often it is sent."""
+        return bool(self.key) and not self.kind.repeatable
+
+    @property
+    def owned_key(self) -> str:
+        """The key as it is owned: keys of different workspaces are different."""
+        return f"{self.workspace}/{self.key}"
--- a/packages/wheatslip/wheatslip/chooser.py
+++ b/packages/wheatslip/wheatslip/chooser.py
@@ -6,21 +6,32 @@
 from refusals and failures at once.
 """
 
-from collections.abc import Sequence
+from collections.abc import Sequence, Set
 from dataclasses import dataclass, field
 from math import exp
 from random import Random
 
 from wheatslip.hop import LoadReport
 
-REPORT_HALF_TRUST = 0.25  # seconds after which a report counts 1/e
+# Load at a server changes completely in about the time that one request takes there, so a
+# report is trusted for this many service times (to 1/e).
+TRUST_SERVICE_TIMES = 2.0
+POOL_LOAD_WEIGHT = 0.05  # weight of one report in the mean load of a pool
 LATENCY_WEIGHT = 0.2
 INITIAL_LATENCY = 0.005  # seconds
+INITIAL_LIMIT = 8.0
+# Service times that differ by less are taken as equal: following noise makes entries herd.
+SAME_SERVICE = 1.5
 FAILURE_FIRST_PAUSE = 0.2  # seconds
 FAILURE_LAST_PAUSE = 5.0
 WARM_UP_SECONDS = 5.0
 WARM_UP_FLOOR = 0.1
 COST_JITTER = 0.02
+ERROR_WEIGHT = 0.3
+ERROR_MEMORY = 1.0  # seconds in which an error rate falls to 1/e
+ERROR_COST = 1.0  # seconds that a certain failure costs
+UNHEALTHY_FACTOR = 2.0  # how much dearer an upstream is that only the list calls unhealthy
+VOUCHED_SECONDS = 5.0  # how long a good answer outweighs the list
 
 
 @dataclass(slots=True, eq=False)
@@ -39,6 +50,9 @@
     done_since_report: int = 0
     failures: int = 0
     paused_until: float = 0.0
+    errors: float = 0.0
+    errors_at: float = 0.0
+    vouched_until: float = 0.0
     leaving: bool = False  # listed as leaving; a report can't take that back
 
     @property
@@ -63,11 +77,20 @@
         self.sent_since_report = 0
         self.done_since_report = 0
 
-    def on_answer(self, took: float) -> None:
-        """It answered after `took` seconds."""
+    def on_answer(self, took: float, now: float, *, failed: bool) -> None:
+        """It answered after `took` seconds; `failed`: with an error of its own."""
         self.failures = 0
         self.paused_until = 0.0
-        self.latency += LATENCY_WEIGHT * (took - self.latency)
+        self.errors = self.error_rate(now)
+        self.errors += ERROR_WEIGHT * (failed - self.errors)
+        self.errors_at = now
+        if not failed:
+            self.vouched_until = now + VOUCHED_SECONDS
+            self.latency += LATENCY_WEIGHT * (took - self.latency)
+
+    def error_rate(self, now: float) -> float:
+        """The recent part of failed answers; fades, so that it is tried again."""
+        return self.errors * exp(-(now - self.errors_at) / ERROR_MEMORY)
 
     def on_failure(self, now: float, rng: Random) -> None:
         """It failed or could not be reached: leave it alone, longer each time."""
@@ -78,24 +101,35 @@
 
 @dataclass(frozen=True, slots=True)
 class ChooserSettings:
-    """`candidates` are compared for each request; `far_penalty` is the cost, in seconds, of
-    leaving the own availability zone.
+    """The operator's settings. Times in seconds.
+
+    `candidates` are compared for each request; `far_penalty` is the cost of leaving the own
+    availability zone; `bounce_wait` is the wait at a busy upstream above which another is
+    tried instead (about what another try costs).
     """
 
-    candidates: int = 3
+    candidates: int = 4
     far_penalty: float = 0.002
+    bounce_wait: float = 0.004
 
 
 @dataclass(slots=True)
 class Chooser:
-    """Picks among the upstreams of one service for one entry."""
+    """Picks among the upstreams of one pool for one entry."""
 
     zone: str
     rng: Random
     settings: ChooserSettings = field(default_factory=ChooserSettings)
+    _pool_load: float = 0.0  # mean part of the limit that reports show as taken
+
+    def on_report(self, upstream: Upstream, report: LoadReport, now: float) -> None:
+        """A load report rode back from `upstream`."""
+        upstream.on_report(report, now)
+        load = (report.in_flight + report.queued) / max(1, report.limit)
+        self._pool_load += POOL_LOAD_WEIGHT * (load - self._pool_load)
 
     def pick(
-        self, upstreams: Sequence[Upstream], now: float, tried: frozenset[str] = frozenset()
+        self, upstreams: Sequence[Upstream], now: float, tried: Set[str] = frozenset()
     ) -> Upstream | None:
         """The upstream to try next; None if each is tried already or draining.
 
@@ -105,29 +139,38 @@
         open_ones = [u for u in upstreams if u.name not in tried and not u.draining]
         if not open_ones:
             return None
-        well = [u for u in open_ones if _is_well(u, now)]
+        well = [u for u in open_ones if u.paused_until <= now]
         if not well:
             return self.rng.choice(open_ones)
         drawn = self._draw(well)
-        return min(drawn, key=lambda u: self.cost(u, now) * self._jitter())
+        if len(drawn) == 1:
+            return drawn[0]
+        typical = min(_service(u) for u in drawn)
+        return min(drawn, key=lambda u: self.cost(u, typical, now) * self._jitter())
 
-    def has_choice(
-        self, upstreams: Sequence[Upstream], now: float, tried: frozenset[str]
-    ) -> bool:
+    def has_choice(self, upstreams: Sequence[Upstream], now: float, tried: Set[str]) -> bool:
         """Whether an upstream in good standing is left that was not tried."""
         return any(
-            u.name not in tried and not u.draining and _is_well(u, now) for u in upstreams
+            u.name not in tried and not u.draining and u.paused_until <= now for u in upstreams
         )
 
-    def cost(self, upstream: Upstream, now: float) -> float:
-        """Expected seconds until an answer, if the request went to `upstream`."""
-        load, limit, service = self._estimate(upstream, now)
-        excess = max(0.0, load + 1 - limit)
-        cost = service * (1.0 + excess / limit)
-        cost *= 1.0 + 0.05 * load / limit  # between two with room, the emptier one
+    def cost(self, upstream: Upstream, typical: float, now: float) -> float:
+        """Expected seconds until an answer, if the request went to `upstream`.
+
+        `typical` is the service time, in seconds, of those that it is compared with.
+        """
+        service = _service(upstream)
+        if service < SAME_SERVICE * typical:
+            service = typical
+        fill = self._fill(upstream, now)
+        cost = service * (1.0 + _crowding(fill))
+        if not upstream.healthy and upstream.vouched_until < now:
+            cost *= UNHEALTHY_FACTOR
         if upstream.zone != self.zone:
             cost += self.settings.far_penalty
-        return cost / self._warmth(upstream, now)
+        # One that fails fast looks idle: its errors cost more than its speed gains.
+        cost += upstream.error_rate(now) * ERROR_COST
+        return cost / _warmth(upstream, now)
 
     def _jitter(self) -> float:
         """Parts ties, and keeps entries that know the same from choosing the same."""
@@ -138,25 +181,37 @@
             return upstreams
         return self.rng.sample(upstreams, self.settings.candidates)
 
-    def _estimate(self, upstream: Upstream, now: float) -> tuple[float, float, float]:
-        """Load (requests there), limit and service time as they are thought to be now."""
+    def _fill(self, upstream: Upstream, now: float) -> float:
+        """The part of its limit that is thought to be taken, this request included."""
         report = upstream.report
+        limit = float(max(1, report.limit)) if report else INITIAL_LIMIT
+        own = upstream.in_flight / limit
         if report is None:
-            return float(upstream.in_flight), 4.0, upstream.latency
-        trust = exp(-(now - upstream.reported_at) / REPORT_HALF_TRUST)
-        reported = report.in_flight + report.queued
-        fresh = reported + upstream.sent_since_report - upstream.done_since_report
-        # What is left when the report has aged is what we know ourselves.
-        load = max(upstream.in_flight, trust * fresh + (1 - trust) * upstream.in_flight)
-        service = trust * report.service + (1 - trust) * upstream.latency
-        return load, float(max(1, report.limit)), max(service, 1e-6)
-
-    def _warmth(self, upstream: Upstream, now: float) -> float:
-        if not upstream.joined:
-            return 1.0
-        age = now - upstream.joined
-        return min(1.0, max(WARM_UP_FLOOR, age / WARM_UP_SECONDS))
-
-
-def _is_well(upstream: Upstream, now: float) -> bool:
-    return upstream.healthy and upstream.paused_until <= now
+            return own + 1 / limit
+        age = now - upstream.reported_at
+        trust = exp(-age / (TRUST_SERVICE_TIMES * max(report.service, 1e-6)))
+        fresh = report.in_flight + report.queued
+        fresh += upstream.sent_since_report - upstream.done_since_report
+        thought = trust * fresh / limit + (1.0 - trust) * self._pool_load
+        return max(own, thought) + 1 / limit
+
+
+def _crowding(fill: float) -> float:
+    """Expected wait in service times at a fill; mild while there is room, steep beyond."""
+    if fill <= 1.0:
+        return 0.3 * fill * fill
+    return 0.3 + 2.0 * (fill - 1.0)
+
+
+def _service(upstream: Upstream) -> float:
+    """The service time in seconds, as its own daemon last measured it."""
+    if upstream.report is None:
+        return 0.0  # unknown: equal to the best it is compared with
+    return max(upstream.report.service, 1e-6)
+
+
+def _warmth(upstream: Upstream, now: float) -> float:
+    if not upstream.joined:
+        return 1.0
+    age = now - upstream.joined
+    return min(1.0, max(WARM_UP_FLOOR, age / WARM_UP_SECONDS))
--- a/packages/wheatslip/wheatslip/fairqueue.py
+++ b/packages/wheatslip/wheatslip/fairqueue.py
@@ -77,6 +77,19 @@
         workspace = min(self._lanes, key=lambda name: self._lanes[name].start_tag)
         return self._pop_lane(workspace)
 
+    def ahead_of(self, workspace: str, *, urgent: bool = False) -> int:
+        """How many items would go before a new one of `workspace`, about."""
+        if urgent:
+            return len(self._urgent)
+        own = self._lanes.get(workspace)
+        backlog = len(own.heap) if own else 0
+        turns = (backlog + 1) / self._share(workspace)
+        ahead = backlog + len(self._urgent)
+        for name, lane in self._lanes.items():
+            if name != workspace:
+                ahead += min(len(lane.heap), int(turns * self._share(name)))
+        return ahead
+
     def remove(self, workspace: str, item: T) -> bool:
         """Take out a waiting item; False if it is not there."""
         lane = self._lanes.get(workspace)
--- a/packages/wheatslip/wheatslip/hop.py
+++ b/packages/wheatslip/wheatslip/hop.py
@@ -12,8 +12,9 @@
 
 class Hop(msgspec.Struct, frozen=True, omit_defaults=True):
     """Rides in front of a forwarded request. `remaining` is in seconds, so that the
-    clocks of two daemons need not agree; `entry` names the daemon that sends it; with
-    `may_bounce` a request that would have to wait is refused, as the entry has others to try.
+    clocks of two daemons need not agree; `entry` names the daemon that sends it; a
+    request that would wait longer than `max_wait` seconds is refused, as the entry has others
+    to try; None: any wait will do.
     """
 
     workspace: str
@@ -26,7 +27,7 @@
     urgent: bool = False
     key: str = ""
     depth: int = 0
-    may_bounce: bool = False
+    max_wait: float | None = None
 
 
 class LoadReport(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/packages/wheatslip/wheatslip/limit.py
+++ b/packages/wheatslip/wheatslip/limit.py
@@ -36,8 +36,8 @@
         """Requests that may run at one time."""
         return self.slots or int(self._value)
 
-    def observe(self, took: float, in_flight: int, now: float, *, saturated: bool) -> None:
-        """One answer: it took `took` seconds among `in_flight`; `saturated`: others waited."""
+    def observe(self, took: float, *, saturated: bool) -> None:
+        """One answer took `took` seconds; `saturated`: the limit kept others from running."""
         weight = SERVICE_WEIGHT if self._seen else 1.0
         self._seen = True
         self.service += weight * (took - self.service)
--- a/packages/wheatslipd/wheatslipd/gate.py
+++ b/packages/wheatslipd/wheatslipd/gate.py
@@ -22,10 +22,10 @@
         self._clock = clock
         self._waiting: dict[Ticket, asyncio.Future[NotRun | None]] = {}
 
-    async def enter(self, call: Call, *, may_bounce: bool) -> Ticket | NotRun:
+    async def enter(self, call: Call, max_wait: float) -> Ticket | NotRun:
         """Wait for a turn; the ticket that comes back has started and must be left with."""
         now = self._clock()
-        ticket = self.admission.arrive(call, now, may_bounce=may_bounce)
+        ticket = self.admission.arrive(call, now, max_wait)
         self._tell_evicted()
         if isinstance(ticket, NotRun) or ticket.started is not None:
             return ticket
--- a/packages/wheatslipd/wheatslipd/peerport.py
+++ b/packages/wheatslipd/wheatslipd/peerport.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from wheatslip.admission import Ticket
+from wheatslip.admission import ANY_WAIT, Ticket
 from wheatslip.call import Call, CallClass, RequestKind
 from wheatslip.hop import (
     HOP_HEADER,
@@ -102,7 +102,7 @@
         refusal = await self._check_version(hop.version)
         if refusal is not None:
             return refusal
-        if hop.key and not hop.repeatable:
+        if call.runs_once_by_key:
             return await self._run_keyed(passage)
         return await self._run(passage, None)
 
@@ -122,7 +122,7 @@
 
     async def _run_keyed(self, passage: _Passage) -> Outcome:
         workspace, key = passage.hop.workspace, passage.hop.key
-        owned_since = self._owners.owned_since(f"{workspace}/{key}", self._name)
+        owned_since = self._owners.owned_since(passage.call.owned_key, self._name)
         if owned_since is None:
             return NotRun(Reason.NOT_KEY_OWNER, retry_after=1.0)
         claim = self._ledger.claim(workspace, key, owned_since, self._unix())
@@ -162,7 +162,9 @@
         return Answered(kept.status)
 
     async def _run(self, passage: _Passage, kept: KeptAnswer | None) -> Outcome:
-        ticket = await self._gate.enter(passage.call, may_bounce=passage.hop.may_bounce)
+        max_wait = passage.hop.max_wait
+        patience = ANY_WAIT if max_wait is None else max_wait
+        ticket = await self._gate.enter(passage.call, patience)
         if isinstance(ticket, NotRun):
             return ticket
         return await self._run_started(passage, ticket, kept)
--- a/test/test_admission.py
+++ b/test/test_admission.py
@@ -30,13 +30,13 @@
         workspace=st.sampled_from("abc"),
         urgent=st.booleans(),
         patience=st.floats(0.0, 2.0),
-        may_bounce=st.booleans(),
+        max_wait=st.sampled_from([0.0, 0.01, float("inf")]),
     )
-    def arrive(self, workspace, urgent, patience, may_bounce):
+    def arrive(self, workspace, urgent, patience, max_wait):
         self.arrived += 1
         kind = URGENT if urgent else READ
         one = call(workspace, self.now + patience, kind)
-        ticket = self.admission.arrive(one, self.now, may_bounce=may_bounce)
+        ticket = self.admission.arrive(one, self.now, max_wait)
         if isinstance(ticket, NotRun):
             self.refused += 1
         else:
