Let new upstreams join by a growing part of the picks; tell entries what a zone costs

Cause: two drain tests hung: a new upstream's cost was multiplied by up to ten, so at light load it got nothing at all for five seconds (seen: all six calls at the other; ruled out: bounds and pauses, none was in force). In the arrival wave entries believed that leaving the zone cost 2 ms where it costs 0.8. Change: during its warm-up an upstream takes part in a growing share of the picks; what a zone costs, the price of a refusal, the candidates and the warm-up are settings.

--- a/bench/decisions/world.py
+++ b/bench/decisions/world.py
@@ -10,7 +10,7 @@
 from wheatslip.attempts import Attempts
 from wheatslip.budget import RetryBudgets
 from wheatslip.call import Call, RequestKind
-from wheatslip.chooser import Chooser, Upstream
+from wheatslip.chooser import Chooser, ChooserSettings, Upstream
 from wheatslip.hop import LoadReport
 from wheatslip.outcome import Answered, NotRun, Outcome, Unknown
 
@@ -70,7 +70,10 @@
         self.world = world
         self.zone = f"zone-{number % world.layout.zones}"
         self.rng = Random(f"{world.seed}-entry-{number}")
-        self.chooser = chooser_type(self.zone, self.rng)
+        # What leaving the zone costs is for the operator to say: there and back.
+        far_penalty = 2 * (world.layout.far - world.layout.near)
+        settings = ChooserSettings(far_penalty=far_penalty)
+        self.chooser = chooser_type(self.zone, self.rng, settings)
         self.budgets = RetryBudgets()
         self.upstreams = [Upstream(s.name, s.zone) for s in world.servers]
         self._servers = {server.name: server for server in world.servers}
--- a/packages/wheatslip/wheatslip/chooser.py
+++ b/packages/wheatslip/wheatslip/chooser.py
@@ -28,8 +28,7 @@
 SAME_SERVICE = 1.5
 FAILURE_FIRST_PAUSE = 0.2  # seconds
 FAILURE_LAST_PAUSE = 5.0
-WARM_UP_SECONDS = 5.0
-WARM_UP_FLOOR = 0.1
+WARM_UP_FLOOR = 0.05  # the part of its turns that a new upstream gets at first
 COST_JITTER = 0.02
 # Expected wait, in service times, at a server that is just full; how it rises up to there,
 # and how steeply beyond.
@@ -114,12 +113,14 @@
 
     `candidates` are compared for each request; `far_penalty` is the cost of leaving the own
     availability zone; `bounce_wait` is the wait at a busy upstream above which another is
-    tried instead (about what another try costs).
+    tried instead (about what another try costs); an upstream that joins gets its full part
+    of the calls after `warm_up`.
     """
 
     candidates: int = 4
     far_penalty: float = 0.002
     bounce_wait: float = 0.008
+    warm_up: float = 5.0
 
 
 @dataclass(slots=True)
@@ -151,7 +152,8 @@
         well = [u for u in open_ones if u.paused_until <= now]
         if not well:
             return self.rng.choice(open_ones)
-        drawn = self._draw(well)
+        warm = [u for u in well if self._has_its_turn(u, now)]
+        drawn = self._draw(warm or well)
         if len(drawn) == 1:
             return drawn[0]
         typical = min(_service(u) for u in drawn)
@@ -179,7 +181,14 @@
             cost += self.settings.far_penalty
         # One that fails fast looks idle: its errors cost more than its speed gains.
         cost += upstream.error_rate(now) * ERROR_COST
-        return cost / _warmth(upstream, now)
+        return cost
+
+    def _has_its_turn(self, upstream: Upstream, now: float) -> bool:
+        """A new upstream takes part in a growing share of the picks."""
+        if not upstream.joined or now >= upstream.joined + self.settings.warm_up:
+            return True
+        warmth = (now - upstream.joined) / self.settings.warm_up
+        return self.rng.random() < max(WARM_UP_FLOOR, warmth)
 
     def _jitter(self) -> float:
         """Parts ties, and keeps entries that know the same from choosing the same."""
@@ -217,10 +226,3 @@
     if upstream.report is None:
         return 0.0  # unknown: equal to the best it is compared with
     return max(upstream.report.service, 1e-6)
-
-
-def _warmth(upstream: Upstream, now: float) -> float:
-    if not upstream.joined:
-        return 1.0
-    age = now - upstream.joined
-    return min(1.0, max(WARM_UP_FLOOR, age / WARM_UP_SECONDS))
--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -193,7 +193,7 @@
         forwarder = Forwarder(
             self.view,
             self.settings.name,
-            Chooser(self.settings.zone, rng),
+            Chooser(self.settings.zone, rng, self.settings.chooser),
             self.metrics,
             rng,
             self._monotonic,
--- a/packages/wheatslipd/wheatslipd/settings.py
+++ b/packages/wheatslipd/wheatslipd/settings.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 from result import Err, Ok, Result
+from wheatslip.chooser import ChooserSettings
 from wheatslip.ini import Problem, Problems, Section, read_ini
 
 MAX_PORT = 65_535
@@ -44,6 +45,7 @@
     loop: str
     stop_grace: float
     entry_port: int
+    chooser: ChooserSettings
     peer_port: int
     peer_tls: TlsFiles | None
     backend_address: str
@@ -105,6 +107,7 @@
         loop=daemon.choice("loop", "uvloop", {"asyncio": "asyncio", "uvloop": "uvloop"}),
         stop_grace=daemon.duration("stop-grace", 30.0),
         entry_port=_port(sections["entry"]),
+        chooser=_chooser(sections["entry"]),
         peer_port=_port(sections["peer"]),
         peer_tls=_peer_tls(sections["peer"], address, problems),
         backend_address=_ip(backend, "address"),
@@ -123,6 +126,15 @@
     )
 
 
+def _chooser(section: Section) -> ChooserSettings:
+    return ChooserSettings(
+        candidates=section.integer("candidates", 4, 1, 1000),
+        far_penalty=section.duration("far-penalty", 0.002),
+        bounce_wait=section.duration("bounce-wait", 0.008),
+        warm_up=section.duration("warm-up", 5.0),
+    )
+
+
 def _port(section: Section) -> int:
     return section.integer("port", 0, 0, MAX_PORT)
 
--- a/test/helper.py
+++ b/test/helper.py
@@ -136,6 +136,7 @@
         await backend.server.listen(HOST, 0)
         settings = parse_settings(
             f"[daemon]\nname = {name}\nzone = one\npool = {pool}\n"
+            f"[entry]\nwarm-up = 0s\n"
             f"[peer]\nplain-text = yes\n"
             f"[backend]\nport = {backend.server.port}\n"
             f"[platform]\naddress = {self._address}\n"
--- a/test/test_settings.py
+++ b/test/test_settings.py
@@ -115,3 +115,16 @@
     chooser = Chooser("one", Random(1))
     group = [upstream("a", leaving=True), upstream("b")]
     assert chooser.pick(group, 0.0, frozenset({"b"})) is None
+
+
+def test_a_new_upstream_joins_gradually():
+    rng = Random(1)
+    chooser = Chooser("one", rng)
+    new, old = upstream("new", joined=10.0), upstream("old")
+
+    def part(now):
+        return sum(chooser.pick([new, old], now).name == "new" for _ in range(400)) / 400
+
+    assert part(10.0) < 0.1
+    assert 0.15 < part(12.5) < 0.35
+    assert 0.4 < part(15.0) < 0.6
