Give upstreams of which nothing is known a cost

The warm-up was not what kept the calls away: without any load report each cost was a multiple of zero, so all ties went to the first upstream, queue and all (seen: six calls in flight at one, none at the other, both unreported). Change: the typical service time of a comparison is that of the known ones, or the initial one. A test on six calls between two unknown upstreams failed first (6 and 0).

--- a/packages/wheatslip/wheatslip/chooser.py
+++ b/packages/wheatslip/wheatslip/chooser.py
@@ -24,6 +24,7 @@
 LATENCY_WEIGHT = 0.2
 INITIAL_LATENCY = 0.005  # seconds
 INITIAL_LIMIT = 8.0
+MIN_SERVICE = 1e-6  # seconds
 # Service times that differ by less are taken as equal: following noise makes entries herd.
 SAME_SERVICE = 1.5
 FAILURE_FIRST_PAUSE = 0.2  # seconds
@@ -156,7 +157,8 @@
         drawn = self._draw(warm or well)
         if len(drawn) == 1:
             return drawn[0]
-        typical = min(_service(u) for u in drawn)
+        known = (u.report.service for u in drawn if u.report is not None)
+        typical = max(MIN_SERVICE, min(known, default=INITIAL_LATENCY))
         return min(drawn, key=lambda u: self.cost(u, typical, now) * self._jitter())
 
     def has_choice(self, upstreams: Sequence[Upstream], now: float, tried: Set[str]) -> bool:
@@ -170,9 +172,9 @@
 
         `typical` is the service time, in seconds, of those that it is compared with.
         """
-        service = _service(upstream)
-        if service < SAME_SERVICE * typical:
-            service = typical
+        report = upstream.report
+        is_slow = report is not None and report.service > SAME_SERVICE * typical
+        service = report.service if report is not None and is_slow else typical
         fill = self._fill(upstream, now)
         cost = service * (1.0 + _crowding(fill))
         if not upstream.healthy and upstream.vouched_until < now:
@@ -207,7 +209,7 @@
         if report is None:
             return own + REPORT_WEIGHT * self._pool_load
         age = now - upstream.reported_at
-        trust = exp(-age / (TRUST_SERVICE_TIMES * max(report.service, 1e-6)))
+        trust = exp(-age / (TRUST_SERVICE_TIMES * max(report.service, MIN_SERVICE)))
         fresh = report.in_flight + report.queued
         fresh += upstream.sent_since_report - upstream.done_since_report
         thought = trust * fresh / limit + (1.0 - trust) * self._pool_load
@@ -219,10 +221,3 @@
     if fill <= 1.0:
         return CROWDING * fill**CROWDING_POWER
     return CROWDING + CROWDING_BEYOND * (fill - 1.0)
-
-
-def _service(upstream: Upstream) -> float:
-    """The service time in seconds, as its own daemon last measured it."""
-    if upstream.report is None:
-        return 0.0  # unknown: equal to the best it is compared with
-    return max(upstream.report.service, 1e-6)
--- a/test/test_settings.py
+++ b/test/test_settings.py
@@ -128,3 +128,11 @@
     assert part(10.0) < 0.1
     assert 0.15 < part(12.5) < 0.35
     assert 0.4 < part(15.0) < 0.6
+
+
+def test_upstreams_of_which_nothing_is_known_share_the_calls():
+    chooser = Chooser("one", Random(1))
+    group = [Upstream("a", "one"), Upstream("b", "one")]
+    for _ in range(6):
+        chooser.pick(group, 0.0).on_sent()
+    assert [one.in_flight for one in group] == [3, 3]
