Carry control data from daemon to daemon, by differences; secure it with mutual TLS

Cause: each daemon waited at the platform with two watches and read each bundle whole: at 22,000 daemons 44,000 waiting calls where 2,000 reads a second are allowed, and a bundle of hundreds of kilobytes 0.43 times a second where 3 KB/s are. The TLS settings were read but not used. Bundles travel as differences with the signatures of the whole, proved by each receiver. Peer and control ports take TLS 1.3 with certificates of one authority on both ends. Failed on the way: followers did not return to their first parent after the tree had changed, as the turn among parents was never reset (seen by the test of a dead relay). Conclusion: two watchers a zone make 76 waiting calls at 19 zones. Staging before the commit, so that a version is in force everywhere or nowhere, is not built yet.

--- /dev/null
+++ b/packages/wheatslip/wheatslip/feedcache.py
@@ -0,0 +1,134 @@
+"""A daemon's copy of what the platform holds for all: the head, its bundle and the list.
+
+It answers followers with what they lack. Pure: it is filled and asked by the tasks of the
+daemon, which bring the time along. The platform stays the only store; this is a cache that
+starts empty with the process.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+
+import msgspec
+
+from wheatslip.bundle import Bundle
+from wheatslip.deltas import BundleDelta, apply_delta, delta_between
+from wheatslip.head import Head
+from wheatslip.instances import Instance
+from wheatslip.signing import SignedBundle
+
+KEPT_DELTAS = 64
+KEPT_LIST_CHANGES = 2000
+
+
+class ListChange(msgspec.Struct, frozen=True, array_like=True):
+    """One change of the list at a version; `instance` is None when `name` is gone."""
+
+    version: int
+    name: str
+    instance: Instance | None
+
+
+class Cursor(msgspec.Struct, frozen=True):
+    """What a follower has: versions of the bundle and of the list (0: nothing)."""
+
+    follower: str
+    bundle: int = 0
+    listed: int = 0
+
+
+class Update(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What a follower lacks. `as_of` is the unix time, by a watcher's clock, at which the
+    platform last confirmed it. With `whole` the list is complete, else it holds changes.
+    Either `signed` or `deltas` leads to the bundle of `head`.
+    """
+
+    as_of: float
+    listed: int = 0
+    changes: tuple[ListChange, ...] = ()
+    whole: bool = False
+    head: Head | None = None
+    signed: SignedBundle | None = None
+    deltas: tuple[BundleDelta, ...] = ()
+
+
+class FeedCache:
+    """The copy, with the latest changes."""
+
+    def __init__(self) -> None:
+        self.as_of = 0.0
+        self.listed = 0
+        self.instances: dict[str, Instance] = {}
+        self.head: Head | None = None
+        self.bundle: Bundle | None = None
+        self._signed: SignedBundle | None = None
+        self._deltas: deque[BundleDelta] = deque(maxlen=KEPT_DELTAS)
+        self._changes: deque[ListChange] = deque(maxlen=KEPT_LIST_CHANGES)
+        self._complete_since = 0
+
+    def take_list(self, listed: int, changes: Iterable[ListChange], *, whole: bool) -> None:
+        """Take in the whole list or changes of it, up to version `listed`."""
+        if whole:
+            self.instances.clear()
+            self._changes.clear()
+            self._complete_since = listed
+        for change in changes:
+            if change.instance is None:
+                self.instances.pop(change.name, None)
+            else:
+                self.instances[change.name] = change.instance
+            if not whole:
+                self._note(change)
+        self.listed = listed
+
+    def take_bundle(self, head: Head, signed: SignedBundle, bundle: Bundle) -> None:
+        """Take in a verified bundle; an older one is ignored."""
+        if self.head is not None and head.version <= self.head.version:
+            return
+        if self.bundle is not None:
+            delta = delta_between(self.bundle, bundle, head, signed.signatures)
+            self._deltas.append(delta)
+        self.head = head
+        self.bundle = bundle
+        self._signed = signed
+
+    def with_deltas(self, deltas: Iterable[BundleDelta]) -> Bundle | None:
+        """The bundle that differences lead to from ours; None if they do not fit."""
+        bundle = self.bundle
+        for delta in deltas:
+            if bundle is None or bundle.version != delta.base:
+                return None
+            bundle = apply_delta(bundle, delta)
+        return bundle
+
+    def cursor(self, name: str) -> Cursor:
+        """What this daemon has, to follow another."""
+        return Cursor(name, self.head.version if self.head else 0, self.listed)
+
+    def since(self, cursor: Cursor) -> Update:
+        """What a follower at `cursor` lacks."""
+        changes, whole = self._list_since(cursor.listed)
+        if self.head is None or cursor.bundle >= self.head.version:
+            return Update(self.as_of, self.listed, changes, whole)
+        deltas = self._deltas_since(cursor.bundle)
+        signed = None if deltas else self._signed
+        return Update(self.as_of, self.listed, changes, whole, self.head, signed, deltas)
+
+    def _list_since(self, listed: int) -> tuple[tuple[ListChange, ...], bool]:
+        if listed < self._complete_since:
+            everything = (
+                ListChange(self.listed, name, instance)
+                for name, instance in self.instances.items()
+            )
+            return tuple(everything), True
+        return tuple(change for change in self._changes if change.version > listed), False
+
+    def _deltas_since(self, version: int) -> tuple[BundleDelta, ...]:
+        chain = [delta for delta in self._deltas if delta.base >= version]
+        if not chain or chain[0].base != version:
+            return ()
+        return tuple(chain)
+
+    def _note(self, change: ListChange) -> None:
+        if len(self._changes) == self._changes.maxlen:
+            self._complete_since = self._changes[0].version
+        self._changes.append(change)
--- a/packages/wheatslip/wheatslip/instances.py
+++ b/packages/wheatslip/wheatslip/instances.py
@@ -26,5 +26,6 @@
     address: str
     entry_port: int
     peer_port: int
+    control_port: int = 0
     incarnation: int = 1
     state: InstanceState = InstanceState.LIVE
--- a/packages/wheatslip/wheatslip/objects.py
+++ b/packages/wheatslip/wheatslip/objects.py
@@ -14,7 +14,7 @@
 from result import Err, Ok, Result
 
 REQUEST_TIMEOUT = 2.0  # seconds
-WATCH_SECONDS = 20.0
+WATCH_SECONDS = 5.0  # also how often a quiet watch confirms that nothing has changed
 BACKOFF_FIRST = 0.1
 BACKOFF_LAST = 5.0
 READ_BACK_TRIES = 5
--- /dev/null
+++ b/packages/wheatslip/wheatslip/relaytree.py
@@ -0,0 +1,48 @@
+"""The tree by which control data reaches the daemons of a zone, without an election.
+
+Each daemon orders the zone's members by the hash of their names. The first few watch the
+platform; each other follows one that stands before it. Daemons whose lists differ for a
+while may follow each other in a ring; `as_of` of the updates then stands still, and the
+follower turns to its next parent.
+"""
+
+import hashlib
+from collections.abc import Iterable, Sequence
+
+WATCHERS = 2  # of each zone
+FANOUT = 4  # followers of one daemon, about
+
+
+def relay_order(members: Iterable[str]) -> list[str]:
+    """The members of one zone in the order of the tree."""
+    return sorted(members, key=_place)
+
+
+def is_watcher(name: str, order: Sequence[str]) -> bool:
+    """Whether `name` watches the platform itself."""
+    return name in order[:WATCHERS] or name not in order
+
+
+def parents_of(name: str, order: Sequence[str]) -> list[str]:
+    """Whom `name` follows, in the order in which to try; empty for a watcher."""
+    if is_watcher(name, order):
+        return []
+    place = order.index(name)
+    own = (place - WATCHERS) // FANOUT
+    neighbour = (own + 1) % place
+    tried = dict.fromkeys((own, neighbour, *range(WATCHERS)))
+    return [order[parent] for parent in tried]
+
+
+def depth_of(count: int) -> int:
+    """Steps from a watcher to the farthest of `count` members."""
+    depth = 0
+    place = count - 1
+    while place >= WATCHERS:
+        place = (place - WATCHERS) // FANOUT
+        depth += 1
+    return depth
+
+
+def _place(name: str) -> bytes:
+    return hashlib.blake2b(name.encode(), digest_size=8).digest()
--- /dev/null
+++ b/packages/wheatslipd/wheatslipd/codec.py
@@ -0,0 +1,24 @@
+"""The messages of our gRPC services on the wire: msgspec structs as MessagePack.
+
+grpclib takes any codec; with this one the messages are the same typed structs as elsewhere,
+and nothing has to be generated.
+"""
+
+from typing import Any
+
+import msgspec
+from grpclib.encoding.base import CodecBase
+
+
+class StructCodec(CodecBase):
+    """Encodes and decodes msgspec structs; raises msgspec.DecodeError on what does not fit."""
+
+    __content_subtype__ = "msgpack"
+
+    def encode(self, message: Any, message_type: Any) -> bytes:
+        """The bytes of a message."""
+        return msgspec.msgpack.encode(message)
+
+    def decode(self, data: bytes, message_type: Any) -> Any:
+        """A message of the type, checked."""
+        return msgspec.msgpack.decode(data, type=message_type)
--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -19,7 +19,7 @@
 from wheatslipd.chain import build_chain
 from wheatslipd.entry import Entry
 from wheatslipd.events import leaving, newer_version_seen
-from wheatslipd.feed import PlatformFeed
+from wheatslipd.feed import Feed
 from wheatslipd.filters import entry_filters
 from wheatslipd.forward import Forwarder
 from wheatslipd.gate import Gate
@@ -30,6 +30,7 @@
 from wheatslipd.pages import PageServer, PageSource, Status
 from wheatslipd.peerport import PeerPort
 from wheatslipd.settings import Settings
+from wheatslipd.tls import PeerTls, peer_tls
 from wheatslipd.tracing import HopTracer
 from wheatslipd.view import View
 
@@ -56,7 +57,7 @@
     def newer_version_seen(self, version: int) -> None:
         """Look at the head now rather than wait for the watch."""
         if version > self._daemon.view.version:
-            self._daemon.feed.check_head()
+            self._daemon.feed.check_head(version)
 
 
 class Daemon:
@@ -77,7 +78,17 @@
         self.listening = asyncio.Event()
         self._stopping = asyncio.Event()
         self.bus = Bus()
-        self.feed = PlatformFeed(settings.platform, settings.keyring, self.bus, rng)
+        tls = peer_tls(settings.peer_tls)
+        self.feed = Feed(
+            settings.name,
+            settings.zone,
+            settings.platform,
+            settings.keyring,
+            self.bus,
+            tls,
+            rng,
+            unix,
+        )
         self._tracer = HopTracer(settings.name, settings.trace_sample, settings.trace_file, rng)
         self.gate = Gate(Admission(AdmissionSettings()), self.view, monotonic)
         self._backend = Backend(
@@ -87,7 +98,7 @@
             settings.connect_timeout,
         )
         owners = OwnerHistory()
-        self._register_controllers(owners, monotonic, unix)
+        self._register_controllers(owners, tls, monotonic, unix)
         self.entry_server = Server(self._build_entry(rng).handle)
         peer_port = PeerPort(
             self.view,
@@ -102,7 +113,7 @@
             unix,
             self._hint_newer_version,
         )
-        self.peer_server = Server(peer_port.handle)
+        self.peer_server = Server(peer_port.handle, tls.server)
         self.measurer = Measurer(
             self._backend,
             settings.health_path,
@@ -131,6 +142,7 @@
         for task in (stopped, *tasks):
             task.cancel()
         await asyncio.gather(stopped, *tasks, return_exceptions=True)
+        await self.feed.relay.stop()
         await pages.stop()
         self._tracer.close()
         logs.info("stopped", asked=was_asked)
@@ -177,15 +189,21 @@
             limit=admission.limit.value,
             members=members,
             platform_calls=self.feed.client.calls,
+            watches=self.feed.watches,
+            followers=self.feed.relay.followers,
         )
 
     def _register_controllers(
-        self, owners: OwnerHistory, monotonic: Callable[[], float], unix: Callable[[], float]
+        self,
+        owners: OwnerHistory,
+        tls: PeerTls,
+        monotonic: Callable[[], float],
+        unix: Callable[[], float],
     ) -> None:
         settings = self.settings
-        BundleController(self.view, self.metrics, self.feed.fetch).register(self.bus)
+        BundleController(self.view, self.metrics).register(self.bus)
         MembershipController(
-            self.view, settings.name, settings.pool, owners, monotonic, unix
+            self.view, settings.name, settings.pool, owners, tls, monotonic, unix
         ).register(self.bus)
         _Lifecycle(self).register(self.bus)
 
@@ -214,6 +232,7 @@
         settings = self.settings
         await self.entry_server.listen(settings.address, settings.entry_port)
         await self.peer_server.listen(settings.address, settings.peer_port)
+        await self.feed.relay.listen(settings.address, settings.control_port)
         loop = asyncio.get_running_loop()
         source = PageSource(loop, self.status, self._render_metrics)
         pages = PageServer(settings.address, settings.pages_port, source)
@@ -224,6 +243,7 @@
             zone=settings.zone,
             entry_port=self.entry_server.port,
             peer_port=self.peer_server.port,
+            control_port=self.feed.relay.port,
             pages_port=pages_port,
         )
         self.listening.set()
--- a/packages/wheatslipd/wheatslipd/events.py
+++ b/packages/wheatslipd/wheatslipd/events.py
@@ -6,13 +6,6 @@
 from wheatslip.instances import Instance
 
 
-class head_seen(Event):
-    """The platform's head was read."""
-
-    def __init__(self, head: Head):
-        super().__init__(head)
-
-
 class newer_version_seen(Event):
     """A peer has a newer bundle version than we."""
 
--- a/packages/wheatslipd/wheatslipd/feed.py
+++ b/packages/wheatslipd/wheatslipd/feed.py
@@ -1,10 +1,12 @@
-"""The task that talks to the platform: follows the head and the list, fetches bundles.
+"""The task that keeps the daemon's copy of the platform's objects: a watcher reads the
+platform, every other daemon follows another one.
 
-It owns the client and its connections; controllers reach it by messages on a queue, and it
-reaches them by events on the bus.
+It owns the platform's client and the cache; controllers hear of news by events on the bus.
 """
 
 import asyncio
+from collections.abc import Callable
+from contextlib import aclosing
 from pathlib import Path
 from random import Random
 
@@ -12,126 +14,274 @@
 from result import Err, Ok
 from wheatslip import head as heads
 from wheatslip import instances as lists
+from wheatslip.bundle import Bundle
+from wheatslip.feedcache import FeedCache, ListChange, Update
 from wheatslip.head import Head
 from wheatslip.instances import Instance
-from wheatslip.objects import Backoff, Listing, ObjectClient, Unavailable, follow
+from wheatslip.objects import Backoff, Listing, ObjectClient, StoredObject, Unavailable, follow
+from wheatslip.relaytree import is_watcher, parents_of, relay_order
 from wheatslip.signing import SignedBundle, load_keyring, verify
 
 from wheatslipd import logs
 from wheatslipd.bus import Bus
-from wheatslipd.events import bundle_verified, head_seen, instances_seen
+from wheatslipd.events import bundle_verified, instances_seen
+from wheatslipd.relay import RelayServer, follow_parent
+from wheatslipd.tls import PeerTls
 
-HEAD_CHECK_SPACING = 0.2  # seconds between reads of the head that peers give rise to
+HINT_PATIENCE = 0.25  # seconds that the relay gets before a hint leads to the platform
+HINT_SPACING = 1.0  # seconds between reads of the platform that hints give rise to
+STALE_SECONDS = 15.0  # a parent whose news are not confirmed for so long is left
+TURN_SECONDS = 0.2  # pause before the next parent is tried
 
 
-class PlatformFeed:
-    """Follows the platform for one daemon."""
+class Feed:
+    """Keeps one daemon's copy up to date."""
 
-    def __init__(self, address: str, keyring: Path, bus: Bus, rng: Random):
-        self.client = ObjectClient(address, rng)
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        platform: str,
+        keyring: Path,
+        bus: Bus,
+        tls: PeerTls,
+        rng: Random,
+        unix: Callable[[], float],
+    ):
+        self.client = ObjectClient(platform, rng)
+        self.cache = FeedCache()
+        self.relay = RelayServer(self.cache, tls)
+        self._name = name
+        self._zone = zone
         self._keyring = keyring
         self._bus = bus
+        self._tls = tls
         self._rng = rng
-        self._wanted: asyncio.Queue[Head] = asyncio.Queue()
-        self._head_check = asyncio.Event()
+        self._unix = unix
+        self._order: list[str] = []
+        self._role_changed = asyncio.Event()
+        self._hint = asyncio.Event()
+        self._hinted_version = 0
 
-    def fetch(self, head: Head) -> None:
-        """Message: the bundle of `head` is wanted."""
-        self._wanted.put_nowait(head)
+    @property
+    def watches(self) -> bool:
+        """Whether this daemon reads the platform for others."""
+        return is_watcher(self._name, self._order)
 
-    def check_head(self) -> None:
-        """Message: a peer knows a newer version."""
-        self._head_check.set()
+    def check_head(self, version: int) -> None:
+        """Message: a peer knows this newer version."""
+        self._hinted_version = max(self._hinted_version, version)
+        self._hint.set()
 
     async def run(self) -> None:
         """Run until cancelled."""
         try:
             async with asyncio.TaskGroup() as group:
-                group.create_task(self._follow_head())
-                group.create_task(self._follow_instances())
-                group.create_task(self._fetch_bundles())
-                group.create_task(self._check_heads())
+                group.create_task(self._keep_up())
+                group.create_task(self._answer_hints())
         finally:
             await self.client.close()
 
-    async def _follow_head(self) -> None:
+    # The two roles.
+
+    async def _keep_up(self) -> None:
+        await self._read_first_list()
+        turn = 0
+        while True:
+            if self._role_changed.is_set():
+                self._role_changed.clear()
+                turn = 0
+            if self.watches:
+                await self._watch_platform()
+                continue
+            parents = parents_of(self._name, self._order)
+            await self._follow(parents[turn % len(parents)])
+            if not self._role_changed.is_set():
+                turn += 1
+                await asyncio.sleep(TURN_SECONDS * (0.5 + self._rng.random()))
+
+    async def _read_first_list(self) -> None:
+        """The first list comes from the platform: before it there is no one to follow."""
+        backoff = Backoff(self._rng)
+        while True:
+            match await self.client.list(lists.KIND):
+                case Ok(listing):
+                    self._take_listing(listing, whole=True)
+                    return
+                case Err(trouble):
+                    _log_trouble(trouble)
+                    await asyncio.sleep(backoff.next())
+
+    async def _watch_platform(self) -> None:
+        logs.info("watching-platform")
+        async with asyncio.TaskGroup() as group:
+            tasks = [
+                group.create_task(self._watch_list()),
+                group.create_task(self._watch_head()),
+            ]
+            await self._role_changed.wait()
+            for task in tasks:
+                task.cancel()
+
+    async def _watch_list(self) -> None:
+        whole = True
+        async for listing in follow(self.client, lists.KIND, self._rng, _log_trouble):
+            self._confirm()
+            if whole or listing.items:
+                self._take_listing(listing, whole=whole)
+            whole = False
+
+    async def _watch_head(self) -> None:
         async for listing in follow(self.client, heads.KIND, self._rng, _log_trouble):
+            self._confirm()
             for item in listing.items:
-                self._see_head(item.value)
+                await self._fetch_newer(item)
+
+    async def _follow(self, parent: str) -> None:
+        instance = self.cache.instances.get(parent)
+        if instance is None or not instance.control_port:
+            return
+        logs.info("following", parent=parent)
+        reading = asyncio.ensure_future(self._read_parent(instance))
+        moving = asyncio.ensure_future(self._role_changed.wait())
+        try:
+            await asyncio.wait({reading, moving}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in (reading, moving):
+                task.cancel()
+            await asyncio.gather(reading, moving, return_exceptions=True)
 
-    async def _check_heads(self) -> None:
+    async def _read_parent(self, parent: Instance) -> None:
+        loop = asyncio.get_running_loop()
+        confirmed = loop.time()
+        cursor = self.cache.cursor(self._name)
+        async with aclosing(follow_parent(parent, cursor, self._tls)) as updates:
+            async for update in updates:
+                if update.as_of > self.cache.as_of:
+                    confirmed = loop.time()
+                self._take_update(update)
+                if loop.time() - confirmed > STALE_SECONDS:
+                    return
+
+    async def _answer_hints(self) -> None:
+        """Read the platform only if the relay did not bring the hinted version in time."""
         while True:
-            await self._head_check.wait()
-            self._head_check.clear()
+            await self._hint.wait()
+            self._hint.clear()
+            await asyncio.sleep(HINT_PATIENCE * (0.5 + self._rng.random()))
+            if self._version >= self._hinted_version:
+                continue
             match await self.client.get(heads.KIND, heads.NAME):
                 case Ok(found) if found is not None:
-                    self._see_head(found.value)
-            await asyncio.sleep(HEAD_CHECK_SPACING)
+                    await self._fetch_newer(found)
+            await asyncio.sleep(HINT_SPACING)
+
+    # What comes in.
+
+    @property
+    def _version(self) -> int:
+        return self.cache.head.version if self.cache.head else 0
+
+    def _confirm(self) -> None:
+        self.cache.as_of = self._unix()
+        self.relay.announce()
+
+    def _take_listing(self, listing: Listing, *, whole: bool) -> None:
+        changes = [change for change in map(_as_change, listing.items) if change is not None]
+        self._take_list(listing.version, changes, whole=whole)
 
-    def _see_head(self, value: msgspec.Raw) -> None:
+    def _take_list(self, listed: int, changes: list[ListChange], *, whole: bool) -> None:
+        self.cache.take_list(listed, changes, whole=whole)
+        present = tuple(c.instance for c in changes if c.instance is not None)
+        gone = tuple(c.name for c in changes if c.instance is None)
+        if whole or changes:
+            self._bus.fire(instances_seen(present, gone, whole))
+            self._reorder()
+        self.relay.announce()
+
+    def _reorder(self) -> None:
+        """Take the present list for the tree; a changed place ends the present role."""
+        in_zone = (i.name for i in self.cache.instances.values() if i.zone == self._zone)
+        before = (self.watches, parents_of(self._name, self._order))
+        self._order = relay_order(in_zone)
+        if before != (self.watches, parents_of(self._name, self._order)):
+            self._role_changed.set()
+
+    def _take_update(self, update: Update) -> None:
+        if update.whole or update.changes:
+            self._take_list(update.listed, list(update.changes), whole=update.whole)
+        if update.as_of > self.cache.as_of:
+            self.cache.as_of = update.as_of
+            self.relay.announce()
+        if update.head is None or update.head.version <= self._version:
+            return
+        if update.signed is not None:
+            self._take_signed(update.head, update.signed)
+            return
+        bundle = self.cache.with_deltas(update.deltas)
+        if bundle is None:
+            logs.warning("delta-does-not-fit", version=update.head.version)
+            self.check_head(update.head.version)
+            return
+        signatures = update.deltas[-1].signatures
+        self._take_signed(update.head, SignedBundle(bundle.canonical().decode(), signatures))
+
+    async def _fetch_newer(self, stored: StoredObject) -> None:
+        """Fetch the bundle that a stored head names, if it is newer than ours."""
         try:
-            head = msgspec.json.decode(value, type=Head)
+            head = msgspec.json.decode(stored.value, type=Head)
         except msgspec.DecodeError as error:
             logs.error("head-unreadable", error=str(error))
             return
-        self._bus.fire(head_seen(head))
-
-    async def _follow_instances(self) -> None:
-        whole = True
-        async for listing in follow(self.client, lists.KIND, self._rng, _log_trouble):
-            if whole or listing.items:
-                self._bus.fire(_as_event(listing, whole))
-            whole = False
-
-    async def _fetch_bundles(self) -> None:
         backoff = Backoff(self._rng)
-        while True:
-            head = await self._wanted.get()
-            while not await self._fetch_one(head) and self._wanted.empty():
-                await asyncio.sleep(backoff.next())
-            backoff.reset()
-
-    async def _fetch_one(self, head: Head) -> bool:
-        """Whether the fetch is settled, for good or bad."""
-        match await self.client.get(
-            heads.BUNDLE_KIND, heads.bundle_name(head.version, head.digest)
-        ):
-            case Err(trouble):
-                _log_trouble(trouble)
-                return False
-            case Ok(None):
-                logs.error("bundle-missing", version=head.version)
-                return False
-            case Ok(found):
-                self._verify(found.value, head)
-        return True
-
-    def _verify(self, value: msgspec.Raw, head: Head) -> None:
+        while head.version > self._version:
+            name = heads.bundle_name(head.version, head.digest)
+            match await self.client.get(heads.BUNDLE_KIND, name):
+                case Ok(found) if found is not None:
+                    self._take_stored_bundle(head, found)
+                    return
+                case Ok(_):
+                    logs.error("bundle-missing", version=head.version)
+                case Err(trouble):
+                    _log_trouble(trouble)
+            await asyncio.sleep(backoff.next())
+
+    def _take_stored_bundle(self, head: Head, stored: StoredObject) -> None:
         try:
-            signed = msgspec.json.decode(value, type=SignedBundle)
+            signed = msgspec.json.decode(stored.value, type=SignedBundle)
         except msgspec.DecodeError as error:
             logs.error("bundle-refused", version=head.version, why=str(error))
             return
+        self._take_signed(head, signed)
+
+    def _take_signed(self, head: Head, signed: SignedBundle) -> None:
+        """Prove a bundle, whoever sent it, and put it to use."""
         # The keyring is read each time, so that a new operator's key needs no restart.
         match verify(signed, load_keyring(self._keyring)):
-            case Ok(bundle):
+            case Ok(bundle) if _is_named_by(bundle, head):
+                self.cache.take_bundle(head, signed, bundle)
+                self.relay.announce()
                 self._bus.fire(bundle_verified(bundle, head))
+            case Ok(_):
+                why = "not what the head names"
+                logs.error("bundle-refused", version=head.version, why=why)
             case Err(why):
                 logs.error("bundle-refused", version=head.version, why=why)
 
 
-def _as_event(listing: Listing, whole: bool) -> instances_seen:
-    present = []
-    gone = []
-    for item in listing.items:
-        if item.deleted:
-            gone.append(item.name)
-            continue
-        try:
-            present.append(msgspec.json.decode(item.value, type=Instance))
-        except msgspec.DecodeError as error:
-            logs.error("instance-unreadable", name=item.name, error=str(error))
-    return instances_seen(tuple(present), tuple(gone), whole)
+def _is_named_by(bundle: Bundle, head: Head) -> bool:
+    return bundle.version == head.version and bundle.digest() == head.digest
+
+
+def _as_change(item: StoredObject) -> ListChange | None:
+    if item.deleted:
+        return ListChange(item.version, item.name, None)
+    try:
+        instance = msgspec.json.decode(item.value, type=Instance)
+    except msgspec.DecodeError as error:
+        logs.error("instance-unreadable", name=item.name, error=str(error))
+        return None
+    return ListChange(item.version, item.name, instance)
 
 
 def _log_trouble(trouble: Unavailable) -> None:
--- a/packages/wheatslipd/wheatslipd/http/client.py
+++ b/packages/wheatslipd/wheatslipd/http/client.py
@@ -1,6 +1,7 @@
 """The client side of HTTP/1.1: one connection, and a pool of them to one address."""
 
 import asyncio
+import ssl
 from collections import deque
 
 import httptools
@@ -196,11 +197,12 @@
 class Pool:
     """Connections to one address, the one used last first."""
 
-    def __init__(self, host: str, port: int, limit: int):
+    def __init__(self, host: str, port: int, limit: int, tls: ssl.SSLContext | None = None):
         """`limit` bounds the connections open at one time."""
         self._host = host
         self._port = port
         self._limit = limit
+        self._tls = tls
         self._idle: deque[ClientConnection] = deque()
         self._open = 0
         self.opened = 0
@@ -242,7 +244,7 @@
         try:
             async with asyncio.timeout(timeout):
                 _, connection = await loop.create_connection(
-                    ClientConnection, self._host, self._port
+                    ClientConnection, self._host, self._port, ssl=self._tls
                 )
         except (OSError, TimeoutError):
             self._open -= 1
--- a/packages/wheatslipd/wheatslipd/http/server.py
+++ b/packages/wheatslipd/wheatslipd/http/server.py
@@ -1,6 +1,7 @@
 """The server side of HTTP/1.1: reads requests, hands each to a handler, in order."""
 
 import asyncio
+import ssl
 import traceback
 from collections import deque
 from collections.abc import Awaitable, Callable
@@ -22,6 +23,7 @@
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 MAX_PIPELINED = 8
+BACKLOG = 1024  # connections that wait to be accepted
 IDLE_SECONDS = 60.0
 SWEEP_SECONDS = 10.0
 HOLD_AT_MOST = 16 * 1024  # bytes of a response that wait for more before they are sent
@@ -288,8 +290,9 @@
 class Server:
     """A listening socket and its connections."""
 
-    def __init__(self, handler: Handler):
+    def __init__(self, handler: Handler, tls: ssl.SSLContext | None = None):
         self._handler = handler
+        self._tls = tls
         self._connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
         self._sweep_timer: asyncio.TimerHandle | None = None
@@ -299,7 +302,11 @@
         """Listen; `port` 0 takes a free one. Raises OSError."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: ServerConnection(self._handler, self._connections), host, port, backlog=1024
+            lambda: ServerConnection(self._handler, self._connections),
+            host,
+            port,
+            backlog=BACKLOG,
+            ssl=self._tls,
         )
         self.port = self._server.sockets[0].getsockname()[1]
         self._sweep()
--- a/packages/wheatslipd/wheatslipd/membership.py
+++ b/packages/wheatslipd/wheatslipd/membership.py
@@ -11,6 +11,7 @@
 from wheatslipd import logs
 from wheatslipd.events import leaving
 from wheatslipd.http.client import Pool
+from wheatslipd.tls import PeerTls
 from wheatslipd.view import Membership, Peer, View
 
 PEER_CONNECTIONS = 256  # to one peer
@@ -27,6 +28,7 @@
         name: str,
         pool: str,
         owners: OwnerHistory,
+        tls: PeerTls,
         monotonic: Callable[[], float],
         unix: Callable[[], float],
     ):
@@ -35,6 +37,7 @@
         self._name = name
         self._pool = pool
         self._owners = owners
+        self._tls = tls
         self._monotonic = monotonic
         self._unix = unix
         self._peers: dict[str, Peer] = {}
@@ -73,7 +76,9 @@
         # Who stands in the first list was here before us and is warm, as far as we know.
         joined = self._monotonic() if self._has_list else 0.0
         upstream = Upstream(instance.name, instance.zone, joined=joined)
-        connections = Pool(instance.address, instance.peer_port, PEER_CONNECTIONS)
+        connections = Pool(
+            instance.address, instance.peer_port, PEER_CONNECTIONS, self._tls.client
+        )
         return Peer(instance, upstream, connections)
 
     def _remove(self, name: str) -> None:
--- a/packages/wheatslipd/wheatslipd/pages.py
+++ b/packages/wheatslipd/wheatslipd/pages.py
@@ -32,6 +32,8 @@
     limit: int
     members: int
     platform_calls: int
+    watches: bool
+    followers: int
 
 
 @dataclass(slots=True)
--- a/packages/wheatslipd/wheatslipd/settings.py
+++ b/packages/wheatslipd/wheatslipd/settings.py
@@ -47,6 +47,7 @@
     entry_port: int
     chooser: ChooserSettings
     peer_port: int
+    control_port: int
     peer_tls: TlsFiles | None
     backend_address: str
     backend_port: int
@@ -109,6 +110,7 @@
         entry_port=_port(sections["entry"]),
         chooser=_chooser(sections["entry"]),
         peer_port=_port(sections["peer"]),
+        control_port=_port(sections["control"]),
         peer_tls=_peer_tls(sections["peer"], address, problems),
         backend_address=_ip(backend, "address"),
         backend_port=backend.integer("port", 0, 1, MAX_PORT, must=True),
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -24,7 +24,7 @@
 STOP_SECONDS = 20.0
 _LISTENING = re.compile(r"listening (\d+)")
 _DAEMON_PORTS = re.compile(
-    r"event=listening .*entry_port=(\d+) peer_port=(\d+) pages_port=(\d+)"
+    r"event=listening .*entry_port=(\d+) peer_port=(\d+) control_port=(\d+) pages_port=(\d+)"
 )
 
 
@@ -228,8 +228,8 @@
         backend_port = int((await backend.wait_for(_LISTENING)).group(1))
         daemon = await self.start_daemon(plan, backend_port)
         found = await daemon.wait_for(_DAEMON_PORTS)
-        entry_port, peer_port, pages_port = (int(port) for port in found.groups())
-        instance = Instance(plan.name, plan.pool, plan.zone, HOST, entry_port, peer_port)
+        *ports, pages_port = (int(port) for port in found.groups())
+        instance = Instance(plan.name, plan.pool, plan.zone, HOST, *ports)
         return Member(plan, backend, backend_port, daemon, instance, pages_port)
 
     async def start_daemon(self, plan: Plan, backend_port: int) -> Running:
--- a/test/helper.py
+++ b/test/helper.py
@@ -146,7 +146,11 @@
         daemon = Daemon(settings, Random(SEED), unix=self.clock)
         task = asyncio.create_task(daemon.run())
         await daemon.listening.wait()
-        ports = (daemon.entry_server.port, daemon.peer_server.port)
+        ports = (
+            daemon.entry_server.port,
+            daemon.peer_server.port,
+            daemon.feed.relay.port,
+        )
         node = Node(Instance(name, pool, "one", HOST, *ports), backend, daemon, task)
         self.nodes[name] = node
         await self.list_instance(node, InstanceState.LIVE)
--- a/test/test_path.py
+++ b/test/test_path.py
@@ -4,6 +4,7 @@
 import time
 
 import pytest
+from wheatslip.head import Head
 from wheatslip.instances import InstanceState
 from wheatslipd.view import Configuration
 
@@ -247,8 +248,10 @@
         newer, older = installation.nodes.values()
         await installation.release(bundle(version=2))
         await installation.ready(version=2)
-        # As if the watch of one daemon had been delayed: it holds version 1 again.
+        # As if the news had not reached one daemon: it holds version 1 again.
         older.daemon.view.configuration = Configuration(bundle())
+        older.daemon.feed.cache.head = Head(1, bundle().digest())
+        older.daemon.feed.cache.bundle = bundle()
         caller = installation.caller()
         while not older.backend._record().runs:
             asked = await caller.ask(newer.entry, "papers", "submit", once=True)
