--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SETUP = $(VENV)/.installed
 PACKAGES = packages/wheatslip packages/wheatslipd packages/wheatslip-cli
 
-.PHONY: demo test lint format bench bench-decisions clean
+.PHONY: demo test lint format bench bench-decisions bench-slopes clean
 
 $(SETUP): requirements-dev.txt $(addsuffix /pyproject.toml,$(PACKAGES))
 	python3 -m venv $(VENV)
@@ -32,5 +32,8 @@
 bench-decisions: $(SETUP)
 	$(PY) -m bench.decisions
 
+bench-slopes: $(SETUP)
+	$(PY) -m bench.slopes
+
 clean:
 	rm -rf $(VENV) out
--- a/packages/wheatslipd/wheatslipd/codec.py
+++ b/packages/wheatslipd/wheatslipd/codec.py
@@ -15,9 +15,14 @@
 
     __content_subtype__ = "msgpack"
 
+    def __init__(self) -> None:
+        self.encoded_bytes = 0
+
     def encode(self, message: Any, message_type: Any) -> bytes:
         """The bytes of a message."""
-        return msgspec.msgpack.encode(message)
+        data = msgspec.msgpack.encode(message)
+        self.encoded_bytes += len(data)
+        return data
 
     def decode(self, data: bytes, message_type: Any) -> Any:
         """A message of the type, checked."""
--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -191,6 +191,7 @@
             platform_calls=self.feed.client.calls,
             watches=self.feed.watches,
             followers=self.feed.relay.followers,
+            relay_bytes=self.feed.relay.sent_bytes,
         )
 
     def _register_controllers(
@@ -256,6 +257,7 @@
         self.metrics.queued.set({}, admission.queued)
         self.metrics.limit.set({}, admission.limit.value)
         self.metrics.platform_calls.set({}, self.feed.client.calls)
+        self.metrics.relay_bytes.set({}, self.feed.relay.sent_bytes)
         self.metrics.connections.set({"port": "entry"}, self.entry_server.open_connections)
         self.metrics.connections.set({"port": "peer"}, self.peer_server.open_connections)
         return self.metrics.render()
--- a/packages/wheatslipd/wheatslipd/metrics.py
+++ b/packages/wheatslipd/wheatslipd/metrics.py
@@ -46,6 +46,9 @@
             "wheatslip_probe_seconds_total", "Time the local backend server spent on them"
         )
         self.platform_calls = counter("wheatslip_platform_calls_total", "Calls to the platform")
+        self.relay_bytes = counter(
+            "wheatslip_relay_bytes_total", "Bytes of control messages sent to followers"
+        )
         self.bundle_version = gauge("wheatslip_bundle_version", "Bundle version in force here")
         self.key_records = gauge("wheatslip_key_records", "Request keys remembered here")
         self.connections = gauge("wheatslip_connections", "Open connections, by port")
--- a/packages/wheatslipd/wheatslipd/pages.py
+++ b/packages/wheatslipd/wheatslipd/pages.py
@@ -34,6 +34,7 @@
     platform_calls: int
     watches: bool
     followers: int
+    relay_bytes: int
 
 
 @dataclass(slots=True)
--- a/packages/wheatslipd/wheatslipd/relay.py
+++ b/packages/wheatslipd/wheatslipd/relay.py
@@ -31,10 +31,16 @@
         self._cache = cache
         self._tls = tls
         self._changed = asyncio.Event()
-        self._server = Server([self], codec=StructCodec())
+        self._codec = StructCodec()
+        self._server = Server([self], codec=self._codec)
         self.followers = 0
         self.port = 0
 
+    @property
+    def sent_bytes(self) -> int:
+        """Bytes of the messages sent to followers, without the transport's own."""
+        return self._codec.encoded_bytes
+
     def __mapping__(self) -> dict[str, grpclib.const.Handler]:
         """The methods, as grpclib wants them."""
         cardinality = grpclib.const.Cardinality.UNARY_STREAM
--- /dev/null
+++ b/test/test_attempts.py
@@ -0,0 +1,103 @@
+"""The tries of a call: what may have run is not sent again, nor reported as not run."""
+
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from wheatslip.attempts import ANY_WAIT, MAX_TRIES, Attempts
+from wheatslip.budget import RetryBudget
+from wheatslip.call import Call, RequestKind
+from wheatslip.chooser import Chooser, Upstream
+from wheatslip.outcome import Answered, NotRun, Reason, Unknown
+from wheatslipd.measure import ProbeBudget
+
+NAMES = ("a", "b", "c", "d", "e", "f")
+OUTCOMES = [
+    Answered(200),
+    NotRun(Reason.OVERLOADED),
+    NotRun(Reason.DRAINING),
+    NotRun(Reason.UNREACHABLE),
+    Unknown(Reason.CONNECTION_LOST),
+]
+
+
+def attempts(repeatable, tokens=3.0):
+    call = Call("w", "papers", RequestKind("k", repeatable), deadline=10.0)
+    return Attempts(call, Chooser("one", Random(1)), RetryBudget(tokens=tokens))
+
+
+def upstreams(names=NAMES):
+    return [Upstream(name, "one") for name in names]
+
+
+@given(st.lists(st.sampled_from(OUTCOMES), max_size=8), st.booleans())
+@settings(max_examples=300, derandomize=True, deadline=None)
+def test_any_course_of_tries_keeps_the_promises(outcomes, repeatable):
+    tries = attempts(repeatable)
+    group = upstreams()
+    seen = []
+    for outcome in outcomes:
+        if tries.next(group, 0.0) is None:
+            break
+        tries.on_bytes_sent()
+        seen.append(outcome)
+        if not tries.ended(outcome):
+            break
+    may_have_run = [o for o in seen if not isinstance(o, NotRun)]
+    if not repeatable:
+        assert len(may_have_run) <= 1
+    if may_have_run:
+        assert not isinstance(tries.result(), NotRun)
+    assert len(seen) <= MAX_TRIES
+
+
+def test_a_call_that_may_have_run_is_never_called_not_run():
+    tries = attempts(repeatable=True)
+    group = upstreams("ab")
+    tries.next(group, 0.0)
+    tries.on_bytes_sent()
+    assert tries.ended(Unknown(Reason.CONNECTION_LOST))
+    tries.next(group, 0.0)
+    tries.ended(NotRun(Reason.DRAINING))
+    assert tries.result() == Unknown(Reason.CONNECTION_LOST)
+    assert tries.expired() == Unknown(Reason.DEADLINE)
+
+
+def test_a_deadline_before_any_byte_was_sent_is_not_run():
+    assert attempts(repeatable=False).expired() == NotRun(Reason.DEADLINE)
+
+
+def test_retries_end_with_the_budget():
+    tries = attempts(repeatable=True, tokens=0.0)
+    tries.next(upstreams(), 0.0)
+    assert not tries.ended(Unknown(Reason.CONNECTION_LOST))
+
+
+def test_a_budget_never_gives_more_than_its_share():
+    budget = RetryBudget(share=0.1, tokens=0.0)
+    granted = 0
+    for _ in range(1000):
+        budget.on_request()
+        granted += budget.take()
+    assert 95 <= granted <= 100
+
+
+def test_a_busy_pool_queues_the_call_somewhere_in_the_end():
+    tries = attempts(repeatable=False)
+    group = upstreams("ab")
+    waits = []
+    while (one := tries.next(group, 0.0)) is not None:
+        waits.append(one.max_wait)
+        if one.max_wait == ANY_WAIT or not tries.ended(NotRun(Reason.OVERLOADED)):
+            break
+    assert waits[-1] == ANY_WAIT
+
+
+@pytest.mark.parametrize("per_second", [0.0, 0.5, 2.0])
+def test_measuring_never_exceeds_its_budget_in_any_window(per_second):
+    budget = ProbeBudget(per_second)
+    taken = [t / 100 for t in range(3000) if budget.take(t / 100)]
+    for start in taken:
+        assert sum(start <= t < start + 2.0 for t in taken) <= max(1, 2.0 * per_second)
+    assert len(taken) <= 30 * per_second + 1
