--- a/bench/decisions/__main__.py
+++ b/bench/decisions/__main__.py
@@ -11,7 +11,7 @@
 from bench.decisions.cases import CASES
 from bench.decisions.policies import POLICIES
 from bench.decisions.runs import IDEAL, OURS, Outcomes, Row, run_all
-from bench.figures import Bound, Figure, report
+from bench.figures import Bound, Figure, add_record_option, report
 
 SEEDS = 3
 STEADY_GOAL = 1.3  # p99 against the ideal
@@ -87,12 +87,13 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--case", action="append", choices=list(CASES))
     parser.add_argument("--seeds", type=int, default=SEEDS)
+    add_record_option(parser)
     options = parser.parse_args()
     cases = options.case or list(CASES)
     policies = [*POLICIES, IDEAL]
     outcomes = run_all(cases, policies, options.seeds)
     print_rows(outcomes, cases, policies)
-    return report("decisions: goals", goals(outcomes, cases))
+    return report("decisions", goals(outcomes, cases), record=options.record)
 
 
 if __name__ == "__main__":
--- a/bench/figures.py
+++ b/bench/figures.py
@@ -1,12 +1,16 @@
 """Figures of a benchmark, their bounds, and how they are printed and kept."""
 
+import argparse
 from collections.abc import Sequence
 from dataclasses import dataclass
+from pathlib import Path
 from statistics import median
 
 from rich.console import Console
 from rich.table import Table
 
+RESULTS = Path(__file__).parent / "results"
+
 
 @dataclass(frozen=True, slots=True)
 class Bound:
@@ -50,8 +54,26 @@
         return self.bound is None or self.bound.is_kept(self.median)
 
 
-def report(title: str, figures: Sequence[Figure]) -> int:
+def add_record_option(parser: argparse.ArgumentParser) -> None:
+    """The option by which a bench keeps its figures in the repository."""
+    parser.add_argument("--record", action="store_true", help="keep the figures in results/")
+
+
+def record_figures(title: str, figures: Sequence[Figure]) -> None:
+    """Write a line a figure: name, unit, least, median, most, bound; tabs between."""
+    RESULTS.mkdir(exist_ok=True)
+    lines = [
+        f"{f.name}\t{f.unit}\t{min(f.values):.4g}\t{f.median:.4g}\t{max(f.values):.4g}"
+        f"\t{f.bound or ''}\n"
+        for f in figures
+    ]
+    (RESULTS / f"{title}.txt").write_text("".join(lines))
+
+
+def report(title: str, figures: Sequence[Figure], *, record: bool = False) -> int:
     """Print figures with their spread; returns the exit code, 1 on a breach."""
+    if record:
+        record_figures(title, figures)
     table = Table(title=title)
     for column in ("figure", "unit", "least", "median", "most", "bound", ""):
         table.add_column(column, justify="left" if column in ("figure", "") else "right")
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -23,7 +23,7 @@
 from wheatslip.releases import Releases
 from wheatslip.signing import load_keyring, load_private_key
 
-from bench.figures import Figure, report
+from bench.figures import Figure, add_record_option, report
 from demo.operators import Desk
 from standins.cluster import Cluster, Plan
 from standins.platform import Faults
@@ -295,8 +295,10 @@
     """Run the measurement."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--only", choices=["zone", "bundle", "list"], default="")
+    add_record_option(parser)
     options = parser.parse_args()
-    return report("slopes", asyncio.run(run(options.only)))
+    figures = asyncio.run(run(options.only))
+    return report("slopes", figures, record=options.record)
 
 
 if __name__ == "__main__":
