Read settings again on SIGHUP; a bad file changes nothing

Cause: any change of a setting needed a restart, which drops the key ledger. Change: choosing, log level, sampling and grace are taken over; other changes are named. Conclusion: addresses, zone and certificates still need a restart.

--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -1,6 +1,7 @@
 """The daemon: wires entry, admission and control together and runs them until told to stop."""
 
 import asyncio
+import dataclasses
 import time
 from collections.abc import Callable
 from random import Random
@@ -35,6 +36,8 @@
 from wheatslipd.view import View
 
 BACKEND_CONNECTIONS = 220
+# Settings that SIGHUP takes over; default.ini says so at each.
+RELOADED = ("chooser", "log_level", "stop_grace", "trace_sample")
 
 
 class _Lifecycle(Component):
@@ -97,6 +100,7 @@
             BACKEND_CONNECTIONS,
             settings.connect_timeout,
         )
+        self._chooser = Chooser(settings.zone, rng, settings.chooser)
         owners = OwnerHistory()
         self._register_controllers(owners, tls, monotonic, unix)
         self.entry_server = Server(self._build_entry(rng).handle)
@@ -155,6 +159,22 @@
         self.bus.fire(leaving("asked to stop"))
         self._stopping.set()
 
+    def reload(self, settings: Settings) -> None:
+        """Take over what may change while running; the rest is named and left as it is."""
+        fixed = [
+            field.name
+            for field in dataclasses.fields(Settings)
+            if field.name not in RELOADED
+            and getattr(settings, field.name) != getattr(self.settings, field.name)
+        ]
+        if fixed:
+            logs.warning("settings-need-restart", names=",".join(fixed))
+        kept = {name: getattr(settings, name) for name in RELOADED}
+        self.settings = dataclasses.replace(self.settings, **kept)
+        self._chooser.settings = settings.chooser
+        self._tracer.sample = settings.trace_sample
+        logs.info("settings-reloaded")
+
     def drain(self, cause: str) -> None:
         """Take no new work."""
         if not self.view.draining:
@@ -213,7 +233,7 @@
         forwarder = Forwarder(
             self.view,
             self.settings.name,
-            Chooser(self.settings.zone, rng, self.settings.chooser),
+            self._chooser,
             self.metrics,
             rng,
             self._monotonic,
--- a/packages/wheatslipd/wheatslipd/main.py
+++ b/packages/wheatslipd/wheatslipd/main.py
@@ -65,12 +65,16 @@
         if self.check_settings:
             print(f"{self.settings}: settings are good")
             return 0
-        logs.start_logging(settings.log_level, settings.log_file)
-        return run_daemon(settings)
+        assert self.settings is not None
+        destination = logs.start_logging(settings.log_level, settings.log_file)
+        return run_daemon(settings, self.settings, destination)
 
 
-def run_daemon(settings: Settings) -> int:
-    """Run a daemon on the loop that the settings name; returns the exit code."""
+def run_daemon(settings: Settings, path: Path, log: logs.KeyValueDestination) -> int:
+    """Run a daemon on the loop that the settings name; returns the exit code.
+
+    `path` is the settings file, read again on SIGHUP.
+    """
     seed = time.time_ns()
     logs.info("starting", version=__version__, seed=seed)
 
@@ -82,6 +86,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, daemon.stop)
+        loop.add_signal_handler(signal.SIGHUP, reload_settings, path, daemon, log)
         _spare_collector()
         return await daemon.run()
 
@@ -94,6 +99,17 @@
     return uvloop.run(main())
 
 
+def reload_settings(path: Path, daemon: Daemon, log: logs.KeyValueDestination) -> None:
+    """Read the settings again; a file with problems changes nothing."""
+    match load_settings(path):
+        case Ok(settings):
+            log.level = settings.log_level
+            daemon.reload(settings)
+        case Err(problems):
+            for problem in problems:
+                logs.error("settings-refused", problem=str(problem))
+
+
 def _spare_collector() -> None:
     """Keep what was loaded at the start out of the collector's sight, and let it look less
     often: a full collection would stop all requests for tens of milliseconds.
--- a/packages/wheatslipd/wheatslipd/tracing.py
+++ b/packages/wheatslipd/wheatslipd/tracing.py
@@ -42,7 +42,7 @@
 
     def __init__(self, instance: str, sample: float, path: str, rng: Random):
         """`path` of the file for spans; empty drops them."""
-        self._sample = sample
+        self.sample = sample
         self._rng = rng
         self._provider = TracerProvider(resource=Resource({"service.instance.id": instance}))
         self._file = open(path, "a", encoding="utf-8") if path else None  # noqa: SIM115
@@ -57,7 +57,7 @@
         """Begin a hop. `is_head`: a request without a trace may start one here."""
         parent = parse_traceparent(incoming) if incoming else None
         if parent is None:
-            if not is_head or not self._sample or self._rng.random() >= self._sample:
+            if not is_head or not self.sample or self._rng.random() >= self.sample:
                 return HopTrace(None, incoming)
             return self._start(name, None)
         if not parent.trace_flags & TraceFlags.SAMPLED:
--- a/test/test_processes.py
+++ b/test/test_processes.py
@@ -126,6 +126,24 @@
     return (await cluster.status(name))["in_flight"] > 0
 
 
+def test_a_bad_settings_file_changes_nothing_and_a_good_one_does(cluster):
+    async def scenario(cluster):
+        daemon = cluster.members["papers-1"].daemon
+        path = cluster.folder / "papers-1.ini"
+        good = path.read_text()
+        path.write_text(good + "[log]\nlevel = loud\n")
+        daemon.send(signal.SIGHUP)
+        line = await daemon.wait_for(re.compile("event=settings-refused.*"))
+        assert "[log] level" in line.group()
+        path.write_text(good.replace("zone = one", "zone = two") + "[log]\nlevel = debug\n")
+        daemon.send(signal.SIGHUP)
+        await daemon.wait_for(re.compile("event=settings-need-restart names=zone"))
+        await daemon.wait_for(re.compile("event=settings-reloaded"))
+        await ask_many(cluster, caller_of(cluster), 1)
+
+    cluster(scenario)
+
+
 def test_a_key_is_not_run_again_after_its_owner_was_killed(cluster):
     async def scenario(cluster):
         caller = caller_of(cluster)
