Give keys, exchanges and bundle steps a place of their own

Change: KeyGuard joins lease, ownership and ledger; exchange.py answers one request; run_with_bundle reads the bundle for a step. No behaviour changes.

--- a/packages/wheatslip-cli/wheatslip_cli/bundle_commands.py
+++ b/packages/wheatslip-cli/wheatslip_cli/bundle_commands.py
@@ -1,5 +1,6 @@
 """The commands `wheatslip bundle …`: each one object with its arguments and what it does."""
 
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated
@@ -19,6 +20,7 @@
 SettingsFile = Annotated[Path, cappa.Arg(short="-s", long="settings", help="Settings (INI).")]
 Output = Annotated[Format, cappa.Arg(short="-o", long="output", help="table or json.")]
 DEFAULT_SETTINGS = Path("wheatslip.ini")
+BundleStep = Callable[[Bundle, Releases, Settings], Awaitable[ExitCode]]
 
 
 class BundleRow(msgspec.Struct, frozen=True):
@@ -48,6 +50,18 @@
     return None
 
 
+def run_with_bundle(path: Path, settings_path: Path, step: BundleStep) -> ExitCode:
+    """Read a bundle and take one step with it against the platform."""
+    bundle = read_bundle(path)
+    if bundle is None:
+        return ExitCode.BAD_USAGE
+
+    async def with_bundle(releases: Releases, settings: Settings) -> ExitCode:
+        return await step(bundle, releases, settings)
+
+    return run_step(settings_path, with_bundle)
+
+
 @cappa.command(name="check")
 @dataclass
 class Check:
@@ -94,11 +108,8 @@
 
     def __call__(self) -> ExitCode:
         """Carry out the command."""
-        bundle = read_bundle(self.file)
-        if bundle is None:
-            return ExitCode.BAD_USAGE
 
-        async def step(releases: Releases, settings: Settings) -> ExitCode:
+        async def step(bundle: Bundle, releases: Releases, settings: Settings) -> ExitCode:
             match await releases.propose(bundle):
                 case Ok(proposal):
                     show([_proposal_row(proposal, "proposed")], self.output)
@@ -107,7 +118,7 @@
                     return complain_about(error)
             raise AssertionError
 
-        return run_step(self.settings, step)
+        return run_with_bundle(self.file, self.settings, step)
 
 
 @cappa.command(name="sign")
@@ -121,11 +132,8 @@
 
     def __call__(self) -> ExitCode:
         """Carry out the command."""
-        bundle = read_bundle(self.file)
-        if bundle is None:
-            return ExitCode.BAD_USAGE
 
-        async def step(releases: Releases, settings: Settings) -> ExitCode:
+        async def step(bundle: Bundle, releases: Releases, settings: Settings) -> ExitCode:
             if not settings.operator or settings.key is None:
                 return complain(
                     ExitCode.BAD_USAGE, f"{self.settings}: [operator] name and key are needed"
@@ -145,7 +153,7 @@
                     return complain_about(error)
             raise AssertionError
 
-        return run_step(self.settings, step)
+        return run_with_bundle(self.file, self.settings, step)
 
 
 @cappa.command(name="rollout")
@@ -158,11 +166,8 @@
 
     def __call__(self) -> ExitCode:
         """Carry out the command."""
-        bundle = read_bundle(self.file)
-        if bundle is None:
-            return ExitCode.BAD_USAGE
 
-        async def step(releases: Releases, settings: Settings) -> ExitCode:
+        async def step(bundle: Bundle, releases: Releases, settings: Settings) -> ExitCode:
             match await releases.roll_out(bundle.version, bundle.digest()):
                 case Ok(head):
                     print(f"version {head.version} ({head.digest[:12]}) is in force")
@@ -171,7 +176,7 @@
                     return complain_about(error)
             raise AssertionError
 
-        return run_step(self.settings, step)
+        return run_with_bundle(self.file, self.settings, step)
 
 
 @cappa.command(name="history")
--- a/packages/wheatslipd/wheatslipd/answers.py
+++ b/packages/wheatslipd/wheatslipd/answers.py
@@ -5,8 +5,8 @@
 from wheatslip.hop import OUTCOME_HEADER, encode_outcome
 from wheatslip.outcome import NotRun, Reason, Unknown
 
+from wheatslipd.http.exchange import Exchange
 from wheatslipd.http.messages import Headers, ResponseHead
-from wheatslipd.http.server import Exchange
 
 _NOT_RUN_STATUS = {
     Reason.BAD_REQUEST: 400,
--- a/packages/wheatslipd/wheatslipd/chain.py
+++ b/packages/wheatslipd/wheatslipd/chain.py
@@ -12,7 +12,7 @@
 from wheatslip.call import Call
 from wheatslip.outcome import Outcome
 
-from wheatslipd.http.server import Exchange
+from wheatslipd.http.exchange import Exchange
 from wheatslipd.tracing import HopTrace
 from wheatslipd.view import Configuration
 
--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -25,6 +25,7 @@
 from wheatslipd.forward import Forwarder
 from wheatslipd.gate import Gate
 from wheatslipd.http.server import Server
+from wheatslipd.keyguard import KeyGuard
 from wheatslipd.measure import Measurer
 from wheatslipd.membership import MembershipController
 from wheatslipd.metrics import Metrics
@@ -102,20 +103,23 @@
         )
         self._chooser = Chooser(settings.zone, rng, settings.chooser)
         owners = OwnerHistory()
+        self._keys = KeyGuard(
+            settings.name,
+            KeyLedger(watching_since=unix()),
+            owners,
+            unix,
+            lambda: self.feed.cache.checked,
+        )
         self._register_controllers(owners, tls, monotonic, unix)
         self.entry_server = Server(self._build_entry(rng).handle)
         peer_port = PeerPort(
             self.view,
-            settings.name,
             self.gate,
             self._backend,
-            KeyLedger(watching_since=unix()),
-            owners,
+            self._keys,
             self.metrics,
             self._tracer,
             monotonic,
-            unix,
-            lambda: self.feed.cache.checked,
             self._hint_newer_version,
         )
         self.peer_server = Server(peer_port.handle, tls.server)
@@ -277,6 +281,7 @@
         self.metrics.in_flight.set({}, admission.in_flight)
         self.metrics.queued.set({}, admission.queued)
         self.metrics.limit.set({}, admission.limit.value)
+        self.metrics.key_records.set({}, len(self._keys.ledger))
         self.metrics.platform_calls.set({}, self.feed.client.calls)
         self.metrics.relay_bytes.set({}, self.feed.relay.sent_bytes)
         self.metrics.connections.set({"port": "entry"}, self.entry_server.open_connections)
--- a/packages/wheatslipd/wheatslipd/entry.py
+++ b/packages/wheatslipd/wheatslipd/entry.py
@@ -6,7 +6,7 @@
 
 from wheatslipd.answers import send_refusal
 from wheatslipd.chain import EntryRequest, Proceed
-from wheatslipd.http.server import Exchange
+from wheatslipd.http.exchange import Exchange
 
 
 class Entry:
--- a/packages/wheatslipd/wheatslipd/peerport.py
+++ b/packages/wheatslipd/wheatslipd/peerport.py
@@ -18,17 +18,17 @@
     decode_hop,
     encode,
 )
-from wheatslip.ledger import KeptAnswer, KeyLedger, KeyState, key_time
+from wheatslip.ledger import Claim, KeptAnswer, KeyState, key_time
 from wheatslip.outcome import Answered, NotRun, Outcome, Reason, Unknown
-from wheatslip.owners import OwnerHistory
 
 from wheatslipd.answers import send_refusal
 from wheatslipd.backend import Backend, BackendAnswer
 from wheatslipd.filters import DEADLINE_HEADER, DEPTH_HEADER, MILLISECONDS, describe
 from wheatslipd.gate import Gate
 from wheatslipd.http.body import BodyBroken
+from wheatslipd.http.exchange import Exchange
 from wheatslipd.http.messages import Headers, RequestHead, ResponseHead
-from wheatslipd.http.server import Exchange
+from wheatslipd.keyguard import KeyGuard
 from wheatslipd.metrics import Metrics
 from wheatslipd.tracing import TRACEPARENT, HopTrace, HopTracer
 from wheatslipd.view import View
@@ -53,29 +53,21 @@
     def __init__(
         self,
         view: View,
-        name: str,
         gate: Gate,
         backend: Backend,
-        ledger: KeyLedger,
-        owners: OwnerHistory,
+        keys: KeyGuard,
         metrics: Metrics,
         tracer: HopTracer,
         clock: Callable[[], float],
-        unix: Callable[[], float],
-        list_checked: Callable[[], float],
         on_newer_version: Callable[[int], None],
     ):
         self._view = view
-        self._name = name
         self._gate = gate
         self._backend = backend
-        self._ledger = ledger
-        self._owners = owners
+        self._keys = keys
         self._metrics = metrics
         self._tracer = tracer
         self._clock = clock
-        self._unix = unix
-        self._list_checked = list_checked
         self._on_newer_version = on_newer_version
 
     async def handle(self, exchange: Exchange) -> None:
@@ -123,42 +115,20 @@
         return NotRun(Reason.VERSION_BEHIND)
 
     async def _run_keyed(self, passage: _Passage) -> Outcome:
-        workspace, key = passage.hop.workspace, passage.hop.key
-        now = self._unix()
-        if not self._owners.is_lease_held(self._list_checked(), now):
-            # We may have been frozen or cut off, and another may own the key by now.
-            return NotRun(Reason.LEASE_LAPSED, retry_after=1.0)
-        safe_since = self._owners.safe_since(passage.call.owned_key, self._name)
-        if safe_since is None:
-            return NotRun(Reason.NOT_KEY_OWNER, retry_after=1.0)
-        claim = self._ledger.claim(workspace, key, safe_since, now)
-        match claim.state:
-            case KeyState.FROM_THE_FUTURE:
-                return NotRun(Reason.BAD_REQUEST)
-            case KeyState.TOO_OLD:
-                return Unknown(Reason.KEY_TOO_OLD)
-            case KeyState.RUNNING:
-                return Unknown(Reason.DUPLICATE)
-            case KeyState.DONE:
-                return await self._answer_again(passage.exchange, claim.answer)
+        call = passage.call
+        claim = self._keys.claim(call)
+        if not isinstance(claim, Claim):
+            return claim
+        if claim.state is KeyState.DONE:
+            return await self._answer_again(passage.exchange, claim.answer)
         kept = KeptAnswer()
         outcome: Outcome = Unknown(Reason.CANCELLED)
         try:
             outcome = await self._run(passage, kept)
         finally:
-            self._settle(workspace, key, outcome, kept)
+            self._keys.settle(call, outcome, kept)
         return outcome
 
-    def _settle(self, workspace: str, key: str, outcome: Outcome, kept: KeptAnswer) -> None:
-        match outcome:
-            case NotRun():
-                self._ledger.not_run(workspace, key)
-            case Answered():
-                self._ledger.done(workspace, key, kept if kept.status else None)
-            case _:
-                self._ledger.done(workspace, key, None)
-        self._metrics.key_records.set({}, len(self._ledger))
-
     async def _answer_again(self, exchange: Exchange, kept: KeptAnswer | None) -> Outcome:
         if kept is None:
             return Unknown(Reason.DUPLICATE)
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -9,8 +9,9 @@
 from random import Random
 
 import msgspec
+from wheatslipd.http.exchange import Exchange
 from wheatslipd.http.messages import ResponseHead
-from wheatslipd.http.server import Exchange, Server
+from wheatslipd.http.server import Server
 
 
 class Behaviour(msgspec.Struct):
