Store what differs from the version before, for the watchers

Change: the rollout stores the difference from the version in force before it moves the head; a watcher one version behind reads that, proves the result by digest and signatures, and reads the whole bundle only if it is missing or does not fit. After: a test counts whole reads: none at a rollout, one a daemon where the base differs.

--- a/packages/wheatslip/wheatslip/head.py
+++ b/packages/wheatslip/wheatslip/head.py
@@ -5,6 +5,7 @@
 KIND = "head"
 NAME = "bundle"
 BUNDLE_KIND = "bundle"
+DELTA_KIND = "delta"  # what differs from the version before, under the same name
 DIGEST_CHARS = 16
 
 
--- a/packages/wheatslip/wheatslip/releases.py
+++ b/packages/wheatslip/wheatslip/releases.py
@@ -12,6 +12,7 @@
 
 from wheatslip import head as heads
 from wheatslip.bundle import Bundle, decode_bundle
+from wheatslip.deltas import delta_between
 from wheatslip.head import Head
 from wheatslip.objects import Conflict, ObjectClient, StoredObject, Unavailable
 from wheatslip.signing import Keyring, SignedBundle, sign, verify
@@ -115,9 +116,9 @@
         checked = verify(proposal.signed, self._keyring)
         if isinstance(checked, Err):
             return Err(Refused(f"version {version}: {checked.err_value}"))
-        return await self._move_head(Head(version, proposal.bundle.digest()))
+        return await self._move_head(Head(version, proposal.bundle.digest()), proposal)
 
-    async def _move_head(self, new: Head) -> Result[Head, ReleaseError]:
+    async def _move_head(self, new: Head, proposal: Proposal) -> Result[Head, ReleaseError]:
         answer = await self._client.get(heads.KIND, heads.NAME)
         if isinstance(answer, Err):
             return Err(answer.err_value)
@@ -127,6 +128,7 @@
             return Ok(new)
         if new.version != current.version + 1:
             return Err(Beaten(current))
+        await self._store_delta(current, new, proposal)
         expected = stored.version if stored else 0
         written = await self._client.put(heads.KIND, heads.NAME, new, expected)
         if isinstance(written, Ok):
@@ -139,6 +141,19 @@
                 return Ok(new) if winner == new else Err(Beaten(winner))
         return Err(Refused("the head vanished while it was moved"))
 
+    async def _store_delta(self, current: Head, new: Head, proposal: Proposal) -> None:
+        """Store what differs from the version in force, for those who have that one.
+
+        Only a saving: where it is missing, the whole bundle is read, so errors do not matter.
+        """
+        loaded = await self._load(current.version, current.digest)
+        if isinstance(loaded, Err):
+            return
+        old = loaded.ok_value.bundle
+        delta = delta_between(old, proposal.bundle, new, proposal.signed.signatures)
+        name = heads.bundle_name(new.version, new.digest)
+        await self._client.put(heads.DELTA_KIND, name, delta, expected=0)
+
     async def _load(self, version: int, digest: str) -> Result[Proposal, ReleaseError]:
         name = heads.bundle_name(version, digest)
         answer = await self._client.get(heads.BUNDLE_KIND, name)
--- a/packages/wheatslipd/wheatslipd/feed.py
+++ b/packages/wheatslipd/wheatslipd/feed.py
@@ -15,6 +15,7 @@
 from wheatslip import head as heads
 from wheatslip import instances as lists
 from wheatslip.bundle import Bundle
+from wheatslip.deltas import BundleDelta
 from wheatslip.feedcache import FeedCache, ListChange, Update
 from wheatslip.head import Head
 from wheatslip.instances import Instance
@@ -224,13 +225,7 @@
         if update.signed is not None:
             self._take_signed(update.head, update.signed)
             return
-        bundle = self.cache.with_deltas(update.deltas)
-        if bundle is None:
-            logs.warning("delta-does-not-fit", version=update.head.version)
-            self.check_head(update.head.version)
-            return
-        signatures = update.deltas[-1].signatures
-        self._take_signed(update.head, SignedBundle(bundle.canonical().decode(), signatures))
+        self._take_deltas(update.head, update.deltas)
 
     async def _fetch_newer(self, stored: StoredObject) -> None:
         """Fetch the bundle that a stored head names, if it is newer than ours."""
@@ -239,6 +234,8 @@
         except msgspec.DecodeError as error:
             logs.error("head-unreadable", error=str(error))
             return
+        if head.version == self._version + 1 and await self._fetch_delta(head):
+            return
         backoff = Backoff(self._rng)
         while head.version > self._version:
             name = heads.bundle_name(head.version, head.digest)
@@ -252,6 +249,29 @@
                     _log_trouble(trouble)
             await asyncio.sleep(backoff.next())
 
+    async def _fetch_delta(self, head: Head) -> bool:
+        """Whether the head's bundle could be had from ours and a stored difference."""
+        name = heads.bundle_name(head.version, head.digest)
+        answer = await self.client.get(heads.DELTA_KIND, name)
+        stored = answer.ok_value if isinstance(answer, Ok) else None
+        if stored is None:
+            return False
+        try:
+            delta = msgspec.json.decode(stored.value, type=BundleDelta)
+        except msgspec.DecodeError:
+            return False
+        self._take_deltas(head, (delta,))
+        return self._version >= head.version
+
+    def _take_deltas(self, head: Head, deltas: tuple[BundleDelta, ...]) -> None:
+        bundle = self.cache.with_deltas(deltas)
+        if bundle is None:
+            logs.warning("delta-does-not-fit", version=head.version)
+            self.check_head(head.version)
+            return
+        body = bundle.canonical().decode()
+        self._take_signed(head, SignedBundle(body, deltas[-1].signatures))
+
     def _take_stored_bundle(self, head: Head, stored: StoredObject) -> None:
         try:
             signed = msgspec.json.decode(stored.value, type=SignedBundle)
--- a/test/test_relay.py
+++ b/test/test_relay.py
@@ -126,6 +126,29 @@
     run(main)
 
 
+def test_watchers_read_differences_and_the_whole_only_where_one_is_missing(tmp_path):
+    async def main():
+        async with Installation(tmp_path) as installation:
+            await zone_of(installation, 2)
+            reads = []
+            for node in installation.nodes.values():
+                whole = node.daemon.feed._take_stored_bundle
+                node.daemon.feed._take_stored_bundle = lambda head, stored, whole=whole: (
+                    reads.append(head.version),
+                    whole(head, stored),
+                )
+            await installation.release(bundle(version=2))
+            await installation.ready(2)
+            assert not reads
+            for node in installation.nodes.values():
+                node.daemon.feed.cache.bundle = bundle(version=1)  # no difference fits this
+            await installation.release(bundle(version=3))
+            await installation.ready(3)
+            assert sorted(reads) == [3, 3]
+
+    run(main)
+
+
 def test_followers_of_a_dead_relay_find_another(tmp_path):
     async def main():
         async with Installation(tmp_path) as installation:
