Count the demonstration's probes over the daemons' whole life

Cause: the summary showed 1.28 probes a second at a budget of 1: it divided the probes since the start, 14 s of waiting included, by the seconds of traffic alone. Change: they are divided by the time from the daemons' start to the reading of the records.

--- a/demo/demo.py
+++ b/demo/demo.py
@@ -54,7 +54,7 @@
     records: dict[str, Record]
     lost_records: list[str]
     exit_codes: list[int]
-    traffic_seconds: float = 0.0
+    lifetime: float = 0.0  # seconds from the daemons' start to the reading of the records
 
 
 async def traffic(caller: Caller, services: list[str], cluster: Cluster, end: float) -> None:
@@ -127,8 +127,8 @@
             *(traffic(caller, services, cluster, end) for caller, services in callers),
             trouble(cluster, desk, observed),
         )
-        observed.traffic_seconds = TRAFFIC_SECONDS
         await collect(cluster, observed)
+        observed.lifetime = time.monotonic() - started
         asked = [one for caller, _ in callers for one in caller.asked]
     finally:
         observed.exit_codes = await cluster.close()
