--- a/demo/demo.py
+++ b/demo/demo.py
@@ -178,7 +178,7 @@
     histogram = HdrHistogram(1, LONGEST_MICROSECONDS, 3)
     for one in asked:
         histogram.record_value(max(1, int(one.took * MICROSECONDS)))
-    probes = [record.probes / observed.traffic_seconds for record in observed.records.values()]
+    probes = [record.probes / observed.lifetime for record in observed.records.values()]
     reasons = sorted({one.reason for one in asked if one.reason})
     return [
         ("requests asked", str(verdict.asked)),
