Apply a bundle's bound of connections; drop a latency that nothing read

Cause, found by reading the whole change: a pool's connections were checked and never used, and an upstream's mean latency was kept up on each answer for nobody.

--- a/bench/decisions/world.py
+++ b/bench/decisions/world.py
@@ -98,7 +98,6 @@
         upstream = chosen.upstream
         server = self._servers[upstream.name]
         delay = self.world.delay(self.zone, server.zone, self.rng)
-        sent = clock.now
         upstream.on_sent()
         attempts.on_bytes_sent()
 
@@ -109,7 +108,7 @@
             clock.after(delay, lambda: ended(outcome, report))
 
         def ended(outcome: Outcome, report: LoadReport | None) -> None:
-            self._learn(upstream, outcome, report, sent)
+            self._learn(upstream, outcome, report)
             if attempts.ended(outcome):
                 self._send(attempts, on_end)
             else:
@@ -117,9 +116,7 @@
 
         clock.after(delay, arrive)
 
-    def _learn(
-        self, upstream: Upstream, outcome: Outcome, report: LoadReport | None, sent: float
-    ) -> None:
+    def _learn(self, upstream: Upstream, outcome: Outcome, report: LoadReport | None) -> None:
         now = self.world.clock.now
         upstream.on_done()
         if report is None:
@@ -127,7 +124,7 @@
             return
         self.chooser.on_report(upstream, report, now)
         if isinstance(outcome, Answered):
-            upstream.on_answer(now - sent, now, failed=outcome.status >= 500)
+            upstream.on_answer(now, failed=outcome.status >= 500)
 
 
 @dataclass(slots=True)
--- a/packages/wheatslip/wheatslip/chooser.py
+++ b/packages/wheatslip/wheatslip/chooser.py
@@ -21,8 +21,7 @@
 OWN_WEIGHT = 2.0
 REPORT_WEIGHT = 0.5
 POOL_LOAD_WEIGHT = 0.05  # weight of one report in the mean load of a pool
-LATENCY_WEIGHT = 0.2
-INITIAL_LATENCY = 0.005  # seconds
+INITIAL_SERVICE = 0.005  # seconds
 INITIAL_LIMIT = 8.0
 MIN_SERVICE = 1e-6  # seconds
 # Service times that differ by less are taken as equal: following noise makes entries herd.
@@ -52,7 +51,6 @@
     joined: float = 0.0  # when it was first seen; 0 for one that was here before us
     healthy: bool = True  # what the platform's lagging list says
     in_flight: int = 0
-    latency: float = INITIAL_LATENCY
     report: LoadReport | None = None
     reported_at: float = 0.0
     sent_since_report: int = 0
@@ -86,8 +84,8 @@
         self.sent_since_report = 0
         self.done_since_report = 0
 
-    def on_answer(self, took: float, now: float, *, failed: bool) -> None:
-        """It answered after `took` seconds; `failed`: with an error of its own."""
+    def on_answer(self, now: float, *, failed: bool) -> None:
+        """It answered; `failed`: with an error of its own."""
         self.failures = 0
         self.paused_until = 0.0
         self.errors = self.error_rate(now)
@@ -95,7 +93,6 @@
         self.errors_at = now
         if not failed:
             self.vouched_until = now + VOUCHED_SECONDS
-            self.latency += LATENCY_WEIGHT * (took - self.latency)
 
     def error_rate(self, now: float) -> float:
         """The recent part of failed answers; fades, so that it is tried again."""
@@ -158,7 +155,7 @@
         if len(drawn) == 1:
             return drawn[0]
         known = (u.report.service for u in drawn if u.report is not None)
-        typical = max(MIN_SERVICE, min(known, default=INITIAL_LATENCY))
+        typical = max(MIN_SERVICE, min(known, default=INITIAL_SERVICE))
         return min(drawn, key=lambda u: self.cost(u, typical, now) * self._jitter())
 
     def has_choice(self, upstreams: Sequence[Upstream], now: float, tried: Set[str]) -> bool:
--- a/packages/wheatslipd/wheatslipd/backend.py
+++ b/packages/wheatslipd/wheatslipd/backend.py
@@ -42,6 +42,15 @@
             self._pool.give_back(connection)
             raise
 
+    def bound_connections(self, connections: int) -> None:
+        """Take a new bound; connections that are open beyond it are used up."""
+        self._pool.limit = connections
+
+    @property
+    def connections(self) -> int:
+        """The bound of the connections open at one time."""
+        return self._pool.limit
+
     def release(self, answer: BackendAnswer) -> None:
         """Keep the answer's connection if it was read to the end, close it otherwise."""
         self._pool.give_back(answer.connection)
--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -36,7 +36,7 @@
 from wheatslipd.tracing import HopTracer
 from wheatslipd.view import View
 
-BACKEND_CONNECTIONS = 220
+BACKEND_CONNECTIONS = 220  # until a bundle says otherwise
 # Settings that SIGHUP takes over; default.ini says so at each.
 RELOADED = ("chooser", "log_level", "stop_grace", "trace_sample")
 
@@ -195,6 +195,7 @@
         admission = self.gate.admission
         admission.resize(AdmissionSettings(slots=pool.slots, queue=pool.queue))
         admission.set_shares({w.name: w.share for w in bundle.workspaces})
+        self._backend.bound_connections(pool.connections)
         self.measurer.budget.per_second = pool.probes_per_second
 
     def status(self) -> Status:
--- a/packages/wheatslipd/wheatslipd/forward.py
+++ b/packages/wheatslipd/wheatslipd/forward.py
@@ -142,7 +142,6 @@
         connection: ClientConnection,
         limit: asyncio.Timeout,
     ) -> Outcome:
-        started = self._clock()
         sending.attempts.on_bytes_sent()
         try:
             await self._send_request(sending, chosen, connection)
@@ -152,7 +151,7 @@
         except ConnectionError:
             peer.upstream.on_failure(self._clock(), self._rng)
             return Unknown(Reason.CONNECTION_LOST)
-        self._learn(peer, response, started)
+        self._learn(peer, response)
         refusal = self._refusal(response)
         if refusal is not None:
             if refusal.reason in (Reason.UNREACHABLE, Reason.CONNECTION_LOST):
@@ -207,7 +206,7 @@
             headers.append((TRACEPARENT, sending.request.trace.outgoing))
         return RequestHead(original.method, original.target, headers)
 
-    def _learn(self, peer: Peer, response: Response, started: float) -> None:
+    def _learn(self, peer: Peer, response: Response) -> None:
         now = self._clock()
         value = response.head.get(LOAD_HEADER)
         report = decode_load(value) if value else None
@@ -218,7 +217,7 @@
             self._on_newer_version(report.version)
         if (response.head.get(OUTCOME_HEADER) or b"") == b"answered":
             failed = response.head.status >= SERVER_ERROR
-            peer.upstream.on_answer(now - started, now, failed=failed)
+            peer.upstream.on_answer(now, failed=failed)
 
     @staticmethod
     def _refusal(response: Response) -> NotRun | Unknown | None:
--- a/packages/wheatslipd/wheatslipd/http/client.py
+++ b/packages/wheatslipd/wheatslipd/http/client.py
@@ -201,7 +201,7 @@
         """`limit` bounds the connections open at one time."""
         self._host = host
         self._port = port
-        self._limit = limit
+        self.limit = limit
         self._tls = tls
         self._idle: deque[ClientConnection] = deque()
         self._open = 0
@@ -215,7 +215,7 @@
             if connection.reusable and now - connection.idle_since < IDLE_SECONDS:
                 return connection
             self._discard(connection)
-        if self._open >= self._limit:
+        if self._open >= self.limit:
             return None
         return await self._connect(connect_timeout)
 
--- a/test/test_path.py
+++ b/test/test_path.py
@@ -13,7 +13,7 @@
 from standins.cluster import HOST, eventually
 from standins.platform import Faults
 from standins.verdict import judge
-from test.helper import Installation, bundle, run
+from test.helper import BUNDLE, Installation, bundle, run
 
 
 def two_upstreams(folder, scenario, **behaviour):
@@ -258,6 +258,21 @@
     run(main)
 
 
+def test_a_bundles_bounds_reach_the_backend_server(tmp_path):
+    async def scenario(installation):
+        text = BUNDLE.replace(
+            "slots = 4", "slots = 3\nconnections = 7\nprobes-per-second = 0.5"
+        )
+        await installation.release(bundle(text, version=2))
+        await installation.ready(version=2)
+        daemon = installation.nodes["papers-1"].daemon
+        assert daemon._backend.connections == 7
+        assert daemon.gate.admission.limit.value == 3
+        assert daemon.measurer.budget.per_second == 0.5
+
+    two_upstreams(tmp_path, scenario)
+
+
 def test_an_older_side_catches_up_before_it_answers(tmp_path):
     async def scenario(installation):
         newer, older = installation.nodes.values()
