Read layered settings in one place; drop what nothing uses

Cause, found by reading the whole change: the daemon and the operators' command each layered their INI over its defaults and each checked an IP:PORT of its own, the command's letting any port pass; a pool's drop_idle, the reason 'forbidden' and an empty pool were used by nobody. Change: layered_sections, parse_ip and parse_ip_and_port stand in the library's ini module; the dead parts are gone. A port above 65535 is now a problem for the command too. After: the tests but for those of processes pass; a bad operator's file still names every problem (address, unknown key, unknown section, keyring). Conclusion: nothing was loosened.

--- a/packages/wheatslip-cli/wheatslip_cli/settings.py
+++ b/packages/wheatslip-cli/wheatslip_cli/settings.py
@@ -1,12 +1,11 @@
 """Settings of the operators' command."""
 
-import ipaddress
 from dataclasses import dataclass
 from importlib.resources import files
 from pathlib import Path
 
 from result import Err, Ok, Result
-from wheatslip.ini import Problem, Problems, Section, read_ini
+from wheatslip.ini import Problem, Problems, layered_sections, parse_ip_and_port
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,15 +26,13 @@
         return Err([Problem(str(path), "-", "-", str(error), "a readable file")])
     problems = Problems(str(path))
     default_text = files("wheatslip_cli").joinpath("default.ini").read_text()
-    defaults = read_ini(default_text, Problems("default.ini"))
-    given = read_ini(text, problems)
-    for name in given.keys() - defaults.keys():
-        problems.add(name, "-", name, "a known section (" + ", ".join(defaults) + ")")
-    platform = Section("platform", given.get("platform", {}), problems)
-    operator = Section("operator", given.get("operator", {}), problems)
+    sections = layered_sections(text, default_text, problems)
+    platform, operator = sections["platform"], sections["operator"]
     key = operator.text("key")
     settings = Settings(
-        platform=platform.get("address", "", _address, "IP:PORT by IP number", must=True),
+        platform=platform.get(
+            "address", "", parse_ip_and_port, "IP:PORT by IP number", must=True
+        ),
         operator=operator.text("name"),
         key=Path(key) if key else None,
         keyring=Path(operator.text("keyring", must=True)),
@@ -45,10 +42,3 @@
     if problems.found:
         return Err(problems.found)
     return Ok(settings)
-
-
-def _address(text: str) -> str:
-    host, _, port = text.rpartition(":")
-    ipaddress.ip_address(host)
-    int(port)
-    return text
--- a/packages/wheatslip/wheatslip/ini.py
+++ b/packages/wheatslip/wheatslip/ini.py
@@ -5,12 +5,14 @@
 """
 
 import configparser
+import ipaddress
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TypeVar
 
 T = TypeVar("T")
 
+MAX_PORT = 65_535
 DURATION_UNITS = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0}
 
 
@@ -65,6 +67,20 @@
     return tuple(name for name in names if name)
 
 
+def parse_ip(text: str) -> str:
+    """An IP number; raises ValueError."""
+    return str(ipaddress.ip_address(text))
+
+
+def parse_ip_and_port(text: str) -> str:
+    """`IP:PORT` by IP number; raises ValueError."""
+    host, _, port = text.rpartition(":")
+    parse_ip(host)
+    if not 0 < int(port) <= MAX_PORT:
+        raise ValueError(text)
+    return text
+
+
 class Section:
     """Typed view of one section. Keys never asked for are problems; see `finish`."""
 
@@ -166,3 +182,15 @@
         problems.add("-", "-", first_line, "an INI file with unique sections and keys")
         return {}
     return {name: dict(parser.items(name)) for name in parser.sections()}
+
+
+def layered_sections(text: str, default_text: str, problems: Problems) -> dict[str, Section]:
+    """The sections of a default file with a text's values over it; others are problems."""
+    defaults = read_ini(default_text, Problems("default.ini"))
+    given = read_ini(text, problems)
+    for name in given.keys() - defaults.keys():
+        problems.add(name, "-", name, "a known section (" + ", ".join(defaults) + ")")
+    return {
+        name: Section(name, values | given.get(name, {}), problems)
+        for name, values in defaults.items()
+    }
--- a/packages/wheatslip/wheatslip/outcome.py
+++ b/packages/wheatslip/wheatslip/outcome.py
@@ -13,7 +13,6 @@
 
     BAD_REQUEST = "bad-request"
     UNAUTHENTICATED = "unauthenticated"
-    FORBIDDEN = "forbidden"
     NO_SUCH_SERVICE = "no-such-service"
     NO_UPSTREAM = "no-upstream"
     OVERLOADED = "overloaded"
--- a/packages/wheatslipd/wheatslipd/answers.py
+++ b/packages/wheatslipd/wheatslipd/answers.py
@@ -11,7 +11,6 @@
 _NOT_RUN_STATUS = {
     Reason.BAD_REQUEST: 400,
     Reason.UNAUTHENTICATED: 401,
-    Reason.FORBIDDEN: 403,
     Reason.NO_SUCH_SERVICE: 404,
     Reason.OVER_SHARE: 429,
     Reason.DEADLINE: 504,
--- a/packages/wheatslipd/wheatslipd/http/client.py
+++ b/packages/wheatslipd/wheatslipd/http/client.py
@@ -227,12 +227,6 @@
         connection.idle_since = asyncio.get_running_loop().time()
         self._idle.append(connection)
 
-    def drop_idle(self) -> None:
-        """Close the connections not used for long."""
-        oldest = asyncio.get_running_loop().time() - IDLE_SECONDS
-        while self._idle and self._idle[0].idle_since < oldest:
-            self._discard(self._idle.popleft())
-
     def close(self) -> None:
         """Close the idle connections."""
         while self._idle:
--- a/packages/wheatslipd/wheatslipd/settings.py
+++ b/packages/wheatslipd/wheatslipd/settings.py
@@ -8,9 +8,15 @@
 
 from result import Err, Ok, Result
 from wheatslip.chooser import ChooserSettings
-from wheatslip.ini import Problem, Problems, Section, read_ini
-
-MAX_PORT = 65_535
+from wheatslip.ini import (
+    MAX_PORT,
+    Problem,
+    Problems,
+    Section,
+    layered_sections,
+    parse_ip,
+    parse_ip_and_port,
+)
 
 
 class LogLevel(IntEnum):
@@ -79,14 +85,7 @@
 def parse_settings(text: str, source: str) -> Result[Settings, list[Problem]]:
     """Check an INI text into settings."""
     problems = Problems(source)
-    defaults = read_ini(default_text(), Problems("default.ini"))
-    given = read_ini(text, problems)
-    for name in given.keys() - defaults.keys():
-        problems.add(name, "-", name, "a known section (" + ", ".join(defaults) + ")")
-    sections = {
-        name: Section(name, values | given.get(name, {}), problems)
-        for name, values in defaults.items()
-    }
+    sections = layered_sections(text, default_text(), problems)
     settings = _read(sections, problems)
     for section in sections.values():
         section.finish()
@@ -117,7 +116,7 @@
         health_path=backend.text("health-path"),
         connect_timeout=backend.duration("connect-timeout", 0.25),
         platform=sections["platform"].get(
-            "address", "", _ip_and_port, "IP:PORT by IP number", must=True
+            "address", "", parse_ip_and_port, "IP:PORT by IP number", must=True
         ),
         keyring=Path(sections["operators"].text("keyring", must=True)),
         pages_port=_port(sections["pages"]),
@@ -142,19 +141,7 @@
 
 
 def _ip(section: Section, key: str) -> str:
-    return section.get(key, "", _parse_ip, "an IP number", must=True)
-
-
-def _parse_ip(text: str) -> str:
-    return str(ipaddress.ip_address(text))
-
-
-def _ip_and_port(text: str) -> str:
-    host, _, port = text.rpartition(":")
-    _parse_ip(host)
-    if not 0 < int(port) <= MAX_PORT:
-        raise ValueError(text)
-    return text
+    return section.get(key, "", parse_ip, "an IP number", must=True)
 
 
 def _peer_tls(section: Section, address: str, problems: Problems) -> TlsFiles | None:
--- a/packages/wheatslipd/wheatslipd/view.py
+++ b/packages/wheatslipd/wheatslipd/view.py
@@ -12,8 +12,6 @@
 
 from wheatslipd.http.client import Pool as ConnectionPool
 
-NO_POOL = Pool("")
-
 
 @dataclass(slots=True, eq=False)
 class Peer:
