--- a/packages/wheatslip/wheatslip/admission.py
+++ b/packages/wheatslip/wheatslip/admission.py
@@ -12,6 +12,7 @@
 from wheatslip.outcome import NotRun, Reason
 
 MIN_RETRY_AFTER = 0.05  # seconds
+NOT_READY_RETRY_AFTER = 0.2
 DEFAULT_URGENT_SHARE = 0.25
 ANY_WAIT = float("inf")
 
@@ -23,6 +24,7 @@
     call: Call
     arrived: float
     started: float | None = None
+    slowness: float = 1.0  # of the backend server when the request started
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,7 +43,9 @@
     settings: AdmissionSettings
     limit: ConcurrencyLimit = field(init=False)
     draining: bool = False
+    unknown: bool = False  # whose gate it is, is not known yet
     last_finished: float = float("-inf")
+    slowness: float = 1.0  # how long work takes at the server now, as a part of the usual
     _queue: FairQueue[Ticket] = field(init=False)
     _running: set[Ticket] = field(init=False, default_factory=set)
     _started_sum: float = field(init=False, default=0.0)
@@ -78,7 +82,7 @@
         The age of what runs counts too, so that a server which stopped answering is seen
         before its first slow answer comes.
         """
-        estimate = self.limit.service
+        estimate = self.limit.service * self.slowness
         if not self._running:
             return estimate
         mean_age = now - self._started_sum / len(self._running)
@@ -99,6 +103,8 @@
 
         `max_wait`: the sender would rather try elsewhere than wait so many seconds.
         """
+        if self.unknown:
+            return NotRun(Reason.NOT_READY, NOT_READY_RETRY_AFTER)
         if self.draining:
             return NotRun(Reason.DRAINING)
         if call.remaining(now) <= 0:
@@ -111,6 +117,8 @@
         wait = self.expected_wait(call, now)
         if wait > max_wait or self._too_late(call, wait, now):
             return self._refusal(wait)
+        if call.hold_until <= now:
+            return self._refusal(wait)
         return self._enqueue(ticket, wait)
 
     def finish(self, ticket: Ticket, now: float, *, worked: bool) -> list[Ticket]:
@@ -125,7 +133,8 @@
         self._started_sum -= ticket.started
         self.last_finished = now
         if worked:
-            self.limit.observe(now - ticket.started, saturated=self._was_full)
+            took = (now - ticket.started) / max(1.0, (ticket.slowness + self.slowness) / 2)
+            self.limit.observe(took, saturated=self._was_full)
             self._was_full = bool(self.queued)
         return self.admit(now)
 
@@ -147,8 +156,11 @@
         return started
 
     def latest_start(self, call: Call, now: float) -> float:
-        """The moment after which a waiting request can't meet its deadline any more."""
-        return call.deadline - min(self.service_estimate(now), call.remaining(now) / 2)
+        """The moment until which a request may wait: then it can't meet its deadline any more,
+        or its caller rather hears a refusal.
+        """
+        needed = min(self.service_estimate(now), call.remaining(now) / 2)
+        return min(call.deadline - needed, call.hold_until)
 
     def evicted(self) -> list[Ticket]:
         """Tickets pushed out of a full queue since the last call."""
@@ -165,6 +177,7 @@
 
     def _start(self, ticket: Ticket, now: float) -> None:
         ticket.started = now
+        ticket.slowness = self.slowness
         self._running.add(ticket)
         self._started_sum += now
 
--- a/packages/wheatslip/wheatslip/attempts.py
+++ b/packages/wheatslip/wheatslip/attempts.py
@@ -8,10 +8,10 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-from wheatslip.budget import RetryBudget
+from wheatslip.budget import Budget
 from wheatslip.call import Call
 from wheatslip.chooser import Chooser, Upstream
-from wheatslip.outcome import Answered, NotRun, Outcome, Reason, Unknown
+from wheatslip.outcome import TURNED_AWAY, Answered, NotRun, Outcome, Reason, Unknown
 from wheatslip.owners import owner
 
 MAX_TRIES = 5
@@ -19,6 +19,7 @@
 MAX_BOUNCES = 2
 NO_UPSTREAM = NotRun(Reason.NO_UPSTREAM, retry_after=1.0)
 ANY_WAIT = float("inf")
+SERVER_ERROR = 500  # statuses from here on are failures of the backend server
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,8 +38,9 @@
 
     call: Call
     chooser: Chooser
-    budget: RetryBudget
+    budget: Budget
     tries: int = 0
+    arrivals: int = 0  # tries that reached, or may have reached, a backend server
     last: Outcome = NO_UPSTREAM
     # Whether the request can still be sent whole: its body is kept or was not touched.
     can_resend: bool = True
@@ -71,14 +73,29 @@
         self._in_doubt_now = False
         match outcome:
             case Answered():
+                self.arrivals += 1
                 return False
             case NotRun():
                 return self._again_elsewhere(outcome)
             case Unknown():
+                self.arrivals += 1
                 self._doubt = outcome
-        if not (self.call.kind.repeatable and self.can_resend):
+        return self.call.kind.repeatable and self._may_arrive_again()
+
+    def may_replace(self, status: int) -> bool:
+        """Whether an answer with `status` that has begun should give way to another try.
+
+        Counts the answer's try as ended if so, and pays for the next.
+        """
+        if status < SERVER_ERROR or not self.call.kind.repeatable:
             return False
-        return self.budget.take()
+        self.arrivals += 1
+        if self._may_arrive_again():
+            self._in_doubt_now = False
+            self._doubt = Unknown(Reason.BACKEND_FAILED)
+            return True
+        self.arrivals -= 1
+        return False
 
     def result(self) -> Outcome:
         """What to tell the caller after the last try."""
@@ -113,6 +130,9 @@
         assert self._present is not None
         if not (refusal.retryable and self.can_resend):
             return False
+        if refusal.reason in TURNED_AWAY:
+            self.arrivals += 1
+            return self._may_arrive_again()
         if refusal.reason is not Reason.OVERLOADED:
             return True
         if self._present.max_wait < ANY_WAIT:
@@ -120,6 +140,12 @@
             return True
         return self.budget.take()
 
+    def _may_arrive_again(self) -> bool:
+        """Whether one more try may reach a backend server; it is paid for if so."""
+        if not self.can_resend or self.arrivals >= self.call.max_attempts:
+            return False
+        return self.budget.take()
+
     def _key_owner(self, upstreams: Sequence[Upstream]) -> Upstream | None:
         """A call bound by its key goes to the key's owner, and nowhere else."""
         if self.tries:
--- a/packages/wheatslip/wheatslip/bundle.py
+++ b/packages/wheatslip/wheatslip/bundle.py
@@ -1,4 +1,4 @@
-"""Bundles: a versioned set of workspaces, services, kinds of request and pools.
+"""Bundles: a versioned set of workspaces, services, kinds of request, pools and routes.
 
 Operators write one as INI; `parse_bundle` checks it into typed objects. The canonical bytes
 (sorted JSON) are what is hashed, signed and kept in the platform's object API.
@@ -11,10 +11,10 @@
 from result import Err, Ok, Result
 
 from wheatslip.call import CallClass, RequestKind
-from wheatslip.ini import Problem, Problems, Section, read_ini
+from wheatslip.ini import Problem, Problems, Section, parse_names, read_ini
 
 FORMAT = 1
-MAX_BUNDLE_BYTES = 1_000_000  # the platform's limit for a value
+MAX_BUNDLE_BYTES = 1_000_000  # the platform's limit for a value, which operators meet
 MAX_VERSION = 2**53
 SHA256_HEX_LENGTH = 64
 
@@ -60,7 +60,8 @@
 
     `slots` is the concurrency to start from (0: find it), `probes_per_second` the budget of
     active measuring for one backend server, `shed_status` the HTTP status by which its
-    servers say that work was not started (0: none does).
+    servers say that work was not started (0: none does). An empty `health_path` leaves that
+    of the daemon's settings.
     """
 
     name: str
@@ -69,6 +70,34 @@
     queue: int = 64
     probes_per_second: float = 1.0
     shed_status: int = 0
+    health_path: str = ""
+
+
+class Split(msgspec.Struct, frozen=True):
+    """The part of a route's requests that goes to one service, relative to the others'."""
+
+    service: str
+    weight: float = 1.0
+
+
+class Route(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Requests of one host below a path prefix, and how they are to be served.
+
+    `timeout` bounds a request whatever its own deadline says; an answer within `target` is
+    worth most. Both in seconds; 0 for `target` means that any answer in time is as good.
+    Calls of a lower `priority` number go first. `max_attempts` bounds the backend servers
+    that one request is sent to.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    splits: tuple[Split, ...]
+    repeatable: bool = False
+    timeout: float = 10.0
+    target: float = 0.0
+    priority: int = 0
+    max_attempts: int = 1
 
 
 class Bundle(msgspec.Struct, frozen=True):
@@ -79,6 +108,7 @@
     services: tuple[Service, ...] = ()
     pools: tuple[Pool, ...] = ()
     format: int = FORMAT
+    routes: tuple[Route, ...] = ()
 
     def canonical(self) -> bytes:
         """The bytes that are hashed and signed: JSON with sorted keys."""
@@ -94,10 +124,10 @@
     return hashlib.sha256(credential.encode()).hexdigest()
 
 
-def decode_bundle(data: bytes) -> Result[Bundle, str]:
+def decode_bundle(data: bytes, max_bytes: int = MAX_BUNDLE_BYTES) -> Result[Bundle, str]:
     """A bundle from its canonical bytes; the error is a sentence."""
-    if len(data) > MAX_BUNDLE_BYTES:
-        return Err(f"bundle of {len(data)} bytes is larger than {MAX_BUNDLE_BYTES}")
+    if len(data) > max_bytes:
+        return Err(f"bundle of {len(data)} bytes is larger than {max_bytes}")
     try:
         bundle = msgspec.json.decode(data, type=Bundle)
     except msgspec.DecodeError as error:
@@ -130,11 +160,13 @@
         self._services: dict[str, Service] = {}
         self._kinds: dict[str, list[Kind]] = {}
         self._pools: dict[str, Pool] = {}
+        self._routes: dict[str, Route] = {}
         self._readers: dict[str, Callable[[str, Section], None]] = {
             "workspace": self._workspace,
             "service": self._service,
             "kind": self._kind,
             "pool": self._pool,
+            "route": self._route,
         }
 
     def add(self, title: str, values: dict[str, str]) -> None:
@@ -146,7 +178,9 @@
         elif word in self._readers and name:
             self._readers[word](name, section)
         else:
-            expected = "[bundle], [workspace N], [service N], [kind SERVICE/N] or [pool N]"
+            expected = (
+                "[bundle], [workspace N], [service N], [kind SERVICE/N], [pool N], [route N]"
+            )
             self._problems.add(title, "-", title, expected)
             return
         section.finish()
@@ -165,6 +199,7 @@
             workspaces=tuple(self._workspaces[name] for name in sorted(self._workspaces)),
             services=tuple(services),
             pools=tuple(self._pools[name] for name in sorted(self._pools)),
+            routes=tuple(self._routes[name] for name in sorted(self._routes)),
         )
 
     def _head(self, section: Section) -> None:
@@ -209,9 +244,36 @@
             queue=section.integer("queue", 64, 0, 100_000),
             probes_per_second=section.number("probes-per-second", 1.0, 0.0, 1000.0),
             shed_status=section.integer("shed-status", 0, 0, 599),
+            health_path=section.text("health-path"),
+        )
+
+    def _route(self, name: str, section: Section) -> None:
+        self._routes[name] = Route(
+            name=name,
+            host=section.text("host", must=True).lower(),
+            prefix=section.get("prefix", "/", parse_prefix, "a path such as /a/ or /"),
+            splits=section.get(
+                "services", (), parse_splits, "NAME or NAME:WEIGHT, …", must=True
+            ),
+            repeatable=section.flag("repeatable", False),
+            timeout=section.duration("timeout", 10.0),
+            target=section.duration("target", 0.0),
+            priority=section.integer("priority", 0, 0, 1000),
+            max_attempts=section.integer("max-attempts", 1, 1, 100),
         )
 
     def _check_references(self) -> None:
+        places: dict[tuple[str, str], str] = {}
+        for route in self._routes.values():
+            title = f"route {route.name}"
+            other = places.setdefault((route.host, route.prefix), route.name)
+            if other != route.name:
+                expected = f"a place of its own, not that of route {other}"
+                self._problems.add(title, "prefix", route.prefix, expected)
+            for split in route.splits:
+                if split.service not in self._services:
+                    expected = "a [service …] of this bundle"
+                    self._problems.add(title, "services", split.service, expected)
         for service in self._services.values():
             title = f"service {service.name}"
             if service.pool not in self._pools:
@@ -228,6 +290,26 @@
                 self._problems.add(title, key, name, "a [workspace …] of this bundle")
 
 
+def parse_prefix(text: str) -> str:
+    """A path prefix that begins and ends with a slash; raises ValueError."""
+    if not (text.startswith("/") and text.endswith("/")):
+        raise ValueError(text)
+    return text
+
+
+def parse_splits(text: str) -> tuple[Split, ...]:
+    """`NAME` or `NAME:WEIGHT, NAME:WEIGHT`; raises ValueError."""
+    return tuple(_parse_split(part) for part in parse_names(text))
+
+
+def _parse_split(text: str) -> Split:
+    name, colon, weight = text.partition(":")
+    split = Split(name.strip(), float(weight) if colon else 1.0)
+    if not split.service or not 0 < split.weight < float("inf"):
+        raise ValueError(text)
+    return split
+
+
 def _sha256_hex(text: str) -> str:
     if len(text) != SHA256_HEX_LENGTH or set(text) - set("0123456789abcdef"):
         raise ValueError(text)
--- a/packages/wheatslip/wheatslip/call.py
+++ b/packages/wheatslip/wheatslip/call.py
@@ -22,7 +22,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Call:
-    """One request on its way. `deadline` is in seconds on the local monotonic clock."""
+    """One request on its way. Times are in seconds on the local monotonic clock.
+
+    An answer after `target` is worth little, one after `deadline` nothing. It may wait for
+    a backend server until `hold_until`; after that its caller rather hears a refusal.
+    `priority` 0 goes first. `request_id` is what the backend server echoes in its answer.
+    """
 
     workspace: str
     service: str
@@ -30,6 +35,11 @@
     deadline: float
     key: str = ""
     depth: int = 0
+    target: float = float("inf")
+    hold_until: float = float("inf")
+    priority: int = 0
+    max_attempts: int = 5
+    request_id: str = ""
 
     def remaining(self, now: float) -> float:
         """Seconds left at `now`; not positive once the deadline has passed."""
--- a/packages/wheatslip/wheatslip/changes.py
+++ b/packages/wheatslip/wheatslip/changes.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from wheatslip.bundle import Bundle, Pool, Service, Workspace
+from wheatslip.bundle import Bundle, Pool, Route, Service, Workspace
 
 
 class ChangeKind(StrEnum):
@@ -24,7 +24,7 @@
     fields: tuple[str, ...] = ()
 
 
-Item = Workspace | Service | Pool
+Item = Workspace | Service | Pool | Route
 
 
 def changes_between(old: Bundle, new: Bundle) -> list[Change]:
@@ -33,6 +33,7 @@
         *_compare("workspace", old.workspaces, new.workspaces),
         *_compare("service", old.services, new.services),
         *_compare("pool", old.pools, new.pools),
+        *_compare("route", old.routes, new.routes),
     ]
     return sorted(found, key=lambda change: change.item)
 
--- a/packages/wheatslip/wheatslip/deltas.py
+++ b/packages/wheatslip/wheatslip/deltas.py
@@ -5,11 +5,11 @@
 
 import msgspec
 
-from wheatslip.bundle import Bundle, Pool, Service, Workspace
+from wheatslip.bundle import Bundle, Pool, Route, Service, Workspace
 from wheatslip.head import Head
-from wheatslip.signing import Signature
+from wheatslip.signedbundle import Signature
 
-Item = TypeVar("Item", Workspace, Service, Pool)
+Item = TypeVar("Item", Workspace, Service, Pool, Route)
 
 
 class BundleDelta(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -28,6 +28,8 @@
     gone_workspaces: tuple[str, ...] = ()
     gone_services: tuple[str, ...] = ()
     gone_pools: tuple[str, ...] = ()
+    routes: tuple[Route, ...] = ()
+    gone_routes: tuple[str, ...] = ()
 
 
 def delta_between(
@@ -44,6 +46,8 @@
         gone_workspaces=_gone(old.workspaces, new.workspaces),
         gone_services=_gone(old.services, new.services),
         gone_pools=_gone(old.pools, new.pools),
+        routes=_changed(old.routes, new.routes),
+        gone_routes=_gone(old.routes, new.routes),
     )
 
 
@@ -54,6 +58,7 @@
         workspaces=_merged(old.workspaces, delta.workspaces, delta.gone_workspaces),
         services=_merged(old.services, delta.services, delta.gone_services),
         pools=_merged(old.pools, delta.pools, delta.gone_pools),
+        routes=_merged(old.routes, delta.routes, delta.gone_routes),
     )
 
 
--- a/packages/wheatslip/wheatslip/feedcache.py
+++ b/packages/wheatslip/wheatslip/feedcache.py
@@ -14,7 +14,7 @@
 from wheatslip.deltas import BundleDelta, apply_delta, delta_between
 from wheatslip.head import Head
 from wheatslip.instances import Instance
-from wheatslip.signing import SignedBundle
+from wheatslip.signedbundle import SignedBundle
 
 KEPT_DELTAS = 64
 KEPT_LIST_CHANGES = 2000
--- a/packages/wheatslip/wheatslip/hop.py
+++ b/packages/wheatslip/wheatslip/hop.py
@@ -10,11 +10,13 @@
 MAX_HOP_BYTES = 2048
 
 
-class Hop(msgspec.Struct, frozen=True, omit_defaults=True):
+class Hop(msgspec.Struct, frozen=True, array_like=True):
     """Rides in front of a forwarded request. `remaining` is in seconds, so that the
     clocks of two daemons need not agree; `entry` names the daemon that sends it; a
     request that would wait longer than `max_wait` seconds is refused, as the entry has others
-    to try; None: any wait will do.
+    to try; None: any wait will do. `target` and `hold` are the seconds left until the call's
+    `target` and `hold_until`; None: there is no such bound. It travels as an array, since
+    bytes between zones cost more than names are worth.
     """
 
     workspace: str
@@ -28,9 +30,13 @@
     key: str = ""
     depth: int = 0
     max_wait: float | None = None
+    target: float | None = None
+    hold: float | None = None
+    priority: int = 0
+    request_id: str = ""
 
 
-class LoadReport(msgspec.Struct, frozen=True, omit_defaults=True):
+class LoadReport(msgspec.Struct, frozen=True, array_like=True):
     """Rides back on every answer: the exact load at the backend server's own daemon.
 
     `in_flight` and `queued` count requests, `limit` is the concurrency limit, `service`
--- a/packages/wheatslip/wheatslip/ini.py
+++ b/packages/wheatslip/wheatslip/ini.py
@@ -81,6 +81,16 @@
     return text
 
 
+def parse_port(text: str) -> int:
+    """A port, or the port of `IP:PORT`; raises ValueError."""
+    if ":" in text:
+        text = parse_ip_and_port(text).rpartition(":")[2]
+    port = int(text)
+    if not 0 <= port <= MAX_PORT:
+        raise ValueError(text)
+    return port
+
+
 class Section:
     """Typed view of one section. Keys never asked for are problems; see `finish`."""
 
--- a/packages/wheatslip/wheatslip/objects.py
+++ b/packages/wheatslip/wheatslip/objects.py
@@ -8,11 +8,14 @@
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from random import Random
+from typing import TYPE_CHECKING, Protocol
 
-import aiohttp
 import msgspec
 from result import Err, Ok, Result
 
+if TYPE_CHECKING:
+    import aiohttp
+
 REQUEST_TIMEOUT = 2.0  # seconds
 WATCH_SECONDS = 5.0  # also how often a quiet watch confirms that nothing has changed
 BACKOFF_FIRST = 0.1
@@ -88,6 +91,32 @@
         return self._first / 2 + self._rng.random() * bound
 
 
+class ObjectStore(Protocol):
+    """The platform's objects as the tasks here see them: the port for other stores."""
+
+    calls: int
+
+    async def close(self) -> None:
+        """Close the connections."""
+
+    async def get(self, kind: str, name: str) -> Result[StoredObject | None, Unavailable]:
+        """One object, or None if it does not exist."""
+
+    async def list(self, kind: str) -> Result[Listing, Unavailable]:
+        """All objects of a kind."""
+
+    async def changes(self, kind: str, since: int, wait: float) -> Result[Listing, ReadError]:
+        """Objects of a kind changed after version `since`; waits up to `wait` seconds."""
+
+    async def put(
+        self, kind: str, name: str, value: object, expected: int
+    ) -> Result[StoredObject, WriteError]:
+        """Write an object that stands at version `expected` (0: does not exist yet)."""
+
+    async def delete(self, kind: str, name: str, expected: int) -> Result[None, WriteError]:
+        """Remove an object that stands at version `expected`."""
+
+
 class ObjectClient:
     """Reads, conditional updates and watches of the platform's objects."""
 
@@ -155,6 +184,16 @@
                 return Err(Unavailable("over the call rate"))
         return await self._read_back(kind, name, write_id, expected)
 
+    async def delete(self, kind: str, name: str, expected: int) -> Result[None, WriteError]:
+        """Remove an object that stands at version `expected`; one that is gone is fine."""
+        answer = await self._call("DELETE", f"/objects/{kind}/{name}?expected={expected}")
+        match answer:
+            case Ok((204 | 404, _)):
+                return Ok(None)
+            case Ok((409, data)):
+                return Err(Conflict(msgspec.json.decode(data, type=StoredObject | None)))
+        return Err(_unavailable(answer))
+
     async def _read_back(
         self, kind: str, name: str, write_id: str, expected: int
     ) -> Result[StoredObject, WriteError]:
@@ -175,6 +214,9 @@
         body: bytes | None = None,
         timeout: float = REQUEST_TIMEOUT,
     ) -> Result[tuple[int, bytes], Unavailable]:
+        # Imported when it is needed: a daemon on another store starts without it.
+        import aiohttp
+
         if self._session is None:
             self._session = aiohttp.ClientSession()
         self.calls += 1
@@ -189,10 +231,11 @@
 
 
 async def follow(
-    client: ObjectClient,
+    client: ObjectStore,
     kind: str,
     rng: Random,
     on_trouble: Callable[[Unavailable], None] = lambda trouble: None,
+    wait: float = WATCH_SECONDS,
 ) -> AsyncIterator[Listing]:
     """Every state of a kind from now on without a gap: a full listing, then changes.
 
@@ -204,7 +247,7 @@
         if version is None:
             answer: Result[Listing, ReadError] = await client.list(kind)
         else:
-            answer = await client.changes(kind, version)
+            answer = await client.changes(kind, version, wait)
         match answer:
             case Ok(listing):
                 backoff.reset()
--- a/packages/wheatslip/wheatslip/outcome.py
+++ b/packages/wheatslip/wheatslip/outcome.py
@@ -14,11 +14,13 @@
     BAD_REQUEST = "bad-request"
     UNAUTHENTICATED = "unauthenticated"
     NO_SUCH_SERVICE = "no-such-service"
+    NO_ROUTE = "no-route"
     NO_UPSTREAM = "no-upstream"
     OVERLOADED = "overloaded"
     OVER_SHARE = "over-share"
     DEADLINE = "deadline"
     DRAINING = "draining"
+    NOT_READY = "not-ready"
     UNREACHABLE = "unreachable"
     SHED = "shed"
     DUPLICATE = "duplicate"
@@ -27,7 +29,9 @@
     LEASE_LAPSED = "lease-lapsed"
     VERSION_BEHIND = "version-behind"
     NO_CONFIGURATION = "no-configuration"
+    WRONG_POOL = "wrong-pool"
     CONNECTION_LOST = "connection-lost"
+    BACKEND_FAILED = "backend-failed"
     CANCELLED = "cancelled"
 
 
@@ -41,10 +45,16 @@
         Reason.VERSION_BEHIND,
         Reason.NO_CONFIGURATION,
         Reason.NOT_KEY_OWNER,
+        Reason.WRONG_POOL,
+        Reason.NOT_READY,
     }
 )
 
 
+# Reasons for which the request reached a backend server that then turned it away.
+TURNED_AWAY = frozenset({Reason.SHED})
+
+
 @dataclass(frozen=True, slots=True)
 class Answered:
     """The backend server answered; `status` is its HTTP status."""
--- a/packages/wheatslip/wheatslip/relaytree.py
+++ b/packages/wheatslip/wheatslip/relaytree.py
@@ -9,7 +9,7 @@
 import hashlib
 from collections.abc import Iterable, Sequence
 
-WATCHERS = 2  # of each zone
+WATCHERS = 2  # of each zone, unless the settings say otherwise
 FANOUT = 3  # followers of one daemon, about; docs/CAPACITY.md has the bytes behind it
 
 
@@ -18,19 +18,19 @@
     return sorted(members, key=_place)
 
 
-def is_watcher(name: str, order: Sequence[str]) -> bool:
+def is_watcher(name: str, order: Sequence[str], watchers: int = WATCHERS) -> bool:
     """Whether `name` watches the platform itself."""
-    return name in order[:WATCHERS] or name not in order
+    return name in order[:watchers] or name not in order
 
 
-def parents_of(name: str, order: Sequence[str]) -> list[str]:
+def parents_of(name: str, order: Sequence[str], watchers: int = WATCHERS) -> list[str]:
     """Whom `name` follows, in the order in which to try; empty for a watcher."""
-    if is_watcher(name, order):
+    if is_watcher(name, order, watchers):
         return []
     place = order.index(name)
-    own = (place - WATCHERS) // FANOUT
+    own = (place - watchers) // FANOUT
     neighbour = (own + 1) % place
-    tried = dict.fromkeys((own, neighbour, *range(WATCHERS)))
+    tried = dict.fromkeys((own, neighbour, *range(watchers)))
     return [order[parent] for parent in tried]
 
 
--- a/packages/wheatslip/wheatslip/releases.py
+++ b/packages/wheatslip/wheatslip/releases.py
@@ -15,7 +15,8 @@
 from wheatslip.deltas import delta_between
 from wheatslip.head import Head
 from wheatslip.objects import Conflict, ObjectClient, StoredObject, Unavailable
-from wheatslip.signing import Keyring, SignedBundle, sign, verify
+from wheatslip.signedbundle import SignedBundle
+from wheatslip.signing import Keyring, sign, verify
 
 SIGN_TRIES = 5
 
--- a/packages/wheatslip/wheatslip/signing.py
+++ b/packages/wheatslip/wheatslip/signing.py
@@ -3,7 +3,6 @@
 from collections.abc import Mapping
 from pathlib import Path
 
-import msgspec
 from cryptography.exceptions import InvalidSignature
 from cryptography.hazmat.primitives import serialization
 from cryptography.hazmat.primitives.asymmetric.ed25519 import (
@@ -13,26 +12,13 @@
 from result import Err, Result
 
 from wheatslip.bundle import Bundle, decode_bundle
+from wheatslip.signedbundle import Signature, SignedBundle
 
 SIGNATURES_NEEDED = 2
 # Signed in front of the bundle, so that a signature can't be used for anything else.
 CONTEXT = b"wheatslip bundle v1\n"
 
 
-class Signature(msgspec.Struct, frozen=True):
-    """One operator's signature, in hex."""
-
-    operator: str
-    signature: str
-
-
-class SignedBundle(msgspec.Struct, frozen=True):
-    """A bundle's canonical bytes (as text) with the signatures made over them."""
-
-    body: str
-    signatures: tuple[Signature, ...] = ()
-
-
 Keyring = Mapping[str, Ed25519PublicKey]
 
 
--- a/packages/wheatslipd/wheatslipd/answers.py
+++ b/packages/wheatslipd/wheatslipd/answers.py
@@ -1,6 +1,7 @@
 """How outcomes that are not a backend server's answer look in HTTP."""
 
 import math
+from dataclasses import dataclass
 
 from wheatslip.hop import OUTCOME_HEADER, encode_outcome
 from wheatslip.outcome import NotRun, Reason, Unknown
@@ -12,6 +13,7 @@
     Reason.BAD_REQUEST: 400,
     Reason.UNAUTHENTICATED: 401,
     Reason.NO_SUCH_SERVICE: 404,
+    Reason.NO_ROUTE: 404,
     Reason.OVER_SHARE: 429,
     Reason.DEADLINE: 504,
 }
@@ -25,20 +27,45 @@
 RETRY_AFTER_MS = b"wheatslip-retry-after-ms"
 
 
-def status_of(outcome: NotRun | Unknown) -> int:
+@dataclass(frozen=True, slots=True)
+class RefusalStyle:
+    """How an entry words refusals.
+
+    `plain`: callers know HTTP only, so the status alone must say that a request was not run,
+    and `Retry-After` has fractions of a second. Otherwise wheatslip's own headers say both.
+    """
+
+    plain: bool = False
+
+
+OWN_STYLE = RefusalStyle()
+PLAIN_RETRY_AFTER = 0.1  # seconds, where a refusal knows no better
+
+
+def status_of(outcome: NotRun | Unknown, style: RefusalStyle = OWN_STYLE) -> int:
     """The HTTP status of a refusal or an unknown outcome."""
-    if isinstance(outcome, NotRun):
-        return _NOT_RUN_STATUS.get(outcome.reason, NOT_RUN_DEFAULT)
-    return _UNKNOWN_STATUS.get(outcome.reason, UNKNOWN_DEFAULT)
+    if isinstance(outcome, Unknown):
+        return _UNKNOWN_STATUS.get(outcome.reason, UNKNOWN_DEFAULT)
+    if style.plain and outcome.reason is Reason.DEADLINE:
+        return NOT_RUN_DEFAULT
+    return _NOT_RUN_STATUS.get(outcome.reason, NOT_RUN_DEFAULT)
 
 
 async def send_refusal(
-    exchange: Exchange, outcome: NotRun | Unknown, extra: Headers | None = None
+    exchange: Exchange,
+    outcome: NotRun | Unknown,
+    extra: Headers | None = None,
+    style: RefusalStyle = OWN_STYLE,
 ) -> None:
     """Answer with a refusal; `extra` headers go with it."""
     headers: Headers = [(OUTCOME_HEADER, encode_outcome(outcome)), *(extra or [])]
-    if isinstance(outcome, NotRun) and outcome.retry_after is not None:
+    status = status_of(outcome, style)
+    if style.plain:
+        if status == NOT_RUN_DEFAULT and isinstance(outcome, NotRun):
+            wait = outcome.retry_after or PLAIN_RETRY_AFTER
+            headers.append((b"retry-after", b"%.3f" % wait))
+    elif isinstance(outcome, NotRun) and outcome.retry_after is not None:
         # Retry-After knows whole seconds only; the exact time stands beside it.
         headers.append((b"retry-after", b"%d" % math.ceil(outcome.retry_after)))
         headers.append((RETRY_AFTER_MS, b"%d" % math.ceil(outcome.retry_after * 1000)))
-    await exchange.respond(ResponseHead(status_of(outcome), headers))
+    await exchange.respond(ResponseHead(status, headers))
--- a/packages/wheatslipd/wheatslipd/backend.py
+++ b/packages/wheatslipd/wheatslipd/backend.py
@@ -27,11 +27,18 @@
         self._pool = Pool(address, port, connections)
         self._connect_timeout = connect_timeout
 
-    async def send(self, head: RequestHead, body: Body) -> BackendAnswer | NotRun | Unknown:
-        """Send a request; `NotRun` if surely nothing of it reached the server."""
+    async def send(
+        self, head: RequestHead, body: Body, echo: tuple[bytes, bytes] | None = None
+    ) -> BackendAnswer | NotRun | Unknown:
+        """Send a request; `NotRun` if surely nothing of it reached the server.
+
+        `echo` is the header, with its value, that tells its answer from a surplus one.
+        """
         connection = await self._pool.take(self._connect_timeout)
         if connection is None:
             return NotRun(Reason.UNREACHABLE, retry_after=1.0)
+        if echo is not None:
+            connection.expect_echo(*echo)
         try:
             await self._send_request(connection, head, body)
             return BackendAnswer(await connection.response(), connection)
--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -4,24 +4,32 @@
 import dataclasses
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from random import Random
 
 from circuits import Component
+from result import Result
 from wheatslip.admission import Admission, AdmissionSettings
+from wheatslip.budget import RetryBudgets
 from wheatslip.bundle import Bundle
 from wheatslip.chooser import Chooser
+from wheatslip.instances import Instance, InstanceState
 from wheatslip.ledger import KeyLedger
+from wheatslip.objects import ObjectClient, ObjectStore
 from wheatslip.owners import OwnerHistory
+from wheatslip.registration import Registered, Registration
+from wheatslip.signedbundle import SignedBundle
 
 from wheatslipd import logs
+from wheatslipd.answers import OWN_STYLE, RefusalStyle
 from wheatslipd.backend import Backend
 from wheatslipd.bundles import BundleController
 from wheatslipd.bus import Bus
 from wheatslipd.chain import build_chain
 from wheatslipd.entry import Entry
 from wheatslipd.events import leaving, newer_version_seen
-from wheatslipd.feed import Feed
-from wheatslipd.filters import entry_filters
+from wheatslipd.feed import Feed, FeedPace, believe, prove_by_keyring
+from wheatslipd.filters import common_filters, workspace_filters
 from wheatslipd.forward import Forwarder
 from wheatslipd.gate import Gate
 from wheatslipd.http.server import Server
@@ -31,7 +39,10 @@
 from wheatslipd.metrics import Metrics
 from wheatslipd.pages import PageServer, PageSource, Status
 from wheatslipd.peerport import PeerPort
-from wheatslipd.settings import Settings
+from wheatslipd.publisher import Publisher
+from wheatslipd.registrar import HeartbeatDecoder, Registrar, decode_heartbeat
+from wheatslipd.routefilter import RouteFilter
+from wheatslipd.settings import ConfigurationSource, Interface, Settings
 from wheatslipd.tls import PeerTls, peer_tls
 from wheatslipd.tracing import HopTracer
 from wheatslipd.view import View
@@ -58,12 +69,30 @@
         """Take over the bounds of our pool and the workspaces' shares."""
         self._daemon.take_bounds(bundle)
 
+    def backend_registered(self, registered: Registered) -> None:
+        """Open or close the gate to the backend server beside us, and publish it."""
+        self._daemon.take_registration(registered)
+
+    def instances_seen(
+        self, instances: tuple[Instance, ...], gone: tuple[str, ...], whole: bool
+    ) -> None:
+        """Let the publisher see what the list says of us."""
+        self._daemon.check_own_entry(instances, gone, whole)
+
     def newer_version_seen(self, version: int) -> None:
         """Look at the head now rather than wait for the watch."""
         if version > self._daemon.view.version:
             self._daemon.feed.check_head(version)
 
 
+@dataclass(frozen=True, slots=True)
+class Ports:
+    """What an embedder puts in the place of wheatslip's own way to the outside."""
+
+    store: ObjectStore | None = None
+    decode_heartbeat: HeartbeatDecoder = decode_heartbeat
+
+
 class Daemon:
     """One wheatslipd."""
 
@@ -73,8 +102,10 @@
         rng: Random,
         monotonic: Callable[[], float] = time.monotonic,
         unix: Callable[[], float] = time.time,
+        ports: Ports | None = None,
     ):
         """Build everything; nothing runs before `run`."""
+        ports = ports or Ports()
         self.settings = settings
         self.view = View()
         self.metrics = Metrics(settings.name, settings.zone)
@@ -83,15 +114,17 @@
         self._stopping = asyncio.Event()
         self.bus = Bus()
         tls = peer_tls(settings.peer_tls)
+        store = ports.store or ObjectClient(settings.platform, rng)
         self.feed = Feed(
             settings.name,
             settings.zone,
-            settings.platform,
-            settings.keyring,
+            store,
+            _proof(settings),
             self.bus,
             tls,
             rng,
             unix,
+            FeedPace(settings.watchers, settings.watch_seconds, settings.list_watch_seconds),
         )
         self._tracer = HopTracer(settings.name, settings.trace_sample, settings.trace_file, rng)
         self.gate = Gate(Admission(AdmissionSettings()), self.view, monotonic)
@@ -112,7 +145,7 @@
         )
         self._register_controllers(owners, tls, monotonic, unix)
         self.entry_server = Server(self._build_entry(rng).handle)
-        peer_port = PeerPort(
+        self.peer_port = PeerPort(
             self.view,
             self.gate,
             self._backend,
@@ -121,8 +154,12 @@
             self._tracer,
             monotonic,
             self._hint_newer_version,
+            settings.pool,
+            settings.headers,
+            settings.interface is Interface.ROUTES,
         )
-        self.peer_server = Server(peer_port.handle, tls.server)
+        self.peer_server = Server(self.peer_port.handle, tls.server)
+        self._register_backend(store, rng, ports.decode_heartbeat)
         self.measurer = Measurer(
             self._backend,
             settings.health_path,
@@ -138,6 +175,11 @@
         pages = await self._listen()
         loop = asyncio.get_running_loop()
         tasks = [loop.create_task(self.feed.run())]
+        helpers: list[asyncio.Task[None]] = []
+        if self.registrar is not None:
+            tasks.append(loop.create_task(self.publisher.run()))
+            # It ends when a backend server has registered, and ends nothing else by that.
+            helpers.append(loop.create_task(self.registrar.run()))
         if self.settings.health_path:
             tasks.append(loop.create_task(self.measurer.run()))
         stopped = loop.create_task(self._stopping.wait())
@@ -148,9 +190,9 @@
         was_asked = self._stopping.is_set()
         if was_asked:
             await self._finish_in_flight()
-        for task in (stopped, *tasks):
+        for task in (stopped, *tasks, *helpers):
             task.cancel()
-        await asyncio.gather(stopped, *tasks, return_exceptions=True)
+        await asyncio.gather(stopped, *tasks, *helpers, return_exceptions=True)
         await self.feed.relay.stop()
         await pages.stop()
         self._tracer.close()
@@ -160,9 +202,15 @@
     def stop(self) -> None:
         """Begin a planned stop: no new callers, no new work, finish what is in flight."""
         self.view.stopping = True
-        self.bus.fire(leaving("asked to stop"))
+        if not self.settings.stop_listening_after:
+            self._close()
         self._stopping.set()
 
+    def _close(self) -> None:
+        """Take no more callers and no more work."""
+        self.view.closed = True
+        self.bus.fire(leaving("asked to stop"))
+
     def reload(self, settings: Settings) -> None:
         """Take over what may change while running; the rest is named and left as it is."""
         fixed = [
@@ -193,11 +241,38 @@
             logs.warning("pool-not-in-bundle", pool=self.settings.pool, version=bundle.version)
             return
         admission = self.gate.admission
-        admission.resize(AdmissionSettings(slots=pool.slots, queue=pool.queue))
+        slots = self._slots or pool.slots
+        admission.resize(AdmissionSettings(slots=slots, queue=pool.queue))
+        if self.registrar is not None:
+            self.registrar.health_path = pool.health_path or self.settings.health_path
         admission.set_shares({w.name: w.share for w in bundle.workspaces})
         self._backend.bound_connections(pool.connections)
         self.measurer.budget.per_second = pool.probes_per_second
 
+    def take_registration(self, registered: Registered) -> None:
+        """Apply what the backend server beside us says of itself."""
+        self.peer_port.server = registered.server
+        self._slots = max(1, int(registered.slots * self.settings.slot_share))
+        admission = self.gate.admission
+        admission.resize(dataclasses.replace(admission.settings, slots=self._slots))
+        if registered.draining:
+            self.drain(f"backend server {registered.server} leaves")
+        else:
+            self.view.draining = False
+            self.gate.reopen()
+        self._publish()
+
+    def check_own_entry(
+        self, instances: tuple[Instance, ...], gone: tuple[str, ...], whole: bool
+    ) -> None:
+        """Compare the list with what we published."""
+        if self.registrar is None:
+            return
+        name = self.settings.name
+        listed = next((i for i in instances if i.name == name), None)
+        if listed is not None or whole or name in gone:
+            self.publisher.seen(listed)
+
     def status(self) -> Status:
         """The state for the status page."""
         admission = self.gate.admission
@@ -209,6 +284,7 @@
             entry_port=self.entry_server.port,
             peer_port=self.peer_server.port,
             version=self.view.version,
+            ready=self._is_ready(),
             draining=self.view.draining,
             in_flight=admission.in_flight,
             queued=admission.queued,
@@ -220,6 +296,14 @@
             relay_bytes=self.feed.relay.sent_bytes,
         )
 
+    def _is_ready(self) -> bool:
+        """Whether callers may come; a backend server that leaves need not keep them away
+        where it is not the one that serves them.
+        """
+        if not self.view.version or self.view.stopping:
+            return False
+        return self.registrar is not None or not self.view.draining
+
     def _register_controllers(
         self,
         owners: OwnerHistory,
@@ -230,11 +314,55 @@
         settings = self.settings
         BundleController(self.view, self.metrics).register(self.bus)
         MembershipController(
-            self.view, settings.name, settings.pool, owners, tls, monotonic, unix
+            self.view,
+            settings.name,
+            settings.pool,
+            owners,
+            tls,
+            monotonic,
+            unix,
+            lists_itself=settings.registration_port is not None,
         ).register(self.bus)
         _Lifecycle(self).register(self.bus)
 
+    def _register_backend(
+        self, store: ObjectStore, rng: Random, decode: HeartbeatDecoder
+    ) -> None:
+        """Prepare for a backend server that registers here, if the settings want it."""
+        self.registrar: Registrar | None = None
+        self.registration_server: Server | None = None
+        self.publisher = Publisher(store, rng)
+        self._slots = 0  # that the backend server told of, as far as they are used
+        if self.settings.registration_port is None:
+            return
+        settings = self.settings
+        address = f"{settings.backend_address}:{settings.backend_port}"
+        registration = Registration(settings.pool, address)
+        self.registrar = Registrar(
+            registration, self._backend, settings.headers, self.bus, self._monotonic, decode
+        )
+        self.registration_server = Server(self.registrar.handle)
+        # Who stands there, and whether it leaves, is not known yet.
+        self.gate.admission.unknown = True
+
+    def _publish(self) -> None:
+        settings = self.settings
+        leaves = self.view.draining or self.view.stopping
+        self.publisher.publish(
+            Instance(
+                name=settings.name,
+                pool=settings.pool,
+                zone=settings.zone,
+                address=settings.address,
+                entry_port=self.entry_server.port,
+                peer_port=self.peer_server.port,
+                control_port=self.feed.relay.port,
+                state=InstanceState.LEAVING if leaves else InstanceState.LIVE,
+            )
+        )
+
     def _build_entry(self, rng: Random) -> Entry:
+        settings = self.settings
         forwarder = Forwarder(
             self.view,
             self.settings.name,
@@ -243,9 +371,25 @@
             rng,
             self._monotonic,
             self._hint_newer_version,
+            RetryBudgets(
+                fleet=settings.fleet_budget,
+                members=lambda: len(self.feed.cache.instances),
+                started=self._monotonic(),
+            ),
+            settings.headers,
+            settings.pool,
+            settings.answer_hold,
         )
-        filters = entry_filters(self.view, self.metrics, self._tracer, self._monotonic)
-        return Entry(build_chain(filters, forwarder), self._monotonic)
+        filters = common_filters(self.view, self.metrics, self._tracer, self._monotonic)
+        if settings.interface is Interface.ROUTES:
+            filters.append(
+                RouteFilter(settings.headers, settings.hold_share, self._monotonic, rng)
+            )
+            style = RefusalStyle(plain=True)
+        else:
+            filters += workspace_filters(self._monotonic)
+            style = OWN_STYLE
+        return Entry(build_chain(filters, forwarder), self._monotonic, self.view, style)
 
     def _hint_newer_version(self, version: int) -> None:
         self.bus.fire(newer_version_seen(version))
@@ -260,6 +404,8 @@
         await self.entry_server.listen(settings.address, settings.entry_port)
         await self.peer_server.listen(settings.address, settings.peer_port)
         await self.feed.relay.listen(settings.address, settings.control_port)
+        if self.registration_server is not None and settings.registration_port is not None:
+            await self.registration_server.listen(settings.address, settings.registration_port)
         loop = asyncio.get_running_loop()
         source = PageSource(loop, self.status, self._render_metrics)
         pages = PageServer(settings.address, settings.pages_port, source)
@@ -292,9 +438,21 @@
     async def _finish_in_flight(self) -> None:
         """Let what is in flight finish, within the grace of the settings."""
         grace = self.settings.stop_grace
+        if self.registrar is not None:
+            self._publish()
+        if self.settings.stop_listening_after:
+            await asyncio.sleep(self.settings.stop_listening_after)
+            grace -= self.settings.stop_listening_after
+            self._close()
         finished = await asyncio.gather(
             self.entry_server.stop(grace), self.peer_server.stop(grace)
         )
         if not all(finished):
             logs.error("stop-cut-requests", grace=grace)
         self._backend.close()
+
+
+def _proof(settings: Settings) -> Callable[[SignedBundle], Result[Bundle, str]]:
+    if settings.source is ConfigurationSource.TRUSTED:
+        return believe
+    return prove_by_keyring(settings.keyring)
--- a/packages/wheatslipd/wheatslipd/entry.py
+++ b/packages/wheatslipd/wheatslipd/entry.py
@@ -4,20 +4,31 @@
 
 from wheatslip.outcome import Answered
 
-from wheatslipd.answers import send_refusal
+from wheatslipd.answers import OWN_STYLE, RefusalStyle, send_refusal
 from wheatslipd.chain import EntryRequest, Proceed
 from wheatslipd.http.exchange import Exchange
+from wheatslipd.view import View
 
 
 class Entry:
     """Handles the requests of the entry port."""
 
-    def __init__(self, chain: Proceed, clock: Callable[[], float]):
+    def __init__(
+        self,
+        chain: Proceed,
+        clock: Callable[[], float],
+        view: View,
+        style: RefusalStyle = OWN_STYLE,
+    ):
         self._chain = chain
+        self._view = view
         self._clock = clock
+        self._style = style
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
+        if self._view.stopping:
+            exchange.head.keep_alive = False
         outcome = await self._chain(EntryRequest(exchange, self._clock()))
         if not isinstance(outcome, Answered) and not exchange.started:
-            await send_refusal(exchange, outcome)
+            await send_refusal(exchange, outcome, style=self._style)
--- a/packages/wheatslipd/wheatslipd/events.py
+++ b/packages/wheatslipd/wheatslipd/events.py
@@ -4,6 +4,7 @@
 from wheatslip.bundle import Bundle
 from wheatslip.head import Head
 from wheatslip.instances import Instance
+from wheatslip.registration import Registered
 
 
 class newer_version_seen(Event):
@@ -34,6 +35,13 @@
         super().__init__(instances, gone, whole)
 
 
+class backend_registered(Event):
+    """The backend server beside us registered, or changed what it says of itself."""
+
+    def __init__(self, registered: Registered):
+        super().__init__(registered)
+
+
 class leaving(Event):
     """This daemon and its backend server leave; `cause` is for the log."""
 
--- a/packages/wheatslipd/wheatslipd/feed.py
+++ b/packages/wheatslipd/wheatslipd/feed.py
@@ -7,21 +7,30 @@
 import asyncio
 from collections.abc import Callable
 from contextlib import aclosing
+from dataclasses import dataclass
 from pathlib import Path
 from random import Random
 
 import msgspec
-from result import Err, Ok
+from result import Err, Ok, Result
 from wheatslip import head as heads
 from wheatslip import instances as lists
-from wheatslip.bundle import Bundle
+from wheatslip.bundle import Bundle, decode_bundle
 from wheatslip.deltas import BundleDelta
 from wheatslip.feedcache import FeedCache, ListChange, Update
 from wheatslip.head import Head
 from wheatslip.instances import Instance
-from wheatslip.objects import Backoff, Listing, ObjectClient, StoredObject, Unavailable, follow
-from wheatslip.relaytree import is_watcher, parents_of, relay_order
-from wheatslip.signing import SignedBundle, load_keyring, verify
+from wheatslip.objects import (
+    WATCH_SECONDS,
+    Backoff,
+    Listing,
+    ObjectStore,
+    StoredObject,
+    Unavailable,
+    follow,
+)
+from wheatslip.relaytree import WATCHERS, is_watcher, parents_of, relay_order
+from wheatslip.signedbundle import SignedBundle
 
 from wheatslipd import logs
 from wheatslipd.bus import Bus
@@ -32,9 +41,37 @@
 HINT_PATIENCE = 0.25  # seconds that the relay gets before a hint leads to the platform
 HINT_SPACING = 1.0  # seconds between reads of the platform that hints give rise to
 STALE_SECONDS = 15.0  # a parent whose news are not confirmed for so long is left
+TRUSTED_BUNDLE_BYTES = 16 * 1024 * 1024  # of one that the platform vouches for
 TURN_SECONDS = 0.2  # pause before the next parent is tried
 
 
+@dataclass(frozen=True, slots=True)
+class FeedPace:
+    """How many daemons of a zone read the platform, and how long their watches wait (s)."""
+
+    watchers: int = WATCHERS
+    watch: float = WATCH_SECONDS
+    list_watch: float = WATCH_SECONDS
+
+
+def prove_by_keyring(keyring: Path) -> Callable[[SignedBundle], Result[Bundle, str]]:
+    """Believes bundles with enough signatures of the operators in a folder."""
+
+    def prove(signed: SignedBundle) -> Result[Bundle, str]:
+        # Imported here: signatures need a library that takes long to load. The keyring is
+        # read each time, so that a new operator's key needs no restart.
+        from wheatslip.signing import load_keyring, verify
+
+        return verify(signed, load_keyring(keyring))
+
+    return prove
+
+
+def believe(signed: SignedBundle) -> Result[Bundle, str]:
+    """Believes any bundle: the platform lets only operators write."""
+    return decode_bundle(signed.body.encode(), TRUSTED_BUNDLE_BYTES)
+
+
 class Feed:
     """Keeps one daemon's copy up to date."""
 
@@ -42,19 +79,22 @@
         self,
         name: str,
         zone: str,
-        platform: str,
-        keyring: Path,
+        store: ObjectStore,
+        prove: Callable[[SignedBundle], Result[Bundle, str]],
         bus: Bus,
         tls: PeerTls,
         rng: Random,
         unix: Callable[[], float],
+        pace: FeedPace,
     ):
-        self.client = ObjectClient(platform, rng)
+        """`prove` tells whether a bundle may be believed."""
+        self.client = store
+        self._prove = prove
+        self._pace = pace
         self.cache = FeedCache()
         self.relay = RelayServer(self.cache, tls)
         self._name = name
         self._zone = zone
-        self._keyring = keyring
         self._bus = bus
         self._tls = tls
         self._rng = rng
@@ -67,7 +107,7 @@
     @property
     def watches(self) -> bool:
         """Whether this daemon reads the platform for others."""
-        return is_watcher(self._name, self._order)
+        return is_watcher(self._name, self._order, self._pace.watchers)
 
     def check_head(self, version: int) -> None:
         """Message: a peer knows this newer version."""
@@ -95,7 +135,7 @@
             if self.watches:
                 await self._watch_platform()
                 continue
-            parents = parents_of(self._name, self._order)
+            parents = self._parents()
             await self._follow(parents[turn % len(parents)])
             if not self._role_changed.is_set():
                 turn += 1
@@ -127,14 +167,16 @@
 
     async def _watch_list(self) -> None:
         whole = True
-        async for listing in follow(self.client, lists.KIND, self._rng, self._on_trouble):
+        wait = self._pace.list_watch
+        async for listing in follow(self.client, lists.KIND, self._rng, self._on_trouble, wait):
             self._confirm()
             if whole or listing.items:
                 self._take_listing(listing, whole=whole)
             whole = False
 
     async def _watch_head(self) -> None:
-        async for listing in follow(self.client, heads.KIND, self._rng, _log_trouble):
+        wait = self._pace.watch
+        async for listing in follow(self.client, heads.KIND, self._rng, _log_trouble, wait):
             for item in listing.items:
                 await self._fetch_newer(item)
 
@@ -208,11 +250,14 @@
     def _reorder(self) -> None:
         """Take the present list for the tree; a changed place ends the present role."""
         in_zone = (i.name for i in self.cache.instances.values() if i.zone == self._zone)
-        before = (self.watches, parents_of(self._name, self._order))
+        before = (self.watches, self._parents())
         self._order = relay_order(in_zone)
-        if before != (self.watches, parents_of(self._name, self._order)):
+        if before != (self.watches, self._parents()):
             self._role_changed.set()
 
+    def _parents(self) -> list[str]:
+        return parents_of(self._name, self._order, self._pace.watchers)
+
     def _take_update(self, update: Update) -> None:
         if update.whole or update.changes:
             self._take_list(update.listed, list(update.changes), whole=update.whole)
@@ -282,8 +327,7 @@
 
     def _take_signed(self, head: Head, signed: SignedBundle) -> None:
         """Prove a bundle, whoever sent it, and put it to use."""
-        # The keyring is read each time, so that a new operator's key needs no restart.
-        match verify(signed, load_keyring(self._keyring)):
+        match self._prove(signed):
             case Ok(bundle) if _is_named_by(bundle, head):
                 self.cache.take_bundle(head, signed, bundle)
                 self.relay.announce()
--- a/packages/wheatslipd/wheatslipd/filters.py
+++ b/packages/wheatslipd/wheatslipd/filters.py
@@ -82,7 +82,7 @@
 
     async def __call__(self, request: EntryRequest, proceed: Proceed) -> Outcome:
         """Fix the configuration that the request is served under."""
-        if self.view.stopping:
+        if self.view.closed:
             return NotRun(Reason.DRAINING, retry_after=1.0)
         if self.view.configuration is None:
             return NotRun(Reason.NO_CONFIGURATION, retry_after=1.0)
@@ -151,18 +151,16 @@
         return await proceed(request)
 
 
-def entry_filters(
+def common_filters(
     view: View, metrics: Metrics, tracer: HopTracer, clock: Callable[[], float]
 ) -> list[Filter]:
-    """The entry's chain up to forwarding; the order matters."""
-    return [
-        TraceFilter(tracer),
-        CountFilter(metrics, clock),
-        ReadyFilter(view),
-        IdentifyFilter(),
-        AuthoriseFilter(),
-        ClassifyFilter(clock),
-    ]
+    """What each entry's chain begins with; the order matters."""
+    return [TraceFilter(tracer), CountFilter(metrics, clock), ReadyFilter(view)]
+
+
+def workspace_filters(clock: Callable[[], float]) -> list[Filter]:
+    """How the entry reads requests that carry a workspace's credential; the order matters."""
+    return [IdentifyFilter(), AuthoriseFilter(), ClassifyFilter(clock)]
 
 
 def describe(outcome: Outcome) -> str:
--- a/packages/wheatslipd/wheatslipd/forward.py
+++ b/packages/wheatslipd/wheatslipd/forward.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from wheatslip.attempts import ANY_WAIT, Attempts, Try
+from wheatslip.attempts import ANY_WAIT, SERVER_ERROR, Attempts, Try
 from wheatslip.budget import RetryBudgets
 from wheatslip.call import Call, CallClass
 from wheatslip.chooser import Chooser
@@ -26,12 +26,15 @@
 from wheatslipd.http.client import ClientConnection, Response
 from wheatslipd.http.messages import RequestHead, ResponseHead
 from wheatslipd.metrics import Metrics
+from wheatslipd.settings import HeaderNames
 from wheatslipd.tracing import TRACEPARENT
 from wheatslipd.view import Peer, View
 
 REPLAY_LIMIT = 64 * 1024  # a body up to this size is kept, so that it can be sent again
 CONNECT_TIMEOUT = 0.25  # seconds
-SERVER_ERROR = 500  # statuses from here on are failures of the backend server
+# An answer that has begun and was given up for another try; see Attempts.may_replace.
+REPLACED = Unknown(Reason.BACKEND_FAILED)
+_NOT_FORWARDED = frozenset({b"authorization", b"content-length", TRACEPARENT})
 
 
 @dataclass(slots=True, eq=False)
@@ -57,7 +60,14 @@
         rng: Random,
         clock: Callable[[], float],
         on_newer_version: Callable[[int], None],
+        budgets: RetryBudgets,
+        names: HeaderNames,
+        caller: str,
+        answer_hold: int = 0,
     ):
+        """`caller` is told to backend servers in the header that `names` has for it. Of an
+        answer up to `answer_hold` bytes are held until they are whole.
+        """
         self._view = view
         self._name = name
         self._chooser = chooser
@@ -65,13 +75,16 @@
         self._rng = rng
         self._clock = clock
         self._on_newer_version = on_newer_version
-        self._budgets = RetryBudgets()
+        self._budgets = budgets
+        self._names = names
+        self._caller = caller.encode()
+        self._answer_hold = answer_hold
 
     async def __call__(self, request: EntryRequest) -> Outcome:
         """Run the request to its outcome, within its deadline."""
         call = request.call
         assert call is not None
-        budget = self._budgets.of(call.workspace, call.service)
+        budget = self._budgets.of(call.workspace, call.service, self._clock())
         attempts = Attempts(call, self._chooser, budget)
         try:
             async with asyncio.timeout(max(0.0, call.remaining(self._clock()))) as limit:
@@ -107,6 +120,8 @@
                 return
             peer = next(peer for peer in peers if peer.upstream is chosen.upstream)
             outcome = await self._send(sending, chosen, peer, limit)
+            if outcome == REPLACED:
+                continue
             again = attempts.ended(outcome) and not sending.request.exchange.started
 
     def _peers(self, sending: _Sending) -> tuple[Peer, ...]:
@@ -157,9 +172,16 @@
             if refusal.reason in (Reason.UNREACHABLE, Reason.CONNECTION_LOST):
                 peer.upstream.on_failure(self._clock(), self._rng)
             return refusal
+        if sending.attempts.may_replace(response.head.status):
+            return REPLACED
+        try:
+            held = await response.body.read_up_to(self._answer_hold)
+        except BodyBroken:
+            # Nothing of it has gone out yet, so another try may still answer.
+            return Unknown(Reason.CONNECTION_LOST)
         # From here on the answer streams; its deadline was for the head.
         limit.reschedule(None)
-        return await self._relay(sending.request, response)
+        return await self._relay(sending.request, response, held)
 
     async def _send_request(
         self, sending: _Sending, chosen: Try, connection: ClientConnection
@@ -182,6 +204,7 @@
 
     def _peer_head(self, sending: _Sending, chosen: Try) -> RequestHead:
         call = sending.call
+        now = self._clock()
         original = sending.request.exchange.head
         hop = Hop(
             workspace=call.workspace,
@@ -189,18 +212,21 @@
             kind=call.kind.name,
             repeatable=call.kind.repeatable,
             urgent=call.call_class is CallClass.URGENT,
-            remaining=call.remaining(self._clock()),
+            remaining=call.remaining(now),
             version=self._view.version,
             entry=self._name,
             key=call.key,
             depth=call.depth,
-            max_wait=None if chosen.max_wait == ANY_WAIT else chosen.max_wait,
+            max_wait=_bounded(chosen.max_wait),
+            target=_bounded(call.target - now),
+            hold=_bounded(call.hold_until - now),
+            priority=call.priority,
+            request_id=call.request_id,
         )
-        headers = [
-            (name, value)
-            for name, value in original.forwarded()
-            if name not in (b"authorization", b"content-length", TRACEPARENT)
-        ]
+        dropped = _NOT_FORWARDED | self._names.set_by_us
+        headers = [(name, value) for name, value in original.forwarded() if name not in dropped]
+        if self._names.caller:
+            headers.append((self._names.caller, self._caller))
         headers.append((HOP_HEADER, encode(hop)))
         if sending.request.trace.outgoing is not None:
             headers.append((TRACEPARENT, sending.request.trace.outgoing))
@@ -228,13 +254,19 @@
         return decode_refusal(value, int(wait) / 1000 if wait.isdigit() else None)
 
     @staticmethod
-    async def _relay(request: EntryRequest, response: Response) -> Outcome:
+    async def _relay(request: EntryRequest, response: Response, held: bytes) -> Outcome:
         head = ResponseHead(response.head.status, response.head.forwarded())
         head.headers.append((OUTCOME_HEADER, b"answered"))
         request.exchange.start(head)
         try:
+            await request.exchange.write(held)
             await request.exchange.relay(response.body)
         except BodyBroken:
             # The caller sees a broken connection, never a shortened answer that looks whole.
             return Unknown(Reason.CONNECTION_LOST)
         return Answered(head.status)
+
+
+def _bounded(seconds: float) -> float | None:
+    """A bound for the wire, where None says that there is none."""
+    return None if seconds == ANY_WAIT else seconds
--- a/packages/wheatslipd/wheatslipd/gate.py
+++ b/packages/wheatslipd/wheatslipd/gate.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from wheatslip.admission import Admission, Ticket
+from wheatslip.admission import MIN_RETRY_AFTER, Admission, Ticket
 from wheatslip.call import Call
 from wheatslip.hop import LoadReport
 from wheatslip.outcome import NotRun, Reason
@@ -36,6 +36,11 @@
         started = self.admission.finish(ticket, self._clock(), worked=worked)
         self._wake(started)
 
+    def reopen(self) -> None:
+        """Another backend server stands here: take new work again."""
+        self.admission.unknown = False
+        self.admission.draining = False
+
     def drain(self) -> None:
         """Refuse new work from now on; what waits is refused too, as it has not run."""
         self.admission.draining = True
@@ -68,7 +73,7 @@
             if ticket.started is not None:
                 return ticket
             self.admission.withdraw(ticket)
-            return NotRun(Reason.DEADLINE)
+            return self._waited_in_vain(ticket.call)
         except asyncio.CancelledError:
             if not self.admission.withdraw(ticket) and ticket.started is not None:
                 self.leave(ticket, worked=False)
@@ -76,6 +81,13 @@
         finally:
             del self._waiting[ticket]
 
+    def _waited_in_vain(self, call: Call) -> NotRun:
+        now = self._clock()
+        if call.hold_until > now:
+            return NotRun(Reason.DEADLINE)
+        wait = self.admission.expected_wait(call, now)
+        return NotRun(Reason.OVERLOADED, max(MIN_RETRY_AFTER, wait))
+
     def _wake(self, started: list[Ticket]) -> None:
         for ticket in started:
             future = self._waiting.get(ticket)
--- a/packages/wheatslipd/wheatslipd/http/client.py
+++ b/packages/wheatslipd/wheatslipd/http/client.py
@@ -48,6 +48,8 @@
         self._sent_all = True
         self._reusable = True
         self._until_close = False
+        self._echo: tuple[bytes, bytes] | None = None
+        self._skipping = False
         self.idle_since = 0.0
 
     @property
@@ -61,6 +63,13 @@
             and (self._body is None or self._body.exhausted)
         )
 
+    def expect_echo(self, name: bytes, value: bytes) -> None:
+        """The next response must carry a header with this value, if it carries it at all.
+
+        One with another value answers an earlier request a second time and is passed over.
+        """
+        self._echo = (name, value)
+
     async def start(self, head: RequestHead, *, chunked: bool, end: bool) -> None:
         """Send a request head; `end` says that no body follows."""
         self._method = head.method
@@ -139,6 +148,9 @@
             if status == 100 and self._continue is not None and not self._continue.done():
                 self._continue.set_result(True)
             return
+        if self._is_stray():
+            self._skipping = True
+            return
         if self._body is not None or self._response is None:
             raise ConnectionError("a second response to one request")
         keep_alive = self._parser.should_keep_alive()
@@ -158,6 +170,8 @@
 
     def on_body(self, chunk: bytes) -> None:
         """A part of the body."""
+        if self._skipping:
+            return
         if self._method == b"HEAD":
             raise ConnectionError("a body in answer to HEAD")
         if self._body is not None:
@@ -167,10 +181,20 @@
         """The response is whole, unless it was an interim one."""
         if self._parser.get_status_code() < INTERIM_LIMIT:
             return
+        if self._skipping:
+            self._skipping = False
+            return
         if self._body is not None and not self._body.complete:
             self._body.finish()
         self._busy = False
 
+    def _is_stray(self) -> bool:
+        if self._echo is None or self._body is not None:
+            return False
+        name, value = self._echo
+        echoed = next((v for n, v in self._headers if n == name), value)
+        return echoed != value
+
     @staticmethod
     def _has_framing(head: ResponseHead) -> bool:
         return (
--- a/packages/wheatslipd/wheatslipd/http/server.py
+++ b/packages/wheatslipd/wheatslipd/http/server.py
@@ -98,6 +98,9 @@
     def on_headers_complete(self) -> None:
         """The head is whole: queue the request."""
         self._in_head = False
+        if self._parser.should_upgrade():
+            # CONNECT, or another protocol: the parser stops here and `_fail` answers.
+            return
         head = RequestHead(
             self._parser.get_method(),
             self._target,
--- a/packages/wheatslipd/wheatslipd/main.py
+++ b/packages/wheatslipd/wheatslipd/main.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 from random import Random
@@ -15,7 +16,7 @@
 from result import Err, Ok
 
 from wheatslipd import __version__, logs
-from wheatslipd.daemon import Daemon
+from wheatslipd.daemon import Daemon, Ports
 from wheatslipd.settings import Settings, default_text, load_settings
 
 EXIT_FAILED = 1
@@ -70,10 +71,16 @@
         return run_daemon(settings, self.settings, destination)
 
 
-def run_daemon(settings: Settings, path: Path, log: logs.KeyValueDestination) -> int:
+def run_daemon(
+    settings: Settings,
+    path: Path,
+    log: logs.KeyValueDestination,
+    make_ports: Callable[[Random], Ports] = lambda rng: Ports(),
+) -> int:
     """Run a daemon on the loop that the settings name; returns the exit code.
 
-    `path` is the settings file, read again on SIGHUP.
+    `path` is the settings file, read again on SIGHUP. `make_ports` is called with the loop
+    running, and with the daemon's seeded generator.
     """
     seed = time.time_ns()
     logs.info("starting", version=__version__, seed=seed)
@@ -82,7 +89,8 @@
         if uses_io_uring():
             logs.error("io-uring-in-use", loop=settings.loop, remedy="set loop = asyncio")
             return EXIT_FAILED
-        daemon = Daemon(settings, Random(seed))
+        rng = Random(seed)
+        daemon = Daemon(settings, rng, ports=make_ports(rng))
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, daemon.stop)
--- a/packages/wheatslipd/wheatslipd/membership.py
+++ b/packages/wheatslipd/wheatslipd/membership.py
@@ -31,7 +31,9 @@
         tls: PeerTls,
         monotonic: Callable[[], float],
         unix: Callable[[], float],
+        lists_itself: bool = False,
     ):
+        """`lists_itself`: this daemon writes its own entry, so the entry tells it nothing."""
         super().__init__()
         self._view = view
         self._name = name
@@ -42,6 +44,7 @@
         self._unix = unix
         self._peers: dict[str, Peer] = {}
         self._has_list = False
+        self._lists_itself = lists_itself
 
     def instances_seen(
         self, instances: tuple[Instance, ...], gone: tuple[str, ...], whole: bool
@@ -69,7 +72,7 @@
             known.instance = instance
         is_leaving = instance.state is InstanceState.LEAVING
         self._peers[instance.name].upstream.leaving |= is_leaving
-        if is_leaving and instance.name == self._name:
+        if is_leaving and instance.name == self._name and not self._lists_itself:
             self.fire(leaving("listed as leaving"))
 
     def _new_peer(self, instance: Instance) -> Peer:
--- a/packages/wheatslipd/wheatslipd/pages.py
+++ b/packages/wheatslipd/wheatslipd/pages.py
@@ -26,6 +26,7 @@
     entry_port: int
     peer_port: int
     version: int
+    ready: bool
     draining: bool
     in_flight: int
     queued: int
@@ -67,9 +68,8 @@
         """200 once a configuration is in force and the daemon does not leave."""
         status = self._source.ask(self._source.status)
         assert isinstance(status, Status)
-        ready = status.version > 0 and not status.draining
-        self.response.status = 200 if ready else 503
-        return "ready\n" if ready else "not ready\n"
+        self.response.status = 200 if status.ready else 503
+        return "ready\n" if status.ready else "not ready\n"
 
     def status(self):
         """The daemon's state."""
--- a/packages/wheatslipd/wheatslipd/peerport.py
+++ b/packages/wheatslipd/wheatslipd/peerport.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from wheatslip.admission import ANY_WAIT, Ticket
+from wheatslip.backendload import decode_backend_load
 from wheatslip.call import Call, CallClass, RequestKind
 from wheatslip.hop import (
     HOP_HEADER,
@@ -30,11 +31,13 @@
 from wheatslipd.http.messages import Headers, RequestHead, ResponseHead
 from wheatslipd.keyguard import KeyGuard
 from wheatslipd.metrics import Metrics
+from wheatslipd.settings import HeaderNames
 from wheatslipd.tracing import TRACEPARENT, HopTrace, HopTracer
 from wheatslipd.view import View
 
 CATCH_UP_SECONDS = 0.5  # how long a request waits for a version that its entry has already
 CATCH_UP_STEP = 0.02
+SHED_RETRY_AFTER = 1.0  # seconds
 
 
 @dataclass(slots=True, eq=False)
@@ -60,7 +63,11 @@
         tracer: HopTracer,
         clock: Callable[[], float],
         on_newer_version: Callable[[int], None],
+        pool: str,
+        names: HeaderNames,
+        plain: bool,
     ):
+        """`plain`: the backend server knows nothing of wheatslip's own headers."""
         self._view = view
         self._gate = gate
         self._backend = backend
@@ -69,6 +76,10 @@
         self._tracer = tracer
         self._clock = clock
         self._on_newer_version = on_newer_version
+        self._pool = pool
+        self._names = names
+        self._plain = plain
+        self.server = ""  # the backend server's id; empty: it has none
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one forwarded request."""
@@ -91,15 +102,39 @@
             hop.kind, hop.repeatable, CallClass.URGENT if hop.urgent else CallClass.NORMAL
         )
         deadline = self._clock() + hop.remaining
-        call = Call(hop.workspace, hop.service, kind, deadline, hop.key, hop.depth)
+        now = self._clock()
+        call = Call(
+            hop.workspace,
+            hop.service,
+            kind,
+            deadline,
+            hop.key,
+            hop.depth,
+            target=_moment(now, hop.target),
+            hold_until=_moment(now, hop.hold),
+            priority=hop.priority,
+            request_id=hop.request_id,
+        )
         passage = _Passage(exchange, hop, call, trace)
-        refusal = await self._check_version(hop.version)
+        refusal = await self._check_entry(hop)
         if refusal is not None:
             return refusal
         if call.runs_once_by_key:
             return await self._run_keyed(passage)
         return await self._run(passage, None)
 
+    async def _check_entry(self, hop: Hop) -> NotRun | None:
+        """Whether what the entry knows fits what stands here."""
+        if not self._plain:
+            return await self._check_version(hop.version)
+        # The entry has decided by its routes, so the version here does not matter; but the
+        # address may have gone to another pool since the entry's list.
+        if hop.service != self._pool:
+            return NotRun(Reason.WRONG_POOL)
+        if hop.version > self._view.version:
+            self._on_newer_version(hop.version)
+        return None
+
     async def _check_version(self, version: int) -> NotRun | None:
         """Catch up with the entry's bundle version before answering."""
         if self._view.version >= version and self._view.configuration is not None:
@@ -153,8 +188,12 @@
             remaining = passage.call.remaining(self._clock())
             async with asyncio.timeout(max(0.0, remaining)):
                 await passage.exchange.send_continue()
+                echo = self._names.request_id
+                request_id = passage.call.request_id.encode("latin-1")
                 answer = await self._backend.send(
-                    self._backend_head(passage), passage.exchange.body
+                    self._backend_head(passage),
+                    passage.exchange.body,
+                    (echo, request_id) if echo and request_id else None,
                 )
             if not isinstance(answer, BackendAnswer):
                 return answer
@@ -172,8 +211,9 @@
         self, passage: _Passage, answer: BackendAnswer, kept: KeptAnswer | None
     ) -> Outcome:
         response = answer.response
-        if response.head.status == self._shed_status(passage.call.service):
-            return NotRun(Reason.SHED, retry_after=1.0)
+        self._learn_load(response.head)
+        if self._was_not_run(response.head, passage.call):
+            return NotRun(Reason.SHED, retry_after=SHED_RETRY_AFTER)
         headers = response.head.forwarded()
         if kept is not None:
             kept.headers = list(headers)
@@ -196,17 +236,31 @@
         ]
         call = passage.call
         left = max(1, int(call.remaining(self._clock()) * MILLISECONDS))
-        headers += [
-            (b"wheatslip-workspace", call.workspace.encode()),
-            (DEADLINE_HEADER, b"%d" % left),
-            (DEPTH_HEADER, b"%d" % (call.depth + 1)),
-        ]
-        if call.key:
-            headers.append((b"wheatslip-key", call.key.encode()))
+        headers += self._plain_words(left) if self._plain else _own_words(call, left)
         if passage.trace.outgoing is not None:
             headers.append((TRACEPARENT, passage.trace.outgoing))
         return RequestHead(head.method, head.target, headers)
 
+    def _plain_words(self, milliseconds_left: int) -> Headers:
+        headers: Headers = []
+        if self._names.deadline:
+            headers.append((self._names.deadline, b"%d" % milliseconds_left))
+        if self._names.instance and self.server:
+            headers.append((self._names.instance, self.server.encode()))
+        return headers
+
+    def _learn_load(self, head: ResponseHead) -> None:
+        value = head.get(self._names.load) if self._names.load else None
+        load = decode_backend_load(value) if value else None
+        if load is not None:
+            self._gate.admission.slowness = load.slowness
+
+    def _was_not_run(self, head: ResponseHead, call: Call) -> bool:
+        """Whether the backend server says that it turned the request away."""
+        if self._names.not_run and head.get(self._names.not_run) is not None:
+            return True
+        return head.status == self._shed_status(call.service)
+
     def _shed_status(self, service_name: str) -> int:
         configuration = self._view.configuration
         service = configuration.services.get(service_name) if configuration else None
@@ -216,3 +270,19 @@
 
     def _load_header(self) -> Headers:
         return [(LOAD_HEADER, encode(self._gate.report()))]
+
+
+def _moment(now: float, left: float | None) -> float:
+    """The moment that is `left` seconds away; never, if there is no such bound."""
+    return float("inf") if left is None else now + left
+
+
+def _own_words(call: Call, milliseconds_left: int) -> Headers:
+    headers = [
+        (b"wheatslip-workspace", call.workspace.encode()),
+        (DEADLINE_HEADER, b"%d" % milliseconds_left),
+        (DEPTH_HEADER, b"%d" % (call.depth + 1)),
+    ]
+    if call.key:
+        headers.append((b"wheatslip-key", call.key.encode()))
+    return headers
--- /dev/null
+++ b/packages/wheatslipd/wheatslipd/publisher.py
@@ -0,0 +1,107 @@
+"""The task that keeps this daemon's own entry in the platform's list of instances.
+
+It writes only on a change, and again when the list shows that the entry is not what it
+should be. Who writes for a daemon is the daemon alone.
+"""
+
+import asyncio
+from random import Random
+
+import msgspec
+from result import Err, Ok
+from wheatslip import instances as lists
+from wheatslip.instances import Instance, InstanceState
+from wheatslip.objects import Backoff, Conflict, ObjectStore, StoredObject
+
+from wheatslipd import logs
+
+
+class Publisher:
+    """Publishes one instance."""
+
+    def __init__(self, store: ObjectStore, rng: Random):
+        self._store = store
+        self._rng = rng
+        self._wanted: Instance | None = None
+        self._stored: Instance | None = None
+        self._version = 0
+        self._incarnation = 0  # of this start; 0 until the stored entry is known
+        self._changed = asyncio.Event()
+        self._gone = False
+
+    def publish(self, instance: Instance) -> None:
+        """Message: the entry should be this, but for its incarnation."""
+        self._wanted = instance
+        self._changed.set()
+
+    def withdraw(self) -> None:
+        """Message: the instance leaves for good, so the entry should go."""
+        self._gone = True
+        self._changed.set()
+
+    def seen(self, listed: Instance | None) -> None:
+        """Message: the list shows this entry in our name; None if it shows none."""
+        if listed != self._stored:
+            self._changed.set()
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        while True:
+            await self._changed.wait()
+            self._changed.clear()
+            await self._settle()
+
+    async def _settle(self) -> None:
+        backoff = Backoff(self._rng)
+        while self._wanted is not None and not await self._step(self._wanted):
+            await asyncio.sleep(backoff.next())
+
+    async def _step(self, wanted: Instance) -> bool:
+        """Read the entry and write it if need be; whether it is as it should be now."""
+        match await self._store.get(lists.KIND, wanted.name):
+            case Ok(found):
+                self._learn(found)
+            case Err():
+                return False
+        if self._gone:
+            return await self._delete(wanted.name)
+        self._start_anew_after_leaving(wanted)
+        entry = msgspec.structs.replace(wanted, incarnation=self._incarnation)
+        if entry == self._stored:
+            return True
+        match await self._store.put(lists.KIND, wanted.name, entry, self._version):
+            case Ok(stored):
+                self._version = stored.version
+                self._stored = entry
+                logs.info("published", name=entry.name, state=entry.state.value)
+                return self._wanted is wanted
+            case Err(Conflict()):
+                return False
+            case Err(trouble):
+                logs.warning("publish-failed", detail=str(trouble), repeat_key="publish")
+                return False
+        raise AssertionError
+
+    def _start_anew_after_leaving(self, wanted: Instance) -> None:
+        """Others take no word back that an incarnation leaves, so a return needs a new one."""
+        stored = self._stored
+        if stored is None or wanted.state is InstanceState.LEAVING:
+            return
+        if stored.state is InstanceState.LEAVING:
+            self._incarnation = max(self._incarnation, stored.incarnation + 1)
+
+    async def _delete(self, name: str) -> bool:
+        if self._version == 0:
+            return True
+        return isinstance(await self._store.delete(lists.KIND, name, self._version), Ok)
+
+    def _learn(self, found: StoredObject | None) -> None:
+        self._version = found.version if found else 0
+        self._stored = None
+        if found is not None:
+            try:
+                self._stored = msgspec.json.decode(found.value, type=Instance)
+            except msgspec.DecodeError as error:
+                logs.error("instance-unreadable", name=found.name, error=str(error))
+        if not self._incarnation:
+            self._incarnation = self._stored.incarnation + 1 if self._stored else 1
--- /dev/null
+++ b/packages/wheatslipd/wheatslipd/registrar.py
@@ -0,0 +1,125 @@
+"""Registration of the backend server beside us, where no platform lists it.
+
+It registers by heartbeats on a port of its own. Until the first one its health endpoint is
+asked, so that a daemon that was restarted gets to work at once. Each change goes to the bus.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+from wheatslip.backendload import decode_backend_load
+from wheatslip.registration import Heartbeat, Registration
+
+from wheatslipd import logs
+from wheatslipd.backend import Backend, BackendAnswer
+from wheatslipd.bus import Bus
+from wheatslipd.events import backend_registered
+from wheatslipd.http.body import Body, BodyBroken
+from wheatslipd.http.exchange import Exchange
+from wheatslipd.http.messages import RequestHead, ResponseHead
+from wheatslipd.settings import HeaderNames
+
+PATH = b"/heartbeats/"
+MAX_HEARTBEAT_BYTES = 64 * 1024
+ASK_SECONDS = 0.25  # pause between questions to the health endpoint
+ASK_TIMEOUT = 0.25
+GOOD = 200
+
+HeartbeatDecoder = Callable[[bytes], Heartbeat | None]
+
+
+def decode_heartbeat(body: bytes) -> Heartbeat | None:
+    """A heartbeat in wheatslip's own form (JSON), None if it is not one."""
+    try:
+        return msgspec.json.decode(body, type=Heartbeat)
+    except msgspec.DecodeError:
+        return None
+
+
+class Registrar:
+    """Takes the heartbeats of one backend server."""
+
+    def __init__(
+        self,
+        registration: Registration,
+        backend: Backend,
+        names: HeaderNames,
+        bus: Bus,
+        clock: Callable[[], float],
+        decode: HeartbeatDecoder = decode_heartbeat,
+    ):
+        self._registration = registration
+        self._backend = backend
+        self._names = names
+        self._bus = bus
+        self._clock = clock
+        self._decode = decode
+        self.health_path = ""
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer `PUT /heartbeats/ID` and `DELETE /heartbeats/ID`."""
+        head = exchange.head
+        server = head.target.removeprefix(PATH).decode("ascii", "replace")
+        if not head.target.startswith(PATH) or not server:
+            await exchange.respond(ResponseHead(404))
+            return
+        try:
+            body = await exchange.body.read_up_to(MAX_HEARTBEAT_BYTES)
+        except BodyBroken:
+            return
+        if head.method == b"DELETE":
+            self._tell(self._registration.on_goodbye(server))
+            await exchange.respond(ResponseHead(200))
+            return
+        beat = self._decode(body) if head.method == b"PUT" else None
+        if beat is None:
+            logs.warning("heartbeat-unreadable", server=server, repeat_key=server)
+            await exchange.respond(ResponseHead(400))
+            return
+        self._tell(self._registration.on_heartbeat(server, beat, self._clock()))
+        await exchange.respond(ResponseHead(200), b"{}")
+
+    async def run(self) -> None:
+        """Ask the health endpoint who is there until someone has registered."""
+        while self._registration.current is None:
+            if self.health_path:
+                await self._ask()
+            await asyncio.sleep(ASK_SECONDS)
+
+    async def _ask(self) -> None:
+        body = Body(_nothing, _nothing)
+        body.finish()
+        head = RequestHead(b"GET", self.health_path.encode(), [(b"host", b"localhost")])
+        try:
+            async with asyncio.timeout(ASK_TIMEOUT):
+                answer = await self._backend.send(head, body)
+                if not isinstance(answer, BackendAnswer):
+                    return
+                try:
+                    await answer.response.body.read_up_to(MAX_HEARTBEAT_BYTES)
+                finally:
+                    self._backend.release(answer)
+        except (TimeoutError, BodyBroken):
+            return
+        found = answer.response.head
+        server = (found.get(self._names.server) or b"").decode("ascii", "replace")
+        load = decode_backend_load(found.get(self._names.load) or b"")
+        if server and load is not None:
+            well = found.status == GOOD
+            self._tell(self._registration.on_health(server, load.slots, well=well))
+
+    def _tell(self, changed: bool) -> None:
+        current = self._registration.current
+        if changed and current is not None:
+            logs.info(
+                "backend-registered",
+                server=current.server,
+                slots=current.slots,
+                draining=current.draining,
+            )
+            self._bus.fire(backend_registered(current))
+
+
+def _nothing() -> None:
+    pass
--- /dev/null
+++ b/packages/wheatslipd/wheatslipd/routefilter.py
@@ -0,0 +1,93 @@
+"""The entry's filter for plain HTTP requests: the host and the path lead to a route."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from wheatslip.bundle import Route
+from wheatslip.call import Call, CallClass, RequestKind
+from wheatslip.outcome import NotRun, Outcome, Reason
+from wheatslip.routes import pick_service
+
+from wheatslipd.chain import EntryRequest, Proceed
+from wheatslipd.http.messages import RequestHead
+from wheatslipd.settings import HeaderNames
+
+MILLISECONDS = 1000.0
+RETRY_AFTER = 0.1  # seconds
+
+
+@dataclass(slots=True)
+class RouteFilter:
+    """Turns a request into a `Call` by its route.
+
+    `hold_share` is the part of the route's target for which a request may be held.
+    """
+
+    names: HeaderNames
+    hold_share: float
+    clock: Callable[[], float]
+    rng: Random
+
+    async def __call__(self, request: EntryRequest, proceed: Proceed) -> Outcome:
+        """Set the service and the call, or refuse what can't be read."""
+        assert request.configuration is not None
+        head = request.exchange.head
+        host = _host(head)
+        path = head.target.partition(b"?")[0].decode("ascii", "replace")
+        if host is None or not path.startswith("/"):
+            return NotRun(Reason.BAD_REQUEST)
+        route = request.configuration.routes.find(host, path)
+        if route is None:
+            return NotRun(Reason.NO_ROUTE)
+        request.service = request.configuration.services.get(pick_service(route, self.rng))
+        if request.service is None:
+            return NotRun(Reason.NO_UPSTREAM, RETRY_AFTER)
+        allowed = self._allowed(head, route)
+        if allowed is None:
+            return NotRun(Reason.BAD_REQUEST)
+        if allowed <= 0:
+            return NotRun(Reason.DEADLINE)
+        request.call = self._call(request, route, allowed)
+        return await proceed(request)
+
+    def _call(self, request: EntryRequest, route: Route, allowed: float) -> Call:
+        assert request.service is not None
+        urgent = route.priority == 0
+        call_class = CallClass.URGENT if urgent else CallClass.NORMAL
+        arrived = request.arrived
+        target = route.target or route.timeout
+        request_id = request.exchange.head.get(self.names.request_id) or b""
+        return Call(
+            workspace=request.service.workspace,
+            service=request.service.name,
+            kind=RequestKind(route.name, route.repeatable, call_class),
+            deadline=arrived + allowed,
+            target=arrived + min(target, allowed),
+            hold_until=arrived + self.hold_share * min(target, allowed),
+            priority=route.priority,
+            max_attempts=route.max_attempts,
+            request_id=request_id.decode("latin-1"),
+        )
+
+    def _allowed(self, head: RequestHead, route: Route) -> float | None:
+        """Seconds that the request may take; None if its deadline can't be read."""
+        value = head.get(self.names.deadline) if self.names.deadline else None
+        if value is None:
+            return route.timeout
+        try:
+            milliseconds = float(value)
+        except ValueError:
+            return None
+        return min(route.timeout, milliseconds / MILLISECONDS)
+
+
+def _host(head: RequestHead) -> str | None:
+    """The host without its port; None unless there is exactly one."""
+    values = [value for name, value in head.headers if name == b"host"]
+    if len(values) != 1 or not values[0].strip():
+        return None
+    host = values[0].strip().decode("ascii", "replace")
+    if host.startswith("["):
+        return host.partition("]")[0] + "]"
+    return host.partition(":")[0]
--- a/packages/wheatslipd/wheatslipd/settings.py
+++ b/packages/wheatslipd/wheatslipd/settings.py
@@ -1,12 +1,14 @@
 """Settings of the daemon: INI layered over the commented defaults, read into typed objects."""
 
 import ipaddress
-from dataclasses import dataclass
-from enum import IntEnum
+from dataclasses import dataclass, field
+from enum import IntEnum, StrEnum
 from importlib.resources import files
 from pathlib import Path
+from typing import TypeVar
 
 from result import Err, Ok, Result
+from wheatslip.budget import FleetBudget
 from wheatslip.chooser import ChooserSettings
 from wheatslip.ini import (
     MAX_PORT,
@@ -16,7 +18,10 @@
     layered_sections,
     parse_ip,
     parse_ip_and_port,
+    parse_port,
 )
+from wheatslip.objects import WATCH_SECONDS
+from wheatslip.relaytree import WATCHERS
 
 
 class LogLevel(IntEnum):
@@ -28,7 +33,10 @@
     ERROR = 40
 
 
+MAX_ANSWER_HOLD = 16 * 1024 * 1024  # bytes
+PLAIN_TEXT_WORDS = ("no", "yes", "trusted-network")
 LOG_LEVELS = {level.name.lower(): level for level in LogLevel}
+_Word = TypeVar("_Word", bound=StrEnum)
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,6 +48,41 @@
     authority: Path
 
 
+class Interface(StrEnum):
+    """What callers of the entry speak."""
+
+    WORKSPACE = "workspace"  # a credential and the name of a service
+    ROUTES = "routes"  # any HTTP request; its host and path tell the service
+
+
+class ConfigurationSource(StrEnum):
+    """Whom a daemon believes about the configuration."""
+
+    SIGNED = "signed"  # bundles that operators have signed
+    TRUSTED = "trusted"  # whatever the platform holds
+
+
+@dataclass(frozen=True, slots=True)
+class HeaderNames:
+    """Lower-case names of the headers that callers and backend servers speak; see default.ini.
+
+    An empty name: nothing of the kind is read or sent.
+    """
+
+    deadline: bytes = b""
+    request_id: bytes = b""
+    caller: bytes = b""
+    instance: bytes = b""
+    not_run: bytes = b""
+    load: bytes = b""
+    server: bytes = b""
+
+    @property
+    def set_by_us(self) -> frozenset[bytes]:
+        """Those that a caller's own value must never get through for."""
+        return frozenset({self.deadline, self.caller, self.instance} - {b""})
+
+
 @dataclass(frozen=True, slots=True)
 class Settings:
     """All settings of one daemon. Durations in seconds; port 0 takes a free one."""
@@ -66,6 +109,21 @@
     trace_file: str
     log_level: LogLevel
     log_file: str
+    interface: Interface = Interface.WORKSPACE
+    headers: HeaderNames = field(default_factory=HeaderNames)
+    source: ConfigurationSource = ConfigurationSource.SIGNED
+    hold_share: float = 0.25
+    answer_hold: int = 0
+    fleet_budget: FleetBudget | None = None
+    registration_port: int | None = None
+    slot_share: float = 1.0
+    watchers: int = WATCHERS
+    watch_seconds: float = WATCH_SECONDS
+    list_watch_seconds: float = WATCH_SECONDS
+    stop_listening_after: float = 0.0
+
+
+_SIGNED = ConfigurationSource.SIGNED
 
 
 def default_text() -> str:
@@ -99,6 +157,9 @@
     backend = sections["backend"]
     log = sections["log"]
     address = _ip(daemon, "address")
+    source = sections["operators"].choice("source", _SIGNED, _choices(ConfigurationSource))
+    control = sections["control"]
+    entry = sections["entry"]
     return Settings(
         name=daemon.text("name", must=True),
         zone=daemon.text("zone", must=True),
@@ -112,18 +173,32 @@
         control_port=_port(sections["control"]),
         peer_tls=_peer_tls(sections["peer"], address, problems),
         backend_address=_ip(backend, "address"),
-        backend_port=backend.integer("port", 0, 1, MAX_PORT, must=True),
+        backend_port=backend.get(
+            "port", 0, parse_port, f"a port from 1 to {MAX_PORT}, or IP:PORT", must=True
+        ),
         health_path=backend.text("health-path"),
         connect_timeout=backend.duration("connect-timeout", 0.25),
         platform=sections["platform"].get(
             "address", "", parse_ip_and_port, "IP:PORT by IP number", must=True
         ),
-        keyring=Path(sections["operators"].text("keyring", must=True)),
+        keyring=Path(sections["operators"].text("keyring", must=source is _SIGNED)),
         pages_port=_port(sections["pages"]),
         trace_sample=sections["traces"].number("sample", 0.0, 0.0, 1.0),
         trace_file=sections["traces"].text("file"),
         log_level=log.choice("level", LogLevel.INFO, LOG_LEVELS),
         log_file=log.text("file"),
+        interface=entry.choice("interface", Interface.WORKSPACE, _choices(Interface)),
+        headers=_headers(sections["headers"]),
+        source=source,
+        hold_share=entry.number("hold-share", 0.25, 0.0, 1.0),
+        answer_hold=entry.integer("answer-hold", 0, 0, MAX_ANSWER_HOLD),
+        fleet_budget=_fleet_budget(sections["retries"]),
+        registration_port=_registration_port(sections["registration"]),
+        slot_share=backend.number("slot-share", 1.0, 0.1, 1.0),
+        watchers=control.integer("watchers", WATCHERS, 1, 1000),
+        watch_seconds=control.duration("watch", WATCH_SECONDS),
+        list_watch_seconds=control.duration("list-watch", WATCH_SECONDS),
+        stop_listening_after=daemon.duration("stop-listening-after", 0.0),
     )
 
 
@@ -137,7 +212,41 @@
 
 
 def _port(section: Section) -> int:
-    return section.integer("port", 0, 0, MAX_PORT)
+    return section.get("port", 0, parse_port, f"a port from 0 to {MAX_PORT}, or IP:PORT")
+
+
+def _registration_port(section: Section) -> int | None:
+    expected = f"a port from 0 to {MAX_PORT}, or IP:PORT"
+    return section.get("port", None, parse_port, expected)
+
+
+def _headers(section: Section) -> HeaderNames:
+    def name(key: str) -> bytes:
+        return section.text(key).lower().encode()
+
+    return HeaderNames(
+        deadline=name("deadline"),
+        request_id=name("request-id"),
+        caller=name("caller"),
+        instance=name("instance"),
+        not_run=name("not-run"),
+        load=name("load"),
+        server=name("server"),
+    )
+
+
+def _fleet_budget(section: Section) -> FleetBudget | None:
+    share = section.number("share", 0.0, 0.0, 10.0)
+    reserve = section.number("reserve", 0.0, 0.0, 1e6)
+    window = section.duration("window", 10.0)
+    part = section.number("part", 1.0, 0.0, 1.0)
+    if not share and not reserve:
+        return None
+    return FleetBudget(share * part, reserve * part, window)
+
+
+def _choices(words: type[_Word]) -> dict[str, _Word]:
+    return {word.value: word for word in words}
 
 
 def _ip(section: Section, key: str) -> str:
@@ -146,8 +255,10 @@
 
 def _peer_tls(section: Section, address: str, problems: Problems) -> TlsFiles | None:
     names = [section.text(key) for key in ("certificate", "key", "authority")]
-    plain_text = section.flag("plain-text", False)
-    if plain_text:
+    plain_text = section.choice("plain-text", "no", {w: w for w in PLAIN_TEXT_WORDS})
+    if plain_text == "trusted-network":
+        return None
+    if plain_text == "yes":
         if address and not ipaddress.ip_address(address).is_loopback:
             expected = "no, unless [daemon] address is a loopback address"
             problems.add("peer", "plain-text", "yes", expected)
--- a/packages/wheatslipd/wheatslipd/view.py
+++ b/packages/wheatslipd/wheatslipd/view.py
@@ -9,6 +9,7 @@
 from wheatslip.bundle import Bundle, Pool, Service, Workspace
 from wheatslip.chooser import Upstream
 from wheatslip.instances import Instance
+from wheatslip.routes import RouteTable
 
 from wheatslipd.http.client import Pool as ConnectionPool
 
@@ -29,6 +30,7 @@
         self.version = bundle.version
         self.services: dict[str, Service] = {s.name: s for s in bundle.services}
         self.pools: dict[str, Pool] = {p.name: p for p in bundle.pools}
+        self.routes = RouteTable(bundle.routes)
         self.shares = {w.name: w.share for w in bundle.workspaces}
         self._by_credential = {w.credential_sha256: w for w in bundle.workspaces}
 
@@ -52,14 +54,15 @@
 class View:
     """The present state, as the request path sees it.
 
-    `draining`: the backend server here takes no new work. `stopping`: nor does the entry
-    take callers; before that it still forwards theirs to others.
+    `draining`: the backend server here takes no new work; the entry still forwards callers'
+    requests to others. `stopping`: callers are to go elsewhere. `closed`: they have to.
     """
 
     configuration: Configuration | None = None
     membership: Membership = field(default_factory=Membership)
     draining: bool = False
     stopping: bool = False
+    closed: bool = False
 
     @property
     def version(self) -> int:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -182,7 +182,12 @@
         return _json(new)
 
     async def _delete(self, request: web.Request) -> web.Response:
-        await self.store.delete(request.match_info["kind"], request.match_info["name"])
+        kind, name = request.match_info["kind"], request.match_info["name"]
+        current = self.store.objects.get((kind, name))
+        expected = request.query.get("expected")
+        if current is not None and expected not in (None, str(current.version)):
+            return _json(current, status=409)
+        await self.store.delete(kind, name)
         return web.Response(status=204)
 
     async def _set_faults(self, request: web.Request) -> web.Response:
--- a/test/test_relay.py
+++ b/test/test_relay.py
@@ -23,7 +23,7 @@
     parents_of,
     relay_order,
 )
-from wheatslip.signing import SignedBundle
+from wheatslip.signedbundle import SignedBundle
 from wheatslipd.http.client import Pool
 from wheatslipd.http.messages import RequestHead
 from wheatslipd.http.server import Server
