Bounce requests off a backend server that is slow right now

Cause: servers share their machines and are four times slower for 300 ms at a time; a gate knew it from each answer's load, but used it only through a slow mean. Entries that saw one slow report stayed away for long, and went to other zones for it. Change: the gate refuses at once what would start on a slow server while others are left, and asks the health endpoint when it is over; the chooser forgets slow reports in 50 ms and leaves the zone only when bounced.

--- a/packages/wheatslip/wheatslip/admission.py
+++ b/packages/wheatslip/wheatslip/admission.py
@@ -77,18 +77,22 @@
         self._queue.urgent_share = settings.urgent_share
 
     def service_estimate(self, now: float) -> float:
-        """Seconds one request takes now.
+        """Seconds one request takes now."""
+        return self.usual_service(now) * self.slowness
+
+    def usual_service(self, now: float) -> float:
+        """Seconds one request takes when the server is as fast as usual.
 
         The age of what runs counts too, so that a server which stopped answering is seen
         before its first slow answer comes.
         """
-        estimate = self.limit.service * self.slowness
+        estimate = self.limit.service
         if not self._running:
             return estimate
         mean_age = now - self._started_sum / len(self._running)
         # Of requests caught at a random moment, the mean age equals the mean service time
         # only in the worst case; beyond twice the estimate it speaks of a slow-down.
-        return mean_age if mean_age > 2 * estimate else estimate
+        return mean_age if mean_age > 2 * estimate * max(1.0, self.slowness) else estimate
 
     def expected_wait(self, call: Call, now: float) -> float:
         """Seconds until a call that arrives now would start, given its workspace's share."""
@@ -110,6 +114,8 @@
         if call.remaining(now) <= 0:
             return NotRun(Reason.DEADLINE)
         ticket = Ticket(call, now)
+        if self._delay_by_slowness(now) > max_wait:
+            return self._refusal(0.0)
         if self.in_flight < self.limit.value and not self.queued:
             self._start(ticket, now)
             return ticket
@@ -181,6 +187,10 @@
         self._running.add(ticket)
         self._started_sum += now
 
+    def _delay_by_slowness(self, now: float) -> float:
+        """Seconds that a request takes longer here than usual."""
+        return (self.slowness - 1.0) * self.usual_service(now)
+
     def _too_late(self, call: Call, wait: float, now: float) -> bool:
         needed = wait + self.service_estimate(now)
         return call.remaining(now) < needed
--- a/packages/wheatslip/wheatslip/chooser.py
+++ b/packages/wheatslip/wheatslip/chooser.py
@@ -29,6 +29,7 @@
 FAILURE_FIRST_PAUSE = 0.2  # seconds
 FAILURE_LAST_PAUSE = 5.0
 WARM_UP_FLOOR = 0.05  # the part of its turns that a new upstream gets at first
+SLOWNESS_MEMORY = 0.05  # seconds in which a report of slowness falls to 1/e
 COST_JITTER = 0.02
 # Expected wait, in service times, at a server that is just full; how it rises up to there,
 # and how steeply beyond.
@@ -172,6 +173,7 @@
         report = upstream.report
         is_slow = report is not None and report.service > SAME_SERVICE * typical
         service = report.service if report is not None and is_slow else typical
+        service *= self._slowness(upstream, now)
         fill = self._fill(upstream, now)
         cost = service * (1.0 + _crowding(fill))
         if not upstream.healthy and upstream.vouched_until < now:
@@ -182,6 +184,13 @@
         cost += upstream.error_rate(now) * ERROR_COST
         return cost
 
+    def _slowness(self, upstream: Upstream, now: float) -> float:
+        """How long work is thought to take there now, as a part of the usual."""
+        if upstream.report is None:
+            return 1.0
+        trust = exp(-(now - upstream.reported_at) / SLOWNESS_MEMORY)
+        return 1.0 + trust * (upstream.report.slowness - 1.0)
+
     def _has_its_turn(self, upstream: Upstream, now: float) -> bool:
         """A new upstream takes part in a growing share of the picks."""
         if not upstream.joined or now >= upstream.joined + self.settings.warm_up:
--- a/packages/wheatslip/wheatslip/hop.py
+++ b/packages/wheatslip/wheatslip/hop.py
@@ -41,6 +41,7 @@
 
     `in_flight` and `queued` count requests, `limit` is the concurrency limit, `service`
     the recent mean service time in seconds, `version` the bundle version in force there.
+    `slowness` is how long work takes there right now, as a part of that mean.
     """
 
     in_flight: int
@@ -49,6 +50,7 @@
     service: float
     version: int
     draining: bool = False
+    slowness: float = 1.0
 
 
 _hop_encoder = msgspec.json.Encoder()
--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -43,6 +43,7 @@
 from wheatslipd.registrar import HeartbeatDecoder, Registrar, decode_heartbeat
 from wheatslipd.routefilter import RouteFilter
 from wheatslipd.settings import ConfigurationSource, Interface, Settings
+from wheatslipd.slowprobe import SlowProbe
 from wheatslipd.tls import PeerTls, peer_tls
 from wheatslipd.tracing import HopTracer
 from wheatslipd.view import View
@@ -178,6 +179,7 @@
         helpers: list[asyncio.Task[None]] = []
         if self.registrar is not None:
             tasks.append(loop.create_task(self.publisher.run()))
+            tasks.append(loop.create_task(self.slow_probe.run()))
             # It ends when a backend server has registered, and ends nothing else by that.
             helpers.append(loop.create_task(self.registrar.run()))
         if self.settings.health_path:
@@ -244,7 +246,9 @@
         slots = self._slots or pool.slots
         admission.resize(AdmissionSettings(slots=slots, queue=pool.queue))
         if self.registrar is not None:
-            self.registrar.health_path = pool.health_path or self.settings.health_path
+            health_path = pool.health_path or self.settings.health_path
+            self.registrar.health_path = health_path
+            self.slow_probe.health_path = health_path
         admission.set_shares({w.name: w.share for w in bundle.workspaces})
         self._backend.bound_connections(pool.connections)
         self.measurer.budget.per_second = pool.probes_per_second
@@ -342,6 +346,14 @@
             registration, self._backend, settings.headers, self.bus, self._monotonic, decode
         )
         self.registration_server = Server(self.registrar.handle)
+        self.slow_probe = SlowProbe(
+            self.gate,
+            self._backend,
+            settings.headers.load,
+            self.metrics,
+            self._monotonic,
+            settings.slow_probe,
+        )
         # Who stands there, and whether it leaves, is not known yet.
         self.gate.admission.unknown = True
 
--- a/packages/wheatslipd/wheatslipd/filters.py
+++ b/packages/wheatslipd/wheatslipd/filters.py
@@ -6,12 +6,13 @@
 from wheatslip.bundle import Service, credential_digest
 from wheatslip.call import Call, RequestKind
 from wheatslip.ledger import key_time
-from wheatslip.outcome import Answered, NotRun, Outcome, Reason, Unknown
+from wheatslip.outcome import Answered, NotRun, Outcome, Reason
 
 from wheatslipd import logs
 from wheatslipd.chain import EntryRequest, Filter, Proceed
 from wheatslipd.http.messages import RequestHead
 from wheatslipd.metrics import Metrics
+from wheatslipd.outcomes import describe
 from wheatslipd.tracing import TRACEPARENT, HopTracer
 from wheatslipd.view import View
 
@@ -163,16 +164,6 @@
     return [IdentifyFilter(), AuthoriseFilter(), ClassifyFilter(clock)]
 
 
-def describe(outcome: Outcome) -> str:
-    """An outcome in a word or two, for logs, metrics and spans."""
-    match outcome:
-        case NotRun(reason):
-            return f"not-run:{reason.value}"
-        case Unknown(reason):
-            return f"unknown:{reason.value}"
-    return "answered"
-
-
 def _may_call(workspace: str, service: Service) -> bool:
     return workspace == service.workspace or workspace in service.callers
 
--- a/packages/wheatslipd/wheatslipd/forward.py
+++ b/packages/wheatslipd/wheatslipd/forward.py
@@ -20,13 +20,15 @@
 )
 from wheatslip.outcome import Answered, NotRun, Outcome, Reason, Unknown
 
+from wheatslipd import logs
 from wheatslipd.answers import RETRY_AFTER_MS
 from wheatslipd.chain import EntryRequest
 from wheatslipd.http.body import BodyBroken
 from wheatslipd.http.client import ClientConnection, Response
 from wheatslipd.http.messages import RequestHead, ResponseHead
 from wheatslipd.metrics import Metrics
-from wheatslipd.settings import HeaderNames
+from wheatslipd.outcomes import describe
+from wheatslipd.settings import HeaderNames, LogLevel
 from wheatslipd.tracing import TRACEPARENT
 from wheatslipd.view import Peer, View
 
@@ -120,10 +122,33 @@
                 return
             peer = next(peer for peer in peers if peer.upstream is chosen.upstream)
             outcome = await self._send(sending, chosen, peer, limit)
+            self._log_try(sending, chosen, outcome)
             if outcome == REPLACED:
                 continue
             again = attempts.ended(outcome) and not sending.request.exchange.started
 
+    def _log_try(self, sending: _Sending, chosen: Try, outcome: Outcome) -> None:
+        if not logs.is_enabled(LogLevel.DEBUG):
+            return
+        upstream = chosen.upstream
+        report = upstream.report
+        now = self._clock()
+        logs.debug(
+            "try-ended",
+            request=sending.call.request_id,
+            service=sending.call.service,
+            kind=sending.call.kind.name,
+            number=sending.attempts.tries,
+            to=upstream.name,
+            zone=upstream.zone,
+            max_wait=chosen.max_wait,
+            outcome=describe(outcome),
+            in_flight=upstream.in_flight,
+            reported=f"{report.in_flight}+{report.queued}/{report.limit}" if report else "-",
+            age=round(now - upstream.reported_at, 3) if report else "-",
+            left=round(sending.call.remaining(now), 3),
+        )
+
     def _peers(self, sending: _Sending) -> tuple[Peer, ...]:
         configuration = sending.request.configuration
         assert configuration is not None
--- a/packages/wheatslipd/wheatslipd/gate.py
+++ b/packages/wheatslipd/wheatslipd/gate.py
@@ -4,12 +4,16 @@
 from collections.abc import Callable
 
 from wheatslip.admission import MIN_RETRY_AFTER, Admission, Ticket
+from wheatslip.backendload import BackendLoad
 from wheatslip.call import Call
 from wheatslip.hop import LoadReport
 from wheatslip.outcome import NotRun, Reason
 
+from wheatslipd import logs
+from wheatslipd.settings import LogLevel
 from wheatslipd.view import View
 
+SLOW = 1.3  # slowness from which on the server is asked when it is over
 EVICTED_RETRY_AFTER = 0.5  # seconds
 
 
@@ -20,6 +24,8 @@
         self.admission = admission
         self._view = view
         self._clock = clock
+        self.slow = asyncio.Event()  # set while the backend server says that it is slow
+        self.load_seen = float("-inf")  # when it last told of its load
         self._waiting: dict[Ticket, asyncio.Future[NotRun | None]] = {}
 
     async def enter(self, call: Call, max_wait: float) -> Ticket | NotRun:
@@ -41,6 +47,30 @@
         self.admission.unknown = False
         self.admission.draining = False
 
+    def learn(self, load: BackendLoad) -> None:
+        """The backend server told of its load."""
+        if load.slowness != self.admission.slowness and logs.is_enabled(LogLevel.DEBUG):
+            logs.debug(
+                "slowness",
+                now=load.slowness,
+                before=self.admission.slowness,
+                in_flight=self.admission.in_flight,
+                queued=self.admission.queued,
+                running=load.running,
+                waiting=load.waiting,
+            )
+        self.load_seen = self._clock()
+        self.admission.slowness = load.slowness
+        if load.slowness >= SLOW:
+            self.slow.set()
+        else:
+            self.slow.clear()
+
+    def forget_slowness(self) -> None:
+        """Nothing is known of the backend server's speed any more."""
+        self.admission.slowness = 1.0
+        self.slow.clear()
+
     def drain(self) -> None:
         """Refuse new work from now on; what waits is refused too, as it has not run."""
         self.admission.draining = True
@@ -56,9 +86,10 @@
             in_flight=admission.in_flight,
             queued=admission.queued,
             limit=admission.limit.value,
-            service=round(admission.service_estimate(self._clock()), 6),
+            service=round(admission.usual_service(self._clock()), 4),
             version=self._view.version,
             draining=admission.draining,
+            slowness=round(admission.slowness, 2),
         )
 
     async def _wait(self, ticket: Ticket, now: float) -> Ticket | NotRun:
--- a/packages/wheatslipd/wheatslipd/logs.py
+++ b/packages/wheatslipd/wheatslipd/logs.py
@@ -82,11 +82,21 @@
 def start_logging(level: LogLevel, path: str) -> KeyValueDestination:
     """Send eliot's events to a file, or standard error if `path` is empty."""
     stream = open(path, "a", encoding="utf-8") if path else sys.stderr  # noqa: SIM115
+    global _least
+    _least = level
     destination = KeyValueDestination(stream, level)
     eliot.add_destinations(destination)
     return destination
 
 
+_least = LogLevel.INFO
+
+
+def is_enabled(level: LogLevel) -> bool:
+    """Whether events of a level are written, so that costly fields are made only then."""
+    return level >= _least
+
+
 def debug(event: str, **fields: object) -> None:
     """Log an event that only a developer wants."""
     log_message(message_type=event, level=LogLevel.DEBUG, **fields)
--- a/packages/wheatslipd/wheatslipd/measure.py
+++ b/packages/wheatslipd/wheatslipd/measure.py
@@ -9,11 +9,10 @@
 from dataclasses import dataclass
 
 from wheatslipd import logs
-from wheatslipd.backend import Backend, BackendAnswer
+from wheatslipd.backend import Backend
 from wheatslipd.bus import Bus
 from wheatslipd.events import leaving
-from wheatslipd.http.body import Body
-from wheatslipd.http.messages import RequestHead
+from wheatslipd.health import ask_health
 from wheatslipd.metrics import Metrics
 
 DRAINING_HEADER = b"x-draining"
@@ -49,7 +48,7 @@
     ):
         """`is_silent(seconds)` tells whether nothing was answered for so long."""
         self._backend = backend
-        self._path = path.encode()
+        self._path = path
         self._bus = bus
         self._metrics = metrics
         self._clock = clock
@@ -66,28 +65,10 @@
 
     async def _probe(self) -> None:
         started = self._clock()
-        body = Body(_nothing, _nothing)
-        body.finish()
-        head = RequestHead(b"GET", self._path, [(b"host", b"localhost")])
-        try:
-            async with asyncio.timeout(PROBE_TIMEOUT):
-                answer = await self._backend.send(head, body)
-        except TimeoutError:
-            logs.warning("probe-late", repeat_key="probe")
-            return
-        finally:
-            self._metrics.probes.inc({})
-            self._metrics.probe_seconds.add({}, self._clock() - started)
-        if not isinstance(answer, BackendAnswer):
-            logs.warning("probe-failed", why=answer.reason.value, repeat_key="probe")
-            return
-        try:
-            await answer.response.body.read_up_to(4096)
-        finally:
-            self._backend.release(answer)
-        if answer.response.head.get(DRAINING_HEADER) == b"yes":
+        found = await ask_health(self._backend, self._path, PROBE_TIMEOUT)
+        self._metrics.probes.inc({})
+        self._metrics.probe_seconds.add({}, self._clock() - started)
+        if found is None:
+            logs.warning("probe-failed", repeat_key="probe")
+        elif found.get(DRAINING_HEADER) == b"yes":
             self._bus.fire(leaving("the backend server says so"))
-
-
-def _nothing() -> None:
-    pass
--- a/packages/wheatslipd/wheatslipd/peerport.py
+++ b/packages/wheatslipd/wheatslipd/peerport.py
@@ -24,13 +24,14 @@
 
 from wheatslipd.answers import send_refusal
 from wheatslipd.backend import Backend, BackendAnswer
-from wheatslipd.filters import DEADLINE_HEADER, DEPTH_HEADER, MILLISECONDS, describe
+from wheatslipd.filters import DEADLINE_HEADER, DEPTH_HEADER, MILLISECONDS
 from wheatslipd.gate import Gate
 from wheatslipd.http.body import BodyBroken
 from wheatslipd.http.exchange import Exchange
 from wheatslipd.http.messages import Headers, RequestHead, ResponseHead
 from wheatslipd.keyguard import KeyGuard
 from wheatslipd.metrics import Metrics
+from wheatslipd.outcomes import describe
 from wheatslipd.settings import HeaderNames
 from wheatslipd.tracing import TRACEPARENT, HopTrace, HopTracer
 from wheatslipd.view import View
@@ -253,7 +254,7 @@
         value = head.get(self._names.load) if self._names.load else None
         load = decode_backend_load(value) if value else None
         if load is not None:
-            self._gate.admission.slowness = load.slowness
+            self._gate.learn(load)
 
     def _was_not_run(self, head: ResponseHead, call: Call) -> bool:
         """Whether the backend server says that it turned the request away."""
--- a/packages/wheatslipd/wheatslipd/registrar.py
+++ b/packages/wheatslipd/wheatslipd/registrar.py
@@ -12,12 +12,13 @@
 from wheatslip.registration import Heartbeat, Registration
 
 from wheatslipd import logs
-from wheatslipd.backend import Backend, BackendAnswer
+from wheatslipd.backend import Backend
 from wheatslipd.bus import Bus
 from wheatslipd.events import backend_registered
-from wheatslipd.http.body import Body, BodyBroken
+from wheatslipd.health import ask_health
+from wheatslipd.http.body import BodyBroken
 from wheatslipd.http.exchange import Exchange
-from wheatslipd.http.messages import RequestHead, ResponseHead
+from wheatslipd.http.messages import ResponseHead
 from wheatslipd.settings import HeaderNames
 
 PATH = b"/heartbeats/"
@@ -88,21 +89,9 @@
             await asyncio.sleep(ASK_SECONDS)
 
     async def _ask(self) -> None:
-        body = Body(_nothing, _nothing)
-        body.finish()
-        head = RequestHead(b"GET", self.health_path.encode(), [(b"host", b"localhost")])
-        try:
-            async with asyncio.timeout(ASK_TIMEOUT):
-                answer = await self._backend.send(head, body)
-                if not isinstance(answer, BackendAnswer):
-                    return
-                try:
-                    await answer.response.body.read_up_to(MAX_HEARTBEAT_BYTES)
-                finally:
-                    self._backend.release(answer)
-        except (TimeoutError, BodyBroken):
+        found = await ask_health(self._backend, self.health_path, ASK_TIMEOUT)
+        if found is None:
             return
-        found = answer.response.head
         server = (found.get(self._names.server) or b"").decode("ascii", "replace")
         load = decode_backend_load(found.get(self._names.load) or b"")
         if server and load is not None:
@@ -119,7 +108,3 @@
                 draining=current.draining,
             )
             self._bus.fire(backend_registered(current))
-
-
-def _nothing() -> None:
-    pass
--- /dev/null
+++ b/packages/wheatslipd/wheatslipd/slowprobe.py
@@ -0,0 +1,61 @@
+"""The task that finds out when a slow backend server is as fast as usual again.
+
+A server that is slow right now is spared new work, so its answers stop telling of it. Then,
+and only then, its health endpoint is asked, which tells the same without taking a slot.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from wheatslip.backendload import decode_backend_load
+
+from wheatslipd.backend import Backend
+from wheatslipd.gate import Gate
+from wheatslipd.health import ask_health
+from wheatslipd.metrics import Metrics
+
+TIMEOUT = 0.2  # seconds
+
+
+class SlowProbe:
+    """Asks one backend server while it is slow, every `interval` seconds of silence."""
+
+    def __init__(
+        self,
+        gate: Gate,
+        backend: Backend,
+        header: bytes,
+        metrics: Metrics,
+        clock: Callable[[], float],
+        interval: float,
+    ):
+        """`header` names the load in the endpoint's answer."""
+        self._gate = gate
+        self._backend = backend
+        self._header = header
+        self._metrics = metrics
+        self._clock = clock
+        self._interval = interval
+        self.health_path = ""
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        while True:
+            await self._gate.slow.wait()
+            known_for = self._clock() - self._gate.load_seen
+            if known_for < self._interval:
+                await asyncio.sleep(self._interval - known_for)
+                continue
+            await self._probe()
+            await asyncio.sleep(self._interval)
+
+    async def _probe(self) -> None:
+        self._metrics.probes.inc({})
+        found = await ask_health(self._backend, self.health_path, TIMEOUT)
+        value = found.get(self._header) if found is not None else None
+        load = decode_backend_load(value) if value else None
+        if load is not None:
+            self._gate.learn(load)
+        else:
+            # It told nothing, so nothing is known: work finds out.
+            self._gate.forget_slowness()
