Shorten what travels between daemons; start without the command line's library

Cause: at-east prices a byte between zones so high that the heads of a lookup cost as much as its answer; the command line's library took 6 MB and 0.13 s in each daemon; each new entry of the list woke every watcher.

--- a/packages/wheatslip/wheatslip/admission.py
+++ b/packages/wheatslip/wheatslip/admission.py
@@ -10,11 +10,14 @@
 from wheatslip.fairqueue import FairQueue
 from wheatslip.limit import ConcurrencyLimit
 from wheatslip.outcome import NotRun, Reason
+from wheatslip.servicetimes import ServiceTimes
 
 MIN_RETRY_AFTER = 0.05  # seconds
 NOT_READY_RETRY_AFTER = 0.2
 DEFAULT_URGENT_SHARE = 0.25
 ANY_WAIT = float("inf")
+SLOW = 1.3  # slowness from which on a server is spared what others can take
+CLOSE_MISS = 0.9  # part of the time left to the target that a slow answer may take
 
 
 @dataclass(slots=True, eq=False)
@@ -25,6 +28,7 @@
     arrived: float
     started: float | None = None
     slowness: float = 1.0  # of the backend server when the request started
+    max_wait: float = ANY_WAIT  # what it was sent with; see `Admission.arrive`
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +50,7 @@
     unknown: bool = False  # whose gate it is, is not known yet
     last_finished: float = float("-inf")
     slowness: float = 1.0  # how long work takes at the server now, as a part of the usual
+    _times: ServiceTimes = field(init=False, default_factory=ServiceTimes)
     _queue: FairQueue[Ticket] = field(init=False)
     _running: set[Ticket] = field(init=False, default_factory=set)
     _started_sum: float = field(init=False, default=0.0)
@@ -113,8 +118,8 @@
             return NotRun(Reason.DRAINING)
         if call.remaining(now) <= 0:
             return NotRun(Reason.DEADLINE)
-        ticket = Ticket(call, now)
-        if self._delay_by_slowness(now) > max_wait:
+        ticket = Ticket(call, now, max_wait=max_wait)
+        if max_wait < ANY_WAIT and self._is_better_elsewhere(call, max_wait, now):
             return self._refusal(0.0)
         if self.in_flight < self.limit.value and not self.queued:
             self._start(ticket, now)
@@ -141,9 +146,24 @@
         if worked:
             took = (now - ticket.started) / max(1.0, (ticket.slowness + self.slowness) / 2)
             self.limit.observe(took, saturated=self._was_full)
+            self._times.observe(ticket.call.kind.name, took)
             self._was_full = bool(self.queued)
         return self.admit(now)
 
+    def better_elsewhere(self, now: float) -> list[Ticket]:
+        """Take out of the queue what another server should rather take, as this one is slow."""
+        if self.slowness < SLOW:
+            return []
+        found = [
+            ticket
+            for ticket in self._queue
+            if ticket.max_wait < ANY_WAIT
+            and self._is_better_elsewhere(ticket.call, ticket.max_wait, now)
+        ]
+        for ticket in found:
+            self._queue.remove(ticket.call.workspace, ticket)
+        return found
+
     def withdraw(self, ticket: Ticket) -> bool:
         """Take a waiting ticket out of the queue; False if it does not wait."""
         if ticket.started is not None:
@@ -165,7 +185,8 @@
         """The moment until which a request may wait: then it can't meet its deadline any more,
         or its caller rather hears a refusal.
         """
-        needed = min(self.service_estimate(now), call.remaining(now) / 2)
+        service = self._usual_service_of(call, now) * self.slowness
+        needed = min(service, call.remaining(now) / 2)
         return min(call.deadline - needed, call.hold_until)
 
     def evicted(self) -> list[Ticket]:
@@ -187,12 +208,24 @@
         self._running.add(ticket)
         self._started_sum += now
 
-    def _delay_by_slowness(self, now: float) -> float:
-        """Seconds that a request takes longer here than usual."""
-        return (self.slowness - 1.0) * self.usual_service(now)
+    def _is_better_elsewhere(self, call: Call, max_wait: float, now: float) -> bool:
+        """Whether the server is so slow now that another one should take the call."""
+        if self.slowness < SLOW:
+            return False
+        usual = self._usual_service_of(call, now)
+        if call.target == ANY_WAIT:
+            return (self.slowness - 1.0) * usual > max_wait
+        # Slow or not, an answer within the target is as good as any. The estimate may be
+        # off, and going elsewhere has its price, so a close miss is risked.
+        return self.slowness * usual > CLOSE_MISS * (call.target - now)
+
+    def _usual_service_of(self, call: Call, now: float) -> float:
+        """Seconds that a call of this kind takes when the server is as fast as usual."""
+        known = self._times.of(call.kind.name)
+        return self.usual_service(now) if known is None else known
 
     def _too_late(self, call: Call, wait: float, now: float) -> bool:
-        needed = wait + self.service_estimate(now)
+        needed = wait + self._usual_service_of(call, now) * self.slowness
         return call.remaining(now) < needed
 
     def _refusal(self, wait: float) -> NotRun:
--- a/packages/wheatslip/wheatslip/attempts.py
+++ b/packages/wheatslip/wheatslip/attempts.py
@@ -16,7 +16,7 @@
 
 MAX_TRIES = 5
 # A refusal costs the backend server nothing; after these a call queues where it is sent.
-MAX_BOUNCES = 2
+MAX_BOUNCES = 3
 NO_UPSTREAM = NotRun(Reason.NO_UPSTREAM, retry_after=1.0)
 ANY_WAIT = float("inf")
 SERVER_ERROR = 500  # statuses from here on are failures of the backend server
--- a/packages/wheatslip/wheatslip/hop.py
+++ b/packages/wheatslip/wheatslip/hop.py
@@ -16,7 +16,8 @@
     request that would wait longer than `max_wait` seconds is refused, as the entry has others
     to try; None: any wait will do. `target` and `hold` are the seconds left until the call's
     `target` and `hold_until`; None: there is no such bound. It travels as an array, since
-    bytes between zones cost more than names are worth.
+    bytes between zones cost more than names are worth; so does a finer time than
+    milliseconds.
     """
 
     workspace: str
@@ -33,7 +34,6 @@
     target: float | None = None
     hold: float | None = None
     priority: int = 0
-    request_id: str = ""
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/wheatslip/wheatslip/objects.py
+++ b/packages/wheatslip/wheatslip/objects.py
@@ -236,12 +236,15 @@
     rng: Random,
     on_trouble: Callable[[Unavailable], None] = lambda trouble: None,
     wait: float = WATCH_SECONDS,
+    pause: float = 0.0,
+    backoff_last: float = BACKOFF_LAST,
 ) -> AsyncIterator[Listing]:
     """Every state of a kind from now on without a gap: a full listing, then changes.
 
-    After a version that is too old, or a new start of the platform, it lists again.
+    After a version that is too old, or a new start of the platform, it lists again. After
+    each change it rests for `pause` seconds, so that many changes come as one.
     """
-    backoff = Backoff(rng)
+    backoff = Backoff(rng, last=backoff_last)
     version: int | None = None
     while True:
         if version is None:
@@ -253,6 +256,8 @@
                 backoff.reset()
                 version = listing.version
                 yield listing
+                if listing.items:
+                    await asyncio.sleep(pause)
             case Err(TooOld()):
                 version = None
             case Err(Unavailable() as trouble):
--- /dev/null
+++ b/packages/wheatslip/wheatslip/servicetimes.py
@@ -0,0 +1,25 @@
+"""What each kind of request takes at one backend server when it is as fast as usual."""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+WEIGHT = 0.1  # of one answer
+MAX_KINDS = 1000
+
+
+@dataclass(slots=True)
+class ServiceTimes:
+    """Moving means by kind, in seconds."""
+
+    _means: OrderedDict[str, float] = field(default_factory=OrderedDict)
+
+    def observe(self, kind: str, took: float) -> None:
+        """One request of a kind took so long, at the usual speed."""
+        mean = self._means.get(kind)
+        self._means[kind] = took if mean is None else mean + WEIGHT * (took - mean)
+        if len(self._means) > MAX_KINDS:
+            self._means.popitem(last=False)
+
+    def of(self, kind: str) -> float | None:
+        """The mean of a kind, None before its first answer."""
+        return self._means.get(kind)
--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -125,7 +125,13 @@
             tls,
             rng,
             unix,
-            FeedPace(settings.watchers, settings.watch_seconds, settings.list_watch_seconds),
+            FeedPace(
+                settings.watchers,
+                settings.watch_seconds,
+                settings.list_watch_seconds,
+                settings.list_pause,
+                settings.platform_retry_last,
+            ),
         )
         self._tracer = HopTracer(settings.name, settings.trace_sample, settings.trace_file, rng)
         self.gate = Gate(Admission(AdmissionSettings()), self.view, monotonic)
@@ -391,6 +397,7 @@
             settings.headers,
             settings.pool,
             settings.answer_hold,
+            settings.interface is Interface.ROUTES,
         )
         filters = common_filters(self.view, self.metrics, self._tracer, self._monotonic)
         if settings.interface is Interface.ROUTES:
--- a/packages/wheatslipd/wheatslipd/feed.py
+++ b/packages/wheatslipd/wheatslipd/feed.py
@@ -21,6 +21,7 @@
 from wheatslip.head import Head
 from wheatslip.instances import Instance
 from wheatslip.objects import (
+    BACKOFF_LAST,
     WATCH_SECONDS,
     Backoff,
     Listing,
@@ -52,6 +53,8 @@
     watchers: int = WATCHERS
     watch: float = WATCH_SECONDS
     list_watch: float = WATCH_SECONDS
+    list_pause: float = 0.0  # between two changes of the list
+    retry_last: float = BACKOFF_LAST  # longest wait after a failed call
 
 
 def prove_by_keyring(keyring: Path) -> Callable[[SignedBundle], Result[Bundle, str]]:
@@ -143,7 +146,7 @@
 
     async def _read_first_list(self) -> None:
         """The first list comes from the platform: before it there is no one to follow."""
-        backoff = Backoff(self._rng)
+        backoff = Backoff(self._rng, last=self._pace.retry_last)
         while True:
             match await self.client.list(lists.KIND):
                 case Ok(listing):
@@ -168,7 +171,15 @@
     async def _watch_list(self) -> None:
         whole = True
         wait = self._pace.list_watch
-        async for listing in follow(self.client, lists.KIND, self._rng, self._on_trouble, wait):
+        async for listing in follow(
+            self.client,
+            lists.KIND,
+            self._rng,
+            self._on_trouble,
+            wait,
+            self._pace.list_pause,
+            self._pace.retry_last,
+        ):
             self._confirm()
             if whole or listing.items:
                 self._take_listing(listing, whole=whole)
@@ -176,7 +187,10 @@
 
     async def _watch_head(self) -> None:
         wait = self._pace.watch
-        async for listing in follow(self.client, heads.KIND, self._rng, _log_trouble, wait):
+        retry_last = self._pace.retry_last
+        async for listing in follow(
+            self.client, heads.KIND, self._rng, _log_trouble, wait, 0.0, retry_last
+        ):
             for item in listing.items:
                 await self._fetch_newer(item)
 
@@ -281,7 +295,7 @@
             return
         if head.version == self._version + 1 and await self._fetch_delta(head):
             return
-        backoff = Backoff(self._rng)
+        backoff = Backoff(self._rng, last=self._pace.retry_last)
         while head.version > self._version:
             name = heads.bundle_name(head.version, head.digest)
             match await self.client.get(heads.BUNDLE_KIND, name):
--- a/packages/wheatslipd/wheatslipd/forward.py
+++ b/packages/wheatslipd/wheatslipd/forward.py
@@ -32,6 +32,7 @@
 from wheatslipd.tracing import TRACEPARENT
 from wheatslipd.view import Peer, View
 
+TIME_DIGITS = 3  # of seconds that travel with a request
 REPLAY_LIMIT = 64 * 1024  # a body up to this size is kept, so that it can be sent again
 CONNECT_TIMEOUT = 0.25  # seconds
 # An answer that has begun and was given up for another try; see Attempts.may_replace.
@@ -66,9 +67,11 @@
         names: HeaderNames,
         caller: str,
         answer_hold: int = 0,
+        plain: bool = False,
     ):
         """`caller` is told to backend servers in the header that `names` has for it. Of an
-        answer up to `answer_hold` bytes are held until they are whole.
+        answer up to `answer_hold` bytes are held until they are whole. `plain`: requests
+        come by routes, and there are no workspaces to tell apart.
         """
         self._view = view
         self._name = name
@@ -81,6 +84,7 @@
         self._names = names
         self._caller = caller.encode()
         self._answer_hold = answer_hold
+        self._plain = plain
 
     async def __call__(self, request: EntryRequest) -> Outcome:
         """Run the request to its outcome, within its deadline."""
@@ -232,21 +236,20 @@
         now = self._clock()
         original = sending.request.exchange.head
         hop = Hop(
-            workspace=call.workspace,
+            workspace="" if self._plain else call.workspace,
             service=call.service,
             kind=call.kind.name,
             repeatable=call.kind.repeatable,
             urgent=call.call_class is CallClass.URGENT,
-            remaining=call.remaining(now),
+            remaining=round(call.remaining(now), TIME_DIGITS),
             version=self._view.version,
-            entry=self._name,
+            entry="" if self._plain else self._name,
             key=call.key,
             depth=call.depth,
             max_wait=_bounded(chosen.max_wait),
             target=_bounded(call.target - now),
             hold=_bounded(call.hold_until - now),
             priority=call.priority,
-            request_id=call.request_id,
         )
         dropped = _NOT_FORWARDED | self._names.set_by_us
         headers = [(name, value) for name, value in original.forwarded() if name not in dropped]
@@ -294,4 +297,4 @@
 
 def _bounded(seconds: float) -> float | None:
     """A bound for the wire, where None says that there is none."""
-    return None if seconds == ANY_WAIT else seconds
+    return None if seconds == ANY_WAIT else round(seconds, TIME_DIGITS)
--- a/packages/wheatslipd/wheatslipd/gate.py
+++ b/packages/wheatslipd/wheatslipd/gate.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from wheatslip.admission import MIN_RETRY_AFTER, Admission, Ticket
+from wheatslip.admission import MIN_RETRY_AFTER, SLOW, Admission, Ticket
 from wheatslip.backendload import BackendLoad
 from wheatslip.call import Call
 from wheatslip.hop import LoadReport
@@ -13,7 +13,6 @@
 from wheatslipd.settings import LogLevel
 from wheatslipd.view import View
 
-SLOW = 1.3  # slowness from which on the server is asked when it is over
 EVICTED_RETRY_AFTER = 0.5  # seconds
 
 
@@ -39,6 +38,8 @@
 
     def leave(self, ticket: Ticket, *, worked: bool) -> None:
         """A started request has ended; `worked`: the backend server answered it."""
+        if logs.is_enabled(LogLevel.DEBUG):
+            self._log_run(ticket, worked)
         started = self.admission.finish(ticket, self._clock(), worked=worked)
         self._wake(started)
 
@@ -63,9 +64,17 @@
         self.admission.slowness = load.slowness
         if load.slowness >= SLOW:
             self.slow.set()
+            self._send_elsewhere()
         else:
             self.slow.clear()
 
+    def _send_elsewhere(self) -> None:
+        """Refuse what waits here but would rather have gone to a faster server."""
+        for ticket in self.admission.better_elsewhere(self._clock()):
+            future = self._waiting.get(ticket)
+            if future is not None and not future.done():
+                future.set_result(NotRun(Reason.OVERLOADED, MIN_RETRY_AFTER))
+
     def forget_slowness(self) -> None:
         """Nothing is known of the backend server's speed any more."""
         self.admission.slowness = 1.0
@@ -112,6 +121,22 @@
         finally:
             del self._waiting[ticket]
 
+    def _log_run(self, ticket: Ticket, worked: bool) -> None:
+        now = self._clock()
+        call = ticket.call
+        assert ticket.started is not None
+        logs.debug(
+            "run-ended",
+            request=call.request_id,
+            kind=call.kind.name,
+            worked=worked,
+            waited=round(ticket.started - ticket.arrived, 4),
+            took=round(now - ticket.started, 4),
+            slowness=f"{ticket.slowness}:{self.admission.slowness}",
+            target_left=round(call.target - now, 3),
+            in_flight=self.admission.in_flight,
+        )
+
     def _waited_in_vain(self, call: Call) -> NotRun:
         now = self._clock()
         if call.hold_until > now:
--- a/packages/wheatslipd/wheatslipd/main.py
+++ b/packages/wheatslipd/wheatslipd/main.py
@@ -1,28 +1,17 @@
 """The command `wheatslipd`: checks its settings and runs one daemon."""
 
-import asyncio
-import gc
-import os
-import signal
 import sys
-import time
-from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
-from random import Random
 from typing import Annotated
 
 import cappa
 from result import Err, Ok
 
 from wheatslipd import __version__, logs
-from wheatslipd.daemon import Daemon, Ports
+from wheatslipd.run import EXIT_BAD_SETTINGS, run_daemon
 from wheatslipd.settings import Settings, default_text, load_settings
 
-EXIT_FAILED = 1
-EXIT_BAD_SETTINGS = 2
-COLLECT_AFTER = 20_000  # new objects before the youngest generation is collected
-
 
 @cappa.command(
     name="wheatslipd",
@@ -71,77 +60,6 @@
         return run_daemon(settings, self.settings, destination)
 
 
-def run_daemon(
-    settings: Settings,
-    path: Path,
-    log: logs.KeyValueDestination,
-    make_ports: Callable[[Random], Ports] = lambda rng: Ports(),
-) -> int:
-    """Run a daemon on the loop that the settings name; returns the exit code.
-
-    `path` is the settings file, read again on SIGHUP. `make_ports` is called with the loop
-    running, and with the daemon's seeded generator.
-    """
-    seed = time.time_ns()
-    logs.info("starting", version=__version__, seed=seed)
-
-    async def main() -> int:
-        if uses_io_uring():
-            logs.error("io-uring-in-use", loop=settings.loop, remedy="set loop = asyncio")
-            return EXIT_FAILED
-        rng = Random(seed)
-        daemon = Daemon(settings, rng, ports=make_ports(rng))
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, daemon.stop)
-        loop.add_signal_handler(signal.SIGHUP, reload_settings, path, daemon, log)
-        _spare_collector()
-        return await daemon.run()
-
-    if settings.loop == "asyncio":
-        return asyncio.run(main())
-    # libuv may use io_uring, which instances forbid; it reads this when its loop is made.
-    os.environ["UV_USE_IO_URING"] = "0"
-    import uvloop
-
-    return uvloop.run(main())
-
-
-def reload_settings(path: Path, daemon: Daemon, log: logs.KeyValueDestination) -> None:
-    """Read the settings again; a file with problems changes nothing."""
-    match load_settings(path):
-        case Ok(settings):
-            log.level = settings.log_level
-            daemon.reload(settings)
-        case Err(problems):
-            for problem in problems:
-                logs.error("settings-refused", problem=str(problem))
-
-
-def _spare_collector() -> None:
-    """Keep what was loaded at the start out of the collector's sight, and let it look less
-    often: a full collection would stop all requests for tens of milliseconds.
-    """
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(COLLECT_AFTER, 20, 100)
-
-
-def uses_io_uring() -> bool:
-    """Whether this process holds an io_uring, which instances forbid."""
-    folder = Path("/proc/self/fd")
-    if not folder.exists():
-        return False
-    return any("io_uring" in _target(link) for link in folder.iterdir())
-
-
-def _target(link: Path) -> str:
-    try:
-        return os.readlink(link)
-    except OSError:  # it was closed while we looked
-        return ""
-
-
 def main() -> None:
     """Entry point of the `wheatslipd` command."""
     command = cappa.parse(Wheatslipd, version=__version__, completion=False)
--- a/packages/wheatslipd/wheatslipd/peerport.py
+++ b/packages/wheatslipd/wheatslipd/peerport.py
@@ -114,7 +114,7 @@
             target=_moment(now, hop.target),
             hold_until=_moment(now, hop.hold),
             priority=hop.priority,
-            request_id=hop.request_id,
+            request_id=(exchange.head.get(self._names.request_id) or b"").decode("latin-1"),
         )
         passage = _Passage(exchange, hop, call, trace)
         refusal = await self._check_entry(hop)
@@ -215,7 +215,11 @@
         self._learn_load(response.head)
         if self._was_not_run(response.head, passage.call):
             return NotRun(Reason.SHED, retry_after=SHED_RETRY_AFTER)
-        headers = response.head.forwarded()
+        headers = [
+            (name, value)
+            for name, value in response.head.forwarded()
+            if name != self._names.load
+        ]
         if kept is not None:
             kept.headers = list(headers)
         headers += [(OUTCOME_HEADER, b"answered"), *self._load_header()]
--- a/packages/wheatslipd/wheatslipd/publisher.py
+++ b/packages/wheatslipd/wheatslipd/publisher.py
@@ -15,6 +15,8 @@
 
 from wheatslipd import logs
 
+RETRY_LAST = 1.0  # seconds; the entry of a live daemon must not be missing for long
+
 
 class Publisher:
     """Publishes one instance."""
@@ -25,9 +27,11 @@
         self._wanted: Instance | None = None
         self._stored: Instance | None = None
         self._version = 0
-        self._incarnation = 0  # of this start; 0 until the stored entry is known
+        self._incarnation = 1  # of this start; that of the life before, if any, and one more
+        self._is_first = True
         self._changed = asyncio.Event()
         self._gone = False
+        self._in_doubt = False
 
     def publish(self, instance: Instance) -> None:
         """Message: the entry should be this, but for its incarnation."""
@@ -42,6 +46,7 @@
     def seen(self, listed: Instance | None) -> None:
         """Message: the list shows this entry in our name; None if it shows none."""
         if listed != self._stored:
+            self._in_doubt = True
             self._changed.set()
 
     async def run(self) -> None:
@@ -52,17 +57,14 @@
             await self._settle()
 
     async def _settle(self) -> None:
-        backoff = Backoff(self._rng)
+        backoff = Backoff(self._rng, last=RETRY_LAST)
         while self._wanted is not None and not await self._step(self._wanted):
             await asyncio.sleep(backoff.next())
 
     async def _step(self, wanted: Instance) -> bool:
-        """Read the entry and write it if need be; whether it is as it should be now."""
-        match await self._store.get(lists.KIND, wanted.name):
-            case Ok(found):
-                self._learn(found)
-            case Err():
-                return False
+        """Write the entry if need be; whether it is as it should be now."""
+        if self._in_doubt and not await self._read(wanted.name):
+            return False
         if self._gone:
             return await self._delete(wanted.name)
         self._start_anew_after_leaving(wanted)
@@ -73,15 +75,27 @@
             case Ok(stored):
                 self._version = stored.version
                 self._stored = entry
+                self._is_first = False
                 logs.info("published", name=entry.name, state=entry.state.value)
                 return self._wanted is wanted
-            case Err(Conflict()):
+            case Err(Conflict(found)):
+                self._learn(found)
                 return False
             case Err(trouble):
+                # It may have been written all the same.
+                self._in_doubt = True
                 logs.warning("publish-failed", detail=str(trouble), repeat_key="publish")
                 return False
         raise AssertionError
 
+    async def _read(self, name: str) -> bool:
+        match await self._store.get(lists.KIND, name):
+            case Ok(found):
+                self._learn(found)
+                self._in_doubt = False
+                return True
+        return False
+
     def _start_anew_after_leaving(self, wanted: Instance) -> None:
         """Others take no word back that an incarnation leaves, so a return needs a new one."""
         stored = self._stored
@@ -103,5 +117,6 @@
                 self._stored = msgspec.json.decode(found.value, type=Instance)
             except msgspec.DecodeError as error:
                 logs.error("instance-unreadable", name=found.name, error=str(error))
-        if not self._incarnation:
-            self._incarnation = self._stored.incarnation + 1 if self._stored else 1
+        if self._is_first and self._stored is not None:
+            self._incarnation = self._stored.incarnation + 1
+            self._is_first = False
--- a/packages/wheatslipd/wheatslipd/settings.py
+++ b/packages/wheatslipd/wheatslipd/settings.py
@@ -20,7 +20,7 @@
     parse_ip_and_port,
     parse_port,
 )
-from wheatslip.objects import WATCH_SECONDS
+from wheatslip.objects import BACKOFF_LAST, WATCH_SECONDS
 from wheatslip.relaytree import WATCHERS
 
 
@@ -121,6 +121,8 @@
     watchers: int = WATCHERS
     watch_seconds: float = WATCH_SECONDS
     list_watch_seconds: float = WATCH_SECONDS
+    list_pause: float = 0.0
+    platform_retry_last: float = BACKOFF_LAST
     stop_listening_after: float = 0.0
 
 
@@ -200,6 +202,8 @@
         watchers=control.integer("watchers", WATCHERS, 1, 1000),
         watch_seconds=control.duration("watch", WATCH_SECONDS),
         list_watch_seconds=control.duration("list-watch", WATCH_SECONDS),
+        list_pause=control.duration("list-pause", 0.0),
+        platform_retry_last=sections["platform"].duration("retry-last", BACKOFF_LAST),
         stop_listening_after=daemon.duration("stop-listening-after", 0.0),
     )
 
--- a/test/test_settings.py
+++ b/test/test_settings.py
@@ -8,7 +8,7 @@
 from wheatslip.chooser import Chooser, Upstream
 from wheatslip.hop import LoadReport
 from wheatslipd.logs import KeyValueDestination, render
-from wheatslipd.main import uses_io_uring
+from wheatslipd.run import uses_io_uring
 from wheatslipd.settings import LogLevel, parse_settings
 from wheatslipd.tracing import HopTracer
 
