Test routes, registration, the fleet's retry budget and the gate's new rules

The budget's test found a breach: of a bucket that had left the window in part, requests still counted (76 sends where 75.8 were allowed). They no longer do.

--- a/packages/wheatslip/wheatslip/budget.py
+++ b/packages/wheatslip/wheatslip/budget.py
@@ -12,7 +12,7 @@
 RETRY_SHARE = 0.1
 RESERVE = 3.0  # tokens an idle budget starts from and can save up to, at least
 SAVED_SECONDS_SHARE = 20.0  # tokens a busy budget can save up to
-BUCKETS = 20  # parts of a window; it is counted too long by one of them
+BUCKETS = 20  # parts of a window
 MAX_RETRIES_ON_THE_WAY = 2  # retries that may happen in all hops of one call together
 
 
@@ -80,9 +80,11 @@
     members: Callable[[], int]
     started: float
     _buckets: deque[_Bucket] = field(default_factory=deque)
+    _now: float = float("-inf")
 
     def advance(self, now: float) -> None:
         """Forget what has left the window."""
+        self._now = now
         step = self.bound.window / BUCKETS
         if not self._buckets or now >= self._buckets[-1].since + step:
             self._buckets.append(_Bucket(now))
@@ -95,7 +97,10 @@
 
     def take(self) -> bool:
         """Pay for one more send; False if the budget is spent."""
-        requests = sum(bucket.requests for bucket in self._buckets)
+        # Both err on the safe side: of a bucket that has left the window in part, its retries
+        # still count and its requests no longer do.
+        begin = self._now - self.bound.window
+        requests = sum(b.requests for b in self._buckets if b.since >= begin)
         retries = sum(bucket.retries for bucket in self._buckets)
         allowed = self.bound.share * requests + self._reserve()
         if retries + 1 > allowed:
--- /dev/null
+++ b/test/test_gate.py
@@ -0,0 +1,120 @@
+"""The gate as it treats slow servers, unknown ones, and requests that may be held only so long."""
+
+import asyncio
+import dataclasses
+
+from wheatslip.admission import ANY_WAIT, Admission, AdmissionSettings
+from wheatslip.backendload import BackendLoad, decode_backend_load
+from wheatslip.call import Call, RequestKind
+from wheatslip.outcome import NotRun, Reason
+from wheatslipd.gate import Gate
+from wheatslipd.view import View
+
+from test.helper import run
+
+LOOKUP = RequestKind("lookup", repeatable=True)
+SLOW = BackendLoad(running=1, waiting=0, slots=4, slowness=4.0)
+USUAL = dataclasses.replace(SLOW, slowness=1.0)
+
+
+class Clock:
+    """A clock that the test sets."""
+
+    def __init__(self):
+        self.now = 0.0
+
+    def __call__(self):
+        return self.now
+
+
+def gate(slots=1):
+    clock = Clock()
+    return Gate(Admission(AdmissionSettings(slots=slots)), View(), clock), clock
+
+
+def call(target=0.4, hold=0.1, deadline=1.0, kind=LOOKUP):
+    return Call("w", "papers", kind, deadline, target=target, hold_until=hold)
+
+
+def taught(admission, took=0.12):
+    """An admission that has seen how long a lookup takes."""
+    ticket = admission.arrive(call(), 0.0)
+    admission.finish(ticket, took, worked=True)
+    return admission
+
+
+def test_load_is_read_with_and_without_its_fourth_figure():
+    assert decode_backend_load(b"3,0,8") == BackendLoad(3, 0, 8)
+    assert decode_backend_load(b"3,1,8,400") == BackendLoad(3, 1, 8, 4.0)
+    for bad in (b"", b"3,0", b"a,b,c", b"-1,0,8", b"1,1,0"):
+        assert decode_backend_load(bad) is None
+
+
+def test_a_slow_server_refuses_what_would_miss_its_target_while_others_are_left():
+    admission = taught(Admission(AdmissionSettings(slots=4)))
+    admission.slowness = 4.0
+    refusal = admission.arrive(call(), 0.0, max_wait=0.03)
+    assert isinstance(refusal, NotRun) and refusal.reason is Reason.OVERLOADED
+    assert admission.arrive(call(target=0.6), 0.0, max_wait=0.03).started is not None
+    assert admission.arrive(call(), 0.0, ANY_WAIT).started is not None
+
+
+def test_kinds_of_one_server_are_told_apart_by_what_they_take():
+    admission = taught(Admission(AdmissionSettings(slots=4)))
+    short = RequestKind("short", repeatable=True)
+    ticket = admission.arrive(call(kind=short), 0.0)
+    admission.finish(ticket, 0.02, worked=True)
+    admission.slowness = 4.0
+    assert isinstance(admission.arrive(call(), 0.0, max_wait=0.03), NotRun)
+    assert admission.arrive(call(kind=short), 0.0, max_wait=0.03).started is not None
+
+
+def test_what_waits_at_a_server_that_turns_slow_goes_elsewhere_at_once():
+    async def scenario():
+        one, _ = gate()
+        taught(one.admission)
+        running = await one.enter(call(), ANY_WAIT)
+        waiting = asyncio.create_task(one.enter(call(), 0.5))
+        stays = asyncio.create_task(one.enter(call(hold=ANY_WAIT), ANY_WAIT))
+        await asyncio.sleep(0)
+        one.learn(SLOW)
+        refusal = await waiting
+        assert isinstance(refusal, NotRun) and refusal.reason is Reason.OVERLOADED
+        one.leave(running, worked=True)
+        assert (await stays).started is not None
+
+    run(scenario)
+
+
+def test_a_gate_knows_when_its_server_is_slow():
+    one, _ = gate()
+    one.learn(SLOW)
+    assert one.slow.is_set()
+    assert one.report().slowness == 4.0
+    one.learn(USUAL)
+    assert not one.slow.is_set()
+
+
+def test_a_request_held_to_its_bound_is_refused_with_a_time_to_come_back():
+    async def scenario():
+        one, clock = gate()
+        await one.enter(call(), ANY_WAIT)
+        waiting = asyncio.create_task(one.enter(call(hold=0.02), ANY_WAIT))
+        await asyncio.sleep(0)
+        clock.now = 0.02
+        refusal = await waiting
+        assert isinstance(refusal, NotRun)
+        assert refusal.reason is Reason.OVERLOADED and refusal.retry_after > 0
+        assert one.admission.queued == 0
+
+    run(scenario)
+
+
+def test_a_gate_to_no_one_known_refuses_without_saying_that_it_drains():
+    one, _ = gate()
+    one.admission.unknown = True
+    refusal = one.admission.arrive(call(), 0.0)
+    assert refusal.reason is Reason.NOT_READY and refusal.retryable
+    assert not one.report().draining
+    one.reopen()
+    assert one.admission.arrive(call(), 0.0).started is not None
--- /dev/null
+++ b/test/test_registration.py
@@ -0,0 +1,108 @@
+"""Registration: late, doubled and forged words of a backend server change nothing."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from wheatslip.registration import MAX_RETIRED, Heartbeat, Registration, ServerState
+
+ADDRESS = "127.0.0.1:8000"
+
+
+def registration():
+    return Registration("papers", ADDRESS)
+
+
+def beat(sequence, state=ServerState.READY, pool="papers", address=ADDRESS, slots=12):
+    return Heartbeat(pool, address, slots, sequence, state)
+
+
+def test_the_first_heartbeat_registers():
+    one = registration()
+    assert one.on_heartbeat("a", beat(1), 0.0)
+    assert one.current.server == "a" and one.current.slots == 12
+    assert not one.on_heartbeat("a", beat(2), 1.0)
+
+
+def test_a_heartbeat_of_another_pool_or_address_is_not_ours():
+    one = registration()
+    assert not one.on_heartbeat("a", beat(1, pool="rolls"), 0.0)
+    assert not one.on_heartbeat("a", beat(1, address="127.0.0.1:1"), 0.0)
+    assert one.current is None
+
+
+def test_a_late_heartbeat_does_not_take_draining_back():
+    one = registration()
+    one.on_heartbeat("a", beat(1), 0.0)
+    assert one.on_heartbeat("a", beat(3, ServerState.DRAINING), 1.0)
+    assert not one.on_heartbeat("a", beat(2), 1.1)
+    assert not one.on_heartbeat("a", beat(4), 1.2)
+    assert one.current.draining
+
+
+def test_a_goodbye_counts_without_a_heartbeat_before_it():
+    one = registration()
+    assert not one.on_goodbye("a")
+    assert not one.on_heartbeat("a", beat(1), 0.0)
+    assert one.current is None
+
+
+def test_a_new_server_takes_over_and_the_old_one_stays_gone():
+    one = registration()
+    one.on_heartbeat("a", beat(5), 0.0)
+    assert one.on_heartbeat("b", beat(1), 1.0)
+    assert one.current.server == "b"
+    assert not one.on_heartbeat("a", beat(6), 1.1)
+    assert not one.on_goodbye("a")
+    assert one.current.server == "b" and not one.current.draining
+
+
+def test_a_late_draining_word_of_the_server_before_spares_the_present_one():
+    one = registration()
+    one.on_health("b", 12, well=True)
+    assert not one.on_heartbeat("a", beat(9, ServerState.DRAINING), 0.0)
+    assert one.current.server == "b" and not one.current.draining
+
+
+def test_health_tells_who_is_there_only_until_a_heartbeat():
+    one = registration()
+    assert not one.on_health("a", 12, well=False)
+    assert one.on_health("a", 12, well=True)
+    assert not one.on_health("b", 12, well=True)
+    assert one.on_heartbeat("a", beat(1, ServerState.DRAINING), 0.0)
+    assert one.current.draining
+
+
+def test_ids_of_the_past_are_bounded():
+    one = registration()
+    for number in range(MAX_RETIRED + 50):
+        one.on_goodbye(str(number))
+    assert len(one._retired) == MAX_RETIRED
+
+
+WORDS = st.lists(
+    st.tuples(
+        st.sampled_from("ab"),
+        st.integers(1, 6),
+        st.sampled_from([ServerState.READY, ServerState.DRAINING, None]),
+    ),
+    max_size=12,
+)
+
+
+@given(WORDS)
+@settings(max_examples=400, derandomize=True, deadline=None)
+def test_whatever_the_order_a_server_that_left_never_gets_work_again(words):
+    one = registration()
+    left = set()
+    for server, sequence, state in words:
+        is_current = one.current is not None and one.current.server == server
+        if state is None:
+            one.on_goodbye(server)
+            left.add(server)
+        else:
+            one.on_heartbeat(server, beat(sequence, state), 0.0)
+            now_current = one.current is not None and one.current.server == server
+            if state is ServerState.DRAINING and (is_current or now_current):
+                if now_current and one.current.draining:
+                    left.add(server)
+        if one.current is not None and one.current.server in left:
+            assert one.current.draining
--- /dev/null
+++ b/test/test_routes.py
@@ -0,0 +1,96 @@
+"""Routes: what a bundle may say of them, and which one a request takes."""
+
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from wheatslip.bundle import Route, Split, parse_bundle
+from wheatslip.changes import ChangeKind, changes_between
+from wheatslip.deltas import apply_delta, delta_between
+from wheatslip.head import Head
+from wheatslip.routes import RouteTable, pick_service
+
+from test.helper import BUNDLE
+
+ROUTED = (
+    BUNDLE
+    + """
+[route view]
+host = Papers.example
+prefix = /view/
+services = papers
+repeatable = yes
+timeout = 1s
+target = 400ms
+priority = 2
+max-attempts = 2
+"""
+)
+SEGMENTS = st.lists(st.sampled_from(["a", "b", "ab"]), max_size=4)
+
+
+def route(prefix, host="h"):
+    return Route(prefix, host, prefix, (Split("papers"),))
+
+
+def test_a_route_is_read_with_all_that_it_says():
+    (found,) = parse_bundle(ROUTED, "test").unwrap().routes
+    assert found == Route(
+        "view", "papers.example", "/view/", (Split("papers"),), True, 1.0, 0.4, 2, 2
+    )
+
+
+def test_splits_are_read_with_their_weights():
+    text = ROUTED.replace("services = papers", "services = papers:90, papers:10")
+    (found,) = parse_bundle(text, "test").unwrap().routes
+    assert found.splits == (Split("papers", 90.0), Split("papers", 10.0))
+
+
+def test_bad_routes_are_named_with_what_is_right():
+    for bad, key in (
+        (ROUTED.replace("/view/", "view"), "prefix"),
+        (ROUTED.replace("services = papers", "services = papers:0"), "services"),
+        (ROUTED.replace("services = papers", "services = rolls"), "services"),
+        (ROUTED.replace("host = Papers.example\n", ""), "host"),
+        (ROUTED.replace("max-attempts = 2", "max-attempts = 0"), "max-attempts"),
+        (ROUTED + ROUTED[ROUTED.index("[route") :].replace("view]", "again]"), "prefix"),
+    ):
+        problems = parse_bundle(bad, "test").unwrap_err()
+        assert [problem.key for problem in problems] == [key], bad
+
+
+def test_a_change_of_a_route_is_told_and_travels_as_a_difference():
+    old = parse_bundle(ROUTED, "test").unwrap()
+    new = parse_bundle(
+        ROUTED.replace("version = 1", "version = 2").replace("400ms", "300ms"), "test"
+    ).unwrap()
+    (change,) = changes_between(old, new)
+    assert (change.kind, change.item, change.fields) == (
+        ChangeKind.CHANGED,
+        "route view",
+        ("target",),
+    )
+    delta = delta_between(old, new, Head(2, new.digest()), ())
+    assert apply_delta(old, delta).digest() == new.digest()
+
+
+@given(st.lists(SEGMENTS, max_size=6), SEGMENTS, st.booleans())
+@settings(max_examples=300, derandomize=True, deadline=None)
+def test_the_longest_prefix_of_the_host_decides(prefixes, path_segments, is_folder):
+    paths = {"/" + "".join(s + "/" for s in segments) for segments in prefixes}
+    table = RouteTable([route(p) for p in paths] + [route("/", host="other")])
+    path = "/" + "/".join(path_segments) + ("/" if is_folder and path_segments else "")
+    fitting = [p for p in paths if path.startswith(p)]
+    found = table.find("H", path)
+    assert (found.prefix if found else None) == max(fitting, key=len, default=None)
+
+
+def test_an_unknown_host_has_no_route():
+    assert RouteTable([route("/")]).find("nobody", "/") is None
+
+
+def test_splits_get_their_share_of_the_requests():
+    split = Route("r", "h", "/", (Split("a", 90.0), Split("b", 10.0)))
+    rng = Random(5)
+    drawn = [pick_service(split, rng) for _ in range(5000)]
+    assert 0.08 < drawn.count("b") / len(drawn) < 0.12
