--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -80,10 +80,10 @@
         """Let the publisher see what the list says of us."""
         self._daemon.check_own_entry(instances, gone, whole)
 
-    def newer_version_seen(self, version: int) -> None:
+    def newer_version_seen(self, version: int, address: str) -> None:
         """Look at the head now rather than wait for the watch."""
         if version > self._daemon.view.version:
-            self._daemon.feed.check_head(version)
+            self._daemon.feed.check_head(version, address)
 
 
 @dataclass(frozen=True, slots=True)
@@ -351,6 +351,7 @@
         self.registrar = Registrar(
             registration, self._backend, settings.headers, self.bus, self._monotonic, decode
         )
+        self.registrar.health_path = settings.health_path
         self.registration_server = Server(self.registrar.handle)
         self.slow_probe = SlowProbe(
             self.gate,
@@ -410,8 +411,8 @@
             style = OWN_STYLE
         return Entry(build_chain(filters, forwarder), self._monotonic, self.view, style)
 
-    def _hint_newer_version(self, version: int) -> None:
-        self.bus.fire(newer_version_seen(version))
+    def _hint_newer_version(self, version: int, address: str) -> None:
+        self.bus.fire(newer_version_seen(version, address))
 
     def _is_silent(self, seconds: float) -> bool:
         admission = self.gate.admission
--- a/packages/wheatslipd/wheatslipd/events.py
+++ b/packages/wheatslipd/wheatslipd/events.py
@@ -8,10 +8,10 @@
 
 
 class newer_version_seen(Event):
-    """A peer has a newer bundle version than we."""
+    """The daemon at `address` (an IP number) has a newer bundle version than we."""
 
-    def __init__(self, version: int):
-        super().__init__(version)
+    def __init__(self, version: int, address: str):
+        super().__init__(version, address)
 
 
 class bundle_verified(Event):
--- a/packages/wheatslipd/wheatslipd/feed.py
+++ b/packages/wheatslipd/wheatslipd/feed.py
@@ -106,15 +106,17 @@
         self._role_changed = asyncio.Event()
         self._hint = asyncio.Event()
         self._hinted_version = 0
+        self._hinted_by = ""
 
     @property
     def watches(self) -> bool:
         """Whether this daemon reads the platform for others."""
         return is_watcher(self._name, self._order, self._pace.watchers)
 
-    def check_head(self, version: int) -> None:
-        """Message: a peer knows this newer version."""
+    def check_head(self, version: int, address: str = "") -> None:
+        """Message: the daemon at `address` knows this newer version."""
         self._hinted_version = max(self._hinted_version, version)
+        self._hinted_by = address or self._hinted_by
         self._hint.set()
 
     async def run(self) -> None:
@@ -231,8 +233,25 @@
             match await self.client.get(heads.KIND, heads.NAME):
                 case Ok(found) if found is not None:
                     await self._fetch_newer(found)
+                case Err():
+                    await self._ask_daemon(self._hinted_by)
             await asyncio.sleep(HINT_SPACING)
 
+    async def _ask_daemon(self, address: str) -> None:
+        """Take one update from another daemon, as the platform does not answer us."""
+        if not address:
+            return
+        known = (i for i in self.cache.instances.values() if i.address == address)
+        # One that has just started knows no list; daemons commonly share their ports.
+        stranger = Instance("", "", "", address, 0, 0, self.relay.port)
+        instance = next(known, stranger)
+        logs.info("asking-daemon", address=address, hinted_version=self._hinted_version)
+        cursor = self.cache.cursor(self._name)
+        async with aclosing(follow_parent(instance, cursor, self._tls)) as updates:
+            async for update in updates:
+                self._take_update(update)
+                return
+
     # What comes in.
 
     @property
--- a/packages/wheatslipd/wheatslipd/forward.py
+++ b/packages/wheatslipd/wheatslipd/forward.py
@@ -62,7 +62,7 @@
         metrics: Metrics,
         rng: Random,
         clock: Callable[[], float],
-        on_newer_version: Callable[[int], None],
+        on_newer_version: Callable[[int, str], None],
         budgets: RetryBudgets,
         names: HeaderNames,
         caller: str,
@@ -268,7 +268,7 @@
             return
         self._chooser.on_report(peer.upstream, report, now)
         if report.version > self._view.version:
-            self._on_newer_version(report.version)
+            self._on_newer_version(report.version, peer.instance.address)
         if (response.head.get(OUTCOME_HEADER) or b"") == b"answered":
             failed = response.head.status >= SERVER_ERROR
             peer.upstream.on_answer(now, failed=failed)
--- a/packages/wheatslipd/wheatslipd/http/client.py
+++ b/packages/wheatslipd/wheatslipd/http/client.py
@@ -1,6 +1,7 @@
 """The client side of HTTP/1.1: one connection, and a pool of them to one address."""
 
 import asyncio
+import socket
 import ssl
 from collections import deque
 
@@ -18,6 +19,9 @@
 
 IDLE_SECONDS = 30.0  # shorter than a server's, so that we rarely write to a closing one
 INTERIM_LIMIT = 200
+UNACKNOWLEDGED_MS = 400  # that sent bytes may go without a sign of the other machine
+PROBE_SECONDS = 1  # silence after which it is asked for one, and time between the questions
+LOST_PROBES = 2
 
 
 class Response:
@@ -113,6 +117,11 @@
 
     # asyncio's callbacks.
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport, and bound the silence of the other end's machine."""
+        super().connection_made(transport)
+        _bound_silence(transport.get_extra_info("socket"))
+
     def data_received(self, data: bytes) -> None:
         """Feed the parser; what is malformed or unasked for ends the connection."""
         if not self._busy:
@@ -218,6 +227,19 @@
             self._continue.set_result(False)
 
 
+def _bound_silence(sock: socket.socket | None) -> None:
+    """End the connection when the other end's machine is gone: bytes that it does not
+    acknowledge end it soon, and an idle connection is probed.
+    """
+    if sock is None or sock.family not in (socket.AF_INET, socket.AF_INET6):
+        return
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, LOST_PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+
+
 class Pool:
     """Connections to one address, the one used last first."""
 
--- a/packages/wheatslipd/wheatslipd/http/connection.py
+++ b/packages/wheatslipd/wheatslipd/http/connection.py
@@ -27,6 +27,12 @@
         # uvloop's transports do not derive from asyncio's, so this can't be asserted.
         self.transport = cast(asyncio.Transport, transport)
 
+    @property
+    def peer_address(self) -> str:
+        """The IP number of the other end; empty if there is none."""
+        name = self.transport.get_extra_info("peername") if self.transport else None
+        return str(name[0]) if name else ""
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Wake who waits to write."""
         self.closed = True
--- a/packages/wheatslipd/wheatslipd/peerport.py
+++ b/packages/wheatslipd/wheatslipd/peerport.py
@@ -63,7 +63,7 @@
         metrics: Metrics,
         tracer: HopTracer,
         clock: Callable[[], float],
-        on_newer_version: Callable[[int], None],
+        on_newer_version: Callable[[int, str], None],
         pool: str,
         names: HeaderNames,
         plain: bool,
@@ -117,30 +117,30 @@
             request_id=(exchange.head.get(self._names.request_id) or b"").decode("latin-1"),
         )
         passage = _Passage(exchange, hop, call, trace)
-        refusal = await self._check_entry(hop)
+        refusal = await self._check_entry(hop, exchange)
         if refusal is not None:
             return refusal
         if call.runs_once_by_key:
             return await self._run_keyed(passage)
         return await self._run(passage, None)
 
-    async def _check_entry(self, hop: Hop) -> NotRun | None:
+    async def _check_entry(self, hop: Hop, exchange: Exchange) -> NotRun | None:
         """Whether what the entry knows fits what stands here."""
         if not self._plain:
-            return await self._check_version(hop.version)
+            return await self._check_version(hop.version, exchange)
         # The entry has decided by its routes, so the version here does not matter; but the
         # address may have gone to another pool since the entry's list.
         if hop.service != self._pool:
             return NotRun(Reason.WRONG_POOL)
         if hop.version > self._view.version:
-            self._on_newer_version(hop.version)
+            self._on_newer_version(hop.version, exchange.connection.peer_address)
         return None
 
-    async def _check_version(self, version: int) -> NotRun | None:
+    async def _check_version(self, version: int, exchange: Exchange) -> NotRun | None:
         """Catch up with the entry's bundle version before answering."""
         if self._view.version >= version and self._view.configuration is not None:
             return None
-        self._on_newer_version(version)
+        self._on_newer_version(version, exchange.connection.peer_address)
         give_up = self._clock() + CATCH_UP_SECONDS
         while self._clock() < give_up:
             await asyncio.sleep(CATCH_UP_STEP)
--- /dev/null
+++ b/test/test_fleet_adapter.py
@@ -0,0 +1,201 @@
+"""The adapter to the users' platform: its store, configuration and heartbeats."""
+
+import asyncio
+import json
+from contextlib import asynccontextmanager
+
+from result import Err, Ok
+from wheatslip import head as heads
+from wheatslip import instances as lists
+from wheatslip.bundle import Split, decode_bundle
+from wheatslip.instances import Instance
+from wheatslip.objects import Conflict, TooOld, Unavailable
+from wheatslip.registration import Heartbeat, ServerState
+
+from fleet_adapter.configuration import read_configuration
+from fleet_adapter.heartbeats import decode_heartbeat
+from fleet_adapter.store import FleetStore
+from fleet_standins.store import Fault, StoreStandIn
+from test.helper import run
+
+CONFIGURATION = {
+    "version": 7,
+    "routes": {
+        "r-1": {
+            "host": "Hulo84.example",
+            "path_prefix": "/leny950/",
+            "route_type": "safe",
+            "timeout_s": 1,
+            "target_latency_s": 0.4,
+            "priority": 2,
+            "traffic_split": [
+                {"service": "papers", "weight": 90},
+                {"service": "rolls", "weight": 10},
+            ],
+            "max_attempts": 2,
+        },
+        "r-2": {
+            "host": "jepu9.example",
+            "path_prefix": "/puka111/",
+            "route_type": "unsafe",
+            "timeout_s": 1.2,
+            "target_latency_s": 0.5,
+            "priority": 1,
+            "service": "rolls",
+            "max_attempts": 2,
+        },
+    },
+    "services": {
+        "papers": {"health_path": "/health", "max_connections": 220, "tls": False},
+        "rolls": {"health_path": "/well", "max_connections": 100, "tls": False},
+    },
+    "limits": {"max_header_bytes": 16384},
+    "base_version": 5,
+}
+INSTANCE = Instance("a", "papers", "wien-a", "10.0.0.1", 1, 2, 3)
+
+
+@asynccontextmanager
+async def store(**options):
+    stand_in = StoreStandIn(**options)
+    await stand_in.server.listen("127.0.0.1", 0)
+    client = FleetStore(f"127.0.0.1:{stand_in.server.port}")
+    try:
+        yield stand_in, client
+    finally:
+        await client.close()
+        await stand_in.server.stop(0.0)
+
+
+def test_a_configuration_becomes_a_bundle():
+    bundle = read_configuration(json.dumps(CONFIGURATION).encode()).unwrap()
+    first, second = bundle.routes
+    assert bundle.version == 7
+    assert (first.host, first.prefix, first.repeatable) == (
+        "hulo84.example",
+        "/leny950/",
+        True,
+    )
+    assert first.splits == (Split("papers", 90.0), Split("rolls", 10.0))
+    assert (first.timeout, first.target, first.priority, first.max_attempts) == (1, 0.4, 2, 2)
+    assert second.splits == (Split("rolls"),) and not second.repeatable
+    assert [(p.name, p.connections, p.health_path) for p in bundle.pools] == [
+        ("papers", 220, "/health"),
+        ("rolls", 100, "/well"),
+    ]
+
+
+def test_what_is_no_configuration_is_refused_with_a_reason():
+    for bad in (b"", b"{}", json.dumps(CONFIGURATION | {"routes": {"r": {}}}).encode()):
+        assert "not a configuration" in read_configuration(bad).unwrap_err()
+
+
+def test_a_heartbeat_is_read():
+    body = {
+        "address": "10.0.0.9:8080",
+        "info": {"service": "papers", "version": "v1", "zone": "wien-a", "slots": 12},
+        "status": {"state": "draining", "seq": 4, "cold_remaining_s": 1.5},
+    }
+    assert decode_heartbeat(json.dumps(body).encode()) == Heartbeat(
+        "papers", "10.0.0.9:8080", 12, 4, ServerState.DRAINING, 1.5
+    )
+    body["status"]["state"] = "asleep"
+    assert decode_heartbeat(json.dumps(body).encode()) is None
+    assert decode_heartbeat(b"[]") is None
+
+
+def test_the_configuration_is_read_as_a_head_and_the_bundle_that_it_names():
+    async def scenario():
+        async with store() as (stand_in, client):
+            assert await client.get(heads.KIND, heads.NAME) == Ok(None)
+            stand_in.write("config", "main", CONFIGURATION)
+            stored = (await client.get(heads.KIND, heads.NAME)).unwrap()
+            head = json.loads(bytes(stored.value))
+            name = heads.bundle_name(head["version"], head["digest"])
+            body = json.loads(bytes((await client.get(heads.BUNDLE_KIND, name)).unwrap().value))
+            bundle = decode_bundle(body["body"].encode()).unwrap()
+            assert bundle.version == 7 and bundle.digest() == head["digest"]
+
+    run(scenario)
+
+
+def test_an_unreadable_configuration_is_passed_over():
+    async def scenario():
+        async with store() as (stand_in, client):
+            stand_in.write("config", "main", {"version": "new"})
+            assert (await client.list(heads.KIND)).unwrap().items == ()
+
+    run(scenario)
+
+
+def test_entries_are_created_replaced_and_removed_by_their_revision():
+    async def scenario():
+        async with store() as (_, client):
+            first = (await client.put(lists.KIND, "a", INSTANCE, 0)).unwrap()
+            again = await client.put(lists.KIND, "a", INSTANCE, 0)
+            assert isinstance(again.unwrap_err(), Conflict)
+            assert again.unwrap_err().current.version == first.version
+            second = (await client.put(lists.KIND, "a", INSTANCE, first.version)).unwrap()
+            stale = await client.delete(lists.KIND, "a", first.version)
+            assert isinstance(stale.unwrap_err(), Conflict)
+            assert await client.delete(lists.KIND, "a", second.version) == Ok(None)
+            assert await client.delete(lists.KIND, "a", second.version) == Ok(None)
+            lost = await client.put(lists.KIND, "a", INSTANCE, second.version)
+            assert lost == Err(Conflict(None))
+
+    run(scenario)
+
+
+def test_a_list_is_read_through_all_its_pages():
+    async def scenario():
+        async with store(page=2) as (_, client):
+            for name in "abcde":
+                (await client.put(lists.KIND, name, INSTANCE, 0)).unwrap()
+            listing = (await client.list(lists.KIND)).unwrap()
+            assert [item.name for item in listing.items] == list("abcde")
+            assert listing.version == 5
+
+    run(scenario)
+
+
+def test_a_watch_tells_of_changes_and_of_what_is_gone():
+    async def scenario():
+        async with store() as (stand_in, client):
+            at = (await client.list(lists.KIND)).unwrap().version
+            watch = asyncio.create_task(client.changes(lists.KIND, at, 5.0))
+            await asyncio.sleep(0.01)
+            stored = (await client.put(lists.KIND, "a", INSTANCE, 0)).unwrap()
+            (item,) = (await watch).unwrap().items
+            assert (item.name, item.deleted) == ("a", False)
+            await client.delete(lists.KIND, "a", stored.version)
+            (gone,) = (await client.changes(lists.KIND, item.version, 5.0)).unwrap().items
+            assert (gone.name, gone.deleted) == ("a", True)
+            stand_in.forget()
+            late = await client.changes(lists.KIND, at, 5.0)
+            assert isinstance(late.unwrap_err(), TooOld)
+
+    run(scenario)
+
+
+def test_each_way_of_being_turned_away_is_unavailable_and_passes():
+    async def scenario():
+        async with store() as (stand_in, client):
+            for fault in (Fault.BUSY, Fault.RESET, Fault.SILENT):
+                stand_in.fault = fault
+                answer = await client.list(lists.KIND)
+                assert isinstance(answer.unwrap_err(), Unavailable)
+                stand_in.fault = Fault.NONE
+                assert isinstance(await client.list(lists.KIND), Ok)
+
+    run(scenario)
+
+
+def test_a_lost_answer_is_not_taken_for_a_refusal():
+    async def scenario():
+        async with store(lose_answers=1) as (stand_in, client):
+            answer = await client.put(lists.KIND, "a", INSTANCE, 0)
+            assert isinstance(answer.unwrap_err(), Unavailable)
+            assert (lists.KIND, "a") not in stand_in.objects
+            assert len(stand_in.objects) == 1
+
+    run(scenario)
--- a/test/test_gate.py
+++ b/test/test_gate.py
@@ -1,4 +1,4 @@
-"""The gate as it treats slow servers, unknown ones, and requests that may be held only so long."""
+"""The gate before slow and unknown servers, and what it may hold for how long."""
 
 import asyncio
 import dataclasses
--- a/test/test_registration.py
+++ b/test/test_registration.py
@@ -94,15 +94,13 @@
     one = registration()
     left = set()
     for server, sequence, state in words:
-        is_current = one.current is not None and one.current.server == server
         if state is None:
             one.on_goodbye(server)
             left.add(server)
         else:
             one.on_heartbeat(server, beat(sequence, state), 0.0)
-            now_current = one.current is not None and one.current.server == server
-            if state is ServerState.DRAINING and (is_current or now_current):
-                if now_current and one.current.draining:
-                    left.add(server)
+            is_current = one.current is not None and one.current.server == server
+            if is_current and one.current.draining:
+                left.add(server)
         if one.current is not None and one.current.server in left:
             assert one.current.draining
