Wait out slow servers, put late requests behind, keep the target of those that come back

In overload, slots went to requests that were late already, and callers that came back stood behind new ones. Change: a gate starts nothing on a slow server that would miss its target only for that, keeps it in line for as long as it may be held, and puts what is late behind the rest; the entry knows from the deadline left how long a caller has waited, so its target stays the first one; after its bounces a request goes where those told it waits least.

--- a/packages/wheatslip/wheatslip/admission.py
+++ b/packages/wheatslip/wheatslip/admission.py
@@ -16,7 +16,10 @@
 NOT_READY_RETRY_AFTER = 0.2
 DEFAULT_URGENT_SHARE = 0.25
 ANY_WAIT = float("inf")
+LATE = 1e9  # seconds; puts what is late behind what is not, and in order among itself
 SLOW = 1.3  # slowness from which on a server is spared what others can take
+LAST_RESORT = 1.5  # part of the time to the target that a call may take which waited in vain
+UNKNOWN_SHARE = 0.3  # part of the time to the target that an unknown kind of call takes
 CLOSE_MISS = 0.9  # part of the time left to the target that a slow answer may take
 
 
@@ -29,6 +32,7 @@
     started: float | None = None
     slowness: float = 1.0  # of the backend server when the request started
     max_wait: float = ANY_WAIT  # what it was sent with; see `Admission.arrive`
+    late: bool = False  # it will miss its target, so it goes after those that may meet theirs
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,15 +125,16 @@
         ticket = Ticket(call, now, max_wait=max_wait)
         if max_wait < ANY_WAIT and self._is_better_elsewhere(call, max_wait, now):
             return self._refusal(0.0)
-        if self.in_flight < self.limit.value and not self.queued:
+        has_room = self.in_flight < self.limit.value
+        if has_room and not self.queued and not self._waits_out(call, now):
             self._start(ticket, now)
             return ticket
-        self._was_full = True
+        self._was_full = self._was_full or not has_room
         wait = self.expected_wait(call, now)
         if wait > max_wait or self._too_late(call, wait, now):
             return self._refusal(wait)
         if call.hold_until <= now:
-            return self._refusal(wait)
+            return ticket if self.expire(ticket, now) else self._refusal(wait)
         return self._enqueue(ticket, wait)
 
     def finish(self, ticket: Ticket, now: float, *, worked: bool) -> list[Ticket]:
@@ -144,7 +149,8 @@
         self._started_sum -= ticket.started
         self.last_finished = now
         if worked:
-            took = (now - ticket.started) / max(1.0, (ticket.slowness + self.slowness) / 2)
+            # How long work takes is settled when it starts.
+            took = (now - ticket.started) / max(1.0, ticket.slowness)
             self.limit.observe(took, saturated=self._was_full)
             self._times.observe(ticket.call.kind.name, took)
             self._was_full = bool(self.queued)
@@ -173,14 +179,67 @@
     def admit(self, now: float) -> list[Ticket]:
         """Start waiting requests while there is room."""
         started = []
+        passed_over = []
         while self.in_flight < self.limit.value:
             ticket = self._queue.pop()
             if ticket is None:
                 break
-            self._start(ticket, now)
-            started.append(ticket)
+            if self._waits_out(ticket.call, now):
+                passed_over.append(ticket)
+            elif not self._falls_behind(ticket, now):
+                self._start(ticket, now)
+                started.append(ticket)
+        for ticket in passed_over:
+            self._push(ticket)
         return started
 
+    def expire(self, ticket: Ticket, now: float) -> bool:
+        """A waiting ticket has waited as long as it may; whether it starts after all.
+
+        If not it leaves the queue. A server that is slow now still starts what comes not much
+        too late by it; for anything else a refusal in time is better.
+        """
+        self._queue.remove(ticket.call.workspace, ticket)
+        if self.in_flight >= self.limit.value or self.draining:
+            return False
+        call = ticket.call
+        takes = self._usual_service_of(call, now) * self.slowness
+        if takes > LAST_RESORT * (call.target - now):
+            return False
+        self._start(ticket, now)
+        return True
+
+    def _waits_out(self, call: Call, now: float) -> bool:
+        """Whether a call should wait for the server to be as fast as usual again: started now
+        it would miss its target, and it would hold a slot for long.
+        """
+        if self.slowness < SLOW or call.target == ANY_WAIT:
+            return False
+        usual = self._usual_service_of(call, now)
+        may_meet = now + usual <= call.target
+        return may_meet and now + usual * self.slowness > call.target
+
+    def _falls_behind(self, ticket: Ticket, now: float) -> bool:
+        """Put a ticket that will miss its target behind all that may meet theirs.
+
+        It keeps its turn if it is there already, or if no one else waits.
+        """
+        call = ticket.call
+        if ticket.late or not self.queued:
+            return False
+        if now + self._usual_service_of(call, now) * self.slowness <= call.target:
+            return False
+        ticket.late = True
+        self._push(ticket)
+        return True
+
+    def _push(self, ticket: Ticket) -> None:
+        """Queue a ticket by the time it is needed, what is late behind the rest."""
+        call = ticket.call
+        order = LATE + call.deadline if ticket.late else min(call.deadline, call.target)
+        urgent = call.call_class is CallClass.URGENT
+        self._queue.push(call.workspace, order, ticket, urgent=urgent)
+
     def latest_start(self, call: Call, now: float) -> float:
         """The moment until which a request may wait: then it can't meet its deadline any more,
         or its caller rather hears a refusal.
@@ -199,7 +258,7 @@
         is_full = len(self._queue) >= self.settings.queue
         if is_full and (urgent or not self._queue.evict_for(call.workspace)):
             return self._refusal(wait)
-        self._queue.push(call.workspace, call.deadline, ticket, urgent=urgent)
+        self._push(ticket)
         return ticket
 
     def _start(self, ticket: Ticket, now: float) -> None:
@@ -222,7 +281,11 @@
     def _usual_service_of(self, call: Call, now: float) -> float:
         """Seconds that a call of this kind takes when the server is as fast as usual."""
         known = self._times.of(call.kind.name)
-        return self.usual_service(now) if known is None else known
+        if known is not None:
+            return known
+        if call.target < ANY_WAIT:
+            return UNKNOWN_SHARE * max(0.0, call.target - now)
+        return self.usual_service(now)
 
     def _too_late(self, call: Call, wait: float, now: float) -> bool:
         needed = wait + self._usual_service_of(call, now) * self.slowness
--- a/packages/wheatslip/wheatslip/attempts.py
+++ b/packages/wheatslip/wheatslip/attempts.py
@@ -14,9 +14,7 @@
 from wheatslip.outcome import TURNED_AWAY, Answered, NotRun, Outcome, Reason, Unknown
 from wheatslip.owners import owner
 
-MAX_TRIES = 5
-# A refusal costs the backend server nothing; after these a call queues where it is sent.
-MAX_BOUNCES = 3
+MAX_TRIES = 6
 NO_UPSTREAM = NotRun(Reason.NO_UPSTREAM, retry_after=1.0)
 ANY_WAIT = float("inf")
 SERVER_ERROR = 500  # statuses from here on are failures of the backend server
@@ -117,11 +115,12 @@
         if chosen is None:
             # All were tried: queue at the best of those that were only too busy.
             busy = [u for u in upstreams if u.name in self._bounced]
-            chosen = self.chooser.pick(busy, now)
+            chosen = self.chooser.soonest(busy, now, self.call.target)
             return Try(chosen, ANY_WAIT) if chosen else None
         left = self._tried | {chosen.name}
-        may_bounce = len(self._bounced) < MAX_BOUNCES
-        if may_bounce and self.chooser.has_choice(upstreams, now, left):
+        # A refusal costs the backend server nothing; after some the call queues where it is.
+        may_bounce = len(self._bounced) < self.chooser.settings.max_bounces
+        if may_bounce and (self._bounced or self.chooser.has_choice(upstreams, now, left)):
             return Try(chosen, self.chooser.settings.bounce_wait)
         return Try(chosen, ANY_WAIT)
 
@@ -138,6 +137,8 @@
         if self._present.max_wait < ANY_WAIT:
             self._bounced.add(self._present.upstream.name)
             return True
+        if self.call.hold_until < ANY_WAIT:
+            return False  # it has waited as long as it may
         return self.budget.take()
 
     def _may_arrive_again(self) -> bool:
--- a/packages/wheatslip/wheatslip/chooser.py
+++ b/packages/wheatslip/wheatslip/chooser.py
@@ -113,13 +113,16 @@
     `candidates` are compared for each request; `far_penalty` is the cost of leaving the own
     availability zone; `bounce_wait` is the wait at a busy upstream above which another is
     tried instead (about what another try costs); an upstream that joins gets its full part
-    of the calls after `warm_up`.
+    of the calls after `warm_up`. `miss_penalty` is what an answer after the call's target
+    costs more than one before it. After `max_bounces` refusals a call queues.
     """
 
     candidates: int = 4
     far_penalty: float = 0.002
     bounce_wait: float = 0.008
     warm_up: float = 5.0
+    miss_penalty: float = 0.0
+    max_bounces: int = 2
 
 
 @dataclass(slots=True)
@@ -159,6 +162,31 @@
         typical = max(MIN_SERVICE, min(known, default=INITIAL_SERVICE))
         return min(drawn, key=lambda u: self.cost(u, typical, now) * self._jitter())
 
+    def soonest(
+        self, upstreams: Sequence[Upstream], now: float, target: float = float("inf")
+    ) -> Upstream | None:
+        """Where a request that was refused by each of `upstreams` just now waits least.
+
+        Their refusals told their load exactly, so it is taken as it is, undiscounted. An
+        answer after `target` (seconds, monotonic) is worth little.
+        """
+        open_ones = [u for u in upstreams if not u.draining and u.report is not None]
+        if not open_ones:
+            return self.pick(upstreams, now)
+        return min(open_ones, key=lambda u: self._told_cost(u, now, target) * self._jitter())
+
+    def _told_cost(self, upstream: Upstream, now: float, target: float) -> float:
+        report = upstream.report
+        assert report is not None
+        service = report.service * self._slowness(upstream, now)
+        ahead = report.in_flight + report.queued + upstream.sent_since_report + 1
+        cost = service * (1.0 + max(0, ahead - report.limit) / max(1, report.limit))
+        if now + cost > target:
+            cost += self.settings.miss_penalty
+        if upstream.zone != self.zone:
+            cost += self.settings.far_penalty
+        return cost
+
     def has_choice(self, upstreams: Sequence[Upstream], now: float, tried: Set[str]) -> bool:
         """Whether an upstream in good standing is left that was not tried."""
         return any(
@@ -166,7 +194,8 @@
         )
 
     def cost(self, upstream: Upstream, typical: float, now: float) -> float:
-        """Expected seconds until an answer, if the request went to `upstream`.
+        """Expected seconds until an answer, if the request went to `upstream`, and what its
+        way costs besides.
 
         `typical` is the service time, in seconds, of those that it is compared with.
         """
--- a/packages/wheatslipd/wheatslipd/gate.py
+++ b/packages/wheatslipd/wheatslipd/gate.py
@@ -66,7 +66,12 @@
             self.slow.set()
             self._send_elsewhere()
         else:
+            self._be_fast_again()
+
+    def _be_fast_again(self) -> None:
+        if self.slow.is_set():
             self.slow.clear()
+            self._wake(self.admission.admit(self._clock()))
 
     def _send_elsewhere(self) -> None:
         """Refuse what waits here but would rather have gone to a faster server."""
@@ -78,7 +83,7 @@
     def forget_slowness(self) -> None:
         """Nothing is known of the backend server's speed any more."""
         self.admission.slowness = 1.0
-        self.slow.clear()
+        self._be_fast_again()
 
     def drain(self) -> None:
         """Refuse new work from now on; what waits is refused too, as it has not run."""
@@ -112,7 +117,8 @@
         except TimeoutError:
             if ticket.started is not None:
                 return ticket
-            self.admission.withdraw(ticket)
+            if self.admission.expire(ticket, self._clock()):
+                return ticket
             return self._waited_in_vain(ticket.call)
         except asyncio.CancelledError:
             if not self.admission.withdraw(ticket) and ticket.started is not None:
--- a/packages/wheatslipd/wheatslipd/routefilter.py
+++ b/packages/wheatslipd/wheatslipd/routefilter.py
@@ -1,12 +1,14 @@
 """The entry's filter for plain HTTP requests: the host and the path lead to a route."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from math import isfinite
 from random import Random
 
 from wheatslip.bundle import Route
 from wheatslip.call import Call, CallClass, RequestKind
 from wheatslip.outcome import NotRun, Outcome, Reason
+from wheatslip.patience import Patience
 from wheatslip.routes import pick_service
 
 from wheatslipd.chain import EntryRequest, Proceed
@@ -28,6 +30,7 @@
     hold_share: float
     clock: Callable[[], float]
     rng: Random
+    patience: Patience = field(default_factory=Patience)
 
     async def __call__(self, request: EntryRequest, proceed: Proceed) -> Outcome:
         """Set the service and the call, or refuse what can't be read."""
@@ -43,35 +46,38 @@
         request.service = request.configuration.services.get(pick_service(route, self.rng))
         if request.service is None:
             return NotRun(Reason.NO_UPSTREAM, RETRY_AFTER)
-        allowed = self._allowed(head, route)
-        if allowed is None:
+        remaining = self._remaining(head, route)
+        if remaining is None:
             return NotRun(Reason.BAD_REQUEST)
-        if allowed <= 0:
+        if remaining <= 0:
             return NotRun(Reason.DEADLINE)
-        request.call = self._call(request, route, allowed)
+        request.call = self._call(request, route, remaining)
         return await proceed(request)
 
-    def _call(self, request: EntryRequest, route: Route, allowed: float) -> Call:
+    def _call(self, request: EntryRequest, route: Route, remaining: float) -> Call:
         assert request.service is not None
+        allowed = min(route.timeout, remaining)
+        waited = self.patience.waited(route.name, remaining, request.arrived)
         urgent = route.priority == 0
         call_class = CallClass.URGENT if urgent else CallClass.NORMAL
         arrived = request.arrived
-        target = route.target or route.timeout
+        target = min(route.target or route.timeout, allowed)
+        hold = self.hold_share * target
         request_id = request.exchange.head.get(self.names.request_id) or b""
         return Call(
             workspace=request.service.workspace,
             service=request.service.name,
             kind=RequestKind(route.name, route.repeatable, call_class),
             deadline=arrived + allowed,
-            target=arrived + min(target, allowed),
-            hold_until=arrived + self.hold_share * min(target, allowed),
+            target=arrived + target - waited,
+            hold_until=arrived + hold,
             priority=route.priority,
             max_attempts=route.max_attempts,
             request_id=request_id.decode("latin-1"),
         )
 
-    def _allowed(self, head: RequestHead, route: Route) -> float | None:
-        """Seconds that the request may take; None if its deadline can't be read."""
+    def _remaining(self, head: RequestHead, route: Route) -> float | None:
+        """Seconds that the caller will wait; None if its deadline can't be read."""
         value = head.get(self.names.deadline) if self.names.deadline else None
         if value is None:
             return route.timeout
@@ -79,7 +85,7 @@
             milliseconds = float(value)
         except ValueError:
             return None
-        return min(route.timeout, milliseconds / MILLISECONDS)
+        return milliseconds / MILLISECONDS if isfinite(milliseconds) else None
 
 
 def _host(head: RequestHead) -> str | None:
--- a/packages/wheatslipd/wheatslipd/settings.py
+++ b/packages/wheatslipd/wheatslipd/settings.py
@@ -214,6 +214,8 @@
         far_penalty=section.duration("far-penalty", 0.002),
         bounce_wait=section.duration("bounce-wait", 0.008),
         warm_up=section.duration("warm-up", 5.0),
+        miss_penalty=section.duration("miss-penalty", 0.0),
+        max_bounces=section.integer("max-bounces", 2, 0, 100),
     )
 
 
