Tell a whole listing from changes after the history was forgotten

Cause: after a 410 the watch lists again, but its reader took the listing for changes, so an instance that left in the gap stayed in every daemon's list. Change: a listing says itself whether it is whole; the first watch goes on from the first listing instead of reading it again.

--- a/packages/wheatslip/wheatslip/objects.py
+++ b/packages/wheatslip/wheatslip/objects.py
@@ -35,10 +35,14 @@
 
 
 class Listing(msgspec.Struct, frozen=True):
-    """Objects of one kind, and the version up to which the listing is complete."""
+    """Objects of one kind, and the version up to which the listing is complete.
+
+    `whole`: these are all objects there are, rather than what has changed.
+    """
 
     version: int
     items: tuple[StoredObject, ...] = ()
+    whole: bool = False
 
 
 class WriteBody(msgspec.Struct, frozen=True):
@@ -147,7 +151,8 @@
         answer = await self._call("GET", f"/objects/{kind}")
         match answer:
             case Ok((200, body)):
-                return Ok(msgspec.json.decode(body, type=Listing))
+                listing = msgspec.json.decode(body, type=Listing)
+                return Ok(msgspec.structs.replace(listing, whole=True))
         return Err(_unavailable(answer))
 
     async def changes(
@@ -238,14 +243,16 @@
     wait: float = WATCH_SECONDS,
     pause: float = 0.0,
     backoff_last: float = BACKOFF_LAST,
+    since: int | None = None,
 ) -> AsyncIterator[Listing]:
     """Every state of a kind from now on without a gap: a full listing, then changes.
 
     After a version that is too old, or a new start of the platform, it lists again. After
-    each change it rests for `pause` seconds, so that many changes come as one.
+    each change it rests for `pause` seconds, so that many changes come as one. With `since`
+    the listing of that version is known already.
     """
     backoff = Backoff(rng, last=backoff_last)
-    version: int | None = None
+    version = since
     while True:
         if version is None:
             answer: Result[Listing, ReadError] = await client.list(kind)
--- a/packages/wheatslipd/wheatslipd/feed.py
+++ b/packages/wheatslipd/wheatslipd/feed.py
@@ -107,6 +107,7 @@
         self._hint = asyncio.Event()
         self._hinted_version = 0
         self._hinted_by = ""
+        self._first_list = 0  # version of the first listing, while no watch has gone on from it
 
     @property
     def watches(self) -> bool:
@@ -153,7 +154,8 @@
             match await self.client.list(lists.KIND):
                 case Ok(listing):
                     self._confirm()
-                    self._take_listing(listing, whole=True)
+                    self._take_listing(listing)
+                    self._first_list = listing.version
                     return
                 case Err(trouble):
                     _log_trouble(trouble)
@@ -171,7 +173,9 @@
                 task.cancel()
 
     async def _watch_list(self) -> None:
-        whole = True
+        since = self._first_list or None
+        # A watcher that becomes one again has lost sight of the list meanwhile.
+        self._first_list = 0
         wait = self._pace.list_watch
         async for listing in follow(
             self.client,
@@ -181,11 +185,11 @@
             wait,
             self._pace.list_pause,
             self._pace.retry_last,
+            since,
         ):
             self._confirm()
-            if whole or listing.items:
-                self._take_listing(listing, whole=whole)
-            whole = False
+            if listing.whole or listing.items:
+                self._take_listing(listing)
 
     async def _watch_head(self) -> None:
         wait = self._pace.watch
@@ -267,9 +271,9 @@
         _log_trouble(trouble)
         self.cache.checked = self._unix()
 
-    def _take_listing(self, listing: Listing, *, whole: bool) -> None:
+    def _take_listing(self, listing: Listing) -> None:
         changes = [change for change in map(_as_change, listing.items) if change is not None]
-        self._take_list(listing.version, changes, whole=whole)
+        self._take_list(listing.version, changes, whole=listing.whole)
 
     def _take_list(self, listed: int, changes: list[ListChange], *, whole: bool) -> None:
         self.cache.take_list(listed, changes, whole=whole)
--- a/test/test_fleet_adapter.py
+++ b/test/test_fleet_adapter.py
@@ -3,13 +3,14 @@
 import asyncio
 import json
 from contextlib import asynccontextmanager
+from random import Random
 
 from result import Err, Ok
 from wheatslip import head as heads
 from wheatslip import instances as lists
 from wheatslip.bundle import Split, decode_bundle
 from wheatslip.instances import Instance
-from wheatslip.objects import Conflict, TooOld, Unavailable
+from wheatslip.objects import Conflict, TooOld, Unavailable, follow
 from wheatslip.registration import Heartbeat, ServerState
 
 from fleet_adapter.configuration import read_configuration
@@ -199,3 +200,21 @@
             assert len(stand_in.objects) == 1
 
     run(scenario)
+
+
+def test_after_a_forgotten_history_the_next_listing_is_known_to_be_whole():
+    async def scenario():
+        async with store() as (stand_in, client):
+            first = (await client.put(lists.KIND, "a", INSTANCE, 0)).unwrap()
+            (await client.put(lists.KIND, "b", INSTANCE, 0)).unwrap()
+            states = follow(client, lists.KIND, Random(1))
+            assert (await anext(states)).whole
+            (await client.put(lists.KIND, "c", INSTANCE, 0)).unwrap()
+            changes = await anext(states)
+            assert not changes.whole and [item.name for item in changes.items] == ["c"]
+            await client.delete(lists.KIND, "a", first.version)
+            stand_in.forget()
+            again = await anext(states)
+            assert again.whole and [item.name for item in again.items] == ["b", "c"]
+
+    run(scenario)
