Spare a server that resets, and wait for a request's body before a slot

Likely, not proved: a body on its way when the server answered early, as the connection was used again; that it could be is now shown by a test. Change: a gate closes after two lost answers in a row until the health endpoint answers; a connection whose answer came before the request was whole is not used again; a gate waits for a small body before it takes a slot.

--- a/packages/wheatslip/wheatslip/admission.py
+++ b/packages/wheatslip/wheatslip/admission.py
@@ -52,6 +52,7 @@
     limit: ConcurrencyLimit = field(init=False)
     draining: bool = False
     unknown: bool = False  # whose gate it is, is not known yet
+    lost: bool = False  # the server resets what is sent to it
     last_finished: float = float("-inf")
     slowness: float = 1.0  # how long work takes at the server now, as a part of the usual
     _times: ServiceTimes = field(init=False, default_factory=ServiceTimes)
@@ -120,6 +121,8 @@
             return NotRun(Reason.NOT_READY, NOT_READY_RETRY_AFTER)
         if self.draining:
             return NotRun(Reason.DRAINING)
+        if self.lost:
+            return NotRun(Reason.UNREACHABLE, NOT_READY_RETRY_AFTER)
         if call.remaining(now) <= 0:
             return NotRun(Reason.DEADLINE)
         ticket = Ticket(call, now, max_wait=max_wait)
@@ -200,7 +203,7 @@
         too late by it; for anything else a refusal in time is better.
         """
         self._queue.remove(ticket.call.workspace, ticket)
-        if self.in_flight >= self.limit.value or self.draining:
+        if self.in_flight >= self.limit.value or self.draining or self.lost:
             return False
         call = ticket.call
         takes = self._usual_service_of(call, now) * self.slowness
--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -40,10 +40,10 @@
 from wheatslipd.pages import PageServer, PageSource, Status
 from wheatslipd.peerport import PeerPort
 from wheatslipd.publisher import Publisher
+from wheatslipd.recoveryprobe import RecoveryProbe
 from wheatslipd.registrar import HeartbeatDecoder, Registrar, decode_heartbeat
 from wheatslipd.routefilter import RouteFilter
 from wheatslipd.settings import ConfigurationSource, Interface, Settings
-from wheatslipd.slowprobe import SlowProbe
 from wheatslipd.tls import PeerTls, peer_tls
 from wheatslipd.tracing import HopTracer
 from wheatslipd.view import View
@@ -185,7 +185,7 @@
         helpers: list[asyncio.Task[None]] = []
         if self.registrar is not None:
             tasks.append(loop.create_task(self.publisher.run()))
-            tasks.append(loop.create_task(self.slow_probe.run()))
+            tasks.append(loop.create_task(self.recovery_probe.run()))
             # It ends when a backend server has registered, and ends nothing else by that.
             helpers.append(loop.create_task(self.registrar.run()))
         if self.settings.health_path:
@@ -254,7 +254,7 @@
         if self.registrar is not None:
             health_path = pool.health_path or self.settings.health_path
             self.registrar.health_path = health_path
-            self.slow_probe.health_path = health_path
+            self.recovery_probe.health_path = health_path
         admission.set_shares({w.name: w.share for w in bundle.workspaces})
         self._backend.bound_connections(pool.connections)
         self.measurer.budget.per_second = pool.probes_per_second
@@ -352,14 +352,15 @@
             registration, self._backend, settings.headers, self.bus, self._monotonic, decode
         )
         self.registrar.health_path = settings.health_path
+        self.gate.is_probed = True
         self.registration_server = Server(self.registrar.handle)
-        self.slow_probe = SlowProbe(
+        self.recovery_probe = RecoveryProbe(
             self.gate,
             self._backend,
             settings.headers.load,
             self.metrics,
             self._monotonic,
-            settings.slow_probe,
+            settings.recovery_probe,
         )
         # Who stands there, and whether it leaves, is not known yet.
         self.gate.admission.unknown = True
--- a/packages/wheatslipd/wheatslipd/gate.py
+++ b/packages/wheatslipd/wheatslipd/gate.py
@@ -13,6 +13,7 @@
 from wheatslipd.settings import LogLevel
 from wheatslipd.view import View
 
+LOST_IN_A_ROW = 2
 EVICTED_RETRY_AFTER = 0.5  # seconds
 
 
@@ -23,7 +24,9 @@
         self.admission = admission
         self._view = view
         self._clock = clock
-        self.slow = asyncio.Event()  # set while the backend server says that it is slow
+        self.in_doubt = asyncio.Event()  # set while the server is slow or lost, so ask it
+        self.is_probed = False  # whether someone asks the server while it is in doubt
+        self._lost_in_a_row = 0
         self.load_seen = float("-inf")  # when it last told of its load
         self._waiting: dict[Ticket, asyncio.Future[NotRun | None]] = {}
 
@@ -63,14 +66,38 @@
         self.load_seen = self._clock()
         self.admission.slowness = load.slowness
         if load.slowness >= SLOW:
-            self.slow.set()
+            self.in_doubt.set()
             self._send_elsewhere()
         else:
             self._be_fast_again()
 
+    def on_answer(self) -> None:
+        """The backend server answered, whatever it was."""
+        self._lost_in_a_row = 0
+        if self.admission.lost:
+            logs.info("backend-back")
+            self.admission.lost = False
+            self.forget_slowness()
+
+    def on_lost(self) -> None:
+        """The backend server could not be reached, or broke off before its answer.
+
+        After some in a row nothing more is sent until it answers a question about its health:
+        each request sent might be one that may not run twice.
+        """
+        if not self.is_probed:
+            return
+        self._lost_in_a_row += 1
+        if self._lost_in_a_row < LOST_IN_A_ROW or self.admission.lost:
+            return
+        logs.warning("backend-lost", in_flight=self.admission.in_flight)
+        self.admission.lost = True
+        self.in_doubt.set()
+        self._refuse_waiting(NotRun(Reason.UNREACHABLE, MIN_RETRY_AFTER))
+
     def _be_fast_again(self) -> None:
-        if self.slow.is_set():
-            self.slow.clear()
+        if self.in_doubt.is_set() and not self.admission.lost:
+            self.in_doubt.clear()
             self._wake(self.admission.admit(self._clock()))
 
     def _send_elsewhere(self) -> None:
@@ -88,10 +115,13 @@
     def drain(self) -> None:
         """Refuse new work from now on; what waits is refused too, as it has not run."""
         self.admission.draining = True
+        self._refuse_waiting(NotRun(Reason.DRAINING))
+
+    def _refuse_waiting(self, refusal: NotRun) -> None:
         for ticket, future in list(self._waiting.items()):
             if not future.done():
                 self.admission.withdraw(ticket)
-                future.set_result(NotRun(Reason.DRAINING))
+                future.set_result(refusal)
 
     def report(self) -> LoadReport:
         """The load now, to ride on an answer."""
--- a/packages/wheatslipd/wheatslipd/http/body.py
+++ b/packages/wheatslipd/wheatslipd/http/body.py
@@ -81,6 +81,14 @@
             size += len(chunk)
         return b"".join(parts)
 
+    async def hold_up_to(self, limit: int) -> None:
+        """Wait, without reading, until the body is whole or `limit` bytes of it have come."""
+        while not self.complete and self.held < limit:
+            if self._broken:
+                raise BodyBroken
+            self._waiter = asyncio.get_running_loop().create_future()
+            await self._waiter
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """The rest of the body."""
         while chunk := await self.read():
--- a/packages/wheatslipd/wheatslipd/http/client.py
+++ b/packages/wheatslipd/wheatslipd/http/client.py
@@ -164,7 +164,9 @@
             raise ConnectionError("a second response to one request")
         keep_alive = self._parser.should_keep_alive()
         head = ResponseHead(status, self._headers, keep_alive)
-        self._reusable = self._reusable and keep_alive
+        # Behind an answer that came too early the two ends may not agree where the next
+        # request begins.
+        self._reusable = self._reusable and keep_alive and self._sent_all
         self._until_close = not self._has_framing(head)
         self._body = Body(self.pause, self.resume)
         if self._method == b"HEAD":
--- a/packages/wheatslipd/wheatslipd/peerport.py
+++ b/packages/wheatslipd/wheatslipd/peerport.py
@@ -38,6 +38,7 @@
 
 CATCH_UP_SECONDS = 0.5  # how long a request waits for a version that its entry has already
 CATCH_UP_STEP = 0.02
+BODY_HOLD = 64 * 1024  # bytes of a request's body that are waited for; entries send as much
 SHED_RETRY_AFTER = 1.0  # seconds
 
 
@@ -116,6 +117,12 @@
             priority=hop.priority,
             request_id=(exchange.head.get(self._names.request_id) or b"").decode("latin-1"),
         )
+        if not exchange.expects_continue:
+            try:
+                # A slot is for work, not for a body on its way.
+                await exchange.body.hold_up_to(BODY_HOLD)
+            except BodyBroken:
+                return Unknown(Reason.CANCELLED)
         passage = _Passage(exchange, hop, call, trace)
         refusal = await self._check_entry(hop, exchange)
         if refusal is not None:
@@ -197,7 +204,9 @@
                     (echo, request_id) if echo and request_id else None,
                 )
             if not isinstance(answer, BackendAnswer):
+                self._gate.on_lost()
                 return answer
+            self._gate.on_answer()
             worked = True
             try:
                 return await self._answer(passage, answer, kept)
--- a/packages/wheatslipd/wheatslipd/slowprobe.py
+++ b/packages/wheatslipd/wheatslipd/recoveryprobe.py
@@ -1,7 +1,7 @@
-"""The task that finds out when a slow backend server is as fast as usual again.
+"""The task that finds out when a slow or lost backend server is as it was again.
 
-A server that is slow right now is spared new work, so its answers stop telling of it. Then,
-and only then, its health endpoint is asked, which tells the same without taking a slot.
+A server that is slow right now is spared new work, so its answers stop telling of it; one
+that resets connections gets none at all. Then, and only then, its health endpoint is asked.
 """
 
 import asyncio
@@ -15,9 +15,10 @@
 from wheatslipd.metrics import Metrics
 
 TIMEOUT = 0.2  # seconds
+LOST_INTERVAL = 0.2
 
 
-class SlowProbe:
+class RecoveryProbe:
     """Asks one backend server while it is slow, every `interval` seconds of silence."""
 
     def __init__(
@@ -41,21 +42,24 @@
     async def run(self) -> None:
         """Run until cancelled."""
         while True:
-            await self._gate.slow.wait()
+            await self._gate.in_doubt.wait()
             known_for = self._clock() - self._gate.load_seen
             if known_for < self._interval:
                 await asyncio.sleep(self._interval - known_for)
                 continue
             await self._probe()
-            await asyncio.sleep(self._interval)
+            pause = LOST_INTERVAL if self._gate.admission.lost else self._interval
+            await asyncio.sleep(pause)
 
     async def _probe(self) -> None:
         self._metrics.probes.inc({})
         found = await ask_health(self._backend, self.health_path, TIMEOUT)
+        if found is not None:
+            self._gate.on_answer()
         value = found.get(self._header) if found is not None else None
         load = decode_backend_load(value) if value else None
         if load is not None:
             self._gate.learn(load)
-        else:
+        elif found is not None:
             # It told nothing, so nothing is known: work finds out.
             self._gate.forget_slowness()
--- a/packages/wheatslipd/wheatslipd/settings.py
+++ b/packages/wheatslipd/wheatslipd/settings.py
@@ -117,7 +117,7 @@
     fleet_budget: FleetBudget | None = None
     registration_port: int | None = None
     slot_share: float = 1.0
-    slow_probe: float = 0.1
+    recovery_probe: float = 0.1
     watchers: int = WATCHERS
     watch_seconds: float = WATCH_SECONDS
     list_watch_seconds: float = WATCH_SECONDS
@@ -198,7 +198,7 @@
         fleet_budget=_fleet_budget(sections["retries"]),
         registration_port=_registration_port(sections["registration"]),
         slot_share=backend.number("slot-share", 1.0, 0.1, 1.0),
-        slow_probe=backend.duration("slow-probe", 0.1),
+        recovery_probe=backend.duration("recovery-probe", 0.1),
         watchers=control.integer("watchers", WATCHERS, 1, 1000),
         watch_seconds=control.duration("watch", WATCH_SECONDS),
         list_watch_seconds=control.duration("list-watch", WATCH_SECONDS),
--- a/test/test_gate.py
+++ b/test/test_gate.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 
-from wheatslip.admission import ANY_WAIT, Admission, AdmissionSettings
+from wheatslip.admission import ANY_WAIT, Admission, AdmissionSettings, Ticket
 from wheatslip.backendload import BackendLoad, decode_backend_load
 from wheatslip.call import Call, RequestKind
 from wheatslip.outcome import NotRun, Reason
@@ -29,7 +29,9 @@
 
 def gate(slots=1):
     clock = Clock()
-    return Gate(Admission(AdmissionSettings(slots=slots)), View(), clock), clock
+    one = Gate(Admission(AdmissionSettings(slots=slots)), View(), clock)
+    one.is_probed = True
+    return one, clock
 
 
 def call(target=0.4, hold=0.1, deadline=1.0, kind=LOOKUP):
@@ -125,10 +127,10 @@
 def test_a_gate_knows_when_its_server_is_slow():
     one, _ = gate()
     one.learn(SLOW)
-    assert one.slow.is_set()
+    assert one.in_doubt.is_set()
     assert one.report().slowness == 4.0
     one.learn(USUAL)
-    assert not one.slow.is_set()
+    assert not one.in_doubt.is_set()
 
 
 def test_a_request_held_to_its_bound_is_refused_with_a_time_to_come_back():
@@ -154,3 +156,38 @@
     assert not one.report().draining
     one.reopen()
     assert one.admission.arrive(call(), 0.0).started is not None
+
+
+def test_a_server_that_resets_gets_nothing_more_until_it_answers():
+    async def scenario():
+        one, _ = gate()
+        await one.enter(call(), ANY_WAIT)
+        waiting = asyncio.create_task(one.enter(call(), ANY_WAIT))
+        await asyncio.sleep(0)
+        one.on_lost()
+        assert not one.admission.lost
+        one.on_lost()
+        assert (await waiting).reason is Reason.UNREACHABLE
+        assert one.admission.arrive(call(), 0.0).reason is Reason.UNREACHABLE
+        assert one.in_doubt.is_set()
+        one.on_answer()
+        assert not one.in_doubt.is_set()
+        assert isinstance(one.admission.arrive(call(), 0.0, ANY_WAIT), Ticket)
+
+    run(scenario)
+
+
+def test_resets_between_answers_do_not_close_the_gate():
+    one, _ = gate()
+    for _ in range(10):
+        one.on_lost()
+        one.on_answer()
+    assert not one.admission.lost
+
+
+def test_a_gate_that_no_one_reopens_is_not_closed():
+    one, _ = gate()
+    one.is_probed = False
+    for _ in range(10):
+        one.on_lost()
+    assert not one.admission.lost
--- a/test/test_http.py
+++ b/test/test_http.py
@@ -5,7 +5,7 @@
 import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
-from wheatslipd.http.body import BodyBroken
+from wheatslipd.http.body import Body, BodyBroken
 from wheatslipd.http.client import Pool
 from wheatslipd.http.messages import RequestHead, ResponseHead
 from wheatslipd.http.server import Server
@@ -243,3 +243,91 @@
         assert max(held) < 2 << 20
 
     with_server(scenario, stream)
+
+
+def test_connect_and_upgrades_get_one_answer_and_the_end():
+    async def scenario(port):
+        for request in (
+            b"CONNECT a:1 HTTP/1.1\r\nHost: a:1\r\n\r\n",
+            b"GET / HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\r\n",
+        ):
+            reader, writer = await asyncio.open_connection(HOST, port)
+            writer.write(request)
+            answer = await reader.read()
+            assert answer.startswith(b"HTTP/1.1 501")
+            assert answer.count(b"HTTP/1.1") == 1
+            writer.close()
+
+    with_server(scenario)
+
+
+def test_an_answer_before_the_request_is_whole_ends_the_connection():
+    """Its server may take the rest of the body for the next request, or not read it at all."""
+
+    async def scenario():
+        server, port = await raw_server(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+        pool = Pool(HOST, port, 4)
+        connection = await pool.take(1.0)
+        await connection.start(RequestHead(b"POST", b"/"), chunked=True, end=False)
+        response = await connection.response()
+        assert response.head.status == 503
+        await connection.write(b"rest", chunked=True)
+        await connection.finish(chunked=True)
+        assert not connection.reusable
+        pool.give_back(connection)
+        server.close()
+
+    run(scenario)
+
+
+def test_a_second_answer_to_an_earlier_request_is_passed_over():
+    async def scenario():
+        served = 0
+
+        async def serve(reader, writer):
+            nonlocal served
+            while await reader.readuntil(b"\r\n\r\n"):
+                served += 1
+                for number in range(max(1, served - 1), served + 1):
+                    body = b"answer %d" % number
+                    writer.write(
+                        b"HTTP/1.1 200 OK\r\nRequest-Id: %d\r\nContent-Length: %d\r\n\r\n%s"
+                        % (number, len(body), body)
+                    )
+
+        server = await asyncio.start_server(serve, HOST, 0)
+        pool = Pool(HOST, server.sockets[0].getsockname()[1], 4)
+        for number in (1, 2, 3):
+            connection = await pool.take(1.0)
+            connection.expect_echo(b"request-id", b"%d" % number)
+            await connection.start_with_body(RequestHead(b"GET", b"/"), b"")
+            response = await connection.response()
+            assert await response.body.read_up_to(100) == b"answer %d" % number
+            pool.give_back(connection)
+        assert pool.opened == 1
+        pool.close()
+        server.close()
+
+    run(scenario)
+
+
+def test_a_body_is_waited_for_without_being_read():
+    async def scenario():
+        body = Body(lambda: None, lambda: None)
+        waiting = asyncio.create_task(body.hold_up_to(8))
+        await asyncio.sleep(0)
+        body.feed(b"abc")
+        await asyncio.sleep(0)
+        assert not waiting.done()
+        body.finish()
+        await waiting
+        assert await body.read_up_to(8) == b"abc"
+        longer = Body(lambda: None, lambda: None)
+        longer.feed(b"0123456789")
+        await longer.hold_up_to(8)
+        broken = Body(lambda: None, lambda: None)
+        broken.break_off()
+        with pytest.raises(BodyBroken):
+            await broken.hold_up_to(8)
+
+    run(scenario)
