--- /dev/null
+++ b/standins/plainbackend.py
@@ -0,0 +1,94 @@
+"""Stand-in for a backend server that speaks plain HTTP and registers by heartbeats.
+
+It keeps what it was sent, and misbehaves as a test tells it.
+"""
+
+import asyncio
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from wheatslipd.http.exchange import Exchange
+from wheatslipd.http.messages import Headers, ResponseHead
+from wheatslipd.http.server import Server
+
+
+class Trouble(StrEnum):
+    """What it does with requests instead of answering well."""
+
+    NONE = "none"
+    SHED = "shed"  # refuses, and says that it has not run the request
+    FAIL = "fail"  # runs it and answers 500
+    RESET = "reset"  # runs it and resets the connection
+    CUT = "cut"  # runs it and breaks off its answer
+    HANG = "hang"
+
+
+@dataclass(slots=True)
+class Received:
+    """One request as it arrived."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass(slots=True)
+class PlainBackend:
+    """One server; `server_id` names this start of it."""
+
+    server_id: str
+    trouble: Trouble = Trouble.NONE
+    health: int = 200
+    service: float = 0.0
+    load: bytes = b"0,0,4,100"
+    received: list[Received] = field(default_factory=list)
+    ran: list[str] = field(default_factory=list)
+    server: Server = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.server = Server(self.handle)
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one request."""
+        head = exchange.head
+        if head.target == b"/health":
+            headers: Headers = [(b"instance-id", self.server_id.encode()), *self._load()]
+            await exchange.respond(ResponseHead(self.health, headers))
+            return
+        body = await exchange.body.read_up_to(1 << 20)
+        named = {name.decode(): value.decode() for name, value in head.headers}
+        received = Received(head.method.decode(), head.target.decode(), named, body)
+        self.received.append(received)
+        if named.get("expect-instance", self.server_id) != self.server_id:
+            await exchange.respond(ResponseHead(421, [(b"not-executed", b"1")]))
+            return
+        await self._run(exchange, received)
+
+    async def _run(self, exchange: Exchange, received: Received) -> None:
+        request_id = received.headers.get("request-id", "")
+        headers = [(b"request-id", request_id.encode()), *self._load()]
+        if self.trouble is Trouble.SHED:
+            headers.append((b"not-executed", b"1"))
+            await exchange.respond(ResponseHead(503, headers))
+            return
+        self.ran.append(request_id)
+        await asyncio.sleep(self.service)
+        match self.trouble:
+            case Trouble.FAIL:
+                await exchange.respond(ResponseHead(500, headers), b"failed")
+            case Trouble.RESET:
+                exchange.connection.abort()
+            case Trouble.CUT:
+                headers.append((b"content-length", b"100"))
+                exchange.start(ResponseHead(200, headers))
+                await exchange.write(b"a part")
+                await exchange.flush()
+                exchange.connection.abort()
+            case Trouble.HANG:
+                await asyncio.Event().wait()
+            case _:
+                await exchange.respond(ResponseHead(200, headers), self.server_id.encode())
+
+    def _load(self) -> Headers:
+        return [(b"load-report", self.load)]
--- /dev/null
+++ b/test/test_routed_path.py
@@ -0,0 +1,349 @@
+"""Routed requests end to end: daemons, registering servers and the adapter's store."""
+
+import asyncio
+import json
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from random import Random
+
+import aiohttp
+from wheatslip import instances as lists
+from wheatslipd.daemon import Daemon, Ports
+from wheatslipd.settings import parse_settings
+
+from fleet_adapter.heartbeats import decode_heartbeat
+from fleet_adapter.store import KINDS, FleetStore
+from fleet_standins.store import Fault, StoreStandIn
+from standins.cluster import HOST, eventually
+from standins.plainbackend import PlainBackend, Trouble
+from test.helper import run
+
+SETTINGS = """
+[daemon]
+name = {name}
+zone = one
+pool = papers
+loop = asyncio
+[entry]
+interface = routes
+answer-hold = 65536
+warm-up = 0s
+max-bounces = 3
+[peer]
+plain-text = yes
+[control]
+watch = 1s
+list-watch = 1s
+[backend]
+port = {port}
+[registration]
+port = 0
+[headers]
+deadline = Deadline-Remaining
+request-id = Request-Id
+caller = Caller-Service
+instance = Expect-Instance
+not-run = Not-Executed
+server = Instance-Id
+load = Load-Report
+[retries]
+share = 5
+reserve = 100
+[platform]
+address = {store}
+retry-last = 100ms
+[operators]
+source = trusted
+"""
+
+
+def configuration(version=1, prefix="/view/"):
+    def route(path, kind):
+        return {
+            "host": "papers.example",
+            "path_prefix": path,
+            "route_type": kind,
+            "timeout_s": 2.0,
+            "target_latency_s": 1.0,
+            "priority": 1,
+            "service": "papers",
+            "max_attempts": 2,
+        }
+
+    return {
+        "version": version,
+        "routes": {"view": route(prefix, "safe"), "submit": route("/submit/", "unsafe")},
+        "services": {"papers": {"health_path": "/health", "max_connections": 50}},
+    }
+
+
+@dataclass
+class Fleet:
+    """Daemons with their servers, on one store."""
+
+    store: StoreStandIn
+    session: aiohttp.ClientSession
+    daemons: dict[str, Daemon] = field(default_factory=dict)
+    backends: dict[str, PlainBackend] = field(default_factory=dict)
+    tasks: dict[str, asyncio.Task] = field(default_factory=dict)
+
+    async def add(self, name, backend=None):
+        backend = backend or PlainBackend(f"i-{name}")
+        await backend.server.listen(HOST, 0)
+        self.backends[name] = backend
+        await self.start(name)
+
+    async def start(self, name):
+        store = f"{HOST}:{self.store.server.port}"
+        port = self.backends[name].server.port
+        settings = parse_settings(SETTINGS.format(name=name, port=port, store=store), name)
+        ports = Ports(FleetStore(store), decode_heartbeat)
+        daemon = Daemon(settings.unwrap(), Random(3), ports=ports)
+        self.daemons[name] = daemon
+        self.tasks[name] = asyncio.create_task(daemon.run())
+        await daemon.listening.wait()
+
+    async def stop(self, name):
+        self.daemons.pop(name).stop()
+        await self.tasks.pop(name)
+
+    async def beat(self, name, sequence, state="ready", server=None):
+        backend = self.backends[name]
+        body = {
+            "address": f"{HOST}:{backend.server.port}",
+            "info": {"service": "papers", "version": "v1", "zone": "one", "slots": 4},
+            "status": {"state": state, "seq": sequence, "cold_remaining_s": 0},
+        }
+        port = self.daemons[name].registration_server.port
+        url = f"http://{HOST}:{port}/heartbeats/{server or backend.server_id}"
+        async with self.session.put(url, json=body) as answer:
+            return answer.status
+
+    async def ask(self, name, path="/view/1", method="GET", body=b"", **headers):
+        """Status, body and headers of the answer."""
+        url = f"http://{HOST}:{self.daemons[name].entry_server.port}{path}"
+        headers = {"Host": "papers.example", "Request-Id": "r-1"} | headers
+        async with self.session.request(method, url, data=body, headers=headers) as answer:
+            return answer.status, await answer.read(), answer.headers
+
+    async def ready(self, version=1):
+        def check():
+            return all(
+                d.status().version == version
+                and d.status().members == len(self.daemons)
+                and not d.gate.admission.unknown
+                for d in self.daemons.values()
+            )
+
+        async def checked():
+            return check()
+
+        await eventually(checked)
+
+
+@asynccontextmanager
+async def fleet(*names, configured=True):
+    store = StoreStandIn()
+    await store.server.listen(HOST, 0)
+    if configured:
+        store.write("config", "main", configuration())
+    one = Fleet(store, aiohttp.ClientSession())
+    try:
+        for name in names:
+            await one.add(name)
+        if configured:
+            await one.ready()
+        yield one
+    finally:
+        for name in list(one.daemons):
+            await one.stop(name)
+        for backend in one.backends.values():
+            await backend.server.stop(0.0)
+        await one.session.close()
+        await store.server.stop(0.0)
+
+
+def test_a_request_reaches_the_server_with_what_it_must_know():
+    async def scenario():
+        async with fleet("a") as one:
+            status, body, _ = await one.ask(
+                "a",
+                "/submit/2?x=1",
+                "POST",
+                b"paper",
+                **{"Deadline-Remaining": "900", "Caller-Service": "forged", "X-Kept": "yes"},
+            )
+            assert (status, body) == (200, b"i-a")
+            (got,) = one.backends["a"].received
+            assert (got.method, got.target, got.body) == ("POST", "/submit/2?x=1", b"paper")
+            assert got.headers["caller-service"] == "papers"
+            assert got.headers["expect-instance"] == "i-a"
+            assert 0 < int(got.headers["deadline-remaining"]) <= 900
+            assert got.headers["request-id"] == "r-1" and got.headers["x-kept"] == "yes"
+            assert not [name for name in got.headers if name.startswith("wheatslip-")]
+
+    run(scenario)
+
+
+def test_what_has_no_route_or_host_is_refused():
+    async def scenario():
+        async with fleet("a") as one:
+            assert (await one.ask("a", "/other/1"))[0] == 404
+            assert (await one.ask("a", Host="nobody.example"))[0] == 404
+            assert (await one.ask("a", **{"Deadline-Remaining": "soon"}))[0] == 400
+            for hosts in (b"", b"Host: papers.example\r\nHost: papers.example\r\n"):
+                port = one.daemons["a"].entry_server.port
+                reader, writer = await asyncio.open_connection(HOST, port)
+                writer.write(b"GET /view/1 HTTP/1.1\r\n" + hosts + b"\r\n")
+                assert (await reader.readline()).startswith(b"HTTP/1.1 400")
+                writer.close()
+            assert one.backends["a"].ran == []
+
+    run(scenario)
+
+
+def test_without_a_configuration_the_answer_is_503_not_404():
+    async def scenario():
+        async with fleet("a", configured=False) as one:
+            status, _, headers = await one.ask("a")
+            assert status == 503 and float(headers["Retry-After"]) > 0
+            assert not one.daemons["a"].status().ready
+
+    run(scenario)
+
+
+def test_a_server_that_turns_requests_away_costs_no_answer():
+    async def scenario():
+        async with fleet("a", "b") as one:
+            one.backends["a"].trouble = Trouble.SHED
+            for number in range(6):
+                method, path = [("GET", "/view/1"), ("POST", "/submit/1")][number % 2]
+                status, body, _ = await one.ask("a", path, method)
+                assert (status, body) == (200, b"i-b")
+
+    run(scenario)
+
+
+def test_a_reset_request_runs_again_only_if_it_may():
+    async def scenario():
+        async with fleet("a", "b") as one:
+            for trouble in (Trouble.RESET, Trouble.CUT, Trouble.FAIL):
+                for backend in one.backends.values():
+                    backend.trouble = Trouble.NONE
+                    backend.ran.clear()
+                one.backends["a"].trouble = trouble
+                statuses = set()
+                for number in range(12):
+                    status, _, _ = await one.ask(
+                        "b", "/submit/1", "POST", **{"Request-Id": f"s-{number}"}
+                    )
+                    statuses.add(status)
+                ran = one.backends["a"].ran + one.backends["b"].ran
+                assert len(ran) == len(set(ran))
+                assert statuses <= {200, 500, 502}
+                assert (await one.ask("b"))[0] == 200
+
+    run(scenario)
+
+
+def test_a_draining_server_gets_nothing_new_and_is_listed_as_leaving():
+    async def scenario():
+        async with fleet("a", "b") as one:
+            assert await one.beat("a", 1) == 200
+            assert await one.beat("a", 2, "draining") == 200
+            before = len(one.backends["a"].ran)
+            for _ in range(10):
+                assert (await one.ask("a"))[1] == b"i-b"
+            assert len(one.backends["a"].ran) == before
+
+            async def listed():
+                entry = one.store.objects[KINDS[lists.KIND], "a"]
+                return json.loads(bytes(entry.spec))["state"] == "leaving"
+
+            await eventually(listed)
+            assert one.daemons["a"].status().ready
+
+    run(scenario)
+
+
+def test_a_new_server_beside_the_daemon_gets_work_under_its_own_id():
+    async def scenario():
+        async with fleet("a") as one:
+            await one.beat("a", 1)
+            await one.beat("a", 2, "draining")
+            one.backends["a"].server_id = "i-new"
+            await one.beat("a", 1)
+
+            async def served():
+                return (await one.ask("a"))[1] == b"i-new"
+
+            await eventually(served)
+
+    run(scenario)
+
+
+def test_a_restarted_daemon_waits_for_its_server_to_be_well_or_to_register():
+    async def scenario():
+        async with fleet("a") as one:
+            one.backends["a"].health = 503
+            await one.stop("a")
+            await one.start("a")
+            status, _, _ = await one.ask("a")
+            assert status == 503 and one.backends["a"].ran == []
+            await one.beat("a", 7)
+            await one.ready()
+            assert (await one.ask("a"))[0] == 200
+
+    run(scenario)
+
+
+def test_a_new_configuration_is_in_force_and_the_old_one_gone():
+    async def scenario():
+        async with fleet("a", "b") as one:
+            one.store.write("config", "main", configuration(9, "/seen/"))
+            await one.ready(9)
+            assert (await one.ask("a", "/seen/1"))[0] == 200
+            assert (await one.ask("b", "/view/1"))[0] == 404
+
+    run(scenario)
+
+
+def test_a_daemon_that_the_store_turns_away_learns_from_the_one_that_calls_it():
+    async def scenario():
+        async with fleet("a", "b") as one:
+            await one.stop("b")
+            one.store.fault = Fault.BUSY
+            await one.start("b")
+            assert one.daemons["b"].status().version == 0
+            port = one.daemons["a"].feed.relay.port
+            one.daemons["b"].feed.cache.instances["a"] = one.daemons["a"].feed.cache.instances[
+                "a"
+            ]
+            assert port == one.daemons["a"].feed.cache.instances["a"].control_port
+            one.daemons["b"].feed.check_head(1, HOST)
+
+            async def learned():
+                return one.daemons["b"].status().version == 1
+
+            await eventually(learned)
+            one.store.fault = Fault.NONE
+
+    run(scenario)
+
+
+def test_a_caller_that_leaves_takes_its_request_along():
+    async def scenario():
+        async with fleet("a") as one:
+            one.backends["a"].trouble = Trouble.HANG
+            port = one.daemons["a"].entry_server.port
+            _, writer = await asyncio.open_connection(HOST, port)
+            writer.write(b"GET /view/1 HTTP/1.1\r\nHost: papers.example\r\n\r\n")
+
+            async def in_flight(count):
+                return one.daemons["a"].status().in_flight == count
+
+            await eventually(lambda: in_flight(1))
+            writer.transport.abort()
+            await eventually(lambda: in_flight(0))
+
+    run(scenario)
