--- a/packages/wheatslip-cli/wheatslip_cli/bundle_commands.py
+++ b/packages/wheatslip-cli/wheatslip_cli/bundle_commands.py
@@ -114,8 +114,8 @@
                 case Ok(proposal):
                     show([_proposal_row(proposal, "proposed")], self.output)
                     return ExitCode.GOOD
-                case Err(error):
-                    return complain_about(error)
+                case Err(refusal):
+                    return complain_about(refusal)
             raise AssertionError
 
         return run_with_bundle(self.file, self.settings, step)
@@ -149,8 +149,8 @@
                 case Ok(proposal):
                     show([_proposal_row(proposal, "proposed")], self.output)
                     return ExitCode.GOOD
-                case Err(error):
-                    return complain_about(error)
+                case Err(refusal):
+                    return complain_about(refusal)
             raise AssertionError
 
         return run_with_bundle(self.file, self.settings, step)
--- a/packages/wheatslip-cli/wheatslip_cli/main.py
+++ b/packages/wheatslip-cli/wheatslip_cli/main.py
@@ -27,9 +27,8 @@
 def main() -> None:
     """Entry point of the `wheatslip` command."""
     parsed = cappa.parse(Wheatslip, version=__version__, completion=False)
-    command = parsed.command
-    if isinstance(command, BundleCommand):
-        command = command.command
+    chosen = parsed.command
+    command = chosen.command if isinstance(chosen, BundleCommand) else chosen
     sys.exit(int(command()))
 
 
--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
+from typing import Any
 
 from circuits import Component
 from result import Result
@@ -192,9 +193,8 @@
             tasks.append(loop.create_task(self.measurer.run()))
         stopped = loop.create_task(self._stopping.wait())
         assert self.bus.failed is not None
-        await asyncio.wait(
-            [stopped, self.bus.failed, *tasks], return_when=asyncio.FIRST_COMPLETED
-        )
+        ending: list[asyncio.Future[Any]] = [stopped, self.bus.failed, *tasks]
+        await asyncio.wait(ending, return_when=asyncio.FIRST_COMPLETED)
         was_asked = self._stopping.is_set()
         if was_asked:
             await self._finish_in_flight()
--- a/packages/wheatslipd/wheatslipd/pages.py
+++ b/packages/wheatslipd/wheatslipd/pages.py
@@ -64,19 +64,19 @@
         super().__init__()
         self._source = source
 
-    def health(self):
+    def health(self) -> str:
         """200 once a configuration is in force and the daemon does not leave."""
         status = self._source.ask(self._source.status)
         assert isinstance(status, Status)
         self.response.status = 200 if status.ready else 503
         return "ready\n" if status.ready else "not ready\n"
 
-    def status(self):
+    def status(self) -> str:
         """The daemon's state."""
         self.response.headers["Content-Type"] = "application/json"
         return msgspec.json.encode(self._source.ask(self._source.status)).decode()
 
-    def metrics(self):
+    def metrics(self) -> str:
         """Prometheus' text format."""
         self.response.headers["Content-Type"] = "text/plain; version=0.0.4"
         content = self._source.ask(self._source.metrics)
@@ -95,7 +95,7 @@
         self.port = 0
 
     @handler("ready", channel="*")
-    def _on_ready(self, server, bind, *rest) -> None:
+    def _on_ready(self, server: object, bind: tuple[str, int], *rest: object) -> None:
         self.port = bind[1]
         self.is_ready.set()
 
@@ -112,7 +112,7 @@
         """Start the thread; returns the port."""
         self._server.start()
         await asyncio.to_thread(self._watch.is_ready.wait, START_SECONDS)
-        return self._watch.port
+        return int(self._watch.port)
 
     async def stop(self) -> None:
         """Stop the thread."""
--- a/packages/wheatslipd/wheatslipd/relay.py
+++ b/packages/wheatslipd/wheatslipd/relay.py
@@ -4,8 +4,9 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from contextlib import suppress
+from typing import cast
 
 import grpclib.const
 import msgspec
@@ -49,8 +50,9 @@
     async def listen(self, host: str, port: int) -> None:
         """Listen; `port` 0 takes a free one. Raises OSError."""
         await self._server.start(host, port, ssl=self._tls.server)
-        sockets = self._server._server.sockets  # grpclib does not tell the port otherwise
-        self.port = sockets[0].getsockname()[1]
+        # grpclib does not tell the port otherwise.
+        server = cast(asyncio.Server, self._server._server)
+        self.port = server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
         """Close the streams."""
@@ -89,7 +91,7 @@
 
 async def follow_parent(
     parent: Instance, cursor: Cursor, tls: PeerTls
-) -> AsyncIterator[Update]:
+) -> AsyncGenerator[Update, None]:
     """The updates of one parent; ends when it fails, falls silent or talks nonsense."""
     channel = Channel(parent.address, parent.control_port, codec=StructCodec(), ssl=tls.client)
     method: UnaryStreamMethod[Cursor, Update] = UnaryStreamMethod(
