Remove the entries of daemons that are gone for good

Change: a daemon that leaves with its server deletes its entry; one that no connection reached for 15 s and four tries is removed by the daemons that read the platform for their zone; one removed in error writes itself again. Tests fail without it.

--- a/packages/wheatslip/wheatslip/chooser.py
+++ b/packages/wheatslip/wheatslip/chooser.py
@@ -28,6 +28,8 @@
 SAME_SERVICE = 1.5
 FAILURE_FIRST_PAUSE = 0.2  # seconds
 FAILURE_LAST_PAUSE = 5.0
+DEAD_AFTER = 15.0  # seconds without a connection; longer than a restart or a short cut
+DEAD_AFTER_FAILURES = 4
 WARM_UP_FLOOR = 0.05  # the part of its turns that a new upstream gets at first
 SLOWNESS_MEMORY = 0.05  # seconds in which a report of slowness falls to 1/e
 COST_JITTER = 0.02
@@ -61,6 +63,7 @@
     errors: float = 0.0
     errors_at: float = 0.0
     vouched_until: float = 0.0
+    unreachable_since: float | None = None  # when its daemon stopped taking connections
     leaving: bool = False  # listed as leaving; a report can't take that back
 
     @property
@@ -80,6 +83,7 @@
 
     def on_report(self, report: LoadReport, now: float) -> None:
         """A load report rode back."""
+        self.unreachable_since = None
         self.report = report
         self.reported_at = now
         self.sent_since_report = 0
@@ -99,6 +103,18 @@
         """The recent part of failed answers; fades, so that it is tried again."""
         return self.errors * exp(-(now - self.errors_at) / ERROR_MEMORY)
 
+    def on_unreachable(self, now: float, rng: Random) -> None:
+        """Its daemon took no connection: a failure, and perhaps the end of its machine."""
+        if self.unreachable_since is None:
+            self.unreachable_since = now
+        self.on_failure(now, rng)
+
+    def is_dead(self, now: float) -> bool:
+        """Whether it was tried again and again for so long that its machine must be gone."""
+        since = self.unreachable_since
+        tried = self.failures >= DEAD_AFTER_FAILURES
+        return since is not None and tried and now - since >= DEAD_AFTER
+
     def on_failure(self, now: float, rng: Random) -> None:
         """It failed or could not be reached: leave it alone, longer each time."""
         self.failures += 1
--- a/packages/wheatslip/wheatslip/instances.py
+++ b/packages/wheatslip/wheatslip/instances.py
@@ -3,6 +3,7 @@
 from enum import StrEnum
 
 import msgspec
+from result import Err, Ok, Result
 
 KIND = "instance"
 
@@ -29,3 +30,11 @@
     control_port: int = 0
     incarnation: int = 1
     state: InstanceState = InstanceState.LIVE
+
+
+def decode_instance(value: bytes | msgspec.Raw) -> Result[Instance, str]:
+    """An instance as the list keeps it (JSON); the error is a sentence."""
+    try:
+        return Ok(msgspec.json.decode(value, type=Instance))
+    except msgspec.DecodeError as error:
+        return Err(str(error))
--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -43,12 +43,14 @@
 from wheatslipd.publisher import Publisher
 from wheatslipd.recoveryprobe import RecoveryProbe
 from wheatslipd.registrar import HeartbeatDecoder, Registrar, decode_heartbeat
+from wheatslipd.removal import DeadEntryRemover
 from wheatslipd.routefilter import RouteFilter
 from wheatslipd.settings import ConfigurationSource, Interface, Settings
 from wheatslipd.tls import PeerTls, peer_tls
 from wheatslipd.tracing import HopTracer
 from wheatslipd.view import View
 
+PUBLISH_SECONDS = 0.5  # that a planned stop waits for the last word on our list entry
 BACKEND_CONNECTIONS = 220  # until a bundle says otherwise
 # Settings that SIGHUP takes over; default.ini says so at each.
 RELOADED = ("chooser", "log_level", "stop_grace", "trace_sample")
@@ -186,6 +188,7 @@
         helpers: list[asyncio.Task[None]] = []
         if self.registrar is not None:
             tasks.append(loop.create_task(self.publisher.run()))
+            tasks.append(loop.create_task(self.remover.run()))
             tasks.append(loop.create_task(self.recovery_probe.run()))
             # It ends when a backend server has registered, and ends nothing else by that.
             helpers.append(loop.create_task(self.registrar.run()))
@@ -342,6 +345,13 @@
         self.registrar: Registrar | None = None
         self.registration_server: Server | None = None
         self.publisher = Publisher(store, rng)
+        self.remover = DeadEntryRemover(
+            self.settings.name,
+            store,
+            self.view,
+            self._monotonic,
+            lambda: self.feed.watches,
+        )
         self._slots = 0  # that the backend server told of, as far as they are used
         if self.settings.registration_port is None:
             return
@@ -459,12 +469,17 @@
     async def _finish_in_flight(self) -> None:
         """Let what is in flight finish, within the grace of the settings."""
         grace = self.settings.stop_grace
-        if self.registrar is not None:
+        if self.registrar is not None and self.view.draining:
+            # The backend server leaves, and we with it.
+            self.publisher.withdraw()
+        elif self.registrar is not None:
             self._publish()
         if self.settings.stop_listening_after:
             await asyncio.sleep(self.settings.stop_listening_after)
             grace -= self.settings.stop_listening_after
             self._close()
+        if self.registrar is not None:
+            await self.publisher.wait_settled(PUBLISH_SECONDS)
         finished = await asyncio.gather(
             self.entry_server.stop(grace), self.peer_server.stop(grace)
         )
--- a/packages/wheatslipd/wheatslipd/feed.py
+++ b/packages/wheatslipd/wheatslipd/feed.py
@@ -383,12 +383,12 @@
 def _as_change(item: StoredObject) -> ListChange | None:
     if item.deleted:
         return ListChange(item.version, item.name, None)
-    try:
-        instance = msgspec.json.decode(item.value, type=Instance)
-    except msgspec.DecodeError as error:
-        logs.error("instance-unreadable", name=item.name, error=str(error))
-        return None
-    return ListChange(item.version, item.name, instance)
+    match lists.decode_instance(item.value):
+        case Ok(instance):
+            return ListChange(item.version, item.name, instance)
+        case Err(why):
+            logs.error("instance-unreadable", name=item.name, error=why)
+    return None
 
 
 def _log_trouble(trouble: Unavailable) -> None:
--- a/packages/wheatslipd/wheatslipd/forward.py
+++ b/packages/wheatslipd/wheatslipd/forward.py
@@ -169,7 +169,7 @@
         try:
             connection = await peer.connections.take(CONNECT_TIMEOUT)
             if connection is None:
-                upstream.on_failure(self._clock(), self._rng)
+                upstream.on_unreachable(self._clock(), self._rng)
                 return NotRun(Reason.UNREACHABLE, retry_after=1.0)
             try:
                 return await self._exchange(sending, chosen, peer, connection, limit)
--- a/packages/wheatslipd/wheatslipd/publisher.py
+++ b/packages/wheatslipd/wheatslipd/publisher.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from contextlib import suppress
 from random import Random
 
 import msgspec
@@ -30,24 +31,31 @@
         self._incarnation = 1  # of this start; that of the life before, if any, and one more
         self._is_first = True
         self._changed = asyncio.Event()
+        self._settled = asyncio.Event()
         self._gone = False
         self._in_doubt = False
 
     def publish(self, instance: Instance) -> None:
         """Message: the entry should be this, but for its incarnation."""
         self._wanted = instance
-        self._changed.set()
+        self._wake()
 
     def withdraw(self) -> None:
         """Message: the instance leaves for good, so the entry should go."""
         self._gone = True
-        self._changed.set()
+        self._wake()
+
+    async def wait_settled(self, seconds: float) -> None:
+        """Wait until the entry is as it should be, at most for so long."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._settled.wait()
 
     def seen(self, listed: Instance | None) -> None:
         """Message: the list shows this entry in our name; None if it shows none."""
         if listed != self._stored:
             self._in_doubt = True
-            self._changed.set()
+            self._wake()
 
     async def run(self) -> None:
         """Run until cancelled."""
@@ -55,6 +63,12 @@
             await self._changed.wait()
             self._changed.clear()
             await self._settle()
+            if not self._changed.is_set():
+                self._settled.set()
+
+    def _wake(self) -> None:
+        self._settled.clear()
+        self._changed.set()
 
     async def _settle(self) -> None:
         backoff = Backoff(self._rng, last=RETRY_LAST)
@@ -113,10 +127,11 @@
         self._version = found.version if found else 0
         self._stored = None
         if found is not None:
-            try:
-                self._stored = msgspec.json.decode(found.value, type=Instance)
-            except msgspec.DecodeError as error:
-                logs.error("instance-unreadable", name=found.name, error=str(error))
+            match lists.decode_instance(found.value):
+                case Ok(stored):
+                    self._stored = stored
+                case Err(why):
+                    logs.error("instance-unreadable", name=found.name, error=why)
         if self._is_first and self._stored is not None:
             self._incarnation = self._stored.incarnation + 1
             self._is_first = False
--- a/test/test_routed_path.py
+++ b/test/test_routed_path.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 from wheatslip import instances as lists
+from wheatslip.chooser import DEAD_AFTER, DEAD_AFTER_FAILURES
 from wheatslipd.daemon import Daemon, Ports
 from wheatslipd.settings import parse_settings
 
@@ -266,6 +267,46 @@
     run(scenario)
 
 
+def test_the_entry_of_a_daemon_that_leaves_with_its_server_goes():
+    async def scenario():
+        async with fleet("a", "b") as one:
+            await one.beat("a", 1)
+            await one.beat("a", 2, "draining")
+            await one.stop("a")
+            assert (KINDS[lists.KIND], "a") not in one.store.objects
+            assert (await one.ask("b"))[1] == b"i-b"
+
+    run(scenario)
+
+
+def test_the_entry_of_a_dead_daemon_is_removed_unless_it_has_started_anew():
+    async def scenario():
+        async with fleet("a", "b") as one:
+            daemon = one.daemons["a"]
+            (dead,) = (
+                p for p in daemon.view.membership.peers("papers") if p.instance.name == "b"
+            )
+            for second in range(DEAD_AFTER_FAILURES):
+                dead.upstream.on_unreachable(float(second), Random(1))
+            remover = daemon.remover
+            remover._clock = lambda: DEAD_AFTER - 1
+            await remover.remove_dead()
+            assert (KINDS[lists.KIND], "b") in one.store.objects
+            remover._clock = lambda: DEAD_AFTER + 1
+            await remover._remove("b", dead.instance.incarnation + 1)
+            assert (KINDS[lists.KIND], "b") in one.store.objects
+            writes = len(one.store.calls)
+            await remover.remove_dead()
+            assert any(call.startswith("DELETE") for call in one.store.calls[writes:])
+
+            async def is_back():
+                return (KINDS[lists.KIND], "b") in one.store.objects
+
+            await eventually(is_back)  # as it lives
+
+    run(scenario)
+
+
 def test_a_new_server_beside_the_daemon_gets_work_under_its_own_id():
     async def scenario():
         async with fleet("a") as one:
