--- a/packages/wheatslip/wheatslip/objects.py
+++ b/packages/wheatslip/wheatslip/objects.py
@@ -253,14 +253,18 @@
     """
     backoff = Backoff(rng, last=backoff_last)
     version = since
+    # A watch hears nothing from a platform that is silent, so after a failure it does not wait:
+    # it must not be held when the platform is back.
+    wait_now = wait
     while True:
         if version is None:
             answer: Result[Listing, ReadError] = await client.list(kind)
         else:
-            answer = await client.changes(kind, version, wait)
+            answer = await client.changes(kind, version, wait_now)
         match answer:
             case Ok(listing):
                 backoff.reset()
+                wait_now = wait
                 version = listing.version
                 yield listing
                 if listing.items:
@@ -269,6 +273,7 @@
                 version = None
             case Err(Unavailable() as trouble):
                 on_trouble(trouble)
+                wait_now = 0.0
                 await asyncio.sleep(backoff.next())
 
 
--- a/test/test_fleet_adapter.py
+++ b/test/test_fleet_adapter.py
@@ -17,6 +17,7 @@
 from fleet_adapter.heartbeats import decode_heartbeat
 from fleet_adapter.store import FleetStore
 from fleet_standins.store import Fault, StoreStandIn
+from standins.cluster import eventually
 from test.helper import run
 
 CONFIGURATION = {
@@ -218,3 +219,26 @@
             assert again.whole and [item.name for item in again.items] == ["b", "c"]
 
     run(scenario)
+
+
+def test_a_watch_that_failed_comes_back_short_so_that_silence_does_not_hold_it():
+    async def scenario():
+        async with store() as (stand_in, client):
+            states = follow(client, lists.KIND, Random(1), wait=30.0, backoff_last=0.1)
+            await anext(states)
+            stand_in.fault = Fault.BUSY
+            waiting = asyncio.create_task(anext(states))
+
+            async def calls_made(count):
+                return len(stand_in.calls) >= count
+
+            await eventually(lambda: calls_made(2))
+            stand_in.fault = Fault.SILENT
+            made = len(stand_in.calls)
+            await eventually(lambda: calls_made(made + 1))
+            stand_in.fault = Fault.NONE
+            (await client.put(lists.KIND, "a", INSTANCE, 0)).unwrap()
+            async with asyncio.timeout(5.0):
+                assert [item.name for item in (await waiting).items] == ["a"]
+
+    run(scenario)
