Know one's own list entry after a lost answer

Cause, found by a new test: after a lost answer to its first write a daemon read its own entry back, took it for one of a life before and wrote it again under a new incarnation, at which all others started to learn about it anew. Only that; nothing was lost by it. Change: what was attempted and found again is one's own, unless it was refused. More tests of the publisher and of the tries.

--- a/packages/wheatslipd/wheatslipd/publisher.py
+++ b/packages/wheatslipd/wheatslipd/publisher.py
@@ -30,6 +30,7 @@
         self._version = 0
         self._incarnation = 1  # of this start; that of the life before, if any, and one more
         self._is_first = True
+        self._attempted: Instance | None = None
         self._changed = asyncio.Event()
         self._settled = asyncio.Event()
         self._gone = False
@@ -85,6 +86,7 @@
         entry = msgspec.structs.replace(wanted, incarnation=self._incarnation)
         if entry == self._stored:
             return True
+        self._attempted = entry
         match await self._store.put(lists.KIND, wanted.name, entry, self._version):
             case Ok(stored):
                 self._version = stored.version
@@ -93,6 +95,7 @@
                 logs.info("published", name=entry.name, state=entry.state.value)
                 return self._wanted is wanted
             case Err(Conflict(found)):
+                self._attempted = None
                 self._learn(found)
                 return False
             case Err(trouble):
@@ -133,5 +136,7 @@
                 case Err(why):
                     logs.error("instance-unreadable", name=found.name, error=why)
         if self._is_first and self._stored is not None:
-            self._incarnation = self._stored.incarnation + 1
+            # What we wrote ourselves, and lost the answer to, is not of a life before.
+            if self._stored != self._attempted:
+                self._incarnation = self._stored.incarnation + 1
             self._is_first = False
--- a/test/test_attempts.py
+++ b/test/test_attempts.py
@@ -9,6 +9,7 @@
 from wheatslip.budget import RetryBudget
 from wheatslip.call import Call, RequestKind
 from wheatslip.chooser import Chooser, Upstream
+from wheatslip.hop import LoadReport
 from wheatslip.outcome import Answered, NotRun, Reason, Unknown
 from wheatslipd.measure import ProbeBudget
 
@@ -101,3 +102,70 @@
     for start in taken:
         assert sum(start <= t < start + 2.0 for t in taken) <= max(1, 2.0 * per_second)
     assert len(taken) <= 30 * per_second + 1
+
+
+def routed(repeatable=True, tokens=3.0, max_attempts=2):
+    kind = RequestKind("k", repeatable)
+    call = Call(
+        "w", "papers", kind, 10.0, target=1.0, hold_until=0.25, max_attempts=max_attempts
+    )
+    return Attempts(call, Chooser("one", Random(1)), RetryBudget(tokens=tokens))
+
+
+def test_a_request_turned_away_by_its_server_pays_for_the_next_one():
+    tries = routed(repeatable=False, tokens=1.0, max_attempts=5)
+    group = upstreams()
+    tries.next(group, 0.0)
+    assert tries.ended(NotRun(Reason.SHED))
+    tries.next(group, 0.0)
+    assert not tries.ended(NotRun(Reason.SHED))
+    assert tries.result() == NotRun(Reason.SHED)
+
+
+def test_a_gates_refusal_costs_nothing_however_often():
+    tries = routed(tokens=0.0)
+    group = upstreams()
+    for _ in range(3):
+        assert tries.next(group, 0.0) is not None
+        assert tries.ended(NotRun(Reason.DRAINING))
+
+
+def test_no_more_servers_are_reached_than_the_route_allows():
+    tries = routed(tokens=20.0, max_attempts=2)
+    group = upstreams()
+    tries.next(group, 0.0)
+    assert tries.ended(Unknown(Reason.CONNECTION_LOST))
+    tries.next(group, 0.0)
+    assert not tries.ended(Unknown(Reason.CONNECTION_LOST))
+
+
+def test_a_servers_failure_is_replaced_only_if_the_call_may_run_again():
+    assert not routed(repeatable=False).may_replace(500)
+    assert not routed(tokens=0.0).may_replace(500)
+    assert not routed().may_replace(404)
+    tries = routed()
+    tries.next(upstreams(), 0.0)
+    assert tries.may_replace(500)
+    # Were it all that was had, it may have run.
+    assert tries.result() == Unknown(Reason.BACKEND_FAILED)
+
+
+def test_a_call_held_as_long_as_it_may_is_not_tried_again():
+    tries = routed(tokens=20.0)
+    (only,) = upstreams("a")
+    assert tries.next([only], 0.0).max_wait == ANY_WAIT
+    assert not tries.ended(NotRun(Reason.OVERLOADED))
+
+
+def test_after_its_bounces_a_call_goes_where_it_waits_least():
+    tries = routed()
+    chooser = tries.chooser
+    slow, full, busy = upstreams("abc")
+    reports = {
+        "a": LoadReport(0, 0, 4, 0.1, 1, slowness=4.0),
+        "b": LoadReport(4, 8, 4, 0.1, 1),
+        "c": LoadReport(4, 1, 4, 0.1, 1),
+    }
+    for upstream in (slow, full, busy):
+        chooser.on_report(upstream, reports[upstream.name], 0.0)
+    assert chooser.soonest([slow, full, busy], 0.0, target=0.3) is busy
--- /dev/null
+++ b/test/test_publisher.py
@@ -0,0 +1,142 @@
+"""The daemon's own list entry: written once, kept right, and never another's."""
+
+import asyncio
+import json
+from contextlib import asynccontextmanager
+from random import Random
+
+import msgspec
+from wheatslip import instances as lists
+from wheatslip.instances import Instance, InstanceState
+from wheatslipd.publisher import Publisher
+
+from fleet_adapter.store import KINDS, FleetStore
+from fleet_standins.store import Fault, StoreStandIn
+from standins.cluster import HOST, eventually
+from test.helper import run
+
+INSTANCE = Instance("a", "papers", "one", "10.0.0.1", 1, 2, 3)
+LEAVING = msgspec.structs.replace(INSTANCE, state=InstanceState.LEAVING)
+KEY = (KINDS[lists.KIND], "a")
+
+
+@asynccontextmanager
+async def publisher(store):
+    client = FleetStore(f"{HOST}:{store.server.port}")
+    one = Publisher(client, Random(1))
+    task = asyncio.create_task(one.run())
+    try:
+        yield one
+    finally:
+        task.cancel()
+        await client.close()
+
+
+@asynccontextmanager
+async def standing_store(**options):
+    store = StoreStandIn(**options)
+    await store.server.listen(HOST, 0)
+    try:
+        yield store
+    finally:
+        await store.server.stop(0.0)
+
+
+def entry(store):
+    found = store.objects.get(KEY)
+    return json.loads(bytes(found.spec)) if found else None
+
+
+async def settled(one):
+    await one.wait_settled(5.0)
+
+
+def test_an_entry_is_written_once_and_not_again_without_a_change():
+    async def scenario():
+        async with standing_store() as store, publisher(store) as one:
+            one.publish(INSTANCE)
+            await settled(one)
+            assert entry(store)["incarnation"] == 1
+            one.publish(INSTANCE)
+            await settled(one)
+            assert store.rev == 1 and len(store.calls) == 1
+
+    run(scenario)
+
+
+def test_each_start_is_a_new_incarnation():
+    async def scenario():
+        async with standing_store() as store:
+            for incarnation in (1, 2, 3):
+                async with publisher(store) as one:
+                    one.publish(INSTANCE)
+                    await settled(one)
+                    assert entry(store)["incarnation"] == incarnation
+
+    run(scenario)
+
+
+def test_a_return_after_leaving_is_a_new_incarnation_too():
+    async def scenario():
+        async with standing_store() as store, publisher(store) as one:
+            for instance, incarnation in ((INSTANCE, 1), (LEAVING, 1), (INSTANCE, 2)):
+                one.publish(instance)
+                await settled(one)
+                assert entry(store)["incarnation"] == incarnation
+                assert entry(store)["state"] == instance.state.value
+
+    run(scenario)
+
+
+def test_a_lost_answer_is_read_back_rather_than_written_again():
+    async def scenario():
+        async with standing_store(lose_answers=1) as store, publisher(store) as one:
+            one.publish(INSTANCE)
+            await settled(one)
+            assert store.rev == 1 and entry(store)["incarnation"] == 1
+
+    run(scenario)
+
+
+def test_an_entry_that_someone_removed_is_written_again():
+    async def scenario():
+        async with standing_store() as store, publisher(store) as one:
+            one.publish(INSTANCE)
+            await settled(one)
+            del store.objects[KEY]
+            one.seen(None)
+            await settled(one)
+            assert entry(store) is not None
+
+    run(scenario)
+
+
+def test_an_outage_only_delays_the_entry():
+    async def scenario():
+        async with standing_store(fault=Fault.BUSY) as store, publisher(store) as one:
+            one.publish(INSTANCE)
+
+            async def tried():
+                return len(store.calls) >= 2
+
+            await eventually(tried)
+            store.fault = Fault.NONE
+            await settled(one)
+            assert entry(store)["state"] == "live"
+
+    run(scenario)
+
+
+def test_a_withdrawn_entry_goes_and_a_second_word_finds_nothing():
+    async def scenario():
+        async with standing_store() as store, publisher(store) as one:
+            one.publish(INSTANCE)
+            await settled(one)
+            one.withdraw()
+            await settled(one)
+            assert entry(store) is None
+            one.withdraw()
+            await settled(one)
+            assert entry(store) is None
+
+    run(scenario)
