Say once what stood several times in gates, refusals and load headers

Found by reading the diff. Ruled out: one module for the two sliding windows (budget and patience share a shape, not a job), and one for the two stores' answers (other statuses, other objects). Change: Admission._takes, Gate._tell, the decoder alone, no priority behind the entry, a plain flag; a route's doc says what its priority does.

--- a/packages/wheatslip/wheatslip/admission.py
+++ b/packages/wheatslip/wheatslip/admission.py
@@ -206,8 +206,7 @@
         if self.in_flight >= self.limit.value or self.draining or self.lost:
             return False
         call = ticket.call
-        takes = self._usual_service_of(call, now) * self.slowness
-        if takes > LAST_RESORT * (call.target - now):
+        if self._takes(call, now) > LAST_RESORT * (call.target - now):
             return False
         self._start(ticket, now)
         return True
@@ -218,9 +217,8 @@
         """
         if self.slowness < SLOW or call.target == ANY_WAIT:
             return False
-        usual = self._usual_service_of(call, now)
-        may_meet = now + usual <= call.target
-        return may_meet and now + usual * self.slowness > call.target
+        may_meet = now + self._usual_service_of(call, now) <= call.target
+        return may_meet and now + self._takes(call, now) > call.target
 
     def _falls_behind(self, ticket: Ticket, now: float) -> bool:
         """Put a ticket that will miss its target behind all that may meet theirs.
@@ -230,7 +228,7 @@
         call = ticket.call
         if ticket.late or not self.queued:
             return False
-        if now + self._usual_service_of(call, now) * self.slowness <= call.target:
+        if now + self._takes(call, now) <= call.target:
             return False
         ticket.late = True
         self._push(ticket)
@@ -247,8 +245,7 @@
         """The moment until which a request may wait: then it can't meet its deadline any more,
         or its caller rather hears a refusal.
         """
-        service = self._usual_service_of(call, now) * self.slowness
-        needed = min(service, call.remaining(now) / 2)
+        needed = min(self._takes(call, now), call.remaining(now) / 2)
         return min(call.deadline - needed, call.hold_until)
 
     def evicted(self) -> list[Ticket]:
@@ -274,12 +271,15 @@
         """Whether the server is so slow now that another one should take the call."""
         if self.slowness < SLOW:
             return False
-        usual = self._usual_service_of(call, now)
         if call.target == ANY_WAIT:
-            return (self.slowness - 1.0) * usual > max_wait
+            return (self.slowness - 1.0) * self._usual_service_of(call, now) > max_wait
         # Slow or not, an answer within the target is as good as any. The estimate may be
         # off, and going elsewhere has its price, so a close miss is risked.
-        return self.slowness * usual > CLOSE_MISS * (call.target - now)
+        return self._takes(call, now) > CLOSE_MISS * (call.target - now)
+
+    def _takes(self, call: Call, now: float) -> float:
+        """Seconds that a call takes if it starts now."""
+        return self._usual_service_of(call, now) * self.slowness
 
     def _usual_service_of(self, call: Call, now: float) -> float:
         """Seconds that a call of this kind takes when the server is as fast as usual."""
@@ -291,8 +291,7 @@
         return self.usual_service(now)
 
     def _too_late(self, call: Call, wait: float, now: float) -> bool:
-        needed = wait + self._usual_service_of(call, now) * self.slowness
-        return call.remaining(now) < needed
+        return call.remaining(now) < wait + self._takes(call, now)
 
     def _refusal(self, wait: float) -> NotRun:
         return NotRun(Reason.OVERLOADED, max(MIN_RETRY_AFTER, wait))
--- a/packages/wheatslip/wheatslip/bundle.py
+++ b/packages/wheatslip/wheatslip/bundle.py
@@ -85,8 +85,8 @@
 
     `timeout` bounds a request whatever its own deadline says; an answer within `target` is
     worth most. Both in seconds; 0 for `target` means that any answer in time is as good.
-    Calls of a lower `priority` number go first. `max_attempts` bounds the backend servers
-    that one request is sent to.
+    Calls of `priority` 0 go first; other numbers make no difference yet. `max_attempts`
+    bounds the backend servers that one request is sent to.
     """
 
     name: str
--- a/packages/wheatslip/wheatslip/call.py
+++ b/packages/wheatslip/wheatslip/call.py
@@ -26,7 +26,7 @@
 
     An answer after `target` is worth little, one after `deadline` nothing. It may wait for
     a backend server until `hold_until`; after that its caller rather hears a refusal.
-    `priority` 0 goes first. `request_id` is what the backend server echoes in its answer.
+    `request_id` is what the backend server echoes in its answer.
     """
 
     workspace: str
@@ -37,7 +37,6 @@
     depth: int = 0
     target: float = float("inf")
     hold_until: float = float("inf")
-    priority: int = 0
     max_attempts: int = 5
     request_id: str = ""
 
--- a/packages/wheatslip/wheatslip/hop.py
+++ b/packages/wheatslip/wheatslip/hop.py
@@ -33,7 +33,6 @@
     max_wait: float | None = None
     target: float | None = None
     hold: float | None = None
-    priority: int = 0
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/wheatslipd/wheatslipd/answers.py
+++ b/packages/wheatslipd/wheatslipd/answers.py
@@ -1,7 +1,6 @@
 """How outcomes that are not a backend server's answer look in HTTP."""
 
 import math
-from dataclasses import dataclass
 
 from wheatslip.hop import OUTCOME_HEADER, encode_outcome
 from wheatslip.outcome import NotRun, Reason, Unknown
@@ -27,26 +26,14 @@
 RETRY_AFTER_MS = b"wheatslip-retry-after-ms"
 
 
-@dataclass(frozen=True, slots=True)
-class RefusalStyle:
-    """How an entry words refusals.
-
-    `plain`: callers know HTTP only, so the status alone must say that a request was not run,
-    and `Retry-After` has fractions of a second. Otherwise wheatslip's own headers say both.
-    """
-
-    plain: bool = False
-
-
-OWN_STYLE = RefusalStyle()
 PLAIN_RETRY_AFTER = 0.1  # seconds, where a refusal knows no better
 
 
-def status_of(outcome: NotRun | Unknown, style: RefusalStyle = OWN_STYLE) -> int:
-    """The HTTP status of a refusal or an unknown outcome."""
+def status_of(outcome: NotRun | Unknown, *, plain: bool = False) -> int:
+    """The HTTP status of a refusal or an unknown outcome; see `send_refusal` for `plain`."""
     if isinstance(outcome, Unknown):
         return _UNKNOWN_STATUS.get(outcome.reason, UNKNOWN_DEFAULT)
-    if style.plain and outcome.reason is Reason.DEADLINE:
+    if plain and outcome.reason is Reason.DEADLINE:
         return NOT_RUN_DEFAULT
     return _NOT_RUN_STATUS.get(outcome.reason, NOT_RUN_DEFAULT)
 
@@ -55,12 +42,17 @@
     exchange: Exchange,
     outcome: NotRun | Unknown,
     extra: Headers | None = None,
-    style: RefusalStyle = OWN_STYLE,
+    *,
+    plain: bool = False,
 ) -> None:
-    """Answer with a refusal; `extra` headers go with it."""
+    """Answer with a refusal; `extra` headers go with it.
+
+    `plain`: the caller knows HTTP only, so the status alone must say that a request was not
+    run, and `Retry-After` has fractions of a second. Otherwise our own headers say both.
+    """
     headers: Headers = [(OUTCOME_HEADER, encode_outcome(outcome)), *(extra or [])]
-    status = status_of(outcome, style)
-    if style.plain:
+    status = status_of(outcome, plain=plain)
+    if plain:
         if status == NOT_RUN_DEFAULT and isinstance(outcome, NotRun):
             wait = outcome.retry_after or PLAIN_RETRY_AFTER
             headers.append((b"retry-after", b"%.3f" % wait))
--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -22,7 +22,6 @@
 from wheatslip.signedbundle import SignedBundle
 
 from wheatslipd import logs
-from wheatslipd.answers import OWN_STYLE, RefusalStyle
 from wheatslipd.backend import Backend
 from wheatslipd.bundles import BundleController
 from wheatslipd.bus import Bus
@@ -393,6 +392,7 @@
 
     def _build_entry(self, rng: Random) -> Entry:
         settings = self.settings
+        plain = settings.interface is Interface.ROUTES
         forwarder = Forwarder(
             self.view,
             self.settings.name,
@@ -409,18 +409,17 @@
             settings.headers,
             settings.pool,
             settings.answer_hold,
-            settings.interface is Interface.ROUTES,
+            plain,
         )
         filters = common_filters(self.view, self.metrics, self._tracer, self._monotonic)
-        if settings.interface is Interface.ROUTES:
+        if plain:
             filters.append(
                 RouteFilter(settings.headers, settings.hold_share, self._monotonic, rng)
             )
-            style = RefusalStyle(plain=True)
         else:
             filters += workspace_filters(self._monotonic)
-            style = OWN_STYLE
-        return Entry(build_chain(filters, forwarder), self._monotonic, self.view, style)
+        chain = build_chain(filters, forwarder)
+        return Entry(chain, self._monotonic, self.view, plain=plain)
 
     def _hint_newer_version(self, version: int, address: str) -> None:
         self.bus.fire(newer_version_seen(version, address))
--- a/packages/wheatslipd/wheatslipd/entry.py
+++ b/packages/wheatslipd/wheatslipd/entry.py
@@ -4,7 +4,7 @@
 
 from wheatslip.outcome import Answered
 
-from wheatslipd.answers import OWN_STYLE, RefusalStyle, send_refusal
+from wheatslipd.answers import send_refusal
 from wheatslipd.chain import EntryRequest, Proceed
 from wheatslipd.http.exchange import Exchange
 from wheatslipd.view import View
@@ -18,12 +18,14 @@
         chain: Proceed,
         clock: Callable[[], float],
         view: View,
-        style: RefusalStyle = OWN_STYLE,
+        *,
+        plain: bool = False,
     ):
+        """`plain`: callers know HTTP only; see `send_refusal`."""
         self._chain = chain
         self._view = view
         self._clock = clock
-        self._style = style
+        self._plain = plain
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
@@ -31,4 +33,4 @@
             exchange.head.keep_alive = False
         outcome = await self._chain(EntryRequest(exchange, self._clock()))
         if not isinstance(outcome, Answered) and not exchange.started:
-            await send_refusal(exchange, outcome, style=self._style)
+            await send_refusal(exchange, outcome, plain=self._plain)
--- a/packages/wheatslipd/wheatslipd/forward.py
+++ b/packages/wheatslipd/wheatslipd/forward.py
@@ -249,7 +249,6 @@
             max_wait=_bounded(chosen.max_wait),
             target=_bounded(call.target - now),
             hold=_bounded(call.hold_until - now),
-            priority=call.priority,
         )
         dropped = _NOT_FORWARDED | self._names.set_by_us
         headers = [(name, value) for name, value in original.forwarded() if name not in dropped]
--- a/packages/wheatslipd/wheatslipd/gate.py
+++ b/packages/wheatslipd/wheatslipd/gate.py
@@ -103,9 +103,7 @@
     def _send_elsewhere(self) -> None:
         """Refuse what waits here but would rather have gone to a faster server."""
         for ticket in self.admission.better_elsewhere(self._clock()):
-            future = self._waiting.get(ticket)
-            if future is not None and not future.done():
-                future.set_result(NotRun(Reason.OVERLOADED, MIN_RETRY_AFTER))
+            self._tell(ticket, NotRun(Reason.OVERLOADED, MIN_RETRY_AFTER))
 
     def forget_slowness(self) -> None:
         """Nothing is known of the backend server's speed any more."""
@@ -182,12 +180,14 @@
 
     def _wake(self, started: list[Ticket]) -> None:
         for ticket in started:
-            future = self._waiting.get(ticket)
-            if future is not None and not future.done():
-                future.set_result(None)
+            self._tell(ticket, None)
 
     def _tell_evicted(self) -> None:
         for ticket in self.admission.evicted():
-            future = self._waiting.get(ticket)
-            if future is not None and not future.done():
-                future.set_result(NotRun(Reason.OVER_SHARE, EVICTED_RETRY_AFTER))
+            self._tell(ticket, NotRun(Reason.OVER_SHARE, EVICTED_RETRY_AFTER))
+
+    def _tell(self, ticket: Ticket, refusal: NotRun | None) -> None:
+        """End the wait of a ticket, if it waits; None: it has started."""
+        future = self._waiting.get(ticket)
+        if future is not None and not future.done():
+            future.set_result(refusal)
--- a/packages/wheatslipd/wheatslipd/peerport.py
+++ b/packages/wheatslipd/wheatslipd/peerport.py
@@ -103,18 +103,16 @@
         kind = RequestKind(
             hop.kind, hop.repeatable, CallClass.URGENT if hop.urgent else CallClass.NORMAL
         )
-        deadline = self._clock() + hop.remaining
         now = self._clock()
         call = Call(
             hop.workspace,
             hop.service,
             kind,
-            deadline,
+            now + hop.remaining,
             hop.key,
             hop.depth,
             target=_moment(now, hop.target),
             hold_until=_moment(now, hop.hold),
-            priority=hop.priority,
             request_id=(exchange.head.get(self._names.request_id) or b"").decode("latin-1"),
         )
         if not exchange.expects_continue:
@@ -264,8 +262,7 @@
         return headers
 
     def _learn_load(self, head: ResponseHead) -> None:
-        value = head.get(self._names.load) if self._names.load else None
-        load = decode_backend_load(value) if value else None
+        load = decode_backend_load(head.get(self._names.load) or b"")
         if load is not None:
             self._gate.learn(load)
 
@@ -288,7 +285,7 @@
 
 def _moment(now: float, left: float | None) -> float:
     """The moment that is `left` seconds away; never, if there is no such bound."""
-    return float("inf") if left is None else now + left
+    return ANY_WAIT if left is None else now + left
 
 
 def _own_words(call: Call, milliseconds_left: int) -> Headers:
--- a/packages/wheatslipd/wheatslipd/recoveryprobe.py
+++ b/packages/wheatslipd/wheatslipd/recoveryprobe.py
@@ -54,12 +54,12 @@
     async def _probe(self) -> None:
         self._metrics.probes.inc({})
         found = await ask_health(self._backend, self.health_path, TIMEOUT)
-        if found is not None:
-            self._gate.on_answer()
-        value = found.get(self._header) if found is not None else None
-        load = decode_backend_load(value) if value else None
+        if found is None:
+            return
+        self._gate.on_answer()
+        load = decode_backend_load(found.get(self._header) or b"")
         if load is not None:
             self._gate.learn(load)
-        elif found is not None:
+        else:
             # It told nothing, so nothing is known: work finds out.
             self._gate.forget_slowness()
--- a/packages/wheatslipd/wheatslipd/routefilter.py
+++ b/packages/wheatslipd/wheatslipd/routefilter.py
@@ -71,7 +71,6 @@
             deadline=arrived + allowed,
             target=arrived + target - waited,
             hold_until=arrived + hold,
-            priority=route.priority,
             max_attempts=route.max_attempts,
             request_id=request_id.decode("latin-1"),
         )
