Give a registering backend server a module of its own

Cause: daemon.py had grown to 494 lines, as registration, recovery probe, list entry and removal of dead entries were built and stopped there piece by piece, each behind its own check whether there is a registrar. Ruled out: leaving the parts and moving methods only (the checks would stay). Change: OwnServer builds, starts and speaks for them; the daemon asks once whether it has one. Two tests reach their part by its new name; no assertion changed.

--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -14,11 +14,11 @@
 from wheatslip.budget import RetryBudgets
 from wheatslip.bundle import Bundle
 from wheatslip.chooser import Chooser
-from wheatslip.instances import Instance, InstanceState
+from wheatslip.instances import Instance
 from wheatslip.ledger import KeyLedger
 from wheatslip.objects import ObjectClient, ObjectStore
 from wheatslip.owners import OwnerHistory
-from wheatslip.registration import Registered, Registration
+from wheatslip.registration import Registered
 from wheatslip.signedbundle import SignedBundle
 
 from wheatslipd import logs
@@ -37,19 +37,16 @@
 from wheatslipd.measure import Measurer
 from wheatslipd.membership import MembershipController
 from wheatslipd.metrics import Metrics
+from wheatslipd.ownserver import OwnServer
 from wheatslipd.pages import PageServer, PageSource, Status
 from wheatslipd.peerport import PeerPort
-from wheatslipd.publisher import Publisher
-from wheatslipd.recoveryprobe import RecoveryProbe
-from wheatslipd.registrar import HeartbeatDecoder, Registrar, decode_heartbeat
-from wheatslipd.removal import DeadEntryRemover
+from wheatslipd.registrar import HeartbeatDecoder, decode_heartbeat
 from wheatslipd.routefilter import RouteFilter
 from wheatslipd.settings import ConfigurationSource, Interface, Settings
 from wheatslipd.tls import PeerTls, peer_tls
 from wheatslipd.tracing import HopTracer
 from wheatslipd.view import View
 
-PUBLISH_SECONDS = 0.5  # that a planned stop waits for the last word on our list entry
 BACKEND_CONNECTIONS = 220  # until a bundle says otherwise
 # Settings that SIGHUP takes over; default.ini says so at each.
 RELOADED = ("chooser", "log_level", "stop_grace", "trace_sample")
@@ -168,7 +165,7 @@
             settings.interface is Interface.ROUTES,
         )
         self.peer_server = Server(self.peer_port.handle, tls.server)
-        self._register_backend(store, rng, ports.decode_heartbeat)
+        self.own_server = self._own_server(store, rng, ports.decode_heartbeat)
         self.measurer = Measurer(
             self._backend,
             settings.health_path,
@@ -185,12 +182,10 @@
         loop = asyncio.get_running_loop()
         tasks = [loop.create_task(self.feed.run())]
         helpers: list[asyncio.Task[None]] = []
-        if self.registrar is not None:
-            tasks.append(loop.create_task(self.publisher.run()))
-            tasks.append(loop.create_task(self.remover.run()))
-            tasks.append(loop.create_task(self.recovery_probe.run()))
+        if self.own_server is not None:
+            tasks += self.own_server.start()
             # It ends when a backend server has registered, and ends nothing else by that.
-            helpers.append(loop.create_task(self.registrar.run()))
+            helpers.append(loop.create_task(self.own_server.find()))
         if self.settings.health_path:
             tasks.append(loop.create_task(self.measurer.run()))
         stopped = loop.create_task(self._stopping.wait())
@@ -251,22 +246,17 @@
             logs.warning("pool-not-in-bundle", pool=self.settings.pool, version=bundle.version)
             return
         admission = self.gate.admission
-        slots = self._slots or pool.slots
+        slots = self.own_server.take_bounds(pool) if self.own_server else pool.slots
         admission.resize(AdmissionSettings(slots=slots, queue=pool.queue))
-        if self.registrar is not None:
-            health_path = pool.health_path or self.settings.health_path
-            self.registrar.health_path = health_path
-            self.recovery_probe.health_path = health_path
         admission.set_shares({w.name: w.share for w in bundle.workspaces})
         self._backend.bound_connections(pool.connections)
         self.measurer.budget.per_second = pool.probes_per_second
 
     def take_registration(self, registered: Registered) -> None:
         """Apply what the backend server beside us says of itself."""
+        assert self.own_server is not None
         self.peer_port.server = registered.server
-        self._slots = max(1, int(registered.slots * self.settings.slot_share))
-        admission = self.gate.admission
-        admission.resize(dataclasses.replace(admission.settings, slots=self._slots))
+        self.own_server.take_registration(registered)
         if registered.draining:
             self.drain(f"backend server {registered.server} leaves")
         else:
@@ -278,12 +268,8 @@
         self, instances: tuple[Instance, ...], gone: tuple[str, ...], whole: bool
     ) -> None:
         """Compare the list with what we published."""
-        if self.registrar is None:
-            return
-        name = self.settings.name
-        listed = next((i for i in instances if i.name == name), None)
-        if listed is not None or whole or name in gone:
-            self.publisher.seen(listed)
+        if self.own_server is not None:
+            self.own_server.check_entry(instances, gone, whole)
 
     def status(self) -> Status:
         """The state for the status page."""
@@ -314,7 +300,7 @@
         """
         if not self.view.version or self.view.stopping:
             return False
-        return self.registrar is not None or not self.view.draining
+        return self.own_server is not None or not self.view.draining
 
     def _register_controllers(
         self,
@@ -337,57 +323,30 @@
         ).register(self.bus)
         _Lifecycle(self).register(self.bus)
 
-    def _register_backend(
+    def _own_server(
         self, store: ObjectStore, rng: Random, decode: HeartbeatDecoder
-    ) -> None:
-        """Prepare for a backend server that registers here, if the settings want it."""
-        self.registrar: Registrar | None = None
-        self.registration_server: Server | None = None
-        self.publisher = Publisher(store, rng)
-        self.remover = DeadEntryRemover(
-            self.settings.name,
-            store,
-            self.view,
-            self._monotonic,
-            lambda: self.feed.watches,
-        )
-        self._slots = 0  # that the backend server told of, as far as they are used
+    ) -> OwnServer | None:
+        """The parts for a backend server that registers here, if the settings want them."""
         if self.settings.registration_port is None:
-            return
-        settings = self.settings
-        address = f"{settings.backend_address}:{settings.backend_port}"
-        registration = Registration(settings.pool, address)
-        self.registrar = Registrar(
-            registration, self._backend, settings.headers, self.bus, self._monotonic, decode
-        )
-        self.registrar.health_path = settings.health_path
-        self.gate.is_probed = True
-        self.registration_server = Server(self.registrar.handle)
-        self.recovery_probe = RecoveryProbe(
+            return None
+        return OwnServer(
+            self.settings,
+            self.view,
             self.gate,
             self._backend,
-            settings.headers.load,
+            store,
             self.metrics,
+            self.bus,
+            rng,
             self._monotonic,
-            settings.recovery_probe,
+            decode,
+            lambda: self.feed.watches,
         )
-        # Who stands there, and whether it leaves, is not known yet.
-        self.gate.admission.unknown = True
 
     def _publish(self) -> None:
-        settings = self.settings
-        leaves = self.view.draining or self.view.stopping
-        self.publisher.publish(
-            Instance(
-                name=settings.name,
-                pool=settings.pool,
-                zone=settings.zone,
-                address=settings.address,
-                entry_port=self.entry_server.port,
-                peer_port=self.peer_server.port,
-                control_port=self.feed.relay.port,
-                state=InstanceState.LEAVING if leaves else InstanceState.LIVE,
-            )
+        assert self.own_server is not None
+        self.own_server.publish(
+            self.entry_server.port, self.peer_server.port, self.feed.relay.port
         )
 
     def _build_entry(self, rng: Random) -> Entry:
@@ -434,8 +393,8 @@
         await self.entry_server.listen(settings.address, settings.entry_port)
         await self.peer_server.listen(settings.address, settings.peer_port)
         await self.feed.relay.listen(settings.address, settings.control_port)
-        if self.registration_server is not None and settings.registration_port is not None:
-            await self.registration_server.listen(settings.address, settings.registration_port)
+        if self.own_server is not None:
+            await self.own_server.listen()
         loop = asyncio.get_running_loop()
         source = PageSource(loop, self.status, self._render_metrics)
         pages = PageServer(settings.address, settings.pages_port, source)
@@ -468,17 +427,17 @@
     async def _finish_in_flight(self) -> None:
         """Let what is in flight finish, within the grace of the settings."""
         grace = self.settings.stop_grace
-        if self.registrar is not None and self.view.draining:
+        if self.own_server is not None and self.view.draining:
             # The backend server leaves, and we with it.
-            self.publisher.withdraw()
-        elif self.registrar is not None:
+            self.own_server.withdraw()
+        elif self.own_server is not None:
             self._publish()
         if self.settings.stop_listening_after:
             await asyncio.sleep(self.settings.stop_listening_after)
             grace -= self.settings.stop_listening_after
             self._close()
-        if self.registrar is not None:
-            await self.publisher.wait_settled(PUBLISH_SECONDS)
+        if self.own_server is not None:
+            await self.own_server.wait_published()
         finished = await asyncio.gather(
             self.entry_server.stop(grace), self.peer_server.stop(grace)
         )
--- /dev/null
+++ b/packages/wheatslipd/wheatslipd/ownserver.py
@@ -0,0 +1,129 @@
+"""The parts of a daemon whose backend server registers with it, where no platform lists it.
+
+They belong together: heartbeats open or close the gate, the gate's doubts are cleared by the
+health endpoint, and what changes is told to the list.
+"""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+from random import Random
+
+from wheatslip.bundle import Pool
+from wheatslip.instances import Instance, InstanceState
+from wheatslip.objects import ObjectStore
+from wheatslip.registration import Registered, Registration
+
+from wheatslipd.backend import Backend
+from wheatslipd.bus import Bus
+from wheatslipd.gate import Gate
+from wheatslipd.http.server import Server
+from wheatslipd.metrics import Metrics
+from wheatslipd.publisher import Publisher
+from wheatslipd.recoveryprobe import RecoveryProbe
+from wheatslipd.registrar import HeartbeatDecoder, Registrar
+from wheatslipd.removal import DeadEntryRemover
+from wheatslipd.settings import Settings
+from wheatslipd.view import View
+
+PUBLISH_SECONDS = 0.5  # that a planned stop waits for the last word on our list entry
+
+
+class OwnServer:
+    """Registration, recovery and list entry of the backend server beside one daemon."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        view: View,
+        gate: Gate,
+        backend: Backend,
+        store: ObjectStore,
+        metrics: Metrics,
+        bus: Bus,
+        rng: Random,
+        clock: Callable[[], float],
+        decode: HeartbeatDecoder,
+        is_watcher: Callable[[], bool],
+    ):
+        """`is_watcher` tells whether this daemon reads the platform for its zone."""
+        self._settings = settings
+        self._view = view
+        self._gate = gate
+        self._slots = 0  # that the server told of, as far as they are used; 0: none yet
+        address = f"{settings.backend_address}:{settings.backend_port}"
+        registration = Registration(settings.pool, address)
+        self._registrar = Registrar(registration, backend, settings.headers, bus, clock, decode)
+        self._registrar.health_path = settings.health_path
+        self._probe = RecoveryProbe(
+            gate, backend, settings.headers.load, metrics, clock, settings.recovery_probe
+        )
+        self._publisher = Publisher(store, rng)
+        self.remover = DeadEntryRemover(settings.name, store, view, clock, is_watcher)
+        self.registration_server = Server(self._registrar.handle)
+        gate.is_probed = True
+        # Who stands there, and whether it leaves, is not known yet.
+        gate.admission.unknown = True
+
+    async def listen(self) -> None:
+        """Listen for heartbeats. Raises OSError."""
+        settings = self._settings
+        assert settings.registration_port is not None
+        await self.registration_server.listen(settings.address, settings.registration_port)
+
+    def start(self) -> list[asyncio.Task[None]]:
+        """Start the tasks that run for as long as the daemon does."""
+        loop = asyncio.get_running_loop()
+        parts = (self._publisher, self.remover, self._probe)
+        return [loop.create_task(part.run()) for part in parts]
+
+    async def find(self) -> None:
+        """Ask who stands there; ends when someone has registered."""
+        await self._registrar.run()
+
+    def take_bounds(self, pool: Pool) -> int:
+        """Apply what a bundle says of the pool; returns the slots to use."""
+        health_path = pool.health_path or self._settings.health_path
+        self._registrar.health_path = health_path
+        self._probe.health_path = health_path
+        return self._slots or pool.slots
+
+    def take_registration(self, registered: Registered) -> None:
+        """Apply the bounds that the server tells."""
+        self._slots = max(1, int(registered.slots * self._settings.slot_share))
+        admission = self._gate.admission
+        admission.resize(dataclasses.replace(admission.settings, slots=self._slots))
+
+    def publish(self, entry_port: int, peer_port: int, control_port: int) -> None:
+        """Let the list show this daemon as it is now."""
+        settings = self._settings
+        leaves = self._view.draining or self._view.stopping
+        self._publisher.publish(
+            Instance(
+                name=settings.name,
+                pool=settings.pool,
+                zone=settings.zone,
+                address=settings.address,
+                entry_port=entry_port,
+                peer_port=peer_port,
+                control_port=control_port,
+                state=InstanceState.LEAVING if leaves else InstanceState.LIVE,
+            )
+        )
+
+    def withdraw(self) -> None:
+        """Take this daemon off the list: it leaves with its server."""
+        self._publisher.withdraw()
+
+    async def wait_published(self) -> None:
+        """Wait a moment for the last word on our list entry to be said."""
+        await self._publisher.wait_settled(PUBLISH_SECONDS)
+
+    def check_entry(
+        self, instances: tuple[Instance, ...], gone: tuple[str, ...], whole: bool
+    ) -> None:
+        """Compare the list, or changes of it, with what we published."""
+        name = self._settings.name
+        listed = next((i for i in instances if i.name == name), None)
+        if listed is not None or whole or name in gone:
+            self._publisher.seen(listed)
--- a/test/test_routed_path.py
+++ b/test/test_routed_path.py
@@ -115,7 +115,7 @@
             "info": {"service": "papers", "version": "v1", "zone": "one", "slots": 4},
             "status": {"state": state, "seq": sequence, "cold_remaining_s": 0},
         }
-        port = self.daemons[name].registration_server.port
+        port = self.daemons[name].own_server.registration_server.port
         url = f"http://{HOST}:{port}/heartbeats/{server or backend.server_id}"
         async with self.session.put(url, json=body) as answer:
             return answer.status
@@ -288,7 +288,7 @@
             )
             for second in range(DEAD_AFTER_FAILURES):
                 dead.upstream.on_unreachable(float(second), Random(1))
-            remover = daemon.remover
+            remover = daemon.own_server.remover
             remover._clock = lambda: DEAD_AFTER - 1
             await remover.remove_dead()
             assert (KINDS[lists.KIND], "b") in one.store.objects
