Draw the candidates of a call from its own zone first

Cause: the four candidates were drawn at random from the whole pool. The first sites have at most four servers in a pool and never drew.

Change: up to four candidates of the own zone, two of the others at least; the price of leaving decides. Only own-zone candidates were tried too, but then a zone that gets more callers than it has room for does not see that others have room.

--- a/packages/wheatslip/wheatslip/chooser.py
+++ b/packages/wheatslip/wheatslip/chooser.py
@@ -33,6 +33,7 @@
 WARM_UP_FLOOR = 0.05  # the part of its turns that a new upstream gets at first
 SLOWNESS_MEMORY = 0.05  # seconds in which a report of slowness falls to 1/e
 COST_JITTER = 0.02
+FAR_CANDIDATES = 2  # compared from other availability zones, at least
 # Expected wait, in service times, at a server that is just full; how it rises up to there,
 # and how steeply beyond.
 CROWDING = 1.0
@@ -126,11 +127,11 @@
 class ChooserSettings:
     """The operator's settings. Times in seconds.
 
-    `candidates` are compared for each request; `far_penalty` is the cost of leaving the own
-    availability zone; `bounce_wait` is the wait at a busy upstream above which another is
-    tried instead (about what another try costs); an upstream that joins gets its full part
-    of the calls after `warm_up`. `miss_penalty` is what an answer after the call's target
-    costs more than one before it. After `max_bounces` refusals a call queues.
+    `candidates` of the own availability zone are compared for each request; `far_penalty` is
+    the cost of leaving that zone; `bounce_wait` is the wait at a busy upstream above which
+    another is tried instead (about what another try costs); an upstream that joins gets its
+    full part of the calls after `warm_up`. `miss_penalty` is what an answer after the call's
+    target costs more than one before it. After `max_bounces` refusals a call queues.
     """
 
     candidates: int = 4
@@ -248,9 +249,19 @@
         return 1.0 + COST_JITTER * self.rng.random()
 
     def _draw(self, upstreams: list[Upstream]) -> list[Upstream]:
-        if len(upstreams) <= self.settings.candidates:
-            return upstreams
-        return self.rng.sample(upstreams, self.settings.candidates)
+        """The candidates: some of the own availability zone, and a few of the others.
+
+        A draw from all would often hold none of the own zone, and would leave it however dear
+        that is; one from the own zone alone would not see that others have room.
+        """
+        near = [u for u in upstreams if u.zone == self.zone]
+        far = [u for u in upstreams if u.zone != self.zone]
+        drawn = self._sample(near, self.settings.candidates)
+        missing = self.settings.candidates - len(drawn)
+        return drawn + self._sample(far, max(FAR_CANDIDATES, missing))
+
+    def _sample(self, upstreams: list[Upstream], count: int) -> list[Upstream]:
+        return upstreams if len(upstreams) <= count else self.rng.sample(upstreams, count)
 
     def _fill(self, upstream: Upstream, now: float) -> float:
         """How full it is thought to be, as a part of its limit and this request included."""
