Ask nothing of a health endpoint before its path is known

Cause: a daemon that had just started could learn from an answer that its backend server was slow before its first bundle had come.

Change: the probe waits for the path.

--- a/packages/wheatslipd/wheatslipd/ownserver.py
+++ b/packages/wheatslipd/wheatslipd/ownserver.py
@@ -58,6 +58,7 @@
         self._probe = RecoveryProbe(
             gate, backend, settings.headers.load, metrics, clock, settings.recovery_probe
         )
+        self._probe.use_path(settings.health_path)
         self._publisher = Publisher(store, rng)
         self.remover = DeadEntryRemover(settings.name, store, view, clock, is_watcher)
         self.registration_server = Server(self._registrar.handle)
@@ -85,7 +86,7 @@
         """Apply what a bundle says of the pool; returns the slots to use."""
         health_path = pool.health_path or self._settings.health_path
         self._registrar.health_path = health_path
-        self._probe.health_path = health_path
+        self._probe.use_path(health_path)
         return self._slots or pool.slots
 
     def take_registration(self, registered: Registered) -> None:
--- a/packages/wheatslipd/wheatslipd/recoveryprobe.py
+++ b/packages/wheatslipd/wheatslipd/recoveryprobe.py
@@ -1,7 +1,8 @@
-"""The task that finds out when a slow or lost backend server is as it was again.
+"""The task that finds out how fast a backend server is when its answers don't tell.
 
-A server that is slow right now is spared new work, so its answers stop telling of it; one
-that resets connections gets none at all. Then, and only then, its health endpoint is asked.
+One that is slow right now is spared new work, one that resets connections gets none at all,
+and one that has just come has answered nothing yet. Then, and only then, its health endpoint
+is asked.
 """
 
 import asyncio
@@ -19,7 +20,7 @@
 
 
 class RecoveryProbe:
-    """Asks one backend server while it is slow, every `interval` seconds of silence."""
+    """Asks one backend server while it is in doubt, every `interval` seconds of silence."""
 
     def __init__(
         self,
@@ -37,12 +38,24 @@
         self._metrics = metrics
         self._clock = clock
         self._interval = interval
-        self.health_path = ""
+        self._path = ""
+        self._has_path = asyncio.Event()
+
+    def use_path(self, path: str) -> None:
+        """Take the path of the health endpoint; empty: it has none, so nothing is asked."""
+        self._path = path
+        if path:
+            self._has_path.set()
+        else:
+            self._has_path.clear()
 
     async def run(self) -> None:
         """Run until cancelled."""
         while True:
+            await self._has_path.wait()
             await self._gate.in_doubt.wait()
+            if not self._path:
+                continue
             known_for = self._clock() - self._gate.load_seen
             if known_for < self._interval:
                 await asyncio.sleep(self._interval - known_for)
@@ -53,7 +66,7 @@
 
     async def _probe(self) -> None:
         self._metrics.probes.inc({})
-        found = await ask_health(self._backend, self.health_path, TIMEOUT)
+        found = await ask_health(self._backend, self._path, TIMEOUT)
         if found is None:
             return
         self._gate.on_answer()
