Learn how long work takes only at a speed that was known

Cause: after all machines had lost power, little was served for four seconds though the daemons had all in force after 1.1 s: idle gates refused ("overloaded at 0+0/2"). Servers that have just started are slow, the gates did not know and took what such work took (1.4 s for 0.17 s) for the usual time, so that everything seemed to come too late. The same happened in small whenever a server turned slow between two answers.

Ruled out: the time to start (0.7 s of it is Python), the store, the relay tree.

Change: a gate whose server is new counts its speed as unknown and asks the health endpoint at once; the first question at the start already tells it. A request teaches nothing if the speed was unknown when it started, or is told differently by its end.

--- a/packages/wheatslip/wheatslip/admission.py
+++ b/packages/wheatslip/wheatslip/admission.py
@@ -30,7 +30,8 @@
     call: Call
     arrived: float
     started: float | None = None
-    slowness: float = 1.0  # of the backend server when the request started
+    # Of the backend server when the request started; None: not known.
+    slowness: float | None = 1.0
     max_wait: float = ANY_WAIT  # what it was sent with; see `Admission.arrive`
     late: bool = False  # it will miss its target, so it goes after those that may meet theirs
 
@@ -55,6 +56,7 @@
     lost: bool = False  # the server resets what is sent to it
     last_finished: float = float("-inf")
     slowness: float = 1.0  # how long work takes at the server now, as a part of the usual
+    is_speed_known: bool = True  # whether `slowness` was told, where a server tells it
     _times: ServiceTimes = field(init=False, default_factory=ServiceTimes)
     _queue: FairQueue[Ticket] = field(init=False)
     _running: set[Ticket] = field(init=False, default_factory=set)
@@ -152,13 +154,22 @@
         self._started_sum -= ticket.started
         self.last_finished = now
         if worked:
-            # How long work takes is settled when it starts.
-            took = (now - ticket.started) / max(1.0, ticket.slowness)
-            self.limit.observe(took, saturated=self._was_full)
-            self._times.observe(ticket.call.kind.name, took)
-            self._was_full = bool(self.queued)
+            self._observe(ticket, now - ticket.started)
         return self.admit(now)
 
+    def _observe(self, ticket: Ticket, took: float) -> None:
+        """Learn from a request that took so many seconds.
+
+        How long work takes is settled when it starts. What started at a speed that was not
+        known, or was told too late, says nothing of the usual speed.
+        """
+        if ticket.slowness != self.slowness:
+            return
+        usual = took / max(1.0, ticket.slowness)
+        self.limit.observe(usual, saturated=self._was_full)
+        self._times.observe(ticket.call.kind.name, usual)
+        self._was_full = bool(self.queued)
+
     def better_elsewhere(self, now: float) -> list[Ticket]:
         """Take out of the queue what another server should rather take, as this one is slow."""
         if self.slowness < SLOW:
@@ -263,7 +274,7 @@
 
     def _start(self, ticket: Ticket, now: float) -> None:
         ticket.started = now
-        ticket.slowness = self.slowness
+        ticket.slowness = self.slowness if self.is_speed_known else None
         self._running.add(ticket)
         self._started_sum += now
 
--- a/packages/wheatslipd/wheatslipd/gate.py
+++ b/packages/wheatslipd/wheatslipd/gate.py
@@ -51,6 +51,11 @@
         self.admission.unknown = False
         self.admission.draining = False
 
+    def expect_load(self) -> None:
+        """Another backend server stands here: how fast it is, is not known until it tells."""
+        self.admission.is_speed_known = False
+        self.in_doubt.set()
+
     def learn(self, load: BackendLoad) -> None:
         """The backend server told of its load."""
         if load.slowness != self.admission.slowness and logs.is_enabled(LogLevel.DEBUG):
@@ -64,6 +69,7 @@
                 waiting=load.waiting,
             )
         self.load_seen = self._clock()
+        self.admission.is_speed_known = True
         self.admission.slowness = load.slowness
         if load.slowness >= SLOW:
             self.in_doubt.set()
@@ -71,6 +77,11 @@
         else:
             self._be_fast_again()
 
+    def learn_nothing(self) -> None:
+        """The backend server answered without a word on its load, so it may never tell."""
+        if not self.admission.is_speed_known:
+            self.forget_slowness()
+
     def on_answer(self) -> None:
         """The backend server answered, whatever it was."""
         self._lost_in_a_row = 0
@@ -106,7 +117,8 @@
             self._tell(ticket, NotRun(Reason.OVERLOADED, MIN_RETRY_AFTER))
 
     def forget_slowness(self) -> None:
-        """Nothing is known of the backend server's speed any more."""
+        """The backend server tells nothing of its speed, so it counts as usual."""
+        self.admission.is_speed_known = True
         self.admission.slowness = 1.0
         self._be_fast_again()
 
--- a/packages/wheatslipd/wheatslipd/ownserver.py
+++ b/packages/wheatslipd/wheatslipd/ownserver.py
@@ -50,10 +50,13 @@
         self._settings = settings
         self._view = view
         self._gate = gate
+        self._server = ""  # the id of the one that registered last
         self._slots = 0  # that the server told of, as far as they are used; 0: none yet
         address = f"{settings.backend_address}:{settings.backend_port}"
         registration = Registration(settings.pool, address)
-        self._registrar = Registrar(registration, backend, settings.headers, bus, clock, decode)
+        self._registrar = Registrar(
+            registration, backend, settings.headers, bus, clock, gate.learn, decode
+        )
         self._registrar.health_path = settings.health_path
         self._probe = RecoveryProbe(
             gate, backend, settings.headers.load, metrics, clock, settings.recovery_probe
@@ -90,7 +93,10 @@
         return self._slots or pool.slots
 
     def take_registration(self, registered: Registered) -> None:
-        """Apply the bounds that the server tells."""
+        """Apply the bounds that the server tells; of a new one, ask how fast it is."""
+        if registered.server != self._server and self._settings.headers.load:
+            self._gate.expect_load()
+        self._server = registered.server
         self._slots = max(1, int(registered.slots * self._settings.slot_share))
         admission = self._gate.admission
         admission.resize(dataclasses.replace(admission.settings, slots=self._slots))
--- a/packages/wheatslipd/wheatslipd/peerport.py
+++ b/packages/wheatslipd/wheatslipd/peerport.py
@@ -265,6 +265,8 @@
         load = decode_backend_load(head.get(self._names.load) or b"")
         if load is not None:
             self._gate.learn(load)
+        else:
+            self._gate.learn_nothing()
 
     def _was_not_run(self, head: ResponseHead, call: Call) -> bool:
         """Whether the backend server says that it turned the request away."""
--- a/packages/wheatslipd/wheatslipd/registrar.py
+++ b/packages/wheatslipd/wheatslipd/registrar.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 import msgspec
-from wheatslip.backendload import decode_backend_load
+from wheatslip.backendload import BackendLoad, decode_backend_load
 from wheatslip.registration import Heartbeat, Registration
 
 from wheatslipd import logs
@@ -48,8 +48,11 @@
         names: HeaderNames,
         bus: Bus,
         clock: Callable[[], float],
+        on_load: Callable[[BackendLoad], None],
         decode: HeartbeatDecoder = decode_heartbeat,
     ):
+        """`on_load` hears of the load that the health endpoint tells."""
+        self._on_load = on_load
         self._registration = registration
         self._backend = backend
         self._names = names
@@ -97,6 +100,7 @@
         if server and load is not None:
             well = found.status == GOOD
             self._tell(self._registration.on_health(server, load.slots, well=well))
+            self._on_load(load)
 
     def _tell(self, changed: bool) -> None:
         current = self._registration.current
--- a/test/test_gate.py
+++ b/test/test_gate.py
@@ -107,6 +107,34 @@
     assert admission.arrive(call(kind=short), 0.0, max_wait=0.03).started is not None
 
 
+def test_work_begun_at_an_unknown_speed_says_nothing_of_the_usual_one():
+    one, clock = gate(slots=4)
+    one.expect_load()
+    ticket = one.admission.arrive(call(), clock.now)
+    one.learn(SLOW)
+    clock.now = 0.8
+    one.leave(ticket, worked=True)
+    one.learn(USUAL)
+    assert one.admission.arrive(call(target=1.2), clock.now, max_wait=0.03).started is not None
+
+
+def test_work_during_which_the_speed_changed_says_nothing_of_the_usual_one():
+    admission = taught(Admission(AdmissionSettings(slots=4)), took=0.1)
+    for _ in range(20):
+        ticket = admission.arrive(call(), 0.0)
+        admission.slowness = 4.0  # it was slow already, and told it with its answer
+        admission.finish(ticket, 0.4, worked=True)
+        admission.slowness = 1.0
+    assert admission.usual_service(0.0) == 0.1
+
+
+def test_a_server_that_never_tells_its_load_counts_as_usual():
+    one, _ = gate()
+    one.expect_load()
+    one.learn_nothing()
+    assert one.admission.is_speed_known and not one.in_doubt.is_set()
+
+
 def test_what_waits_at_a_server_that_turns_slow_goes_elsewhere_at_once():
     async def scenario():
         one, _ = gate()
