Start without all daemons watching the store; find the list when a zone's readers are gone

Cause 1: a daemon that is not listed yet watched the store for itself.

Cause 2, found by reading the same code: when both daemons that read the platform for a zone were gone for good but still listed, the others tried them in turns for ever, and no list and no configuration reached them but by hints of requests. After one round of parents without news a follower now reads list and head once itself.

--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -130,6 +130,7 @@
                 settings.list_watch_seconds,
                 settings.list_pause,
                 settings.platform_retry_last,
+                settings.list_settle,
             ),
         )
         self._tracer = HopTracer(settings.name, settings.trace_sample, settings.trace_file, rng)
--- a/packages/wheatslipd/wheatslipd/feed.py
+++ b/packages/wheatslipd/wheatslipd/feed.py
@@ -55,6 +55,7 @@
     list_watch: float = WATCH_SECONDS
     list_pause: float = 0.0  # between two changes of the list
     retry_last: float = BACKOFF_LAST  # longest wait after a failed call
+    settle: float = 0.0  # before an empty list of the own zone is read again, at the start
 
 
 def prove_by_keyring(keyring: Path) -> Callable[[SignedBundle], Result[Bundle, str]]:
@@ -133,33 +134,66 @@
 
     async def _keep_up(self) -> None:
         await self._read_first_list()
-        turn = 0
+        if self._pace.settle and not self._order:
+            # All of the zone may be starting now. Once they are listed, most follow others.
+            await asyncio.sleep(self._pace.settle * (0.75 + 0.5 * self._rng.random()))
+            await self._read_first_list()
         while True:
-            if self._role_changed.is_set():
-                self._role_changed.clear()
-                turn = 0
+            self._role_changed.clear()
             if self.watches:
                 await self._watch_platform()
+            else:
+                await self._follow_parents()
+
+    async def _follow_parents(self) -> None:
+        """Follow one parent after the other until this daemon's role changes.
+
+        When none of them has news, those that read the platform for this zone may all be
+        gone, and the list with whom to follow instead comes from the platform alone.
+        """
+        parents = self._parents()
+        in_vain = 0
+        turn = 0
+        while not self._role_changed.is_set():
+            if in_vain >= len(parents):
+                await self._read_list()
+                await self._read_head()
+                in_vain = 0
                 continue
-            parents = self._parents()
-            await self._follow(parents[turn % len(parents)])
+            had_news = await self._follow(parents[turn % len(parents)])
+            in_vain = 0 if had_news else in_vain + 1
+            turn += 1
             if not self._role_changed.is_set():
-                turn += 1
                 await asyncio.sleep(TURN_SECONDS * (0.5 + self._rng.random()))
 
     async def _read_first_list(self) -> None:
         """The first list comes from the platform: before it there is no one to follow."""
         backoff = Backoff(self._rng, last=self._pace.retry_last)
-        while True:
-            match await self.client.list(lists.KIND):
-                case Ok(listing):
-                    self._confirm()
-                    self._take_listing(listing)
-                    self._first_list = listing.version
-                    return
-                case Err(trouble):
-                    _log_trouble(trouble)
-                    await asyncio.sleep(backoff.next())
+        while not await self._read_list():
+            await asyncio.sleep(backoff.next())
+
+    async def _read_list(self) -> bool:
+        """Read the whole list from the platform once; whether it answered."""
+        match await self.client.list(lists.KIND):
+            case Ok(listing):
+                self._confirm()
+                self._take_listing(listing)
+                self._first_list = listing.version
+                return True
+            case Err(trouble):
+                _log_trouble(trouble)
+        return False
+
+    async def _read_head(self) -> bool:
+        """Read the head from the platform once; whether it answered."""
+        match await self.client.get(heads.KIND, heads.NAME):
+            case Ok(found):
+                if found is not None:
+                    await self._fetch_newer(found)
+                return True
+            case Err(trouble):
+                _log_trouble(trouble)
+        return False
 
     async def _watch_platform(self) -> None:
         logs.info("watching-platform")
@@ -200,10 +234,12 @@
             for item in listing.items:
                 await self._fetch_newer(item)
 
-    async def _follow(self, parent: str) -> None:
+    async def _follow(self, parent: str) -> bool:
+        """Follow one parent until it fails or the role changes; whether it had news."""
         instance = self.cache.instances.get(parent)
         if instance is None or not instance.control_port:
-            return
+            return False
+        before = self.cache.as_of
         logs.info("following", parent=parent)
         reading = asyncio.ensure_future(self._read_parent(instance))
         moving = asyncio.ensure_future(self._role_changed.wait())
@@ -213,6 +249,7 @@
             for task in (reading, moving):
                 task.cancel()
             await asyncio.gather(reading, moving, return_exceptions=True)
+        return self.cache.as_of > before
 
     async def _read_parent(self, parent: Instance) -> None:
         loop = asyncio.get_running_loop()
@@ -234,11 +271,8 @@
             await asyncio.sleep(HINT_PATIENCE * (0.5 + self._rng.random()))
             if self._version >= self._hinted_version:
                 continue
-            match await self.client.get(heads.KIND, heads.NAME):
-                case Ok(found) if found is not None:
-                    await self._fetch_newer(found)
-                case Err():
-                    await self._ask_daemon(self._hinted_by)
+            if not await self._read_head():
+                await self._ask_daemon(self._hinted_by)
             await asyncio.sleep(HINT_SPACING)
 
     async def _ask_daemon(self, address: str) -> None:
@@ -286,7 +320,10 @@
 
     def _reorder(self) -> None:
         """Take the present list for the tree; a changed place ends the present role."""
-        in_zone = (i.name for i in self.cache.instances.values() if i.zone == self._zone)
+        in_zone = {i.name for i in self.cache.instances.values() if i.zone == self._zone}
+        if in_zone:
+            # One that is not listed yet takes the place that it will have.
+            in_zone.add(self._name)
         before = (self.watches, self._parents())
         self._order = relay_order(in_zone)
         if before != (self.watches, self._parents()):
--- a/packages/wheatslipd/wheatslipd/settings.py
+++ b/packages/wheatslipd/wheatslipd/settings.py
@@ -122,6 +122,7 @@
     watch_seconds: float = WATCH_SECONDS
     list_watch_seconds: float = WATCH_SECONDS
     list_pause: float = 0.0
+    list_settle: float = 0.0
     platform_retry_last: float = BACKOFF_LAST
     stop_listening_after: float = 0.0
 
@@ -203,6 +204,7 @@
         watch_seconds=control.duration("watch", WATCH_SECONDS),
         list_watch_seconds=control.duration("list-watch", WATCH_SECONDS),
         list_pause=control.duration("list-pause", 0.0),
+        list_settle=control.duration("list-settle", 0.0),
         platform_retry_last=sections["platform"].duration("retry-last", BACKOFF_LAST),
         stop_listening_after=daemon.duration("stop-listening-after", 0.0),
     )
--- a/test/test_routed_path.py
+++ b/test/test_routed_path.py
@@ -35,6 +35,7 @@
 [control]
 watch = 1s
 list-watch = 1s
+list-settle = {settle}
 [backend]
 port = {port}
 [registration]
@@ -87,6 +88,7 @@
     daemons: dict[str, Daemon] = field(default_factory=dict)
     backends: dict[str, PlainBackend] = field(default_factory=dict)
     tasks: dict[str, asyncio.Task] = field(default_factory=dict)
+    settle: str = "0s"
 
     async def add(self, name, backend=None):
         backend = backend or PlainBackend(f"i-{name}")
@@ -97,7 +99,8 @@
     async def start(self, name):
         store = f"{HOST}:{self.store.server.port}"
         port = self.backends[name].server.port
-        settings = parse_settings(SETTINGS.format(name=name, port=port, store=store), name)
+        text = SETTINGS.format(name=name, port=port, store=store, settle=self.settle)
+        settings = parse_settings(text, name)
         ports = Ports(FleetStore(store), decode_heartbeat)
         daemon = Daemon(settings.unwrap(), Random(3), ports=ports)
         self.daemons[name] = daemon
@@ -143,15 +146,14 @@
 
 
 @asynccontextmanager
-async def fleet(*names, configured=True):
+async def fleet(*names, configured=True, **options):
     store = StoreStandIn()
     await store.server.listen(HOST, 0)
     if configured:
         store.write("config", "main", configuration())
-    one = Fleet(store, aiohttp.ClientSession())
+    one = Fleet(store, aiohttp.ClientSession(), **options)
     try:
-        for name in names:
-            await one.add(name)
+        await asyncio.gather(*(one.add(name) for name in names))
         if configured:
             await one.ready()
         yield one
@@ -372,6 +374,35 @@
     run(scenario)
 
 
+def test_daemons_that_start_all_at_once_do_not_all_watch_the_store():
+    async def scenario():
+        async with fleet(*"abcdef", settle="1s") as one:
+            following = [d for d in one.daemons.values() if not d.feed.watches]
+            assert len(following) == 4
+            # The list twice, and the own entry.
+            assert [daemon.feed.client.calls for daemon in following] == [3] * 4
+
+    run(scenario)
+
+
+def test_a_zone_hears_of_news_though_all_that_watched_for_it_are_gone():
+    async def scenario():
+        async with fleet(*"abcd") as one:
+            watching = [name for name, daemon in one.daemons.items() if daemon.feed.watches]
+            one.store.fault = Fault.BUSY  # so that they stay listed
+            for name in watching:
+                await one.stop(name)
+            one.store.fault = Fault.NONE
+            one.store.write("config", "main", configuration(version=2))
+
+            async def learned():
+                return all(d.status().version == 2 for d in one.daemons.values())
+
+            await eventually(learned)
+
+    run(scenario)
+
+
 def test_a_caller_that_leaves_takes_its_request_along():
     async def scenario():
         async with fleet("a") as one:
