Go on from the listed entry of the life before with one write

Change: the publisher takes the first listed entry over. A wrong version shows with the write, as before.

--- a/packages/wheatslip/wheatslip/feedcache.py
+++ b/packages/wheatslip/wheatslip/feedcache.py
@@ -61,6 +61,7 @@
         self.checked = 0.0
         self.listed = 0
         self.instances: dict[str, Instance] = {}
+        self._versions: dict[str, int] = {}  # of the last change of each instance
         self.head: Head | None = None
         self.bundle: Bundle | None = None
         self._signed: SignedBundle | None = None
@@ -72,17 +73,27 @@
         """Take in the whole list or changes of it, up to version `listed`."""
         if whole:
             self.instances.clear()
+            self._versions.clear()
             self._changes.clear()
             self._complete_since = listed
         for change in changes:
             if change.instance is None:
                 self.instances.pop(change.name, None)
+                self._versions.pop(change.name, None)
             else:
                 self.instances[change.name] = change.instance
+                self._versions[change.name] = change.version
             if not whole:
                 self._note(change)
         self.listed = listed
 
+    def version_of(self, name: str) -> int:
+        """The version of an instance's last change; 0 if it is not listed.
+
+        From a whole list of another daemon it is that of the list, which may be later.
+        """
+        return self._versions.get(name, 0)
+
     def take_bundle(self, head: Head, signed: SignedBundle, bundle: Bundle) -> None:
         """Take in a verified bundle; an older one is ignored."""
         if self.head is not None and head.version <= self.head.version:
--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -270,7 +270,8 @@
     ) -> None:
         """Compare the list with what we published."""
         if self.own_server is not None:
-            self.own_server.check_entry(instances, gone, whole)
+            version = self.feed.cache.version_of(self.settings.name)
+            self.own_server.check_entry(instances, gone, whole, version)
 
     def status(self) -> Status:
         """The state for the status page."""
--- a/packages/wheatslipd/wheatslipd/ownserver.py
+++ b/packages/wheatslipd/wheatslipd/ownserver.py
@@ -127,10 +127,12 @@
         await self._publisher.wait_settled(PUBLISH_SECONDS)
 
     def check_entry(
-        self, instances: tuple[Instance, ...], gone: tuple[str, ...], whole: bool
+        self, instances: tuple[Instance, ...], gone: tuple[str, ...], whole: bool, version: int
     ) -> None:
-        """Compare the list, or changes of it, with what we published."""
+        """Compare the list, or changes of it, with what we published; `version` is that of our
+        entry there.
+        """
         name = self._settings.name
         listed = next((i for i in instances if i.name == name), None)
         if listed is not None or whole or name in gone:
-            self._publisher.seen(listed)
+            self._publisher.seen(listed, version)
--- a/packages/wheatslipd/wheatslipd/publisher.py
+++ b/packages/wheatslipd/wheatslipd/publisher.py
@@ -52,11 +52,16 @@
             async with asyncio.timeout(seconds):
                 await self._settled.wait()
 
-    def seen(self, listed: Instance | None) -> None:
+    def seen(self, listed: Instance | None, version: int = 0) -> None:
         """Message: the list shows this entry in our name; None if it shows none."""
-        if listed != self._stored:
-            self._in_doubt = True
-            self._wake()
+        if listed == self._stored:
+            return
+        if listed is not None and version and self._is_first and self._attempted is None:
+            # That of the life before. A version that is wrong shows with the first write.
+            self._take_over(listed, version)
+            return
+        self._in_doubt = True
+        self._wake()
 
     async def run(self) -> None:
         """Run until cancelled."""
@@ -126,6 +131,13 @@
             return True
         return isinstance(await self._store.delete(lists.KIND, name, self._version), Ok)
 
+    def _take_over(self, listed: Instance, version: int) -> None:
+        """Go on from the entry that the life before left."""
+        self._stored = listed
+        self._version = version
+        self._incarnation = listed.incarnation + 1
+        self._is_first = False
+
     def _learn(self, found: StoredObject | None) -> None:
         self._version = found.version if found else 0
         self._stored = None
--- a/test/test_publisher.py
+++ b/test/test_publisher.py
@@ -98,6 +98,38 @@
     run(scenario)
 
 
+def test_a_new_start_goes_on_from_the_listed_entry_with_one_write():
+    async def scenario():
+        async with standing_store() as store:
+            async with publisher(store) as one:
+                one.publish(INSTANCE)
+                await settled(one)
+            store.calls.clear()
+            async with publisher(store) as one:
+                one.seen(INSTANCE, store.rev)
+                one.publish(INSTANCE)
+                await settled(one)
+            assert len(store.calls) == 1
+            assert entry(store)["incarnation"] == 2
+
+    run(scenario)
+
+
+def test_a_listed_entry_of_another_version_is_read_before_the_write():
+    async def scenario():
+        async with standing_store() as store:
+            async with publisher(store) as one:
+                one.publish(INSTANCE)
+                await settled(one)
+            async with publisher(store) as one:
+                one.seen(INSTANCE, store.rev + 1)
+                one.publish(INSTANCE)
+                await settled(one)
+            assert entry(store)["incarnation"] == 2
+
+    run(scenario)
+
+
 def test_an_entry_that_someone_removed_is_written_again():
     async def scenario():
         async with standing_store() as store, publisher(store) as one:
