Leave connections alone that rested as long as one that was reset

Cause: a backend server may forget idle connections without a word and reset what comes next on them.

The test with a server that resets every second request of a connection failed first (the next request was reset too).

--- a/packages/wheatslipd/wheatslipd/backend.py
+++ b/packages/wheatslipd/wheatslipd/backend.py
@@ -1,8 +1,10 @@
 """The way to the local backend server: its connections and one request on one of them."""
 
+import asyncio
 from dataclasses import dataclass
 
 from wheatslip.outcome import NotRun, Reason, Unknown
+from wheatslip.resting import RestLimit
 
 from wheatslipd.http.body import Body, BodyBroken
 from wheatslipd.http.client import ClientConnection, Pool, Response
@@ -26,6 +28,7 @@
         """`connections` bounds those open at one time; `connect_timeout` in seconds."""
         self._pool = Pool(address, port, connections)
         self._connect_timeout = connect_timeout
+        self._resting = RestLimit()
 
     async def send(
         self, head: RequestHead, body: Body, echo: tuple[bytes, bytes] | None = None
@@ -34,7 +37,8 @@
 
         `echo` is the header, with its value, that tells its answer from a surplus one.
         """
-        connection = await self._pool.take(self._connect_timeout)
+        now = asyncio.get_running_loop().time()
+        connection = await self._pool.take(self._connect_timeout, self._resting.trusted(now))
         if connection is None:
             return NotRun(Reason.UNREACHABLE, retry_after=1.0)
         if echo is not None:
@@ -42,7 +46,11 @@
         try:
             await self._send_request(connection, head, body)
             return BackendAnswer(await connection.response(), connection)
-        except (ConnectionError, BodyBroken):
+        except ConnectionError:
+            self._resting.on_reset(connection.rested, now)
+            self._pool.give_back(connection)
+            return Unknown(Reason.CONNECTION_LOST)
+        except BodyBroken:
             self._pool.give_back(connection)
             return Unknown(Reason.CONNECTION_LOST)
         except BaseException:
--- a/packages/wheatslipd/wheatslipd/http/client.py
+++ b/packages/wheatslipd/wheatslipd/http/client.py
@@ -55,6 +55,7 @@
         self._echo: tuple[bytes, bytes] | None = None
         self._skipping = False
         self.idle_since = 0.0
+        self.rested = 0.0  # seconds that it had been idle when it was taken last; 0 if new
 
     @property
     def reusable(self) -> bool:
@@ -255,12 +256,18 @@
         self._open = 0
         self.opened = 0
 
-    async def take(self, connect_timeout: float) -> ClientConnection | None:
-        """A connection ready for a request; None if none can be had, so nothing was sent."""
+    async def take(
+        self, connect_timeout: float, longest_rest: float = IDLE_SECONDS
+    ) -> ClientConnection | None:
+        """A connection ready for a request; None if none can be had, so nothing was sent.
+
+        One that has rested for `longest_rest` seconds or more is closed instead of used.
+        """
         now = asyncio.get_running_loop().time()
         while self._idle:
             connection = self._idle.pop()
-            if connection.reusable and now - connection.idle_since < IDLE_SECONDS:
+            connection.rested = now - connection.idle_since
+            if connection.reusable and connection.rested < min(longest_rest, IDLE_SECONDS):
                 return connection
             self._discard(connection)
         if self._open >= self.limit:
--- /dev/null
+++ b/test/test_resting.py
@@ -0,0 +1,81 @@
+"""Idle connections that a backend server forgets: one reset, and the others are not used."""
+
+import asyncio
+
+from wheatslip.outcome import Unknown
+from wheatslip.resting import MEMORY, RestLimit
+from wheatslipd.backend import Backend, BackendAnswer
+from wheatslipd.http.body import Body
+from wheatslipd.http.messages import RequestHead, ResponseHead
+from wheatslipd.http.server import Server
+
+from standins.cluster import HOST
+from test.helper import run
+
+AGE = 1.0  # seconds
+
+
+def test_a_reset_bounds_the_rest_that_is_trusted_for_a_while():
+    limit = RestLimit()
+    assert limit.trusted(0.0) == float("inf")
+    limit.on_reset(0.3, 1.0)
+    assert limit.trusted(1.0) == 0.15
+    assert limit.trusted(1.0 + MEMORY) == float("inf")
+
+
+def test_the_shortest_rest_that_ended_in_a_reset_counts():
+    limit = RestLimit()
+    limit.on_reset(0.2, 1.0)
+    limit.on_reset(2.0, 2.0)
+    assert limit.trusted(2.0) == 0.1
+
+
+def test_a_reset_of_a_connection_that_was_just_used_tells_nothing():
+    limit = RestLimit()
+    limit.on_reset(0.0, 1.0)
+    assert limit.trusted(1.0) == float("inf")
+
+
+class ForgetfulServer:
+    """Answers the first request of a connection, and resets the second."""
+
+    def __init__(self):
+        self.server = Server(self.handle)
+        self.seen = set()
+        self.all_there = asyncio.Barrier(3)
+
+    async def handle(self, exchange):
+        if exchange.connection in self.seen:
+            exchange.connection.abort()
+            return
+        self.seen.add(exchange.connection)
+        if exchange.head.target == b"/together":
+            await self.all_there.wait()
+        await exchange.respond(ResponseHead(200))
+
+
+async def ask(backend, path):
+    body = Body(lambda: None, lambda: None)
+    body.finish()
+    answer = await backend.send(RequestHead(b"GET", path, [(b"host", b"a")]), body)
+    if isinstance(answer, BackendAnswer):
+        await answer.response.body.read_up_to(100)
+        backend.release(answer)
+    return answer
+
+
+def test_after_one_reset_connections_that_rested_as_long_are_not_used():
+    async def scenario():
+        forgetful = ForgetfulServer()
+        await forgetful.server.listen(HOST, 0)
+        backend = Backend(HOST, forgetful.server.port, 10, 1.0)
+        await asyncio.gather(*(ask(backend, b"/together") for _ in range(3)))
+        for connection in backend._pool._idle:
+            connection.idle_since -= AGE
+        assert isinstance(await ask(backend, b"/"), Unknown)
+        assert isinstance(await ask(backend, b"/"), BackendAnswer)
+        assert len(forgetful.seen) == 4
+        backend.close()
+        await forgetful.server.stop(0.0)
+
+    run(scenario)
