Load the library that makes spans with the first span

Cause: a daemon that samples no traces loaded the library for them all the same. Change: it is loaded with the first span.

--- a/packages/wheatslipd/wheatslipd/tracing.py
+++ b/packages/wheatslipd/wheatslipd/tracing.py
@@ -5,14 +5,16 @@
 """
 
 from dataclasses import dataclass
+from functools import cached_property
 from random import Random
+from typing import TYPE_CHECKING
 
 from opentelemetry import trace
-from opentelemetry.sdk.resources import Resource
-from opentelemetry.sdk.trace import TracerProvider
-from opentelemetry.sdk.trace.export import BatchSpanProcessor, ConsoleSpanExporter
 from opentelemetry.trace import NonRecordingSpan, Span, SpanContext, SpanKind, TraceFlags
 
+if TYPE_CHECKING:
+    from opentelemetry.sdk.trace import TracerProvider
+
 TRACEPARENT = b"traceparent"
 _PARTS = 4
 _TRACE_ID_LENGTH = 32
@@ -44,14 +46,8 @@
         """`path` of the file for spans; empty drops them."""
         self.sample = sample
         self._rng = rng
-        self._provider = TracerProvider(resource=Resource({"service.instance.id": instance}))
+        self._instance = instance
         self._file = open(path, "a", encoding="utf-8") if path else None  # noqa: SIM115
-        if self._file is not None:
-            exporter = ConsoleSpanExporter(
-                out=self._file, formatter=lambda span: span.to_json(indent=None) + "\n"
-            )
-            self._provider.add_span_processor(BatchSpanProcessor(exporter))
-        self._tracer = self._provider.get_tracer("wheatslipd")
 
     def hop(self, name: str, incoming: bytes | None, *, is_head: bool) -> HopTrace:
         """Begin a hop. `is_head`: a request without a trace may start one here."""
@@ -66,10 +62,33 @@
 
     def close(self) -> None:
         """Write what is left."""
-        self._provider.shutdown()
+        if "_provider" in vars(self):
+            self._provider.shutdown()
         if self._file is not None:
             self._file.close()
 
+    @cached_property
+    def _provider(self) -> "TracerProvider":
+        """What makes spans; made with the first one.
+
+        Its library takes memory and time to load, which a daemon that samples nothing saves.
+        """
+        from opentelemetry.sdk.resources import Resource
+        from opentelemetry.sdk.trace import TracerProvider
+        from opentelemetry.sdk.trace.export import BatchSpanProcessor, ConsoleSpanExporter
+
+        provider = TracerProvider(resource=Resource({"service.instance.id": self._instance}))
+        if self._file is not None:
+            exporter = ConsoleSpanExporter(
+                out=self._file, formatter=lambda span: span.to_json(indent=None) + "\n"
+            )
+            provider.add_span_processor(BatchSpanProcessor(exporter))
+        return provider
+
+    @cached_property
+    def _tracer(self) -> trace.Tracer:
+        return self._provider.get_tracer("wheatslipd")
+
     def _start(self, name: str, parent: SpanContext | None) -> HopTrace:
         context = trace.set_span_in_context(NonRecordingSpan(parent)) if parent else None
         span = self._tracer.start_span(name, context=context, kind=SpanKind.SERVER)
--- a/test/test_processes.py
+++ b/test/test_processes.py
@@ -54,6 +54,11 @@
     assert subprocess.run(command, env=environment).returncode == 0
 
 
+def test_a_start_without_sampling_does_not_load_what_makes_spans():
+    check = "import sys, wheatslipd.daemon; sys.exit('opentelemetry.sdk' in sys.modules)"
+    assert subprocess.run([sys.executable, "-c", check]).returncode == 0
+
+
 async def ask_many(cluster, caller, count, entry="papers-1"):
     port = cluster.members[entry].instance.entry_port
     for _ in range(count):
