--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -9,7 +9,6 @@
 from typing import Any
 
 from circuits import Component
-from result import Result
 from wheatslip.admission import Admission, AdmissionSettings
 from wheatslip.budget import RetryBudgets
 from wheatslip.bundle import Bundle
@@ -19,7 +18,6 @@
 from wheatslip.objects import ObjectClient, ObjectStore
 from wheatslip.owners import OwnerHistory
 from wheatslip.registration import Registered
-from wheatslip.signedbundle import SignedBundle
 
 from wheatslipd import logs
 from wheatslipd.backend import Backend
@@ -28,7 +26,7 @@
 from wheatslipd.chain import build_chain
 from wheatslipd.entry import Entry
 from wheatslipd.events import leaving, newer_version_seen
-from wheatslipd.feed import Feed, FeedPace, believe, prove_by_keyring
+from wheatslipd.feed import Feed, FeedPace
 from wheatslipd.filters import common_filters, workspace_filters
 from wheatslipd.forward import Forwarder
 from wheatslipd.gate import Gate
@@ -40,6 +38,7 @@
 from wheatslipd.ownserver import OwnServer
 from wheatslipd.pages import PageServer, PageSource, Status
 from wheatslipd.peerport import PeerPort
+from wheatslipd.proof import Proof, believe, prove_by_keyring
 from wheatslipd.registrar import HeartbeatDecoder, decode_heartbeat
 from wheatslipd.routefilter import RouteFilter
 from wheatslipd.settings import ConfigurationSource, Interface, Settings
@@ -448,7 +447,7 @@
         self._backend.close()
 
 
-def _proof(settings: Settings) -> Callable[[SignedBundle], Result[Bundle, str]]:
+def _proof(settings: Settings) -> Proof:
     if settings.source is ConfigurationSource.TRUSTED:
         return believe
     return prove_by_keyring(settings.keyring)
--- a/packages/wheatslipd/wheatslipd/feed.py
+++ b/packages/wheatslipd/wheatslipd/feed.py
@@ -8,14 +8,13 @@
 from collections.abc import Callable
 from contextlib import aclosing
 from dataclasses import dataclass
-from pathlib import Path
 from random import Random
 
 import msgspec
-from result import Err, Ok, Result
+from result import Err, Ok
 from wheatslip import head as heads
 from wheatslip import instances as lists
-from wheatslip.bundle import Bundle, decode_bundle
+from wheatslip.bundle import Bundle
 from wheatslip.deltas import BundleDelta
 from wheatslip.feedcache import FeedCache, ListChange, Update
 from wheatslip.head import Head
@@ -36,13 +35,13 @@
 from wheatslipd import logs
 from wheatslipd.bus import Bus
 from wheatslipd.events import bundle_verified, instances_seen
+from wheatslipd.proof import Proof
 from wheatslipd.relay import RelayServer, follow_parent
 from wheatslipd.tls import PeerTls
 
 HINT_PATIENCE = 0.25  # seconds that the relay gets before a hint leads to the platform
 HINT_SPACING = 1.0  # seconds between reads of the platform that hints give rise to
 STALE_SECONDS = 15.0  # a parent whose news are not confirmed for so long is left
-TRUSTED_BUNDLE_BYTES = 16 * 1024 * 1024  # of one that the platform vouches for
 TURN_SECONDS = 0.2  # pause before the next parent is tried
 
 
@@ -58,24 +57,6 @@
     settle: float = 0.0  # before an empty list of the own zone is read again, at the start
 
 
-def prove_by_keyring(keyring: Path) -> Callable[[SignedBundle], Result[Bundle, str]]:
-    """Believes bundles with enough signatures of the operators in a folder."""
-
-    def prove(signed: SignedBundle) -> Result[Bundle, str]:
-        # Imported here: signatures need a library that takes long to load. The keyring is
-        # read each time, so that a new operator's key needs no restart.
-        from wheatslip.signing import load_keyring, verify
-
-        return verify(signed, load_keyring(keyring))
-
-    return prove
-
-
-def believe(signed: SignedBundle) -> Result[Bundle, str]:
-    """Believes any bundle: the platform lets only operators write."""
-    return decode_bundle(signed.body.encode(), TRUSTED_BUNDLE_BYTES)
-
-
 class Feed:
     """Keeps one daemon's copy up to date."""
 
@@ -84,7 +65,7 @@
         name: str,
         zone: str,
         store: ObjectStore,
-        prove: Callable[[SignedBundle], Result[Bundle, str]],
+        prove: Proof,
         bus: Bus,
         tls: PeerTls,
         rng: Random,
