Learn from work during which the speed wavered only a little

Tellings within a factor of 1.3, below which a server is not called slow, now count as the same. The test failed first.

--- a/packages/wheatslip/wheatslip/admission.py
+++ b/packages/wheatslip/wheatslip/admission.py
@@ -18,6 +18,7 @@
 ANY_WAIT = float("inf")
 LATE = 1e9  # seconds; puts what is late behind what is not, and in order among itself
 SLOW = 1.3  # slowness from which on a server is spared what others can take
+SAME_SPEED = 1.3  # factor between two tellings of the slowness that count as the same
 LAST_RESORT = 1.5  # part of the time to the target that a call may take which waited in vain
 UNKNOWN_SHARE = 0.3  # part of the time to the target that an unknown kind of call takes
 CLOSE_MISS = 0.9  # part of the time left to the target that a slow answer may take
@@ -163,7 +164,7 @@
         How long work takes is settled when it starts. What started at a speed that was not
         known, or was told too late, says nothing of the usual speed.
         """
-        if ticket.slowness != self.slowness:
+        if ticket.slowness is None or not _is_same_speed(ticket.slowness, self.slowness):
             return
         usual = took / max(1.0, ticket.slowness)
         self.limit.observe(usual, saturated=self._was_full)
@@ -306,3 +307,7 @@
 
     def _refusal(self, wait: float) -> NotRun:
         return NotRun(Reason.OVERLOADED, max(MIN_RETRY_AFTER, wait))
+
+
+def _is_same_speed(one: float, other: float) -> bool:
+    return max(one, other) <= SAME_SPEED * min(one, other)
--- a/test/test_gate.py
+++ b/test/test_gate.py
@@ -128,6 +128,16 @@
     assert admission.usual_service(0.0) == 0.1
 
 
+def test_a_speed_that_wavers_a_little_still_teaches():
+    admission = taught(Admission(AdmissionSettings(slots=4)), took=0.1)
+    for _ in range(100):
+        ticket = admission.arrive(call(), 0.0)
+        admission.slowness = 1.1
+        admission.finish(ticket, 0.2, worked=True)
+        admission.slowness = 1.0
+    assert admission.usual_service(0.0) > 0.15
+
+
 def test_a_server_that_never_tells_its_load_counts_as_usual():
     one, _ = gate()
     one.expect_load()
