Start late what waited in vain, if its caller waits much longer than the target

Cause: calls that servers make have short targets (0.16 s) and are not sent again; a slow idle server that would have answered in 0.17 s refused them, and the request that they belong to failed.

Change: what has waited as long as it may starts if it takes under 0.4 of the time left.

--- a/packages/wheatslip/wheatslip/admission.py
+++ b/packages/wheatslip/wheatslip/admission.py
@@ -20,6 +20,7 @@
 SLOW = 1.3  # slowness from which on a server is spared what others can take
 SAME_SPEED = 1.3  # factor between two tellings of the slowness that count as the same
 LAST_RESORT = 1.5  # part of the time to the target that a call may take which waited in vain
+LAST_RESORT_LEFT = 0.4  # part of the time to the deadline that it may take all the same
 UNKNOWN_SHARE = 0.3  # part of the time to the target that an unknown kind of call takes
 CLOSE_MISS = 0.9  # part of the time left to the target that a slow answer may take
 
@@ -218,7 +219,11 @@
         if self.in_flight >= self.limit.value or self.draining or self.lost:
             return False
         call = ticket.call
-        if self._takes(call, now) > LAST_RESORT * (call.target - now):
+        bound = LAST_RESORT * (call.target - now)
+        if call.target < ANY_WAIT:
+            # Whoever waits much longer than the target wants a late answer rather than none.
+            bound = max(bound, LAST_RESORT_LEFT * call.remaining(now))
+        if self._takes(call, now) > bound:
             return False
         self._start(ticket, now)
         return True
--- a/test/test_gate.py
+++ b/test/test_gate.py
@@ -87,6 +87,15 @@
     assert admission.queued == 0
 
 
+def test_what_waited_in_vain_starts_late_if_its_caller_waits_much_longer_than_its_target():
+    admission = taught(Admission(AdmissionSettings(slots=4)), took=0.06)
+    admission.slowness = 4.0
+    patient = admission.arrive(call(target=0.16, hold=0.04, deadline=0.8), 0.0)
+    hurried = admission.arrive(call(target=0.16, hold=0.04, deadline=0.4), 0.0)
+    assert admission.expire(patient, 0.04) and patient.started is not None
+    assert not admission.expire(hurried, 0.04)
+
+
 def test_what_is_late_goes_behind_what_may_meet_its_target():
     admission = taught(Admission(AdmissionSettings(slots=1)))
     running = admission.arrive(call(), 0.0)
