Ask a server for its speed before a start, where that saves more than it costs

Cause: servers are slow for a part of the time, in stretches of 150 to 300 ms, and how long a request takes is settled when it starts. A gate heard of the speed by answers only; at few requests a second that word is 100 ms old, so requests started on servers that had turned slow unseen.

Change: the library learns how long fast and slow stretches last (speed.py, a chain of two states) and computes what asking saves for this call: the chance that the server has turned slow, if the call would miss its target only then; for one told slow, the chance that it is fast again times what a refusal costs. The gate asks if that is more than `check-price`, an operator's setting. One question at a time, shared; waited for 20 ms at most; at most `checks-per-second` in any second; left alone for half a second after one without an answer. A slow server that no one waits for is asked after a slow stretch instead of every 50 ms.

Tests: test_speed.py, test_recoveryprobe.py (three of the new ones run against the old gate: failed). The probe's tests now build it with its SpeedCheck; what they assert is as before.

--- a/packages/wheatslip/wheatslip/admission.py
+++ b/packages/wheatslip/wheatslip/admission.py
@@ -11,18 +11,21 @@
 from wheatslip.limit import ConcurrencyLimit
 from wheatslip.outcome import NotRun, Reason
 from wheatslip.servicetimes import ServiceTimes
+from wheatslip.speed import SLOW, SpeedModel
 
 MIN_RETRY_AFTER = 0.05  # seconds
 NOT_READY_RETRY_AFTER = 0.2
 DEFAULT_URGENT_SHARE = 0.25
 ANY_WAIT = float("inf")
 LATE = 1e9  # seconds; puts what is late behind what is not, and in order among itself
-SLOW = 1.3  # slowness from which on a server is spared what others can take
 SAME_SPEED = 1.3  # factor between two tellings of the slowness that count as the same
 LAST_RESORT = 1.5  # part of the time to the target that a call may take which waited in vain
 LAST_RESORT_LEFT = 0.4  # part of the time to the deadline that it may take all the same
 UNKNOWN_SHARE = 0.3  # part of the time to the target that an unknown kind of call takes
 CLOSE_MISS = 0.9  # part of the time left to the target that a slow answer may take
+# What a needless refusal at a server that has become fast again costs, as a part of what an
+# answer within its target is worth: a try elsewhere, or a wait until the speed is asked for.
+REFUSAL_LOSS = 0.1
 
 
 @dataclass(slots=True, eq=False)
@@ -59,6 +62,7 @@
     last_finished: float = float("-inf")
     slowness: float = 1.0  # how long work takes at the server now, as a part of the usual
     is_speed_known: bool = True  # whether `slowness` was told, where a server tells it
+    speed: SpeedModel = field(init=False, default_factory=SpeedModel)
     _times: ServiceTimes = field(init=False, default_factory=ServiceTimes)
     _queue: FairQueue[Ticket] = field(init=False)
     _running: set[Ticket] = field(init=False, default_factory=set)
@@ -90,6 +94,35 @@
         self.settings = settings
         self._queue.urgent_share = settings.urgent_share
 
+    def learn_speed(self, slowness: float, now: float) -> None:
+        """The backend server told how long work takes there, as a part of the usual."""
+        self.slowness = slowness
+        self.is_speed_known = True
+        self.speed.told(slowness, now)
+
+    def forget_speed(self) -> None:
+        """Another backend server stands here: how fast it is, is not known until it tells."""
+        self.is_speed_known = False
+        self.speed.forget()
+
+    def gain_of_asking(self, call: Call, now: float) -> float:
+        """What is saved on average if the server is asked for its speed before `call` starts,
+        as a part of what an answer within the target is worth.
+
+        Only a call that could start now, and meets its target if the server is fast but misses
+        it if slow, gains: told fast it may be spared a slow start, told slow a refusal.
+        """
+        if self.unknown or self.draining or self.lost:
+            return 0.0
+        if self.queued or self.in_flight >= self.limit.value:
+            return 0.0  # it waits, and starts when an answer has told the speed anew
+        left = min(call.target, call.deadline) - now
+        usual = self._usual_service_of(call, now)
+        if usual > left or usual * max(self.speed.factor, self.slowness) <= left:
+            return 0.0
+        slow = self.speed.slow_chance(now)
+        return slow if self.slowness < SLOW else (1.0 - slow) * REFUSAL_LOSS
+
     def service_estimate(self, now: float) -> float:
         """Seconds one request takes now."""
         return self.usual_service(now) * self.slowness
--- a/packages/wheatslipd/wheatslipd/gate.py
+++ b/packages/wheatslipd/wheatslipd/gate.py
@@ -1,13 +1,14 @@
 """The task around an `Admission`: lets requests wait for their turn at the backend server."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
-from wheatslip.admission import MIN_RETRY_AFTER, SLOW, Admission, Ticket
+from wheatslip.admission import MIN_RETRY_AFTER, Admission, Ticket
 from wheatslip.backendload import BackendLoad
 from wheatslip.call import Call
 from wheatslip.hop import LoadReport
 from wheatslip.outcome import NotRun, Reason
+from wheatslip.speed import SLOW
 
 from wheatslipd import logs
 from wheatslipd.settings import LogLevel
@@ -26,6 +27,10 @@
         self._clock = clock
         self.in_doubt = asyncio.Event()  # set while the server is slow or lost, so ask it
         self.is_probed = False  # whether someone asks the server while it is in doubt
+        # Asks the server how fast it is, in bounded time; None: it is never asked.
+        self.ask_speed: Callable[[], Awaitable[None]] | None = None
+        # What one such question costs, as a part of what an answer within its target is worth.
+        self.check_price = 0.0
         self._lost_in_a_row = 0
         self.load_seen = float("-inf")  # when it last told of its load
         self._waiting: dict[Ticket, asyncio.Future[NotRun | None]] = {}
@@ -33,6 +38,10 @@
     async def enter(self, call: Call, max_wait: float) -> Ticket | NotRun:
         """Wait for a turn; the ticket that comes back has started and must be left with."""
         now = self._clock()
+        ask_speed = self.ask_speed
+        if ask_speed and self.admission.gain_of_asking(call, now) > self.check_price:
+            await ask_speed()
+            now = self._clock()
         ticket = self.admission.arrive(call, now, max_wait)
         self._tell_evicted()
         if isinstance(ticket, NotRun) or ticket.started is not None:
@@ -53,7 +62,7 @@
 
     def expect_load(self) -> None:
         """Another backend server stands here: how fast it is, is not known until it tells."""
-        self.admission.is_speed_known = False
+        self.admission.forget_speed()
         self.in_doubt.set()
 
     def learn(self, load: BackendLoad) -> None:
@@ -69,14 +78,22 @@
                 waiting=load.waiting,
             )
         self.load_seen = self._clock()
-        self.admission.is_speed_known = True
-        self.admission.slowness = load.slowness
+        self.admission.learn_speed(load.slowness, self.load_seen)
         if load.slowness >= SLOW:
             self.in_doubt.set()
             self._send_elsewhere()
         else:
             self._be_fast_again()
 
+    def wants_word(self) -> bool:
+        """Whether a server in doubt should be asked now: someone waits for the word, or it is
+        likely that it is fast again, and the entries should hear so.
+        """
+        admission = self.admission
+        if admission.lost or not admission.is_speed_known or admission.queued:
+            return True
+        return self._clock() - self.load_seen >= admission.speed.slow_stretch
+
     def learn_nothing(self) -> None:
         """The backend server answered without a word on its load, so it may never tell."""
         if not self.admission.is_speed_known:
--- a/packages/wheatslipd/wheatslipd/ownserver.py
+++ b/packages/wheatslipd/wheatslipd/ownserver.py
@@ -13,6 +13,7 @@
 from wheatslip.instances import Instance, InstanceState
 from wheatslip.objects import ObjectStore
 from wheatslip.registration import Registered, Registration
+from wheatslip.slidinglimit import SlidingLimit
 
 from wheatslipd.backend import Backend
 from wheatslipd.bus import Bus
@@ -23,7 +24,8 @@
 from wheatslipd.recoveryprobe import RecoveryProbe
 from wheatslipd.registrar import HeartbeatDecoder, Registrar
 from wheatslipd.removal import DeadEntryRemover
-from wheatslipd.settings import Settings
+from wheatslipd.settings import NO_CHECKS, Settings
+from wheatslipd.speedcheck import SpeedCheck
 from wheatslipd.view import View
 
 PUBLISH_SECONDS = 0.5  # that a planned stop waits for the last word on our list entry
@@ -58,10 +60,19 @@
             registration, backend, settings.headers, bus, clock, gate.learn, decode
         )
         self._registrar.health_path = settings.health_path
-        self._probe = RecoveryProbe(
-            gate, backend, settings.headers.load, metrics, clock, settings.recovery_probe
+        self._check = SpeedCheck(
+            gate,
+            backend,
+            settings.headers.load,
+            metrics,
+            clock,
+            SlidingLimit(settings.checks_per_second),
         )
-        self._probe.use_path(settings.health_path)
+        self._check.use_path(settings.health_path)
+        self._probe = RecoveryProbe(gate, self._check, clock, settings.recovery_probe)
+        if settings.check_price < NO_CHECKS and settings.headers.load:
+            gate.ask_speed = self._check.ask_briefly
+            gate.check_price = settings.check_price
         self._publisher = Publisher(store, rng)
         self.remover = DeadEntryRemover(settings.name, store, view, clock, is_watcher)
         self.registration_server = Server(self._registrar.handle)
@@ -89,7 +100,7 @@
         """Apply what a bundle says of the pool; returns the slots to use."""
         health_path = pool.health_path or self._settings.health_path
         self._registrar.health_path = health_path
-        self._probe.use_path(health_path)
+        self._check.use_path(health_path)
         return self._slots or pool.slots
 
     def take_registration(self, registered: Registered) -> None:
--- a/packages/wheatslipd/wheatslipd/settings.py
+++ b/packages/wheatslipd/wheatslipd/settings.py
@@ -34,6 +34,9 @@
 
 
 MAX_ANSWER_HOLD = 16 * 1024 * 1024  # bytes
+NO_CHECKS = 1.0  # the price from which on no request is worth a question
+CHECK_PRICE = 0.05  # default; see default.ini
+CHECKS_PER_SECOND = 20.0  # default
 PLAIN_TEXT_WORDS = ("no", "yes", "trusted-network")
 LOG_LEVELS = {level.name.lower(): level for level in LogLevel}
 _Word = TypeVar("_Word", bound=StrEnum)
@@ -118,6 +121,8 @@
     registration_port: int | None = None
     slot_share: float = 1.0
     recovery_probe: float = 0.1
+    check_price: float = CHECK_PRICE
+    checks_per_second: float = CHECKS_PER_SECOND
     watchers: int = WATCHERS
     watch_seconds: float = WATCH_SECONDS
     list_watch_seconds: float = WATCH_SECONDS
@@ -200,6 +205,8 @@
         registration_port=_registration_port(sections["registration"]),
         slot_share=backend.number("slot-share", 1.0, 0.1, 1.0),
         recovery_probe=backend.duration("recovery-probe", 0.1),
+        check_price=backend.number("check-price", CHECK_PRICE, 0.0, NO_CHECKS),
+        checks_per_second=backend.number("checks-per-second", CHECKS_PER_SECOND, 1.0, 1e4),
         watchers=control.integer("watchers", WATCHERS, 1, 1000),
         watch_seconds=control.duration("watch", WATCH_SECONDS),
         list_watch_seconds=control.duration("list-watch", WATCH_SECONDS),
