Keep servers whose entries lapsed, and give one that joins its part at light load

Two faults, found by tests written from the users' news, which failed first:

A server that has told nothing was taken to have 8 slots. Beside servers with 14 it looked fuller than they, though all were idle, and won 4 of 100 picks of its own zone: at five calls a second it got none in four seconds. Now it is taken to have as many as the others tell on average. 2. An entry that vanished from the list was gone at once, so when all entries lapsed during trouble of the store, every request was refused (503) until they were written again. Now one that vanishes without having said that it leaves, and that can be reached, is kept for two seconds, the users' bound, and taken as gone only if it is still missing.

Ruled out for 2: telling outages apart from removals at the watchers; followers don't know of an outage, and an entry that was leaving tells itself.

The fleet of test_routed_path.py moved to a module of its own, unchanged.

--- a/packages/wheatslip/wheatslip/chooser.py
+++ b/packages/wheatslip/wheatslip/chooser.py
@@ -150,12 +150,15 @@
     rng: Random
     settings: ChooserSettings = field(default_factory=ChooserSettings)
     _pool_load: float = 0.0  # mean part of the limit that reports show as taken
+    _pool_limit: float = 0.0  # mean limit that reports show; 0 before the first
 
     def on_report(self, upstream: Upstream, report: LoadReport, now: float) -> None:
         """A load report rode back from `upstream`."""
         upstream.on_report(report, now)
         load = (report.in_flight + report.queued) / max(1, report.limit)
         self._pool_load += POOL_LOAD_WEIGHT * (load - self._pool_load)
+        known = self._pool_limit or report.limit
+        self._pool_limit = known + POOL_LOAD_WEIGHT * (report.limit - known)
 
     def pick(
         self, upstreams: Sequence[Upstream], now: float, tried: Set[str] = frozenset()
@@ -266,7 +269,9 @@
     def _fill(self, upstream: Upstream, now: float) -> float:
         """How full it is thought to be, as a part of its limit and this request included."""
         report = upstream.report
-        limit = float(max(1, report.limit)) if report else INITIAL_LIMIT
+        # One that has told nothing yet is taken to be like the rest: with a smaller limit it
+        # would look fuller than they do, and get no work at light load.
+        limit = float(max(1, report.limit)) if report else self._pool_limit or INITIAL_LIMIT
         own = OWN_WEIGHT * upstream.in_flight / limit + 1 / limit
         if report is None:
             return own + REPORT_WEIGHT * self._pool_load
--- a/packages/wheatslipd/wheatslipd/membership.py
+++ b/packages/wheatslipd/wheatslipd/membership.py
@@ -1,5 +1,11 @@
-"""Controller of the members: the platform's list, turned into peers by pool."""
+"""Controller of the members: the platform's list, turned into peers by pool.
 
+An entry may lapse while the platform is in trouble, though its backend server lives; its daemon
+writes it again within moments. So one that vanishes without having said that it leaves is kept
+for a while, and taken as gone only if it is still missing then.
+"""
+
+import asyncio
 from collections.abc import Callable
 from types import MappingProxyType
 
@@ -15,6 +21,8 @@
 from wheatslipd.view import Membership, Peer, View
 
 PEER_CONNECTIONS = 256  # to one peer
+# Seconds in which a daemon that lives has written a lapsed entry again; the users' bound.
+LAPSE_GRACE = 2.0
 
 
 class MembershipController(Component):
@@ -43,6 +51,7 @@
         self._monotonic = monotonic
         self._unix = unix
         self._peers: dict[str, Peer] = {}
+        self._missing: dict[str, asyncio.TimerHandle] = {}  # by name, to the end of the grace
         self._has_list = False
         self._lists_itself = lists_itself
 
@@ -54,12 +63,38 @@
             listed = {instance.name for instance in instances}
             gone = tuple(name for name in self._peers if name not in listed)
         for name in gone:
-            self._remove(name)
+            self._miss(name)
         for instance in instances:
+            self._find(instance.name)
             self._update(instance)
         self._has_list = True
         self._publish()
 
+    def _miss(self, name: str) -> None:
+        """An entry is gone. One that was leaving or out of reach is so for good."""
+        peer = self._peers.get(name)
+        if peer is None or name in self._missing:
+            return
+        upstream = peer.upstream
+        if upstream.draining or upstream.unreachable_since is not None:
+            self._remove(name)
+            return
+        logs.info("entry-missing", name=name, grace=LAPSE_GRACE)
+        loop = asyncio.get_running_loop()
+        self._missing[name] = loop.call_later(LAPSE_GRACE, self._take_as_gone, name)
+
+    def _find(self, name: str) -> None:
+        """An entry is listed, perhaps again."""
+        timer = self._missing.pop(name, None)
+        if timer is not None:
+            timer.cancel()
+
+    def _take_as_gone(self, name: str) -> None:
+        """An entry is still missing after the grace."""
+        logs.info("entry-gone", name=name)
+        self._remove(name)
+        self._publish()
+
     def _update(self, instance: Instance) -> None:
         known = self._peers.get(instance.name)
         if known is not None and instance.incarnation < known.instance.incarnation:
@@ -85,6 +120,7 @@
         return Peer(instance, upstream, connections)
 
     def _remove(self, name: str) -> None:
+        self._find(name)
         peer = self._peers.pop(name, None)
         if peer is not None:
             peer.connections.close()
--- a/test/test_routed_path.py
+++ b/test/test_routed_path.py
@@ -2,168 +2,17 @@
 
 import asyncio
 import json
-from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
 from random import Random
 
-import aiohttp
 from wheatslip import instances as lists
 from wheatslip.chooser import DEAD_AFTER, DEAD_AFTER_FAILURES
-from wheatslipd.daemon import Daemon, Ports
-from wheatslipd.settings import parse_settings
 
-from fleet_adapter.heartbeats import decode_heartbeat
-from fleet_adapter.store import KINDS, FleetStore
-from fleet_standins.store import Fault, StoreStandIn
+from fleet_adapter.store import KINDS
+from fleet_standins.store import Fault
 from standins.cluster import HOST, eventually
-from standins.plainbackend import PlainBackend, Trouble
+from standins.plainbackend import Trouble
 from test.helper import run
-
-SETTINGS = """
-[daemon]
-name = {name}
-zone = one
-pool = papers
-loop = asyncio
-[entry]
-interface = routes
-answer-hold = 65536
-warm-up = 0s
-max-bounces = 3
-[peer]
-plain-text = yes
-[control]
-watch = 1s
-list-watch = 1s
-list-settle = {settle}
-[backend]
-port = {port}
-[registration]
-port = 0
-[headers]
-deadline = Deadline-Remaining
-request-id = Request-Id
-caller = Caller-Service
-instance = Expect-Instance
-not-run = Not-Executed
-server = Instance-Id
-load = Load-Report
-[retries]
-share = 5
-reserve = 100
-[platform]
-address = {store}
-retry-last = 100ms
-[operators]
-source = trusted
-"""
-
-
-def configuration(version=1, prefix="/view/"):
-    def route(path, kind):
-        return {
-            "host": "papers.example",
-            "path_prefix": path,
-            "route_type": kind,
-            "timeout_s": 2.0,
-            "target_latency_s": 1.0,
-            "priority": 1,
-            "service": "papers",
-            "max_attempts": 2,
-        }
-
-    return {
-        "version": version,
-        "routes": {"view": route(prefix, "safe"), "submit": route("/submit/", "unsafe")},
-        "services": {"papers": {"health_path": "/health", "max_connections": 50}},
-    }
-
-
-@dataclass
-class Fleet:
-    """Daemons with their servers, on one store."""
-
-    store: StoreStandIn
-    session: aiohttp.ClientSession
-    daemons: dict[str, Daemon] = field(default_factory=dict)
-    backends: dict[str, PlainBackend] = field(default_factory=dict)
-    tasks: dict[str, asyncio.Task] = field(default_factory=dict)
-    settle: str = "0s"
-
-    async def add(self, name, backend=None):
-        backend = backend or PlainBackend(f"i-{name}")
-        await backend.server.listen(HOST, 0)
-        self.backends[name] = backend
-        await self.start(name)
-
-    async def start(self, name):
-        store = f"{HOST}:{self.store.server.port}"
-        port = self.backends[name].server.port
-        text = SETTINGS.format(name=name, port=port, store=store, settle=self.settle)
-        settings = parse_settings(text, name)
-        ports = Ports(FleetStore(store), decode_heartbeat)
-        daemon = Daemon(settings.unwrap(), Random(3), ports=ports)
-        self.daemons[name] = daemon
-        self.tasks[name] = asyncio.create_task(daemon.run())
-        await daemon.listening.wait()
-
-    async def stop(self, name):
-        self.daemons.pop(name).stop()
-        await self.tasks.pop(name)
-
-    async def beat(self, name, sequence, state="ready", server=None):
-        backend = self.backends[name]
-        body = {
-            "address": f"{HOST}:{backend.server.port}",
-            "info": {"service": "papers", "version": "v1", "zone": "one", "slots": 4},
-            "status": {"state": state, "seq": sequence, "cold_remaining_s": 0},
-        }
-        port = self.daemons[name].own_server.registration_server.port
-        url = f"http://{HOST}:{port}/heartbeats/{server or backend.server_id}"
-        async with self.session.put(url, json=body) as answer:
-            return answer.status
-
-    async def ask(self, name, path="/view/1", method="GET", body=b"", **headers):
-        """Status, body and headers of the answer."""
-        url = f"http://{HOST}:{self.daemons[name].entry_server.port}{path}"
-        headers = {"Host": "papers.example", "Request-Id": "r-1"} | headers
-        async with self.session.request(method, url, data=body, headers=headers) as answer:
-            return answer.status, await answer.read(), answer.headers
-
-    async def ready(self, version=1):
-        def check():
-            return all(
-                d.status().version == version
-                and d.status().members == len(self.daemons)
-                and not d.gate.admission.unknown
-                for d in self.daemons.values()
-            )
-
-        async def checked():
-            return check()
-
-        await eventually(checked)
-
-
-@asynccontextmanager
-async def fleet(*names, configured=True, **options):
-    store = StoreStandIn()
-    await store.server.listen(HOST, 0)
-    if configured:
-        store.write("config", "main", configuration())
-    one = Fleet(store, aiohttp.ClientSession(), **options)
-    try:
-        await asyncio.gather(*(one.add(name) for name in names))
-        if configured:
-            await one.ready()
-        yield one
-    finally:
-        for name in list(one.daemons):
-            await one.stop(name)
-        for backend in one.backends.values():
-            await backend.server.stop(0.0)
-        await one.session.close()
-        await store.server.stop(0.0)
+from test.routed_fleet import configuration, fleet
 
 
 def test_a_request_reaches_the_server_with_what_it_must_know():
