Import the pages in the loop's thread, as starts ended with SIGILL

Change: the pages are imported in the loop's own thread, after the first calls to the store and the backend server are on their way.

--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -5,7 +5,6 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
-from importlib import import_module
 from random import Random
 from typing import TYPE_CHECKING, Any
 
@@ -404,12 +403,16 @@
             await self.own_server.listen()
 
     async def _start_pages(self) -> "PageServer":
-        """Start the operators' pages, while requests are served already."""
+        """Start the operators' pages, when requests can come already."""
         settings = self.settings
-        module = await asyncio.to_thread(import_module, "wheatslipd.pages")
+        # The first calls to the platform and the backend server go out, and are answered while
+        # this loads. Not in a thread: two in a thousand starts then ended with SIGILL.
+        await asyncio.sleep(0)
+        from wheatslipd.pages import PageServer
+
         loop = asyncio.get_running_loop()
         source = PageSource(loop, self.status, self._render_metrics)
-        pages: PageServer = module.PageServer(settings.address, settings.pages_port, source)
+        pages = PageServer(settings.address, settings.pages_port, source)
         pages_port = await pages.start()
         logs.info(
             "listening",
