--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SETUP = $(VENV)/.installed
 PACKAGES = packages/wheatslip packages/wheatslipd packages/wheatslip-cli
 
-.PHONY: demo test lint format bench bench-decisions bench-slopes clean
+.PHONY: demo test lint format bench bench-decisions bench-speeds bench-slopes clean
 
 $(SETUP): requirements-dev.txt $(addsuffix /pyproject.toml,$(PACKAGES))
 	python3 -m venv $(VENV)
@@ -32,6 +32,9 @@
 bench-decisions: $(SETUP)
 	$(PY) -m bench.decisions
 
+bench-speeds: $(SETUP)
+	$(PY) -m bench.decisions.speeds
+
 bench-slopes: $(SETUP)
 	$(PY) -m bench.slopes
 
