Tell a server's pace from its slow stretches

Cause: a server that has just started tells a slowness of 2 for three seconds, and 10 in a slow stretch besides.

Only a slow stretch is waited out, and the gain of asking counts from the pace.

Tests: test_speed.py, three of them on the pace.

--- a/bench/losses.py
+++ b/bench/losses.py
@@ -1,7 +1,7 @@
 """Where the worth of played days went: a table by day and cause, from journal entries.
 
-Run `python -m bench.losses journal/*-ID.json …`. Each day's row adds up to 1: its worth, what its
-parts lack (each by its weight), and its prices.
+Run `python -m bench.losses journal/*-ID.json …`. Each day's row adds up to 1: its worth, what
+its parts lack (each by its weight), and its prices.
 """
 
 import argparse
--- a/packages/wheatslip/wheatslip/admission.py
+++ b/packages/wheatslip/wheatslip/admission.py
@@ -117,11 +117,11 @@
         if self.queued or self.in_flight >= self.limit.value:
             return 0.0  # it waits, and starts when an answer has told the speed anew
         left = min(call.target, call.deadline) - now
-        usual = self._usual_service_of(call, now)
-        if usual > left or usual * max(self.speed.factor, self.slowness) <= left:
+        at_pace = self._usual_service_of(call, now) * self.speed.pace
+        if at_pace > left or at_pace * self.speed.factor <= left:
             return 0.0
         slow = self.speed.slow_chance(now)
-        return slow if self.slowness < SLOW else (1.0 - slow) * REFUSAL_LOSS
+        return (1.0 - slow) * REFUSAL_LOSS if self._in_slow_stretch else slow
 
     def service_estimate(self, now: float) -> float:
         """Seconds one request takes now."""
@@ -261,14 +261,19 @@
         self._start(ticket, now)
         return True
 
+    @property
+    def _in_slow_stretch(self) -> bool:
+        """Whether the server is slower than its pace, so that it will be faster soon."""
+        return self.slowness >= SLOW * self.speed.pace
+
     def _waits_out(self, call: Call, now: float) -> bool:
-        """Whether a call should wait for the server to be as fast as usual again: started now
+        """Whether a call should wait until a slow stretch of the server is over: started now
         it would miss its target, and it would hold a slot for long.
         """
-        if self.slowness < SLOW or call.target == ANY_WAIT:
+        if not self._in_slow_stretch or call.target == ANY_WAIT:
             return False
-        may_meet = now + self._usual_service_of(call, now) <= call.target
-        return may_meet and now + self._takes(call, now) > call.target
+        at_pace = self._usual_service_of(call, now) * self.speed.pace
+        return now + at_pace <= call.target < now + self._takes(call, now)
 
     def _falls_behind(self, ticket: Ticket, now: float) -> bool:
         """Put a ticket that will miss its target behind all that may meet theirs.
--- a/test/test_speed.py
+++ b/test/test_speed.py
@@ -158,3 +158,33 @@
     for start in taken:
         assert sum(start <= moment < start + 1.0 for moment in taken) <= bound
     assert taken
+
+
+def test_a_server_that_stays_slow_has_a_slower_pace_and_is_not_waited_out():
+    """One that has just started works at half its speed, and has slow stretches besides."""
+    admission = taught({VIEW: 0.2})
+    for tick in range(20):
+        admission.learn_speed(2.0, 1.0 + tick * 0.05)
+    now = 2.0
+    assert admission.speed.pace == 2.0
+    late = call(target=0.3, now=now)  # it can't be in time at this pace, and waiting won't help
+    assert admission.arrive(late, now).started is not None
+    admission.learn_speed(10.0, now)
+    in_time = call(target=0.6, now=now)
+    assert admission.arrive(in_time, now).started is None  # the stretch will be over soon
+
+
+def test_the_gain_of_asking_counts_from_the_pace_of_the_server():
+    admission = taught({VIEW: 0.2})
+    for tick in range(20):
+        admission.learn_speed(2.0, 1.0 + tick * 0.05)
+    assert admission.gain_of_asking(call(now=2.2), 2.2) > 0.05
+
+
+def test_a_pace_is_forgotten_once_the_server_is_faster():
+    model = SpeedModel()
+    for tick in range(20):
+        model.told(2.0, tick * 0.05)
+    assert model.pace == 2.0
+    model.told(1.0, 1.0)
+    assert model.pace == 1.0
