Leave an update that comes after a newer one alone, and explore the copies of the list

Cause, found by reading: a daemon that asks another beside its parent's stream may get that answer after newer updates of the stream. Taken in, it set instances back and the cursor with them, so what came between was never sent again.

Change: an update whose list is older than ours is left alone.

Test: test_feed_model.py explores a platform, a watcher and two followers with updates lost, late and doubled, new starts and a forgotten history; no copy goes back, and once calm all hold what the platform holds. With the check taken out it fails (listed 2 after 3).

--- a/packages/wheatslip/wheatslip/feedcache.py
+++ b/packages/wheatslip/wheatslip/feedcache.py
@@ -87,6 +87,14 @@
                 self._note(change)
         self.listed = listed
 
+    def is_late(self, update: Update) -> bool:
+        """Whether an update's list is older than this one.
+
+        One that was asked for beside a stream may come after newer ones; taken in, it would set
+        instances back, and what came between would never be sent again.
+        """
+        return update.listed < self.listed
+
     def version_of(self, name: str) -> int:
         """The version of an instance's last change; 0 if it is not listed.
 
--- a/packages/wheatslipd/wheatslipd/feed.py
+++ b/packages/wheatslipd/wheatslipd/feed.py
@@ -314,7 +314,7 @@
         return parents_of(self._name, self._order, self._pace.watchers)
 
     def _take_update(self, update: Update) -> None:
-        if update.whole or update.changes:
+        if (update.whole or update.changes) and not self.cache.is_late(update):
             self._take_list(update.listed, list(update.changes), whole=update.whole)
         self.cache.checked = max(self.cache.checked, update.checked)
         if update.as_of > self.cache.as_of:
