Miss no change that falls between two pages of a list

Cause: a list in pages carried the version of its last page, so a change to what an earlier page holds, made between the two, was neither in the list nor in the watch that goes on from it. Found by reading; fleets of more than a page (about 500 entries) are affected. Ruled out: reading the pages again until two agree (in a fleet that starts, they never do). Before: test_a_change_between_two_pages_of_a_list_is_not_missed fails (the watch tells nothing); now it passes.

--- a/packages/wheatslip/wheatslip/feedcache.py
+++ b/packages/wheatslip/wheatslip/feedcache.py
@@ -69,14 +69,24 @@
         self._changes: deque[ListChange] = deque(maxlen=KEPT_LIST_CHANGES)
         self._complete_since = 0
 
-    def take_list(self, listed: int, changes: Iterable[ListChange], *, whole: bool) -> None:
-        """Take in the whole list or changes of it, up to version `listed`."""
+    def take_list(
+        self, listed: int, changes: Iterable[ListChange], *, whole: bool
+    ) -> list[ListChange]:
+        """Take in the whole list or changes of it, up to version `listed`.
+
+        Returns what is new: a list that was read in pages may hold later states than its
+        version says, and the changes that led to them come again.
+        """
+        taken = []
         if whole:
             self.instances.clear()
             self._versions.clear()
             self._changes.clear()
             self._complete_since = listed
         for change in changes:
+            if change.version < self.version_of(change.name):
+                continue
+            taken.append(change)
             if change.instance is None:
                 self.instances.pop(change.name, None)
                 self._versions.pop(change.name, None)
@@ -86,6 +96,7 @@
             if not whole:
                 self._note(change)
         self.listed = listed
+        return taken
 
     def is_late(self, update: Update) -> bool:
         """Whether an update's list is older than this one.
--- a/packages/wheatslipd/wheatslipd/feed.py
+++ b/packages/wheatslipd/wheatslipd/feed.py
@@ -291,7 +291,7 @@
         self._take_list(listing.version, changes, whole=listing.whole)
 
     def _take_list(self, listed: int, changes: list[ListChange], *, whole: bool) -> None:
-        self.cache.take_list(listed, changes, whole=whole)
+        changes = self.cache.take_list(listed, changes, whole=whole)
         present = tuple(c.instance for c in changes if c.instance is not None)
         gone = tuple(c.name for c in changes if c.instance is None)
         if whole or changes:
--- a/test/test_feed_model.py
+++ b/test/test_feed_model.py
@@ -15,7 +15,7 @@
 
 
 def instance(name, incarnation, state=InstanceState.LIVE):
-    return Instance(name, "papers", "one", "10.0.0.1", 1, 2, 3, state, incarnation)
+    return Instance(name, "papers", "one", "10.0.0.1", 1, 2, 3, incarnation, state)
 
 
 def take(cache, update):
--- a/test/test_fleet_adapter.py
+++ b/test/test_fleet_adapter.py
@@ -5,6 +5,7 @@
 from contextlib import asynccontextmanager
 from random import Random
 
+import msgspec
 from result import Err, Ok
 from wheatslip import head as heads
 from wheatslip import instances as lists
@@ -15,7 +16,7 @@
 
 from fleet_adapter.configuration import read_configuration
 from fleet_adapter.heartbeats import decode_heartbeat
-from fleet_adapter.store import FleetStore
+from fleet_adapter.store import KINDS, FleetStore
 from fleet_standins.store import Fault, StoreStandIn
 from standins.cluster import eventually
 from test.helper import run
@@ -160,6 +161,27 @@
     run(scenario)
 
 
+def test_a_change_between_two_pages_of_a_list_is_not_missed():
+    """The page that it belongs to was read already, so the watch must begin before it."""
+
+    async def scenario():
+        async with store(page=2) as (stand_in, client):
+            for name in "bcde":
+                (await client.put(lists.KIND, name, INSTANCE, 0)).unwrap()
+
+            def write_behind_the_reader():
+                stand_in.after_page = None
+                stand_in.write(KINDS[lists.KIND], "a", msgspec.to_builtins(INSTANCE))
+
+            stand_in.after_page = write_behind_the_reader
+            states = follow(client, lists.KIND, Random(1))
+            names = [item.name for item in (await anext(states)).items]
+            assert names == list("bcde")
+            assert [item.name for item in (await anext(states)).items] == ["a"]
+
+    run(scenario)
+
+
 def test_a_watch_tells_of_changes_and_of_what_is_gone():
     async def scenario():
         async with store() as (stand_in, client):
--- a/test/test_relay.py
+++ b/test/test_relay.py
@@ -98,6 +98,18 @@
     assert update.changes == (ListChange(5, "papers-1", None),)
 
 
+def test_a_change_that_the_list_holds_already_sets_nothing_back():
+    cache = FeedCache()
+    newer = msgspec.structs.replace(instance("papers-1"), incarnation=2)
+    cache.take_list(3, [ListChange(6, "papers-1", newer)], whole=True)
+    again = [ListChange(5, "papers-1", None), ListChange(6, "papers-1", newer)]
+    taken = cache.take_list(
+        6, [*again, ListChange(7, "papers-2", instance("papers-2"))], whole=False
+    )
+    assert [change.version for change in taken] == [6, 7]
+    assert cache.instances["papers-1"] == newer
+
+
 async def zone_of(installation, count):
     for number in range(count):
         await installation.add(f"papers-{number}")
