Start with one priced call: stale reads, and one write of the own entry

Cause: a start read the list in full once or twice, and a daemon that started again created its entry (409, as it stood there from the life before), read it, and wrote it: up to five priced calls, by all daemons at once after a loss of power. Followers whose parents were still starting read list and head in full again. Ruled out: taking the list from a neighbour at the start (nobody is known before a list); writing without a version (a late writer would win over a newer incarnation). Change: list and configuration are first read stale (a tenth of the price, no part of the rate on the users' platform), side by side, so a request need not wait for a parent that starts too; the tree or the watch goes on from the version that was read, and a stale list older than the own copy is left alone. A stale list confirms nothing (leases of keys). The publisher waits up to 0.3 s for the first list, and takes neither a list from before its write nor a watch that is ahead of the answer for a reason to read.

--- a/packages/wheatslip/wheatslip/objects.py
+++ b/packages/wheatslip/wheatslip/objects.py
@@ -37,12 +37,14 @@
 class Listing(msgspec.Struct, frozen=True):
     """Objects of one kind, and the version up to which the listing is complete.
 
-    `whole`: these are all objects there are, rather than what has changed.
+    `whole`: these are all objects there are, rather than what has changed. `stale`: the
+    platform may have acknowledged later changes already.
     """
 
     version: int
     items: tuple[StoredObject, ...] = ()
     whole: bool = False
+    stale: bool = False
 
 
 class WriteBody(msgspec.Struct, frozen=True):
@@ -96,17 +98,23 @@
 
 
 class ObjectStore(Protocol):
-    """The platform's objects as the tasks here see them: the port for other stores."""
+    """The platform's objects as the tasks here see them: the port for other stores.
+
+    `stale_ok`: an answer that is seconds old will do. Some platforms give those cheaply; others
+    may answer as to any read.
+    """
 
     calls: int
 
     async def close(self) -> None:
         """Close the connections."""
 
-    async def get(self, kind: str, name: str) -> Result[StoredObject | None, Unavailable]:
+    async def get(
+        self, kind: str, name: str, *, stale_ok: bool = False
+    ) -> Result[StoredObject | None, Unavailable]:
         """One object, or None if it does not exist."""
 
-    async def list(self, kind: str) -> Result[Listing, Unavailable]:
+    async def list(self, kind: str, *, stale_ok: bool = False) -> Result[Listing, Unavailable]:
         """All objects of a kind."""
 
     async def changes(self, kind: str, since: int, wait: float) -> Result[Listing, ReadError]:
@@ -136,8 +144,10 @@
         if self._session is not None:
             await self._session.close()
 
-    async def get(self, kind: str, name: str) -> Result[StoredObject | None, Unavailable]:
-        """One object, or None if it does not exist."""
+    async def get(
+        self, kind: str, name: str, *, stale_ok: bool = False
+    ) -> Result[StoredObject | None, Unavailable]:
+        """One object, or None if it does not exist; never a stale one."""
         answer = await self._call("GET", f"/objects/{kind}/{name}")
         match answer:
             case Ok((200, body)):
@@ -146,8 +156,8 @@
                 return Ok(None)
         return Err(_unavailable(answer))
 
-    async def list(self, kind: str) -> Result[Listing, Unavailable]:
-        """All objects of a kind."""
+    async def list(self, kind: str, *, stale_ok: bool = False) -> Result[Listing, Unavailable]:
+        """All objects of a kind, never stale ones."""
         answer = await self._call("GET", f"/objects/{kind}")
         match answer:
             case Ok((200, body)):
@@ -249,13 +259,13 @@
 
     After a version that is too old, or a new start of the platform, it lists again. After
     each change it rests for `pause` seconds, so that many changes come as one. With `since`
-    the listing of that version is known already.
+    the listing of that version is known already; what has changed since is told at once.
     """
     backoff = Backoff(rng, last=backoff_last)
     version = since
     # A watch hears nothing from a platform that is silent, so after a failure it does not wait:
     # it must not be held when the platform is back.
-    wait_now = wait
+    wait_now = wait if since is None else 0.0
     while True:
         if version is None:
             answer: Result[Listing, ReadError] = await client.list(kind)
--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -273,8 +273,9 @@
     ) -> None:
         """Compare the list with what we published."""
         if self.own_server is not None:
-            version = self.feed.cache.version_of(self.settings.name)
-            self.own_server.check_entry(instances, gone, whole, version)
+            cache = self.feed.cache
+            version = cache.version_of(self.settings.name)
+            self.own_server.check_entry(instances, gone, whole, version, cache.listed)
 
     def status(self) -> Status:
         """The state for the status page."""
--- a/packages/wheatslipd/wheatslipd/feed.py
+++ b/packages/wheatslipd/wheatslipd/feed.py
@@ -42,6 +42,9 @@
 HINT_PATIENCE = 0.25  # seconds that the relay gets before a hint leads to the platform
 HINT_SPACING = 1.0  # seconds between reads of the platform that hints give rise to
 STALE_SECONDS = 15.0  # a parent whose news are not confirmed for so long is left
+# Stale lists that are read in search of the own entry before a present one is read, which the
+# users' platform charges ten times as much for.
+SETTLE_READS = 3
 TURN_SECONDS = 0.2  # pause before the next parent is tried
 
 
@@ -89,7 +92,7 @@
         self._hint = asyncio.Event()
         self._hinted_version = 0
         self._hinted_by = ""
-        self._first_list = 0  # version of the first listing, while no watch has gone on from it
+        self._head_seen = 0  # the store's version of the head that was read last
 
     @property
     def watches(self) -> bool:
@@ -114,11 +117,11 @@
     # The two roles.
 
     async def _keep_up(self) -> None:
-        await self._read_first_list()
+        await self._read_first()
         if self._pace.settle and not self._order:
             # All of the zone may be starting now. Once they are listed, most follow others.
             await asyncio.sleep(self._pace.settle * (0.75 + 0.5 * self._rng.random()))
-            await self._read_first_list()
+            await self._read_settled_list()
         while True:
             self._role_changed.clear()
             if self.watches:
@@ -137,8 +140,7 @@
         turn = 0
         while not self._role_changed.is_set():
             if in_vain >= len(parents):
-                await self._read_list()
-                await self._read_head()
+                await self._read_both()
                 in_vain = 0
                 continue
             had_news = await self._follow(parents[turn % len(parents)])
@@ -147,29 +149,59 @@
             if not self._role_changed.is_set():
                 await asyncio.sleep(TURN_SECONDS * (0.5 + self._rng.random()))
 
-    async def _read_first_list(self) -> None:
-        """The first list comes from the platform: before it there is no one to follow."""
+    async def _read_first(self) -> None:
+        """The first list comes from the platform: before it there is no one to follow.
+
+        The configuration is read beside it, so that requests need not wait for a parent that
+        starts too. Both may be stale: the parent, or the watch, tells what has changed.
+        """
+        backoff = Backoff(self._rng, last=self._pace.retry_last)
+        while not await self._read_both():
+            await asyncio.sleep(backoff.next())
+
+    async def _read_both(self) -> bool:
+        """Read the list and the head, which may be stale; whether the list was answered."""
+        answered, _ = await asyncio.gather(
+            self._read_list(stale_ok=True), self._read_head(stale_ok=True)
+        )
+        return answered
+
+    async def _read_settled_list(self) -> None:
+        """Read the list after the zone has settled, so that the own entry shows that it is not
+        one from before.
+        """
+        for _ in range(SETTLE_READS):
+            await self._read_list(stale_ok=True)
+            if self._name in self.cache.instances:
+                return
+            await asyncio.sleep(self._pace.settle / SETTLE_READS)
         backoff = Backoff(self._rng, last=self._pace.retry_last)
         while not await self._read_list():
             await asyncio.sleep(backoff.next())
 
-    async def _read_list(self) -> bool:
+    async def _read_list(self, *, stale_ok: bool = False) -> bool:
         """Read the whole list from the platform once; whether it answered."""
-        match await self.client.list(lists.KIND):
+        match await self.client.list(lists.KIND, stale_ok=stale_ok):
             case Ok(listing):
-                self._confirm()
-                self._take_listing(listing)
-                self._first_list = listing.version
+                self._take_read_list(listing)
                 return True
             case Err(trouble):
                 _log_trouble(trouble)
         return False
 
-    async def _read_head(self) -> bool:
+    def _take_read_list(self, listing: Listing) -> None:
+        if not listing.stale:
+            self._confirm()
+        elif listing.version < self.cache.listed:
+            return
+        self._take_listing(listing)
+
+    async def _read_head(self, *, stale_ok: bool = False) -> bool:
         """Read the head from the platform once; whether it answered."""
-        match await self.client.get(heads.KIND, heads.NAME):
+        match await self.client.get(heads.KIND, heads.NAME, stale_ok=stale_ok):
             case Ok(found):
                 if found is not None:
+                    self._head_seen = max(self._head_seen, found.version)
                     await self._fetch_newer(found)
                 return True
             case Err(trouble):
@@ -188,9 +220,8 @@
                 task.cancel()
 
     async def _watch_list(self) -> None:
-        since = self._first_list or None
-        # A watcher that becomes one again has lost sight of the list meanwhile.
-        self._first_list = 0
+        # What was read or followed so far is complete up to its version.
+        since = self.cache.listed or None
         wait = self._pace.list_watch
         async for listing in follow(
             self.client,
@@ -207,10 +238,14 @@
                 self._take_listing(listing)
 
     async def _watch_head(self) -> None:
-        wait = self._pace.watch
-        retry_last = self._pace.retry_last
         async for listing in follow(
-            self.client, heads.KIND, self._rng, _log_trouble, wait, 0.0, retry_last
+            self.client,
+            heads.KIND,
+            self._rng,
+            _log_trouble,
+            self._pace.watch,
+            backoff_last=self._pace.retry_last,
+            since=self._head_seen or None,
         ):
             for item in listing.items:
                 await self._fetch_newer(item)
--- a/packages/wheatslipd/wheatslipd/ownserver.py
+++ b/packages/wheatslipd/wheatslipd/ownserver.py
@@ -138,12 +138,17 @@
         await self._publisher.wait_settled(PUBLISH_SECONDS)
 
     def check_entry(
-        self, instances: tuple[Instance, ...], gone: tuple[str, ...], whole: bool, version: int
+        self,
+        instances: tuple[Instance, ...],
+        gone: tuple[str, ...],
+        whole: bool,
+        version: int,
+        at: int,
     ) -> None:
         """Compare the list, or changes of it, with what we published; `version` is that of our
-        entry there.
+        entry there, `at` that of the list.
         """
         name = self._settings.name
         listed = next((i for i in instances if i.name == name), None)
         if listed is not None or whole or name in gone:
-            self._publisher.seen(listed, version)
+            self._publisher.seen(listed, version, at)
--- a/packages/wheatslipd/wheatslipd/publisher.py
+++ b/packages/wheatslipd/wheatslipd/publisher.py
@@ -17,6 +17,9 @@
 from wheatslipd import logs
 
 RETRY_LAST = 1.0  # seconds; the entry of a live daemon must not be missing for long
+# Seconds that the first write waits for the list. Without it a daemon that starts again needs
+# three calls (refused creation, read, write) instead of one.
+LIST_PATIENCE = 0.3
 
 
 class Publisher:
@@ -33,6 +36,7 @@
         self._attempted: Instance | None = None
         self._changed = asyncio.Event()
         self._settled = asyncio.Event()
+        self._listed = asyncio.Event()  # set once a list was seen
         self._gone = False
         self._in_doubt = False
 
@@ -52,9 +56,16 @@
             async with asyncio.timeout(seconds):
                 await self._settled.wait()
 
-    def seen(self, listed: Instance | None, version: int = 0) -> None:
-        """Message: the list shows this entry in our name; None if it shows none."""
-        if listed == self._stored:
+    def seen(self, listed: Instance | None, version: int = 0, at: int | None = None) -> None:
+        """Message: the list shows this entry in our name; None if it shows none.
+
+        `version` is that of the entry, `at` that of the list; one from before our last write
+        tells nothing, and of a write that is under way its answer will tell.
+        """
+        self._listed.set()
+        if listed == self._stored or (listed is not None and listed == self._attempted):
+            return
+        if at is not None and at < self._version:
             return
         if listed is not None and version and self._is_first and self._attempted is None:
             # That of the life before. A version that is wrong shows with the first write.
@@ -65,6 +76,9 @@
 
     async def run(self) -> None:
         """Run until cancelled."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(LIST_PATIENCE):
+                await self._listed.wait()
         while True:
             await self._changed.wait()
             self._changed.clear()
--- a/test/test_publisher.py
+++ b/test/test_publisher.py
@@ -120,6 +120,53 @@
     run(scenario)
 
 
+def test_a_new_start_that_registers_before_its_list_comes_writes_once_too():
+    async def scenario():
+        async with standing_store() as store:
+            await leave_entry(store)
+            store.calls.clear()
+            async with publisher(store) as one:
+                one.publish(INSTANCE)
+                await asyncio.sleep(0.05)
+                one.seen(INSTANCE, store.rev, store.rev)
+                await settled(one)
+            assert len(store.calls) == 1
+            assert entry(store)["incarnation"] == 2
+
+    run(scenario)
+
+
+def test_a_list_from_before_the_last_write_tells_nothing():
+    async def scenario():
+        async with standing_store() as store, publisher(store) as one:
+            one.publish(INSTANCE)
+            await settled(one)
+            calls = len(store.calls)
+            one.seen(None, at=store.rev - 1)
+            await settled(one)
+            assert len(store.calls) == calls
+
+    run(scenario)
+
+
+def test_a_watch_that_is_ahead_of_the_answer_to_a_write_asks_for_nothing():
+    async def scenario():
+        async with standing_store() as store, publisher(store) as one:
+            put = one._store.put
+
+            async def put_while_the_watch_tells(*args):
+                answer = await put(*args)
+                one.seen(args[2], store.rev, store.rev)
+                return answer
+
+            one._store.put = put_while_the_watch_tells
+            one.publish(INSTANCE)
+            await settled(one)
+            assert len(store.calls) == 1
+
+    run(scenario)
+
+
 def test_a_listed_entry_of_another_version_is_read_before_the_write():
     async def scenario():
         async with standing_store() as store:
