Let watches wait long, with stale reads beside them, and watch the list once a zone

Ruled out: longer watches alone (a configuration was applied too late after a silent store when they were 5 s); one watcher a zone for everything (where the store turns that one away, its zone would hear of news by requests alone). The second watcher of a zone takes the list from the first. A follower whose parents all fail reads the platform (stale) and rests for a second. `as_of` is now the time at which the platform last answered a watcher, so followers no longer leave a parent of a zone in which nothing changes. Tests: a watch made before a silence does not hold the configuration (fails without the check), a quiet platform is heard of by followers (fails too), one list watch a zone.

--- a/packages/wheatslip/wheatslip/feedcache.py
+++ b/packages/wheatslip/wheatslip/feedcache.py
@@ -38,8 +38,8 @@
 
 class Update(msgspec.Struct, frozen=True, omit_defaults=True):
     """What a follower lacks. `as_of` is the unix time, by a watcher's clock, at which the
-    platform last confirmed the list; `checked` that at which a watcher last heard from the
-    platform or learned that it is down. With `whole` the list is complete, else it holds
+    platform last answered; `checked` that at which it last confirmed the list to a watcher, or
+    the watcher learned that it is down. With `whole` the list is complete, else it holds
     changes. Either `signed` or `deltas` leads to the bundle of `head`.
     """
 
--- a/packages/wheatslip/wheatslip/relaytree.py
+++ b/packages/wheatslip/wheatslip/relaytree.py
@@ -34,6 +34,16 @@
     return [order[parent] for parent in tried]
 
 
+def list_parents_of(name: str, order: Sequence[str], watchers: int = WATCHERS) -> list[str]:
+    """Whom `name` follows for the list: a watcher those before it, else its parents.
+
+    Each change of the list ends every watch of it, so only the first watcher has one.
+    """
+    if not is_watcher(name, order, watchers):
+        return parents_of(name, order, watchers)
+    return list(order[: order.index(name)]) if name in order else []
+
+
 def depth_of(count: int) -> int:
     """Steps from a watcher to the farthest of `count` members."""
     depth = 0
--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -129,6 +129,7 @@
             FeedPace(
                 settings.watchers,
                 settings.watch_seconds,
+                settings.watch_check,
                 settings.list_watch_seconds,
                 settings.list_pause,
                 settings.platform_retry_last,
--- a/packages/wheatslipd/wheatslipd/feed.py
+++ b/packages/wheatslipd/wheatslipd/feed.py
@@ -6,7 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
-from contextlib import aclosing
+from contextlib import aclosing, suppress
 from dataclasses import dataclass
 from random import Random
 
@@ -29,7 +29,7 @@
     Unavailable,
     follow,
 )
-from wheatslip.relaytree import WATCHERS, is_watcher, parents_of, relay_order
+from wheatslip.relaytree import WATCHERS, is_watcher, list_parents_of, relay_order
 from wheatslip.signedbundle import SignedBundle
 
 from wheatslipd import logs
@@ -46,6 +46,9 @@
 # users' platform charges ten times as much for.
 SETTLE_READS = 3
 TURN_SECONDS = 0.2  # pause before the next parent is tried
+# Pause before the parents are tried again that all failed; the platform was read instead, which
+# bounds what a zone without its first daemons costs.
+IN_VAIN_SECONDS = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +57,7 @@
 
     watchers: int = WATCHERS
     watch: float = WATCH_SECONDS
+    watch_check: float = 0.0  # between stale reads of the head beside its watch; 0: none
     list_watch: float = WATCH_SECONDS
     list_pause: float = 0.0  # between two changes of the list
     retry_last: float = BACKOFF_LAST  # longest wait after a failed call
@@ -141,13 +145,19 @@
         while not self._role_changed.is_set():
             if in_vain >= len(parents):
                 await self._read_both()
+                await self._rest(IN_VAIN_SECONDS)
                 in_vain = 0
                 continue
             had_news = await self._follow(parents[turn % len(parents)])
             in_vain = 0 if had_news else in_vain + 1
             turn += 1
-            if not self._role_changed.is_set():
-                await asyncio.sleep(TURN_SECONDS * (0.5 + self._rng.random()))
+            await self._rest(TURN_SECONDS)
+
+    async def _rest(self, seconds: float) -> None:
+        """Sleep for about so long, or until this daemon's role changes."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(seconds * (0.5 + self._rng.random())):
+                await self._role_changed.wait()
 
     async def _read_first(self) -> None:
         """The first list comes from the platform: before it there is no one to follow.
@@ -209,10 +219,15 @@
         return False
 
     async def _watch_platform(self) -> None:
-        logs.info("watching-platform")
+        """Watch the head and the list until this daemon's role changes.
+
+        The list comes from the watcher before this one, if there is one.
+        """
+        parents = self._parents()
+        logs.info("watching-platform", list_from=parents[0] if parents else "platform")
         async with asyncio.TaskGroup() as group:
             tasks = [
-                group.create_task(self._watch_list()),
+                group.create_task(self._follow_parents() if parents else self._watch_list()),
                 group.create_task(self._watch_head()),
             ]
             await self._role_changed.wait()
@@ -238,6 +253,40 @@
                 self._take_listing(listing)
 
     async def _watch_head(self) -> None:
+        """Watch the head, and begin anew where the platform was silent for a while.
+
+        A watch that was made before the silence hears nothing after it.
+        """
+        if not self._pace.watch_check:
+            await self._follow_head()
+            return
+        while True:
+            tasks = [
+                asyncio.ensure_future(self._follow_head()),
+                asyncio.ensure_future(self._check_head()),
+            ]
+            try:
+                done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            finally:
+                for task in tasks:
+                    task.cancel()
+                await asyncio.gather(*tasks, return_exceptions=True)
+            for task in done:
+                task.result()
+
+    async def _check_head(self) -> None:
+        """Read the head now and then, until the platform is back from not answering."""
+        was_silent = False
+        while True:
+            await asyncio.sleep(self._pace.watch_check)
+            if not await self._read_head(stale_ok=True):
+                was_silent = True
+                continue
+            self.cache.as_of = self._unix()
+            if was_silent:
+                return
+
+    async def _follow_head(self) -> None:
         async for listing in follow(
             self.client,
             heads.KIND,
@@ -248,6 +297,7 @@
             since=self._head_seen or None,
         ):
             for item in listing.items:
+                self._head_seen = max(self._head_seen, item.version)
                 await self._fetch_newer(item)
 
     async def _follow(self, parent: str) -> bool:
@@ -346,7 +396,7 @@
             self._role_changed.set()
 
     def _parents(self) -> list[str]:
-        return parents_of(self._name, self._order, self._pace.watchers)
+        return list_parents_of(self._name, self._order, self._pace.watchers)
 
     def _take_update(self, update: Update) -> None:
         if (update.whole or update.changes) and not self.cache.is_late(update):
--- a/packages/wheatslipd/wheatslipd/settings.py
+++ b/packages/wheatslipd/wheatslipd/settings.py
@@ -125,6 +125,7 @@
     checks_per_second: float = CHECKS_PER_SECOND
     watchers: int = WATCHERS
     watch_seconds: float = WATCH_SECONDS
+    watch_check: float = 0.0
     list_watch_seconds: float = WATCH_SECONDS
     list_pause: float = 0.0
     list_settle: float = 0.0
@@ -212,6 +213,7 @@
         checks_per_second=backend.number("checks-per-second", CHECKS_PER_SECOND, 1.0, 1e4),
         watchers=control.integer("watchers", WATCHERS, 1, 1000),
         watch_seconds=control.duration("watch", WATCH_SECONDS),
+        watch_check=control.duration("watch-check", 0.0),
         list_watch_seconds=control.duration("list-watch", WATCH_SECONDS),
         list_pause=control.duration("list-pause", 0.0),
         list_settle=control.duration("list-settle", 0.0),
--- a/test/routed_fleet.py
+++ b/test/routed_fleet.py
@@ -29,8 +29,9 @@
 [peer]
 plain-text = yes
 [control]
-watch = 1s
-list-watch = 1s
+watch = {watch}
+watch-check = {watch_check}
+list-watch = {watch}
 list-settle = {settle}
 [backend]
 port = {port}
@@ -85,6 +86,8 @@
     backends: dict[str, PlainBackend] = field(default_factory=dict)
     tasks: dict[str, asyncio.Task] = field(default_factory=dict)
     settle: str = "0s"
+    watch: str = "1s"
+    watch_check: str = "0s"
 
     async def add(self, name, backend=None):
         backend = backend or PlainBackend(f"i-{name}")
@@ -95,7 +98,14 @@
     async def start(self, name):
         store = f"{HOST}:{self.store.server.port}"
         port = self.backends[name].server.port
-        text = SETTINGS.format(name=name, port=port, store=store, settle=self.settle)
+        text = SETTINGS.format(
+            name=name,
+            port=port,
+            store=store,
+            settle=self.settle,
+            watch=self.watch,
+            watch_check=self.watch_check,
+        )
         settings = parse_settings(text, name)
         ports = Ports(FleetStore(store), decode_heartbeat)
         daemon = Daemon(settings.unwrap(), Random(3), ports=ports)
--- a/test/test_store_trouble.py
+++ b/test/test_store_trouble.py
@@ -9,6 +9,7 @@
 from wheatslip.bundle import Route, Split
 from wheatslip.chooser import Chooser, ChooserSettings, Upstream
 from wheatslip.hop import LoadReport
+from wheatslip.relaytree import relay_order
 from wheatslip.routes import pick_service
 
 from fleet_adapter.store import KINDS
@@ -86,6 +87,73 @@
     run(scenario)
 
 
+def test_a_watch_made_before_a_silence_does_not_hold_the_configuration_after_it():
+    async def scenario():
+        async with fleet("a", "b", "c", watch="20s", watch_check="100ms") as one:
+            one.store.fault = Fault.SILENT
+            one.store.write("config", "main", configuration(2))
+            calls = len(one.store.calls)
+
+            async def noticed():
+                return len(one.store.calls) > calls + 2
+
+            await eventually(noticed)
+            one.store.fault = Fault.NONE
+            async with asyncio.timeout(BACK_SECONDS):
+                await one.ready(2)
+
+    run(scenario)
+
+
+def test_a_quiet_platform_is_still_heard_of_by_followers():
+    """A parent that hears nothing of the platform is left; one in whose zone nothing changes
+    must not be.
+    """
+
+    async def scenario():
+        async with fleet("a", "b", "c", watch="20s", watch_check="100ms") as one:
+            seen = {name: d.feed.cache.as_of for name, d in one.daemons.items()}
+
+            async def heard():
+                return all(d.feed.cache.as_of > seen[n] for n, d in one.daemons.items())
+
+            async with asyncio.timeout(5.0):
+                await eventually(heard)
+
+    run(scenario)
+
+
+def test_one_daemon_of_a_zone_watches_the_list_and_a_second_the_configuration():
+    async def scenario():
+        async with fleet(*"abcd", watch="20s", watch_check="10s") as one:
+            calls = one.store.calls
+
+            async def all_watch():
+                waiting = [c.split("?")[0] for c in calls if "wait_ms=20000" in c]
+                return len(waiting) >= 3 and len(set(waiting)) == 2
+
+            await eventually(all_watch)
+            own = one.store.objects[KINDS[lists.KIND], "a"]
+            # One that takes nobody's place in the tree.
+            new = next(n for n in "efghijkl" if relay_order([*"abcd", n])[-1] == n)
+            other = json.loads(bytes(own.spec)) | {"name": new, "peer_port": 9}
+            calls.clear()
+            one.store.write(KINDS[lists.KIND], new, other)
+
+            async def known():
+                return all(new in d.feed.cache.instances for d in one.daemons.values())
+
+            async def watched_again():
+                return len(calls) > 0
+
+            await eventually(known)
+            await eventually(watched_again)
+            await asyncio.sleep(0.1)
+            assert len(calls) == 1 and "instances?watch=" in calls[0]
+
+    run(scenario)
+
+
 def test_servers_whose_entries_lapsed_get_work_all_the_while():
     async def scenario():
         async with fleet("a", "b") as one:
