Wait for the watches before the store falls silent, so that the test fails without the check

Cause: the test of watches made before a silence began while the watches were still being made; those then failed, came back short, and the test passed also with `watch-check = 0s`. Change: it waits until both kinds of watch wait for 20 s.

--- a/test/test_store_trouble.py
+++ b/test/test_store_trouble.py
@@ -87,17 +87,23 @@
     run(scenario)
 
 
+async def all_watch(one):
+    """Wait until the watches of the list and the configuration are made that wait 20 s."""
+
+    async def made():
+        waiting = [c.split("?")[0] for c in one.store.calls if "wait_ms=20000" in c]
+        return len(waiting) >= 3 and len(set(waiting)) == 2
+
+    await eventually(made)
+
+
 def test_a_watch_made_before_a_silence_does_not_hold_the_configuration_after_it():
     async def scenario():
         async with fleet("a", "b", "c", watch="20s", watch_check="100ms") as one:
+            await all_watch(one)
             one.store.fault = Fault.SILENT
             one.store.write("config", "main", configuration(2))
-            calls = len(one.store.calls)
-
-            async def noticed():
-                return len(one.store.calls) > calls + 2
-
-            await eventually(noticed)
+            await asyncio.sleep(1.0)  # more than a call is waited for
             one.store.fault = Fault.NONE
             async with asyncio.timeout(BACK_SECONDS):
                 await one.ready(2)
@@ -128,11 +134,7 @@
         async with fleet(*"abcd", watch="20s", watch_check="10s") as one:
             calls = one.store.calls
 
-            async def all_watch():
-                waiting = [c.split("?")[0] for c in calls if "wait_ms=20000" in c]
-                return len(waiting) >= 3 and len(set(waiting)) == 2
-
-            await eventually(all_watch)
+            await all_watch(one)
             own = one.store.objects[KINDS[lists.KIND], "a"]
             # One that takes nobody's place in the tree.
             new = next(n for n in "efghijkl" if relay_order([*"abcd", n])[-1] == n)
