Let a call bound by its key wait for its connection as long as its caller does

Cause, of the test in KNOWN-RED.txt (one of 20 sends of a key told "not run" beside load, though the key ran): both the way to the key's owner and the owner's to its server gave up a connection after 0.25 s, and said "not run". For other calls that is right, as others are left to try; a call bound by its key has one place to go, and another send of the key runs there. Reproduced by letting the test's machine stand still 8 times for 0.25 s while connections are made: all 20 were told "not run: unreachable" and none ran; with the first wait mended one was. Ruled out: answering "unknown" instead (callers whose owner is really gone would not learn that nothing ran). Change: both connections may take what is left of the deadline.

--- a/packages/wheatslipd/wheatslipd/backend.py
+++ b/packages/wheatslipd/wheatslipd/backend.py
@@ -31,14 +31,20 @@
         self._resting = RestLimit()
 
     async def send(
-        self, head: RequestHead, body: Body, echo: tuple[bytes, bytes] | None = None
+        self,
+        head: RequestHead,
+        body: Body,
+        echo: tuple[bytes, bytes] | None = None,
+        connect_patience: float = 0.0,
     ) -> BackendAnswer | NotRun | Unknown:
         """Send a request; `NotRun` if surely nothing of it reached the server.
 
-        `echo` is the header, with its value, that tells its answer from a surplus one.
+        `echo` is the header, with its value, that tells its answer from a surplus one;
+        `connect_patience` the seconds that a connection may take, if more than usual.
         """
         now = asyncio.get_running_loop().time()
-        connection = await self._pool.take(self._connect_timeout, self._resting.trusted(now))
+        patience = max(self._connect_timeout, connect_patience)
+        connection = await self._pool.take(patience, self._resting.trusted(now))
         if connection is None:
             return NotRun(Reason.UNREACHABLE, retry_after=1.0)
         if echo is not None:
--- a/packages/wheatslipd/wheatslipd/forward.py
+++ b/packages/wheatslipd/wheatslipd/forward.py
@@ -167,7 +167,7 @@
         upstream = peer.upstream
         upstream.on_sent()
         try:
-            connection = await peer.connections.take(CONNECT_TIMEOUT)
+            connection = await peer.connections.take(self._connect_patience(sending.call))
             if connection is None:
                 upstream.on_unreachable(self._clock(), self._rng)
                 return NotRun(Reason.UNREACHABLE, retry_after=1.0)
@@ -178,6 +178,14 @@
         finally:
             upstream.on_done()
 
+    def _connect_patience(self, call: Call) -> float:
+        """Seconds that a connection may take.
+
+        A call bound by its key can go nowhere else, and one told "not run" for a slow connection
+        may have run by another send of its key.
+        """
+        return call.remaining(self._clock()) if call.runs_once_by_key else CONNECT_TIMEOUT
+
     async def _exchange(
         self,
         sending: _Sending,
--- a/packages/wheatslipd/wheatslipd/peerport.py
+++ b/packages/wheatslipd/wheatslipd/peerport.py
@@ -200,6 +200,8 @@
                     self._backend_head(passage),
                     passage.exchange.body,
                     (echo, request_id) if echo and request_id else None,
+                    # Other sends of the same key hear that it runs, so it should.
+                    remaining if passage.call.runs_once_by_key else 0.0,
                 )
             if not isinstance(answer, BackendAnswer):
                 self._gate.on_lost()
--- a/test/test_path.py
+++ b/test/test_path.py
@@ -6,6 +6,7 @@
 import pytest
 from wheatslip.head import Head
 from wheatslip.instances import InstanceState
+from wheatslipd.forward import CONNECT_TIMEOUT
 from wheatslipd.view import Configuration
 
 from standins.backend import Behaviour
@@ -15,6 +16,8 @@
 from standins.verdict import judge
 from test.helper import BUNDLE, Installation, bundle, run
 
+STALLS = 8  # of the test's own machine, each as long as a connection may take
+
 
 def two_upstreams(folder, scenario, **behaviour):
     async def main():
@@ -119,6 +122,32 @@
     two_upstreams(tmp_path, scenario, service=0.05)
 
 
+def test_many_resends_at_once_run_once_though_the_machine_stands_still_at_times(tmp_path):
+    """A call bound by its key can go nowhere else, so a slow connection is no reason to end it."""
+
+    async def scenario(installation):
+        caller = installation.caller()
+        key = make_key(caller.rng, time.time())
+        entries = [node.entry for node in installation.nodes.values()]
+
+        async def stand_still():
+            for _ in range(STALLS):
+                await asyncio.sleep(0.001)
+                time.sleep(CONNECT_TIMEOUT)
+
+        await asyncio.gather(
+            stand_still(),
+            *(
+                caller.ask(entries[i % 2], "papers", "submit", once=True, key=key)
+                for i in range(20)
+            ),
+        )
+        assert [(o.told, o.reason) for o in caller.asked if o.told is Told.NOT_RUN] == []
+        assert len(runs_of(installation)) == 1
+
+    two_upstreams(tmp_path, scenario, service=0.05)
+
+
 def test_a_key_from_before_a_restart_is_unknown_and_not_run(tmp_path):
     async def scenario(installation):
         caller = installation.caller()
