Remove a dead entry with one call, and leave a parent that hears nothing itself

Cause: every daemon that reads the platform (two a zone) read and then removed the entry of each dead daemon: 20 calls an entry in five zones. Found by reading. And a second watcher, which now hears of the platform by itself, took its own news for its parent's. Change: the first reader of the entry's zone removes it, with the version that it knows; the next does 10 s later, and those of other zones after that. A parent is judged by its own `as_of`, and by whether it told anything new. Ruled out: leaving it to the zone's own readers alone (a zone that is gone has none). Test: test_one_daemon_removes_a_dead_entry_and_the_others_leave_it_to_that_one; the removal's own test now asks that no read goes before.

--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -347,7 +347,8 @@
             rng,
             self._monotonic,
             decode,
-            lambda: self.feed.watches,
+            self.feed.removal_turn,
+            self.feed.cache.version_of,
         )
 
     def _publish(self) -> None:
--- a/packages/wheatslipd/wheatslipd/feed.py
+++ b/packages/wheatslipd/wheatslipd/feed.py
@@ -103,6 +103,15 @@
         """Whether this daemon reads the platform for others."""
         return is_watcher(self._name, self._order, self._pace.watchers)
 
+    def removal_turn(self, zone: str) -> int | None:
+        """How many daemons are to remove dead entries of `zone` before this one; None if it
+        does not read the platform.
+        """
+        if not self.watches or self._name not in self._order:
+            return None
+        place = self._order.index(self._name)
+        return place if zone == self._zone else self._pace.watchers + place
+
     def check_head(self, version: int, address: str = "") -> None:
         """Message: the daemon at `address` knows this newer version."""
         self._hinted_version = max(self._hinted_version, version)
@@ -305,7 +314,6 @@
         instance = self.cache.instances.get(parent)
         if instance is None or not instance.control_port:
             return False
-        before = self.cache.as_of
         logs.info("following", parent=parent)
         reading = asyncio.ensure_future(self._read_parent(instance))
         moving = asyncio.ensure_future(self._role_changed.wait())
@@ -315,19 +323,28 @@
             for task in (reading, moving):
                 task.cancel()
             await asyncio.gather(reading, moving, return_exceptions=True)
-        return self.cache.as_of > before
+        return reading.result() if not reading.cancelled() else False
 
-    async def _read_parent(self, parent: Instance) -> None:
+    async def _read_parent(self, parent: Instance) -> bool:
+        """Take a parent's updates until it fails, or the platform has not answered it, or those
+        that it follows, for long; whether it had news.
+        """
         loop = asyncio.get_running_loop()
-        confirmed = loop.time()
+        had_news = False
+        heard = 0.0  # the latest `as_of` of the parent
+        heard_at = loop.time()
+        before = self.cache.as_of
         cursor = self.cache.cursor(self._name)
         async with aclosing(follow_parent(parent, cursor, self._tls)) as updates:
             async for update in updates:
-                if update.as_of > self.cache.as_of:
-                    confirmed = loop.time()
+                had_news |= update.as_of > before or update.listed > cursor.listed
+                if update.as_of > heard:
+                    heard = update.as_of
+                    heard_at = loop.time()
                 self._take_update(update)
-                if loop.time() - confirmed > STALE_SECONDS:
-                    return
+                if loop.time() - heard_at > STALE_SECONDS:
+                    break
+        return had_news
 
     async def _answer_hints(self) -> None:
         """Read the platform only if the relay did not bring the hinted version in time."""
--- a/packages/wheatslipd/wheatslipd/ownserver.py
+++ b/packages/wheatslipd/wheatslipd/ownserver.py
@@ -46,9 +46,10 @@
         rng: Random,
         clock: Callable[[], float],
         decode: HeartbeatDecoder,
-        is_watcher: Callable[[], bool],
+        removal_turn: Callable[[str], int | None],
+        listed_version: Callable[[str], int],
     ):
-        """`is_watcher` tells whether this daemon reads the platform for its zone."""
+        """For the last two see `DeadEntryRemover`."""
         self._settings = settings
         self._view = view
         self._gate = gate
@@ -74,7 +75,9 @@
             gate.ask_speed = self._check.ask_briefly
             gate.check_price = settings.check_price
         self._publisher = Publisher(store, rng)
-        self.remover = DeadEntryRemover(settings.name, store, view, clock, is_watcher)
+        self.remover = DeadEntryRemover(
+            settings.name, store, view, clock, removal_turn, listed_version
+        )
         self.registration_server = Server(self._registrar.handle)
         gate.is_probed = True
         # Who stands there, and whether it leaves, is not known yet.
--- a/packages/wheatslipd/wheatslipd/removal.py
+++ b/packages/wheatslipd/wheatslipd/removal.py
@@ -1,25 +1,28 @@
 """The task that removes entries of daemons that are gone for good from the platform's list.
 
 Where daemons write their own entries, nobody else takes back that of one that died. The
-daemons that read the platform for their zone do. One removed in error, as the two can't
-reach each other, sees its entry missing and writes it again.
+daemons that read the platform for their zone do: the first of them at once, the next later, and
+those of other zones last, so that an entry costs one call whatever the size of the fleet. One
+removed in error, as the two can't reach each other, sees its entry missing and writes it again.
 """
 
 import asyncio
 from collections.abc import Callable
 
-from result import Ok
+from result import Err, Ok
 from wheatslip import instances as lists
-from wheatslip.objects import ObjectStore
+from wheatslip.objects import Conflict, ObjectStore
 
 from wheatslipd import logs
-from wheatslipd.view import View
+from wheatslipd.view import Peer, View
 
 LOOK_SECONDS = 5.0
+# Seconds that each daemon leaves to the one whose turn is before its own: two of its looks.
+TURN_SECONDS = 2 * LOOK_SECONDS
 
 
 class DeadEntryRemover:
-    """Removes the entries of dead daemons, while `is_due` says that it is this one's turn."""
+    """Removes the entries of dead daemons."""
 
     def __init__(
         self,
@@ -27,21 +30,25 @@
         store: ObjectStore,
         view: View,
         clock: Callable[[], float],
-        is_due: Callable[[], bool],
+        turn: Callable[[str], int | None],
+        version_of: Callable[[str], int],
     ):
-        """`name` is this daemon's own, whose entry is left alone."""
+        """`name` is this daemon's own, whose entry is left alone. `turn` tells how many others
+        are to remove entries of a zone before this one, None if it does not remove any;
+        `version_of` the version at which an instance is listed.
+        """
         self._name = name
         self._store = store
         self._view = view
         self._clock = clock
-        self._is_due = is_due
+        self._turn = turn
+        self._version_of = version_of
 
     async def run(self) -> None:
         """Run until cancelled."""
         while True:
             await asyncio.sleep(LOOK_SECONDS)
-            if self._is_due():
-                await self.remove_dead()
+            await self.remove_dead()
 
     async def remove_dead(self) -> None:
         """Remove what is dead as far as this daemon can tell."""
@@ -49,15 +56,22 @@
         pools = self._view.membership.pools.values()
         peers = [peer for pool in pools for peer in pool]
         for peer in peers:
-            name = peer.instance.name
-            if name != self._name and peer.upstream.is_dead(now):
-                await self._remove(name, peer.instance.incarnation)
+            if self._is_ours_to_remove(peer, now):
+                await self._remove(peer.instance.name, peer.instance.incarnation)
+
+    def _is_ours_to_remove(self, peer: Peer, now: float) -> bool:
+        turn = self._turn(peer.instance.zone)
+        if turn is None or peer.instance.name == self._name:
+            return False
+        return peer.upstream.is_dead(now - turn * TURN_SECONDS)
 
     async def _remove(self, name: str, incarnation: int) -> None:
-        match await self._store.get(lists.KIND, name):
-            case Ok(found) if found is not None:
+        answer = await self._store.delete(lists.KIND, name, self._version_of(name))
+        match answer:
+            case Err(Conflict(found)) if found is not None:
+                # What other daemons tell of the list may name a later version.
                 listed = lists.decode_instance(found.value)
                 if isinstance(listed, Ok) and listed.ok_value.incarnation != incarnation:
                     return  # it has started anew since
                 answer = await self._store.delete(lists.KIND, name, found.version)
-                logs.info("dead-entry-removed", name=name, done=isinstance(answer, Ok))
+        logs.info("dead-entry-removed", name=name, done=isinstance(answer, Ok))
--- a/test/test_routed_path.py
+++ b/test/test_routed_path.py
@@ -6,6 +6,7 @@
 
 from wheatslip import instances as lists
 from wheatslip.chooser import DEAD_AFTER, DEAD_AFTER_FAILURES
+from wheatslipd.removal import TURN_SECONDS
 
 from fleet_adapter.store import KINDS
 from fleet_standins.store import Fault
@@ -140,15 +141,19 @@
             for second in range(DEAD_AFTER_FAILURES):
                 dead.upstream.on_unreachable(float(second), Random(1))
             remover = daemon.own_server.remover
+            remover._turn = lambda zone: 0
             remover._clock = lambda: DEAD_AFTER - 1
             await remover.remove_dead()
             assert (KINDS[lists.KIND], "b") in one.store.objects
             remover._clock = lambda: DEAD_AFTER + 1
+            remover._version_of = lambda name: 1  # as it was before it started anew
             await remover._remove("b", dead.instance.incarnation + 1)
             assert (KINDS[lists.KIND], "b") in one.store.objects
-            writes = len(one.store.calls)
+            remover._version_of = daemon.feed.cache.version_of
+            calls = len(one.store.calls)
             await remover.remove_dead()
-            assert any(call.startswith("DELETE") for call in one.store.calls[writes:])
+            removals = [c for c in one.store.calls[calls:] if "wheatslip-instances/b" in c]
+            assert removals and all(call.startswith("DELETE") for call in removals)
 
             async def is_back():
                 return (KINDS[lists.KIND], "b") in one.store.objects
@@ -158,6 +163,30 @@
     run(scenario)
 
 
+def test_one_daemon_removes_a_dead_entry_and_the_others_leave_it_to_that_one():
+    async def scenario():
+        async with fleet(*"abcd") as one:
+            for daemon in one.daemons.values():
+                for peer in daemon.view.membership.peers("papers"):
+                    for second in range(DEAD_AFTER_FAILURES):
+                        if peer.instance.name == "d":
+                            peer.upstream.on_unreachable(float(second), Random(1))
+            removers = [daemon.own_server.remover for daemon in one.daemons.values()]
+            one.store.fault = Fault.BUSY  # so that the entry stays
+            one.store.calls.clear()
+            for remover in removers:
+                remover._clock = lambda: DEAD_AFTER + 1
+                await remover.remove_dead()
+            assert len([c for c in one.store.calls if c.startswith("DELETE")]) <= 1
+            for remover in removers:
+                remover._clock = lambda: DEAD_AFTER + TURN_SECONDS + 1
+                await remover.remove_dead()
+            assert [c for c in one.store.calls if c.startswith("DELETE")]
+            one.store.fault = Fault.NONE
+
+    run(scenario)
+
+
 def test_a_new_server_beside_the_daemon_gets_work_under_its_own_id():
     async def scenario():
         async with fleet("a") as one:
