--- a/test/test_path.py
+++ b/test/test_path.py
@@ -123,7 +123,7 @@
 
 
 def test_many_resends_at_once_run_once_though_the_machine_stands_still_at_times(tmp_path):
-    """A call bound by its key can go nowhere else, so a slow connection is no reason to end it."""
+    """A call bound by its key can go nowhere else, so it waits for a slow connection."""
 
     async def scenario(installation):
         caller = installation.caller()
