--- a/packages/wheatslipd/wheatslipd/forward.py
+++ b/packages/wheatslipd/wheatslipd/forward.py
@@ -181,8 +181,8 @@
     def _connect_patience(self, call: Call) -> float:
         """Seconds that a connection may take.
 
-        A call bound by its key can go nowhere else, and what is told "not run" because of a slow
-        connection may have run by another send of its key.
+        A call bound by its key can go nowhere else, and what is told "not run" because of a
+        slow connection may have run by another send of its key.
         """
         return call.remaining(self._clock()) if call.runs_once_by_key else CONNECT_TIMEOUT
 
