Ask who is there before a heartbeat with a new id replaces the registered server

Cause: a heartbeat of a server that crashed, held up by a cut, may arrive after a new one has registered at its address. A daemon that has started anew meanwhile does not know the crashed one: it took it for a newer server, retired the present one, and passed over all its later heartbeats, so the server got no more work until its next start. Ruled out: telling by the sequence number (a long-lived one and a young one overlap), by the next heartbeat of the present one (that may be late too). Change: a new id opens a dispute, which the health endpoint settles by who answers there; if it is silent, a second heartbeat a second later does, as late ones come together. Tests (red on the code before: the late heartbeat took over in both cases, late ones that come together too): three in test_registration.py. test_a_new_server_takes_over_and_the_old_one_stays_gone expected that a new id takes over by its first heartbeat alone, which is the fault; it now expects that it does as soon as the health endpoint names it, and the rest as before.

--- a/packages/wheatslip/wheatslip/registration.py
+++ b/packages/wheatslip/wheatslip/registration.py
@@ -3,6 +3,9 @@
 Pure: heartbeats, goodbyes and answers of the health endpoint come in, late and out of order
 as they may be; out comes whether the server may get new work. Each start of a server has an
 id of its own. One that has said it leaves never gets new work again.
+
+A heartbeat with a new id may come from a server that has just taken the place of the present
+one, or late from one that crashed before it. The health endpoint tells who is there.
 """
 
 from collections import OrderedDict
@@ -12,6 +15,10 @@
 import msgspec
 
 MAX_RETIRED = 1000  # ids remembered so that their late heartbeats change nothing
+# Seconds between two heartbeats of a new id after which it is believed without the health
+# endpoint: less than a server leaves between two, more than lies between late ones that come
+# together.
+CLAIM_SECONDS = 1.0
 
 
 class ServerState(StrEnum):
@@ -45,6 +52,15 @@
     warm_at: float = 0.0  # seconds, monotonic
 
 
+@dataclass(frozen=True, slots=True)
+class _Claim:
+    """The first heartbeat of a new id while another was registered; `since` is its time."""
+
+    server: str
+    beat: Heartbeat
+    since: float
+
+
 @dataclass(slots=True)
 class Registration:
     """The registration of one daemon's backend server."""
@@ -53,8 +69,14 @@
     address: str
     current: Registered | None = None
     _sequence: int = -1
+    _claim: _Claim | None = None
     _retired: OrderedDict[str, None] = field(default_factory=OrderedDict)
 
+    @property
+    def is_disputed(self) -> bool:
+        """Whether two ids say that they stand here: the health endpoint should be asked."""
+        return self._claim is not None
+
     def on_heartbeat(self, server: str, beat: Heartbeat, now: float) -> bool:
         """Take a heartbeat; whether `current` changed."""
         if server in self._retired or not self._is_ours(beat):
@@ -66,13 +88,15 @@
                 # A late word of one that went before: the server here is not meant.
                 self._retire(server)
                 return False
-            self._retire(self.current.server)
-        self._sequence = beat.sequence
-        return self._set(server, beat, now)
+            if not self._confirms_claim(server, beat, now):
+                return False
+        return self._take_over(server, beat, now)
 
     def on_goodbye(self, server: str) -> bool:
         """The server leaves for good; whether `current` changed."""
         self._retire(server)
+        if self._claim is not None and self._claim.server == server:
+            self._claim = None
         current = self.current
         if current is None or current.server != server or current.draining:
             return False
@@ -82,13 +106,41 @@
     def on_health(self, server: str, slots: int, *, well: bool) -> bool:
         """The health endpoint told who is there; whether `current` changed.
 
-        It counts only until the first heartbeat, as health may be wrong in both ways.
+        Its word on how the server is counts only until the first heartbeat, as it may be wrong
+        in both ways; who it is settles a dispute.
         """
+        if self._claim is not None:
+            return self._settle(server)
         if self.current is not None or server in self._retired or not well:
             return False
         self.current = Registered(server, slots)
         return True
 
+    def _confirms_claim(self, server: str, beat: Heartbeat, now: float) -> bool:
+        """Note that a new id says that it stands here; whether it has said so for long."""
+        if self._claim is None or self._claim.server != server:
+            self._claim = _Claim(server, beat, now)
+            return False
+        return now - self._claim.since >= CLAIM_SECONDS
+
+    def _settle(self, server: str) -> bool:
+        """`server` answered at the address, which ends a dispute; whether `current` changed."""
+        claim = self._claim
+        assert claim is not None
+        if claim.server == server:
+            return self._take_over(server, claim.beat, claim.since)
+        self._claim = None
+        self._retire(claim.server)
+        return False
+
+    def _take_over(self, server: str, beat: Heartbeat, now: float) -> bool:
+        """A server that was not registered is the present one now."""
+        if self.current is not None:
+            self._retire(self.current.server)
+        self._claim = None
+        self._sequence = beat.sequence
+        return self._set(server, beat, now)
+
     def _is_ours(self, beat: Heartbeat) -> bool:
         return beat.pool == self.pool and beat.address == self.address
 
--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -188,7 +188,6 @@
         helpers: list[asyncio.Task[None]] = []
         if self.own_server is not None:
             tasks += self.own_server.start()
-            # It ends when a backend server has registered, and ends nothing else by that.
             helpers.append(loop.create_task(self.own_server.find()))
         if self.settings.health_path:
             tasks.append(loop.create_task(self.measurer.run()))
--- a/packages/wheatslipd/wheatslipd/ownserver.py
+++ b/packages/wheatslipd/wheatslipd/ownserver.py
@@ -96,7 +96,7 @@
         return [loop.create_task(part.run()) for part in parts]
 
     async def find(self) -> None:
-        """Ask who stands there; ends when someone has registered."""
+        """Ask who stands there, while that is in question."""
         await self._registrar.run()
 
     def take_bounds(self, pool: Pool) -> int:
--- a/packages/wheatslipd/wheatslipd/registrar.py
+++ b/packages/wheatslipd/wheatslipd/registrar.py
@@ -60,6 +60,7 @@
         self._clock = clock
         self._decode = decode
         self.health_path = ""
+        self._disputed = asyncio.Event()
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer `PUT /heartbeats/ID` and `DELETE /heartbeats/ID`."""
@@ -82,14 +83,26 @@
             await exchange.respond(ResponseHead(400))
             return
         self._tell(self._registration.on_heartbeat(server, beat, self._clock()))
+        if self._registration.is_disputed:
+            logs.info("server-disputed", server=server, sequence=beat.sequence)
+            self._disputed.set()
         await exchange.respond(ResponseHead(200), b"{}")
 
     async def run(self) -> None:
-        """Ask the health endpoint who is there until someone has registered."""
-        while self._registration.current is None:
-            if self.health_path:
-                await self._ask()
-            await asyncio.sleep(ASK_SECONDS)
+        """Ask the health endpoint who is there until someone has registered, and again where
+        two ids say that they are there. Runs until cancelled.
+        """
+        while True:
+            while self._is_in_question():
+                if self.health_path:
+                    await self._ask()
+                if self._is_in_question():
+                    await asyncio.sleep(ASK_SECONDS)
+            self._disputed.clear()
+            await self._disputed.wait()
+
+    def _is_in_question(self) -> bool:
+        return self._registration.current is None or self._registration.is_disputed
 
     async def _ask(self) -> None:
         found = await ask_health(self._backend, self.health_path, ASK_TIMEOUT)
@@ -97,9 +110,12 @@
             return
         server = (found.get(self._names.server) or b"").decode("ascii", "replace")
         load = decode_backend_load(found.get(self._names.load) or b"")
-        if server and load is not None:
-            well = found.status == GOOD
-            self._tell(self._registration.on_health(server, load.slots, well=well))
+        if not server or (load is None and not self._registration.is_disputed):
+            return
+        slots = load.slots if load is not None else 0
+        well = found.status == GOOD
+        self._tell(self._registration.on_health(server, slots, well=well))
+        if load is not None:
             self._on_load(load)
 
     def _tell(self, changed: bool) -> None:
--- a/test/test_registration.py
+++ b/test/test_registration.py
@@ -2,7 +2,13 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from wheatslip.registration import MAX_RETIRED, Heartbeat, Registration, ServerState
+from wheatslip.registration import (
+    CLAIM_SECONDS,
+    MAX_RETIRED,
+    Heartbeat,
+    Registration,
+    ServerState,
+)
 
 ADDRESS = "127.0.0.1:8000"
 
@@ -48,7 +54,8 @@
 def test_a_new_server_takes_over_and_the_old_one_stays_gone():
     one = registration()
     one.on_heartbeat("a", beat(5), 0.0)
-    assert one.on_heartbeat("b", beat(1), 1.0)
+    assert not one.on_heartbeat("b", beat(1), 1.0) and one.is_disputed
+    assert one.on_health("b", 12, well=False) and not one.is_disputed
     assert one.current.server == "b"
     assert not one.on_heartbeat("a", beat(6), 1.1)
     assert not one.on_goodbye("a")
@@ -62,6 +69,40 @@
     assert one.current.server == "b" and not one.current.draining
 
 
+def test_a_late_heartbeat_of_a_crashed_server_changes_nothing_after_a_new_start_of_ours():
+    """The daemon does not know the crashed one, as it has started anew itself."""
+    for by_heartbeat in (False, True):
+        one = registration()
+        if by_heartbeat:
+            one.on_heartbeat("b", beat(1), 0.0)
+        else:
+            one.on_health("b", 12, well=True)
+        assert not one.on_heartbeat("a", beat(9), 0.5)
+        assert one.current.server == "b" and one.is_disputed
+        assert not one.on_health("b", 12, well=True)
+        assert one.current.server == "b" and not one.is_disputed
+        assert not one.on_heartbeat("a", beat(10), 2.5)
+        one.on_heartbeat("b", beat(2), 2.6)
+        assert one.on_heartbeat("b", beat(3, ServerState.DRAINING), 2.7)
+
+
+def test_late_heartbeats_that_come_together_do_not_confirm_each_other():
+    one = registration()
+    one.on_heartbeat("b", beat(1), 0.0)
+    for number in range(5):
+        assert not one.on_heartbeat("a", beat(9 + number), 0.5 + number / 10)
+    assert one.current.server == "b"
+
+
+def test_a_new_server_whose_health_endpoint_is_silent_takes_over_by_beating_on():
+    one = registration()
+    one.on_heartbeat("a", beat(5), 0.0)
+    assert not one.on_heartbeat("b", beat(1), 1.0)
+    assert one.on_heartbeat("b", beat(2), 1.0 + CLAIM_SECONDS)
+    assert one.current.server == "b" and not one.is_disputed
+    assert not one.on_heartbeat("a", beat(6), 3.0)
+
+
 def test_health_tells_who_is_there_only_until_a_heartbeat():
     one = registration()
     assert not one.on_health("a", 12, well=False)
