Close the idle connections to where one fell silent

Cause: open connections may go silent for good while new ones work (a cut that dropped their state). Each is ended by its own bound (bytes unacknowledged for 0.4 s, probes of idle ones after 3 s), and each request sent on one until then is lost: with n idle connections up to n of them. Ruled out: a shorter probe alone (it costs packets at rest, and still leaves a second). Change: a connection that ended as its bytes were not acknowledged takes the idle ones of its pool along; it holds between daemons, to the backend server and to the store, which share the pool. Test: test_connections_that_fall_silent_together_cost_one_request, red before (the next request takes one of the old connections).

--- a/packages/wheatslipd/wheatslipd/http/client.py
+++ b/packages/wheatslipd/wheatslipd/http/client.py
@@ -1,6 +1,7 @@
 """The client side of HTTP/1.1: one connection, and a pool of them to one address."""
 
 import asyncio
+import errno
 import socket
 import ssl
 from collections import deque
@@ -54,6 +55,7 @@
         self._until_close = False
         self._echo: tuple[bytes, bytes] | None = None
         self._skipping = False
+        self.fell_silent = False  # whether it ended as the other end acknowledged nothing
         self.idle_since = 0.0
         self.rested = 0.0  # seconds that it had been idle when it was taken last; 0 if new
 
@@ -141,6 +143,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail what is under way."""
         super().connection_lost(exc)
+        self.fell_silent = isinstance(exc, OSError) and exc.errno == errno.ETIMEDOUT
         if self._body is not None and not self._body.complete:
             if exc is None and self._until_close:
                 self._body.finish()
@@ -275,9 +278,15 @@
         return await self._connect(connect_timeout)
 
     def give_back(self, connection: ClientConnection) -> None:
-        """Keep the connection if it may be used again, close it otherwise."""
+        """Keep the connection if it may be used again, close it otherwise.
+
+        Where one fell silent the idle ones most likely did too, and each would cost a request:
+        they go with it.
+        """
         if not connection.reusable:
             self._discard(connection)
+            if connection.fell_silent:
+                self.close()
             return
         connection.idle_since = asyncio.get_running_loop().time()
         self._idle.append(connection)
--- a/test/test_resting.py
+++ b/test/test_resting.py
@@ -1,11 +1,13 @@
 """Idle connections that a backend server forgets: one reset, and the others are not used."""
 
 import asyncio
+import errno
 
 from wheatslip.outcome import Unknown
 from wheatslip.resting import MEMORY, RestLimit
 from wheatslipd.backend import Backend, BackendAnswer
 from wheatslipd.http.body import Body
+from wheatslipd.http.client import Pool
 from wheatslipd.http.messages import RequestHead, ResponseHead
 from wheatslipd.http.server import Server
 
@@ -64,6 +66,27 @@
     return answer
 
 
+def test_connections_that_fall_silent_together_cost_one_request():
+    async def scenario():
+        server = Server(lambda exchange: exchange.respond(ResponseHead(200)))
+        await server.listen(HOST, 0)
+        pool = Pool(HOST, server.port, 10)
+        connections = [await pool.take(1.0) for _ in range(3)]
+        for connection in connections:
+            pool.give_back(connection)
+        used = await pool.take(1.0)
+        # What the loop says of a socket whose bytes were not acknowledged in time.
+        used.connection_lost(OSError(errno.ETIMEDOUT, "timed out"))
+        pool.give_back(used)
+        fresh = await pool.take(1.0)
+        assert fresh not in connections
+        pool.give_back(fresh)
+        pool.close()
+        await server.stop(0.0)
+
+    run(scenario)
+
+
 def test_after_one_reset_connections_that_rested_as_long_are_not_used():
     async def scenario():
         forgetful = ForgetfulServer()
