Send what a lost machine did not take elsewhere without the retry budget

Cause: each entry learns of a machine that lost power by a request of its own, on a connection that stands: its bytes are not acknowledged for 0.4 s. The request ended as "may have run", and another send was paid from the entry's part of the retry budget. A part is a hundred-and-ninety-fifth of the reserve on the large site, less than a send, so repeatable requests ended with 502 there. Change: where nothing was acknowledged within a second of the request, a repeatable one is sent elsewhere and takes nothing of the budget, as no server got it. One that may not be repeated ends as before: the acknowledgement may be what was lost. Tests: only what may be repeated goes on with an empty budget; only an unacknowledged request is taken for one; the course of any tries includes the new outcome.

--- a/packages/wheatslip/wheatslip/attempts.py
+++ b/packages/wheatslip/wheatslip/attempts.py
@@ -75,6 +75,12 @@
                 return False
             case NotRun():
                 return self._again_elsewhere(outcome)
+            case Unknown(Reason.UNACKNOWLEDGED):
+                self._doubt = outcome
+                # It met a machine that is gone, so it takes nothing of the budget, which bounds
+                # what backend servers get. Each entry meets each lost machine by itself: in a
+                # fleet of hundreds, with parts of the budget below one send, most would end.
+                return self.call.kind.repeatable and self.can_resend
             case Unknown():
                 self.arrivals += 1
                 self._doubt = outcome
--- a/packages/wheatslip/wheatslip/outcome.py
+++ b/packages/wheatslip/wheatslip/outcome.py
@@ -31,6 +31,7 @@
     NO_CONFIGURATION = "no-configuration"
     WRONG_POOL = "wrong-pool"
     CONNECTION_LOST = "connection-lost"
+    UNACKNOWLEDGED = "unacknowledged"  # the other machine took none of the bytes, it seems
     BACKEND_FAILED = "backend-failed"
     CANCELLED = "cancelled"
 
--- a/packages/wheatslipd/wheatslipd/forward.py
+++ b/packages/wheatslipd/wheatslipd/forward.py
@@ -202,7 +202,8 @@
             return Unknown(Reason.CANCELLED)
         except ConnectionError:
             peer.upstream.on_failure(self._clock(), self._rng)
-            return Unknown(Reason.CONNECTION_LOST)
+            unacknowledged = connection.request_unacknowledged
+            return Unknown(Reason.UNACKNOWLEDGED if unacknowledged else Reason.CONNECTION_LOST)
         self._learn(peer, response)
         refusal = self._refusal(response)
         if refusal is not None:
--- a/packages/wheatslipd/wheatslipd/http/client.py
+++ b/packages/wheatslipd/wheatslipd/http/client.py
@@ -56,6 +56,9 @@
         self._echo: tuple[bytes, bytes] | None = None
         self._skipping = False
         self.fell_silent = False  # whether it ended as the other end acknowledged nothing
+        # Whether it fell silent so soon behind a request that this was not taken.
+        self.request_unacknowledged = False
+        self._sent_at = 0.0
         self.idle_since = 0.0
         self.rested = 0.0  # seconds that it had been idle when it was taken last; 0 if new
 
@@ -80,6 +83,7 @@
     async def start(self, head: RequestHead, *, chunked: bool, end: bool) -> None:
         """Send a request head; `end` says that no body follows."""
         self._method = head.method
+        self._sent_at = asyncio.get_running_loop().time()
         self._busy = True
         self._sent_all = end
         self._body = None
@@ -90,11 +94,13 @@
 
     async def start_with_body(self, head: RequestHead, body: bytes) -> None:
         """Send a request whose whole body is at hand in one write."""
+        loop = asyncio.get_running_loop()
         self._method = head.method
+        self._sent_at = loop.time()
         self._busy = True
         self._sent_all = True
         self._body = None
-        self._response = asyncio.get_running_loop().create_future()
+        self._response = loop.create_future()
         self._continue = None
         await self.send(encode_request(head, chunked=False) + body)
 
@@ -144,6 +150,9 @@
         """Fail what is under way."""
         super().connection_lost(exc)
         self.fell_silent = isinstance(exc, OSError) and exc.errno == errno.ETIMEDOUT
+        # A request that was taken is followed by probes, which tell only later.
+        soon = asyncio.get_running_loop().time() - self._sent_at < PROBE_SECONDS
+        self.request_unacknowledged = self.fell_silent and soon
         if self._body is not None and not self._body.complete:
             if exc is None and self._until_close:
                 self._body.finish()
--- a/test/test_attempts.py
+++ b/test/test_attempts.py
@@ -20,6 +20,7 @@
     NotRun(Reason.DRAINING),
     NotRun(Reason.UNREACHABLE),
     Unknown(Reason.CONNECTION_LOST),
+    Unknown(Reason.UNACKNOWLEDGED),
 ]
 
 
@@ -53,6 +54,17 @@
     assert len(seen) <= MAX_TRIES
 
 
+def test_what_a_lost_machine_did_not_take_is_sent_elsewhere_though_the_budget_is_empty():
+    """Only if it may be repeated: an acknowledgement may have been lost, too."""
+    group = upstreams()
+    for repeatable in (True, False):
+        tries = attempts(repeatable, tokens=0.0)
+        tries.next(group, 0.0)
+        tries.on_bytes_sent()
+        assert tries.ended(Unknown(Reason.UNACKNOWLEDGED)) is repeatable
+        assert tries.result() == Unknown(Reason.UNACKNOWLEDGED)
+
+
 def test_a_call_that_may_have_run_is_never_called_not_run():
     tries = attempts(repeatable=True)
     group = upstreams("ab")
--- a/test/test_resting.py
+++ b/test/test_resting.py
@@ -7,7 +7,7 @@
 from wheatslip.resting import MEMORY, RestLimit
 from wheatslipd.backend import Backend, BackendAnswer
 from wheatslipd.http.body import Body
-from wheatslipd.http.client import Pool
+from wheatslipd.http.client import PROBE_SECONDS, Pool
 from wheatslipd.http.messages import RequestHead, ResponseHead
 from wheatslipd.http.server import Server
 
@@ -77,6 +77,7 @@
         used = await pool.take(1.0)
         # What the loop says of a socket whose bytes were not acknowledged in time.
         used.connection_lost(OSError(errno.ETIMEDOUT, "timed out"))
+        assert used.fell_silent and not used.request_unacknowledged
         pool.give_back(used)
         fresh = await pool.take(1.0)
         assert fresh not in connections
@@ -87,6 +88,28 @@
     run(scenario)
 
 
+def test_a_request_that_the_other_machine_did_not_take_is_told_from_one_that_was_lost_there():
+    async def scenario():
+        server = Server(lambda exchange: asyncio.Event().wait())
+        await server.listen(HOST, 0)
+        for error, later, unacknowledged in (
+            (errno.ETIMEDOUT, 0.0, True),
+            (errno.ETIMEDOUT, PROBE_SECONDS, False),
+            (errno.ECONNRESET, 0.0, False),
+        ):
+            pool = Pool(HOST, server.port, 10)
+            connection = await pool.take(1.0)
+            head = RequestHead(b"GET", b"/", [(b"host", b"a")])
+            await connection.start_with_body(head, b"")
+            connection._sent_at -= later
+            connection.connection_lost(OSError(error, "as the loop tells it"))
+            assert connection.request_unacknowledged is unacknowledged
+            pool.give_back(connection)
+        await server.stop(0.0)
+
+    run(scenario)
+
+
 def test_after_one_reset_connections_that_rested_as_long_are_not_used():
     async def scenario():
         forgetful = ForgetfulServer()
