Explore the tries of a call as a state machine, and never call an answered one not run

What was not tested: courses with bad answers that give way to another try, time that runs out during one, and bounds of attempts. The machine found at once that `Attempts.expired` says "not run" after an answer was passed on. The forwarder lifts its time limit before that, so no caller can have been told so (read, not played); the promise now holds in the decision itself.

--- a/packages/wheatslip/wheatslip/attempts.py
+++ b/packages/wheatslip/wheatslip/attempts.py
@@ -109,7 +109,8 @@
 
     def expired(self) -> Outcome:
         """What to tell the caller when the deadline passes during a try."""
-        if self._in_doubt_now or self._doubt is not None:
+        has_run = isinstance(self.last, Answered)
+        if has_run or self._in_doubt_now or self._doubt is not None:
             return Unknown(Reason.DEADLINE)
         return NotRun(Reason.DEADLINE)
 
--- a/test/test_attempts.py
+++ b/test/test_attempts.py
@@ -5,6 +5,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 from wheatslip.attempts import ANY_WAIT, MAX_TRIES, Attempts
 from wheatslip.budget import RetryBudget
 from wheatslip.call import Call, RequestKind
@@ -54,6 +55,80 @@
     assert len(seen) <= MAX_TRIES
 
 
+class TriesMachine(RuleBasedStateMachine):
+    """The tries of one call, in any course that the forwarder can take them."""
+
+    @initialize(
+        repeatable=st.booleans(),
+        tokens=st.integers(0, 3),
+        most=st.integers(1, 3),
+    )
+    def begin(self, repeatable, tokens, most):
+        call = Call(
+            "w",
+            "papers",
+            RequestKind("k", repeatable),
+            deadline=10.0,
+            max_attempts=most,
+        )
+        budget = RetryBudget(tokens=float(tokens))
+        self.tries = Attempts(call, Chooser("one", Random(1)), budget)
+        self.group = upstreams()
+        self.repeatable = repeatable
+        self.may_have_run = 0
+        self.is_over = False
+
+    def _next(self):
+        """Begin a try, if there is to be one."""
+        if self.is_over or self.tries.next(self.group, 0.0) is None:
+            self.is_over = True
+        return not self.is_over
+
+    @rule(outcome=st.sampled_from(OUTCOMES), sent=st.booleans())
+    def a_try_ends(self, outcome, sent):
+        if not self._next():
+            return
+        if sent or not isinstance(outcome, NotRun):
+            self.tries.on_bytes_sent()
+        self.may_have_run += not isinstance(outcome, NotRun)
+        self.is_over = not self.tries.ended(outcome)
+
+    @rule(status=st.sampled_from([500, 503]))
+    def a_server_that_ran_it_answers_badly(self, status):
+        if not self._next():
+            return
+        self.tries.on_bytes_sent()
+        self.may_have_run += 1
+        if not self.tries.may_replace(status):
+            self.is_over = not self.tries.ended(Answered(status))
+
+    @rule()
+    def time_runs_out_during_a_try(self):
+        if self._next():
+            self.tries.on_bytes_sent()
+            self.may_have_run += 1
+            assert not isinstance(self.tries.expired(), NotRun)
+            self.tries.ended(Unknown(Reason.DEADLINE))
+            self.is_over = True
+
+    @invariant()
+    def what_may_have_run_is_never_said_not_to_have(self):
+        if getattr(self, "may_have_run", 0):
+            assert not isinstance(self.tries.result(), NotRun)
+            assert not isinstance(self.tries.expired(), NotRun)
+
+    @invariant()
+    def what_may_not_be_repeated_is_not(self):
+        if hasattr(self, "tries") and not self.repeatable:
+            assert self.may_have_run <= 1
+
+
+TestTries = TriesMachine.TestCase
+TestTries.settings = settings(
+    max_examples=300, stateful_step_count=8, derandomize=True, deadline=None
+)
+
+
 def test_what_a_lost_machine_did_not_take_is_sent_elsewhere_though_the_budget_is_empty():
     """Only if it may be repeated: an acknowledgement may have been lost, too."""
     group = upstreams()
