Tell of a given-up call how much had come, and of a daemon how old its word of the head is

Cause: a reader's TimeoutError did not say whether the platform was silent or the answer too long, and all kinds of calls shared one line in 10 s, so the hypotheses on the late configuration could not be told apart. Readers of two zones end reads of the configuration after 0.60 s with 344 kB in, and no call on the list. Change: bytes and seconds in the detail, a line for each kind of call, head-unconfirmed and head-confirmed, wheatslip_head_age_seconds, parent and head_age on /status. No decision uses them.

--- a/packages/wheatslip/wheatslip/objects.py
+++ b/packages/wheatslip/wheatslip/objects.py
@@ -63,9 +63,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Unavailable:
-    """The platform did not answer, or not in time; a write may have taken effect."""
+    """The platform did not answer, or not in time; a write may have taken effect.
+
+    `call` names what was asked, alike for all tries of it.
+    """
 
     detail: str
+    call: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -242,7 +246,8 @@
             ) as response:
                 return Ok((response.status, await response.read()))
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            return Err(Unavailable(f"{type(error).__name__}: {error}"))
+            call = f"{method} {path.partition('?')[0]}"
+            return Err(Unavailable(f"{type(error).__name__}: {error}", call))
 
 
 async def follow(
--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -296,6 +296,8 @@
             members=members,
             platform_calls=self.feed.client.calls,
             watches=self.feed.watches,
+            parent=self.feed.parent,
+            head_age=self.feed.head_age,
             followers=self.feed.relay.followers,
             relay_bytes=self.feed.relay.sent_bytes,
         )
@@ -435,6 +437,7 @@
         self.metrics.key_records.set({}, len(self._keys.ledger))
         self.metrics.platform_calls.set({}, self.feed.client.calls)
         self.metrics.relay_bytes.set({}, self.feed.relay.sent_bytes)
+        self.metrics.head_age.set({}, self.feed.head_age or 0.0)
         self.metrics.connections.set({"port": "entry"}, self.entry_server.open_connections)
         self.metrics.connections.set({"port": "peer"}, self.peer_server.open_connections)
         return self.metrics.render()
--- a/packages/wheatslipd/wheatslipd/feed.py
+++ b/packages/wheatslipd/wheatslipd/feed.py
@@ -18,6 +18,7 @@
 from wheatslip.deltas import BundleDelta
 from wheatslip.feedcache import FeedCache, ListChange, Update
 from wheatslip.head import Head
+from wheatslip.headage import AgeChange, HeadAge
 from wheatslip.instances import Instance
 from wheatslip.objects import (
     BACKOFF_LAST,
@@ -36,7 +37,7 @@
 from wheatslipd.bus import Bus
 from wheatslipd.events import bundle_verified, instances_seen
 from wheatslipd.proof import Proof
-from wheatslipd.relay import RelayServer, follow_parent
+from wheatslipd.relay import HEARTBEAT_SECONDS, RelayServer, follow_parent
 from wheatslipd.tls import PeerTls
 
 HINT_PATIENCE = 0.25  # seconds that the relay gets before a hint leads to the platform
@@ -45,6 +46,7 @@
 # Stale lists that are read in search of the own entry before a present one is read, which the
 # users' platform charges ten times as much for.
 SETTLE_READS = 3
+AGE_LOOK_SECONDS = 1.0  # between looks at how long ago the head was confirmed
 TURN_SECONDS = 0.2  # pause before the next parent is tried
 # Pause before the parents are tried again that all failed; the platform was read instead, which
 # bounds what a zone without its first daemons costs.
@@ -97,6 +99,7 @@
         self._hinted_version = 0
         self._hinted_by = ""
         self._head_seen = 0  # the store's version of the head that was read last
+        self.parent = ""  # the daemon that is followed now
 
     @property
     def watches(self) -> bool:
@@ -124,9 +127,34 @@
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._keep_up())
                 group.create_task(self._answer_hints())
+                group.create_task(self._tell_age())
         finally:
             await self.client.close()
 
+    @property
+    def head_age(self) -> float | None:
+        """Seconds since a daemon that reads the platform last had an answer on the head, as far
+        as it was told here and by that daemon's clock; None if it never was.
+        """
+        seen = self.cache.head_as_of
+        return self._unix() - seen if seen else None
+
+    async def _tell_age(self) -> None:
+        """Log when the way to the newest head is lost and when it is found again."""
+        pace = self._pace
+        watch = HeadAge(2 * (pace.watch_check or pace.watch) + 2 * HEARTBEAT_SECONDS)
+        while True:
+            await asyncio.sleep(AGE_LOOK_SECONDS)
+            age = self.head_age
+            if age is None:
+                continue
+            way = self.parent or "platform"
+            match watch.look(age):
+                case AgeChange.LOST:
+                    logs.warning("head-unconfirmed", age=round(age, 1), way=way)
+                case AgeChange.FOUND:
+                    logs.info("head-confirmed", version=self._version, way=way)
+
     # The two roles.
 
     async def _keep_up(self) -> None:
@@ -291,7 +319,7 @@
             if not await self._read_head(stale_ok=True):
                 was_silent = True
                 continue
-            self.cache.as_of = self._unix()
+            self.cache.as_of = self.cache.head_as_of = self._unix()
             if was_silent:
                 return
 
@@ -305,6 +333,7 @@
             backoff_last=self._pace.retry_last,
             since=self._head_seen or None,
         ):
+            self.cache.head_as_of = self._unix()
             for item in listing.items:
                 self._head_seen = max(self._head_seen, item.version)
                 await self._fetch_newer(item)
@@ -315,11 +344,13 @@
         if instance is None or not instance.control_port:
             return False
         logs.info("following", parent=parent)
+        self.parent = parent
         reading = asyncio.ensure_future(self._read_parent(instance))
         moving = asyncio.ensure_future(self._role_changed.wait())
         try:
             await asyncio.wait({reading, moving}, return_when=asyncio.FIRST_COMPLETED)
         finally:
+            self.parent = ""
             for task in (reading, moving):
                 task.cancel()
             await asyncio.gather(reading, moving, return_exceptions=True)
@@ -419,6 +450,7 @@
         if (update.whole or update.changes) and not self.cache.is_late(update):
             self._take_list(update.listed, list(update.changes), whole=update.whole)
         self.cache.checked = max(self.cache.checked, update.checked)
+        self.cache.head_as_of = max(self.cache.head_as_of, update.head_as_of)
         if update.as_of > self.cache.as_of:
             # Not announced: followers hear of it with their next heartbeat.
             self.cache.as_of = update.as_of
@@ -512,4 +544,5 @@
 
 
 def _log_trouble(trouble: Unavailable) -> None:
-    logs.warning("platform-unavailable", detail=trouble.detail, repeat_key="platform")
+    key = f"platform {trouble.call}"
+    logs.warning("platform-unavailable", detail=trouble.detail, repeat_key=key)
--- a/packages/wheatslipd/wheatslipd/metrics.py
+++ b/packages/wheatslipd/wheatslipd/metrics.py
@@ -50,6 +50,10 @@
             "wheatslip_relay_bytes_total", "Bytes of control messages sent to followers"
         )
         self.bundle_version = gauge("wheatslip_bundle_version", "Bundle version in force here")
+        self.head_age = gauge(
+            "wheatslip_head_age_seconds",
+            "Since the platform last confirmed the version in force",
+        )
         self.key_records = gauge("wheatslip_key_records", "Request keys remembered here")
         self.connections = gauge("wheatslip_connections", "Open connections, by port")
 
--- a/packages/wheatslipd/wheatslipd/pagesource.py
+++ b/packages/wheatslipd/wheatslipd/pagesource.py
@@ -26,6 +26,8 @@
     members: int
     platform_calls: int
     watches: bool
+    parent: str  # the daemon that is followed; empty: none
+    head_age: float | None  # seconds, see `Feed.head_age`
     followers: int
     relay_bytes: int
 
--- a/test/routed_fleet.py
+++ b/test/routed_fleet.py
@@ -13,6 +13,7 @@
 from fleet_adapter.store import FleetStore
 from fleet_standins.store import StoreStandIn
 from standins.cluster import HOST, eventually
+from standins.link import NarrowLink
 from standins.plainbackend import PlainBackend
 
 SETTINGS = """
@@ -56,7 +57,9 @@
 """
 
 
-def configuration(version=1, prefix="/view/"):
+def configuration(version=1, prefix="/view/", more=0):
+    """A configuration of two routes and `more` that nobody asks for."""
+
     def route(path, kind):
         return {
             "host": "papers.example",
@@ -69,16 +72,20 @@
             "max_attempts": 2,
         }
 
+    others = {f"other-{n}": route(f"/other-{n}/", "safe") for n in range(more)}
     return {
         "version": version,
-        "routes": {"view": route(prefix, "safe"), "submit": route("/submit/", "unsafe")},
+        "routes": others
+        | {"view": route(prefix, "safe"), "submit": route("/submit/", "unsafe")},
         "services": {"papers": {"health_path": "/health", "max_connections": 50}},
     }
 
 
 @dataclass
 class Fleet:
-    """Daemons with their servers, on one store."""
+    """Daemons with their servers, on one store. `link_bytes` bounds what the link of a daemon
+    to the store carries a second.
+    """
 
     store: StoreStandIn
     session: aiohttp.ClientSession
@@ -88,6 +95,8 @@
     settle: str = "0s"
     watch: str = "1s"
     watch_check: str = "0s"
+    link_bytes: dict[str, float] = field(default_factory=dict)
+    links: dict[str, NarrowLink] = field(default_factory=dict)
 
     async def add(self, name, backend=None):
         backend = backend or PlainBackend(f"i-{name}")
@@ -96,7 +105,7 @@
         await self.start(name)
 
     async def start(self, name):
-        store = f"{HOST}:{self.store.server.port}"
+        store = f"{HOST}:{await self._store_port(name)}"
         port = self.backends[name].server.port
         text = SETTINGS.format(
             name=name,
@@ -113,6 +122,16 @@
         self.tasks[name] = asyncio.create_task(daemon.run())
         await daemon.listening.wait()
 
+    async def _store_port(self, name):
+        """Where a daemon finds the store: behind its link, if it has one."""
+        if name not in self.link_bytes:
+            return self.store.server.port
+        if name not in self.links:
+            link = NarrowLink(HOST, self.store.server.port, self.link_bytes[name])
+            await link.open()
+            self.links[name] = link
+        return self.links[name].port
+
     async def stop(self, name):
         self.daemons.pop(name).stop()
         await self.tasks.pop(name)
@@ -168,5 +187,7 @@
             await one.stop(name)
         for backend in one.backends.values():
             await backend.server.stop(0.0)
+        for link in one.links.values():
+            await link.close()
         await one.session.close()
         await store.server.stop(0.0)
--- /dev/null
+++ b/test/test_slow_links.py
@@ -0,0 +1,87 @@
+"""Configurations that are long for the links of those that read them.
+
+What happened: the operator added 1,400 routes three times. The third change, 700 kB in all, was
+acknowledged and due, and two of three zones still handled requests by a version before it.
+
+Sequence: the daemons that read the platform for those two zones had links of 650 kB a second.
+Each read of the configuration was given up after 0.6 s, with 340 kB of it in, and begun anew
+from the first byte; the check of the watch did so every two seconds, on the same link. A watch
+whose answer came too late behind these went on from a version that the platform had forgotten,
+and from there on the daemon read the whole, in vain, without a pause. The list, whose answers
+are short, stayed up to date on the same machines, so followers stayed with such a parent.
+
+Cause: the limit on a call to the platform's store was on the whole answer, whatever its size. A
+limit that means "the other end is gone" must be on the time without a byte.
+
+What settled it: `platform-unavailable detail="GET .../config/main?stale=1: TimeoutError after
+0.60 s and 343989 bytes"` again and again at these readers, and none at the one reader with a wide
+link; none for the list; by the store's own count every call answered; and 400 to 650 kB a second
+into each of those readers with nothing coming into force.
+"""
+
+import asyncio
+
+from wheatslip import head as heads
+from wheatslip.headage import AgeChange, HeadAge
+
+from fleet_adapter.store import FleetStore
+from fleet_standins.store import StoreStandIn
+from standins.cluster import HOST, eventually
+from standins.link import NarrowLink
+from test.helper import run
+from test.routed_fleet import configuration, fleet
+
+ROUTES = 1400  # some 260 kB
+LINK = 200_000  # bytes a second: the configuration takes 1.3 s
+
+
+def test_what_had_come_of_an_answer_is_told_when_it_is_given_up():
+    async def scenario():
+        store = StoreStandIn()
+        await store.server.listen(HOST, 0)
+        store.write("config", "main", configuration(more=ROUTES))
+        link = NarrowLink(HOST, store.server.port, LINK)
+        await link.open()
+        client = FleetStore(f"{HOST}:{link.port}")
+        asked = asyncio.create_task(client.get(heads.KIND, heads.NAME))
+
+        async def some_came():
+            return link.carried > 0
+
+        await eventually(some_came)
+        await link.close()
+        trouble = (await asked).unwrap_err()
+        assert trouble.call == "GET /wheatslip/objects/config/main"
+        came = int(trouble.detail.split()[-2])
+        assert 0 < came < 200_000
+        await client.close()
+        await store.server.stop(0.0)
+
+    run(scenario)
+
+
+def test_losing_and_finding_the_way_to_the_head_is_told_once():
+    age = HeadAge(lost_after=5.0)
+    assert [age.look(seconds) for seconds in (0.0, 4.9, 5.1, 7.0, 0.1, 0.2)] == [
+        None,
+        None,
+        AgeChange.LOST,
+        None,
+        AgeChange.FOUND,
+        None,
+    ]
+
+
+def test_each_daemon_tells_how_old_its_word_of_the_head_is():
+    async def scenario():
+        async with fleet("a", "b", "c", watch="20s", watch_check="100ms") as one:
+
+            async def young_everywhere():
+                ages = [daemon.status().head_age for daemon in one.daemons.values()]
+                return all(age is not None and age < 3.0 for age in ages)
+
+            await eventually(young_everywhere)
+            followers = [d for d in one.daemons.values() if not d.status().watches]
+            assert all(daemon.status().parent in one.daemons for daemon in followers)
+
+    run(scenario)
