Bring about a configuration that is too long for its readers' links, red

Cause: the limit of 0.6 s on a call to the store is on the whole answer. On a link of 200 kB a second (a forwarding stand-in that all connections of a daemon share) 260 kB take 1.3 s, so a reader that has to read the whole, as its watch was forgotten or as it starts, never gets it; and the check of the watch reads it again on every look. Ruled out: a watch that was in place when the change came brings it (the same links, tried: in force in time), as its limit is the rest of the 20 s that it waits.

--- a/test/test_slow_links.py
+++ b/test/test_slow_links.py
@@ -14,9 +14,9 @@
 limit that means "the other end is gone" must be on the time without a byte.
 
 What settled it: `platform-unavailable detail="GET .../config/main?stale=1: TimeoutError after
-0.60 s and 343989 bytes"` again and again at these readers, and none at the one reader with a wide
-link; none for the list; by the store's own count every call answered; and 400 to 650 kB a second
-into each of those readers with nothing coming into force.
+0.60 s and 343989 bytes"` again and again at these readers, and none at the one reader with a
+wide link; none for the list; by the store's own count every call answered; and 400 to 650 kB a
+second into each of those readers with nothing coming into force.
 """
 
 import asyncio
@@ -33,6 +33,50 @@
 
 ROUTES = 1400  # some 260 kB
 LINK = 200_000  # bytes a second: the configuration takes 1.3 s
+IN_FORCE_SECONDS = 4.0  # from the write; the link takes 1.3 of them
+
+
+def test_a_reader_whose_watch_was_forgotten_reads_a_configuration_that_is_long_for_its_link():
+    async def scenario():
+        names = ("a", "b", "c", "d")
+        links = dict.fromkeys(names, LINK)
+        async with fleet(*names, watch="20s", watch_check="500ms", link_bytes=links) as one:
+            one.store.write("config", "main", configuration(2, more=ROUTES))
+            one.store.forget()
+            async with asyncio.timeout(IN_FORCE_SECONDS):
+                await one.ready(2)
+
+    run(scenario)
+
+
+def test_a_daemon_that_starts_reads_a_configuration_that_is_long_for_its_link():
+    async def scenario():
+        async with fleet("a", link_bytes={"a": LINK}, configured=False) as one:
+            one.store.write("config", "main", configuration(2, more=ROUTES))
+            async with asyncio.timeout(IN_FORCE_SECONDS):
+                await one.ready(2)
+
+    run(scenario)
+
+
+def test_a_configuration_at_rest_is_not_read_again_and_again():
+    """The check of a watch asks whether the platform is there, which needs few bytes."""
+
+    async def scenario():
+        links = {"a": 100 * LINK}
+        async with fleet("a", watch="20s", watch_check="50ms", link_bytes=links) as one:
+            one.store.write("config", "main", configuration(2, more=ROUTES))
+            await one.ready(2)
+            carried = one.links["a"].carried
+            calls = len(one.store.calls)
+
+            async def checked():
+                return len(one.store.calls) >= calls + 10
+
+            await eventually(checked)
+            assert one.links["a"].carried - carried < 20_000
+
+    run(scenario)
 
 
 def test_what_had_come_of_an_answer_is_told_when_it_is_given_up():
