Give up a call to the store on silence, not on the length of its answer

Cause: 0.6 s were the limit on a whole answer. It should tell a store that is gone, but a configuration of 470 kB takes 0.7 s on a link of 650 kB/s, so readers of the platform gave each read up and began anew; the check of the watch read the whole every 2 s besides, and a watch that began anew did so from the version of the last change, which a store that keeps 20 s had forgotten. The check reads the head for a twentieth of the time at most, and the own entry otherwise. A watch begins anew where the last one ended, and only once what it told is in force. as_of speaks of the head alone, so that a list on time no longer hides a head that is not. What is left of the delay is the way down the tree.

--- a/packages/wheatslip/wheatslip/feedcache.py
+++ b/packages/wheatslip/wheatslip/feedcache.py
@@ -38,10 +38,10 @@
 
 class Update(msgspec.Struct, frozen=True, omit_defaults=True):
     """What a follower lacks. `as_of` is the unix time, by a watcher's clock, at which the
-    platform last answered; `checked` that at which it last confirmed the list to a watcher, or
-    the watcher learned that it is down; `head_as_of` that at which it last answered one on the
-    head. With `whole` the list is complete, else it holds changes. Either `signed` or `deltas`
-    leads to the bundle of `head`.
+    platform last answered one whose watch of the head is in place; `checked` that at which it
+    last confirmed the list to a watcher, or the watcher learned that it is down. With `whole`
+    the list is complete, else it holds changes. Either `signed` or `deltas` leads to the bundle
+    of `head`.
     """
 
     as_of: float
@@ -52,7 +52,6 @@
     head: Head | None = None
     signed: SignedBundle | None = None
     deltas: tuple[BundleDelta, ...] = ()
-    head_as_of: float = 0.0
 
 
 class FeedCache:
@@ -61,7 +60,6 @@
     def __init__(self) -> None:
         self.as_of = 0.0
         self.checked = 0.0
-        self.head_as_of = 0.0
         self.listed = 0
         self.instances: dict[str, Instance] = {}
         self._versions: dict[str, int] = {}  # of the last change of each instance
@@ -143,19 +141,13 @@
     def since(self, cursor: Cursor) -> Update:
         """What a follower at `cursor` lacks."""
         changes, whole = self._list_since(cursor.listed)
-        update = Update(
-            self.as_of,
-            self.checked,
-            self.listed,
-            changes,
-            whole,
-            head_as_of=self.head_as_of,
-        )
         if self.head is None or cursor.bundle >= self.head.version:
-            return update
+            return Update(self.as_of, self.checked, self.listed, changes, whole)
         deltas = self._deltas_since(cursor.bundle)
         signed = None if deltas else self._signed
-        return msgspec.structs.replace(update, head=self.head, signed=signed, deltas=deltas)
+        return Update(
+            self.as_of, self.checked, self.listed, changes, whole, self.head, signed, deltas
+        )
 
     def _list_since(self, listed: int) -> tuple[tuple[ListChange, ...], bool]:
         if listed < self._complete_since:
--- a/packages/wheatslip/wheatslip/objects.py
+++ b/packages/wheatslip/wheatslip/objects.py
@@ -16,7 +16,9 @@
 if TYPE_CHECKING:
     import aiohttp
 
-REQUEST_TIMEOUT = 2.0  # seconds
+REQUEST_TIMEOUT = 2.0  # seconds without a byte of an answer, behind what a watch waits
+# For a whole answer, which takes the longer the more it holds: a bundle of 16 MB at 1 MB/s.
+LONGEST_ANSWER = 16.0  # seconds
 WATCH_SECONDS = 5.0  # also how often a quiet watch confirms that nothing has changed
 BACKOFF_FIRST = 0.1
 BACKOFF_LAST = 5.0
@@ -239,7 +241,9 @@
         if self._session is None:
             self._session = aiohttp.ClientSession()
         self.calls += 1
-        limit = aiohttp.ClientTimeout(total=timeout)
+        limit = aiohttp.ClientTimeout(
+            total=timeout + LONGEST_ANSWER, sock_connect=REQUEST_TIMEOUT, sock_read=timeout
+        )
         try:
             async with self._session.request(
                 method, self._base + path, data=body, timeout=limit
--- a/packages/wheatslipd/wheatslipd/feed.py
+++ b/packages/wheatslipd/wheatslipd/feed.py
@@ -46,6 +46,9 @@
 # Stale lists that are read in search of the own entry before a present one is read, which the
 # users' platform charges ten times as much for.
 SETTLE_READS = 3
+# Share of the time that the check of a watch may spend on reading the head. On a link of
+# 650 kB/s a head of 700 kB, read on each check, took half of the link for good.
+HEAD_READ_SHARE = 0.05
 AGE_LOOK_SECONDS = 1.0  # between looks at how long ago the head was confirmed
 TURN_SECONDS = 0.2  # pause before the next parent is tried
 # Pause before the parents are tried again that all failed; the platform was read instead, which
@@ -98,7 +101,9 @@
         self._hint = asyncio.Event()
         self._hinted_version = 0
         self._hinted_by = ""
-        self._head_seen = 0  # the store's version of the head that was read last
+        self._head_known = 0  # the store's version up to which the head is known
+        self._is_head_watched = False  # whether the last call on it was answered
+        self._head_read_at = 0.0  # the loop's time at which the check reads the head again
         self.parent = ""  # the daemon that is followed now
 
     @property
@@ -136,7 +141,7 @@
         """Seconds since a daemon that reads the platform last had an answer on the head, as far
         as it was told here and by that daemon's clock; None if it never was.
         """
-        seen = self.cache.head_as_of
+        seen = self.cache.as_of
         return self._unix() - seen if seen else None
 
     async def _tell_age(self) -> None:
@@ -248,8 +253,8 @@
         match await self.client.get(heads.KIND, heads.NAME, stale_ok=stale_ok):
             case Ok(found):
                 if found is not None:
-                    self._head_seen = max(self._head_seen, found.version)
                     await self._fetch_newer(found)
+                    self._know_head(found.version)
                 return True
             case Err(trouble):
                 _log_trouble(trouble)
@@ -316,27 +321,48 @@
         was_silent = False
         while True:
             await asyncio.sleep(self._pace.watch_check)
-            if not await self._read_head(stale_ok=True):
+            if not await self._is_answered():
                 was_silent = True
                 continue
-            self.cache.as_of = self.cache.head_as_of = self._unix()
+            if self._is_head_watched:
+                self.cache.as_of = self._unix()
             if was_silent:
                 return
 
+    async def _is_answered(self) -> bool:
+        """Whether the platform answers this daemon: by reading the head, unless that took long
+        a short while ago, and the own entry in the list otherwise.
+        """
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        if began < self._head_read_at:
+            entry = await self.client.get(lists.KIND, self._name, stale_ok=True)
+            return isinstance(entry, Ok)
+        answered = await self._read_head(stale_ok=True)
+        ended = loop.time()
+        self._head_read_at = ended + (ended - began) / HEAD_READ_SHARE
+        return answered
+
+    def _know_head(self, version: int) -> None:
+        """The head is in force here as the store has it at `version`."""
+        self._head_known = max(self._head_known, version)
+
     async def _follow_head(self) -> None:
         async for listing in follow(
             self.client,
             heads.KIND,
             self._rng,
-            _log_trouble,
+            self._on_head_trouble,
             self._pace.watch,
             backoff_last=self._pace.retry_last,
-            since=self._head_seen or None,
+            since=self._head_known or None,
         ):
-            self.cache.head_as_of = self._unix()
             for item in listing.items:
-                self._head_seen = max(self._head_seen, item.version)
                 await self._fetch_newer(item)
+            self._is_head_watched = True
+            self.cache.as_of = self._unix()
+            # Not before they are in force: a watch that begins anew would pass them over.
+            self._know_head(listing.version)
 
     async def _follow(self, parent: str) -> bool:
         """Follow one parent until it fails or the role changes; whether it had news."""
@@ -412,13 +438,17 @@
 
     def _confirm(self) -> None:
         """The platform has just confirmed the list."""
-        self.cache.as_of = self.cache.checked = self._unix()
+        self.cache.checked = self._unix()
 
     def _on_trouble(self, trouble: Unavailable) -> None:
         """The platform is down: no one can change the list now, as far as we can tell."""
         _log_trouble(trouble)
         self.cache.checked = self._unix()
 
+    def _on_head_trouble(self, trouble: Unavailable) -> None:
+        _log_trouble(trouble)
+        self._is_head_watched = False
+
     def _take_listing(self, listing: Listing) -> None:
         changes = [change for change in map(_as_change, listing.items) if change is not None]
         self._take_list(listing.version, changes, whole=listing.whole)
@@ -450,7 +480,6 @@
         if (update.whole or update.changes) and not self.cache.is_late(update):
             self._take_list(update.listed, list(update.changes), whole=update.whole)
         self.cache.checked = max(self.cache.checked, update.checked)
-        self.cache.head_as_of = max(self.cache.head_as_of, update.head_as_of)
         if update.as_of > self.cache.as_of:
             # Not announced: followers hear of it with their next heartbeat.
             self.cache.as_of = update.as_of
