Send control messages packed and in pieces

Cause: a change of 1,400 routes is 242 kB from daemon to daemon. At three followers and 650 kB/s a step of the tree took over a second, and a whole bundle came near the 5 s after which a follower takes its parent for dead: the same limit on a whole message as at the store. Ruled out: a longer silence (a parent that is gone would be noticed later, and the next size would break it again). The method has a new name, so that daemons of either version take the other for a failed parent and not its messages for nonsense. The test of a long update failed before the pieces (an update takes twice the silence).

--- a/packages/wheatslipd/wheatslipd/relay.py
+++ b/packages/wheatslipd/wheatslipd/relay.py
@@ -1,6 +1,7 @@
 """Control data from daemon to daemon: serves followers from the cache, and follows a parent.
 
 A stream stays open; updates go out when something changes, and a heartbeat when nothing does.
+Each is sent in pieces, so that silence is told from an update that is long for the link.
 """
 
 import asyncio
@@ -13,13 +14,16 @@
 from grpclib.client import Channel, UnaryStreamMethod
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Server, Stream
+from result import Err, Ok
 from wheatslip.feedcache import Cursor, FeedCache, Update
 from wheatslip.instances import Instance
+from wheatslip.pieces import Joiner, Piece, cut
 
+from wheatslipd import logs
 from wheatslipd.codec import StructCodec
 from wheatslipd.tls import PeerTls
 
-METHOD = "/wheatslip.Relay/Follow"
+METHOD = "/wheatslip.Relay/FollowInPieces"
 HEARTBEAT_SECONDS = 2.0
 SILENCE_SECONDS = 5.0  # a parent that says nothing for so long is dead or frozen
 MAX_FOLLOWERS = 64
@@ -45,7 +49,7 @@
     def __mapping__(self) -> dict[str, grpclib.const.Handler]:
         """The methods, as grpclib wants them."""
         cardinality = grpclib.const.Cardinality.UNARY_STREAM
-        return {METHOD: grpclib.const.Handler(self._follow, cardinality, Cursor, Update)}
+        return {METHOD: grpclib.const.Handler(self._follow, cardinality, Cursor, Piece)}
 
     async def listen(self, host: str, port: int) -> None:
         """Listen; `port` 0 takes a free one. Raises OSError."""
@@ -64,7 +68,7 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def _follow(self, stream: "Stream[Cursor, Update]") -> None:
+    async def _follow(self, stream: "Stream[Cursor, Piece]") -> None:
         cursor = await stream.recv_message()
         if cursor is None:
             return
@@ -75,7 +79,8 @@
             while True:
                 changed = self._changed
                 update = self._cache.since(cursor)
-                await stream.send_message(update)
+                for piece in cut(msgspec.msgpack.encode(update)):
+                    await stream.send_message(piece)
                 cursor = _advance(cursor, update)
                 with suppress(TimeoutError):
                     async with asyncio.timeout(HEARTBEAT_SECONDS):
@@ -94,19 +99,23 @@
 ) -> AsyncGenerator[Update, None]:
     """The updates of one parent; ends when it fails, falls silent or talks nonsense."""
     channel = Channel(parent.address, parent.control_port, codec=StructCodec(), ssl=tls.client)
-    method: UnaryStreamMethod[Cursor, Update] = UnaryStreamMethod(
-        channel, METHOD, Cursor, Update
-    )
+    method: UnaryStreamMethod[Cursor, Piece] = UnaryStreamMethod(channel, METHOD, Cursor, Piece)
+    joiner = Joiner()
     try:
         async with method.open() as stream:
             async with asyncio.timeout(SILENCE_SECONDS):
                 await stream.send_message(cursor, end=True)
             while True:
                 async with asyncio.timeout(SILENCE_SECONDS):
-                    update = await stream.recv_message()
-                if update is None:
+                    piece = await stream.recv_message()
+                if piece is None:
                     return
-                yield update
+                match joiner.add(piece):
+                    case Ok(message) if message is not None:
+                        yield msgspec.msgpack.decode(message, type=Update)
+                    case Err(why):
+                        logs.warning("update-refused", parent=parent.name, why=why)
+                        return
     except (OSError, TimeoutError, GRPCError, StreamTerminatedError, msgspec.DecodeError):
         return
     finally:
--- /dev/null
+++ b/test/test_pieces.py
@@ -0,0 +1,58 @@
+"""Control messages in pieces: what is sent comes out whole, and defects of a sender end it."""
+
+import zlib
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from wheatslip import pieces
+from wheatslip.pieces import PACK_FROM, PIECE_BYTES, Joiner, Piece, cut
+
+EDGES = (0, 1, PACK_FROM - 1, PACK_FROM, PACK_FROM + 1)
+
+
+def join(joiner, parts):
+    """What the joiner answers to each part."""
+    return [joiner.add(part).unwrap() for part in parts]
+
+
+@given(st.lists(st.binary(max_size=3000), max_size=5))
+def test_messages_come_out_as_they_were_sent(messages):
+    joiner = Joiner()
+    for message in messages:
+        *before, whole = join(joiner, cut(message))
+        assert whole == message
+        assert not any(before)
+
+
+@pytest.mark.parametrize("size", [*EDGES, PIECE_BYTES, PIECE_BYTES + 1, 5 * PIECE_BYTES])
+def test_no_piece_is_longer_than_a_receiver_waits_for(size):
+    message = Random(1).randbytes(size)  # that can't be packed
+    parts = list(cut(message))
+    assert [part.is_last for part in parts] == [False] * (len(parts) - 1) + [True]
+    assert all(len(part.data) <= PIECE_BYTES for part in parts)
+    assert join(Joiner(), parts)[-1] == message
+
+
+def test_many_routes_are_sent_in_a_fifth_of_their_bytes_or_less():
+    message = b"".join(
+        b'{"host":"host-%d.example","prefix":"/%x/"}' % (n, n) for n in range(1400)
+    )
+    assert sum(len(part.data) for part in cut(message)) < len(message) / 5
+
+
+@pytest.mark.parametrize(
+    "data",
+    [b"", b"no such thing", zlib.compress(b"x" * 5000)[:-3]],
+    ids=["empty", "bad", "cut"],
+)
+def test_what_cannot_be_unpacked_is_refused(data):
+    assert Joiner().add(Piece(data, is_last=True, is_packed=True)).is_err()
+
+
+@pytest.mark.parametrize("is_packed", [False, True])
+def test_a_message_without_an_end_does_not_fill_the_memory(monkeypatch, is_packed):
+    monkeypatch.setattr(pieces, "LONGEST_MESSAGE", 10_000)
+    data = zlib.compress(b"x" * 20_000) if is_packed else b"x" * 20_000
+    assert Joiner().add(Piece(data, is_last=True, is_packed=is_packed)).is_err()
--- a/test/test_slow_links.py
+++ b/test/test_slow_links.py
@@ -20,11 +20,19 @@
 """
 
 import asyncio
+from contextlib import aclosing
 from random import Random
 
 from wheatslip import head as heads
+from wheatslip.bundle import Bundle, Route, Split
+from wheatslip.feedcache import Cursor, FeedCache
+from wheatslip.head import Head
 from wheatslip.headage import AgeChange, HeadAge
+from wheatslip.instances import Instance
 from wheatslip.objects import ObjectClient
+from wheatslip.signedbundle import SignedBundle
+from wheatslipd import relay
+from wheatslipd.tls import PeerTls
 
 from fleet_adapter.store import FleetStore
 from fleet_standins.store import StoreStandIn
@@ -105,6 +113,37 @@
     run(scenario)
 
 
+def test_an_update_that_is_long_for_its_link_is_not_taken_for_silence(monkeypatch):
+    """It takes twice as long as a parent may be silent, also packed."""
+    monkeypatch.setattr(relay, "SILENCE_SECONDS", 0.4)
+
+    async def scenario():
+        random = Random(1)
+        routes = tuple(
+            Route(
+                f"{number:05}", f"{random.randbytes(24).hex()}.example", "/", (Split("papers"),)
+            )
+            for number in range(5000)
+        )
+        long = Bundle(2, routes=routes)
+        cache = FeedCache()
+        signed = SignedBundle(long.canonical().decode())
+        cache.take_bundle(Head(2, long.digest()), signed, long)
+        server = relay.RelayServer(cache, PeerTls())
+        await server.listen(HOST, 0)
+        link = NarrowLink(HOST, server.port, LINK)
+        await link.open()
+        parent = Instance("parent", "papers", "one", HOST, 1, 2, link.port)
+        updates = relay.follow_parent(parent, Cursor("child"), PeerTls())
+        async with aclosing(updates):
+            assert (await anext(updates)).signed == signed
+        assert link.carried / LINK > 2 * relay.SILENCE_SECONDS
+        await link.close()
+        await server.stop()
+
+    run(scenario)
+
+
 def test_what_had_come_of_an_answer_is_told_when_it_is_given_up():
     async def scenario():
         store = StoreStandIn()
