Follow a hint to the daemon that gave it before the platform is read

Cause: a daemon that hears on a request of a newer version read the platform at once, which sends the whole configuration and charges a call. Ruled out: a longer patience for the tree alone (where the tree is cut, hints are the way out, and the bound on a change is short). Change: the daemon that gave the hint is asked first, for 1.5 s at most; it answers with the packed difference. The platform is read if that brought nothing. Figures: by the tests, reads of the platform for a hint that its giver can meet 1 -> 0; both cases red on the code before.

--- a/packages/wheatslipd/wheatslipd/feed.py
+++ b/packages/wheatslipd/wheatslipd/feed.py
@@ -40,7 +40,8 @@
 from wheatslipd.relay import HEARTBEAT_SECONDS, RelayServer, follow_parent
 from wheatslipd.tls import PeerTls
 
-HINT_PATIENCE = 0.25  # seconds that the relay gets before a hint leads to the platform
+HINT_PATIENCE = 0.25  # seconds that the relay gets before a hint is followed
+ASK_SECONDS = 1.5  # that the daemon which gave a hint gets before the platform is read
 HINT_SPACING = 1.0  # seconds between reads of the platform that hints give rise to
 STALE_SECONDS = 15.0  # a parent whose news are not confirmed for so long is left
 # Stale lists that are read in search of the own entry before a present one is read, which the
@@ -131,7 +132,7 @@
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._keep_up())
-                group.create_task(self._answer_hints())
+                group.create_task(self.follow_hints())
                 group.create_task(self._tell_age())
         finally:
             await self.client.close()
@@ -403,20 +404,28 @@
                     break
         return had_news
 
-    async def _answer_hints(self) -> None:
-        """Read the platform only if the relay did not bring the hinted version in time."""
+    async def follow_hints(self) -> None:
+        """Ask the daemon that gave a hint, if the relay did not bring the version in time, and
+        read the platform only if that one does not bring it either.
+
+        The platform sends the whole configuration, and to all daemons of a zone at once when
+        they hear of it in the same moment: 44 such reads of 235 kB were seen in one second.
+        """
         while True:
             await self._hint.wait()
             self._hint.clear()
             await asyncio.sleep(HINT_PATIENCE * (0.5 + self._rng.random()))
             if self._version >= self._hinted_version:
                 continue
-            if not await self._read_head():
-                await self._ask_daemon(self._hinted_by)
+            with suppress(TimeoutError):
+                async with asyncio.timeout(ASK_SECONDS):
+                    await self._ask_daemon(self._hinted_by)
+            if self._version < self._hinted_version:
+                await self._read_head()
             await asyncio.sleep(HINT_SPACING)
 
     async def _ask_daemon(self, address: str) -> None:
-        """Take one update from another daemon, as the platform does not answer us."""
+        """Take one update from another daemon."""
         if not address:
             return
         known = (i for i in self.cache.instances.values() if i.address == address)
--- a/test/test_slow_links.py
+++ b/test/test_slow_links.py
@@ -20,18 +20,24 @@
 """
 
 import asyncio
+import time
 from contextlib import aclosing
 from random import Random
 
+import pytest
+from result import Ok
 from wheatslip import head as heads
 from wheatslip.bundle import Bundle, Route, Split
-from wheatslip.feedcache import Cursor, FeedCache
+from wheatslip.feedcache import Cursor, FeedCache, ListChange
 from wheatslip.head import Head
 from wheatslip.headage import AgeChange, HeadAge
 from wheatslip.instances import Instance
 from wheatslip.objects import ObjectClient
 from wheatslip.signedbundle import SignedBundle
 from wheatslipd import relay
+from wheatslipd.bus import Bus
+from wheatslipd.feed import Feed, FeedPace
+from wheatslipd.proof import believe
 from wheatslipd.tls import PeerTls
 
 from fleet_adapter.store import FleetStore
@@ -144,6 +150,50 @@
     run(scenario)
 
 
+class CountingStore:
+    """A platform that is there and knows of nothing; notes what it is asked."""
+
+    def __init__(self):
+        self.asked = []
+
+    async def get(self, kind, name, *, stale_ok=False):
+        self.asked.append(name)
+        return Ok(None)
+
+
+@pytest.mark.parametrize(("hinted", "reads"), [(2, []), (3, [heads.NAME])])
+def test_a_hint_leads_to_the_daemon_that_gave_it_and_then_to_the_platform(hinted, reads):
+    """44 daemons read 235 kB from the platform in one second when a request told them of it."""
+
+    async def scenario():
+        bundle = Bundle(2)
+        cache = FeedCache()
+        signed = SignedBundle(bundle.canonical().decode())
+        cache.take_bundle(Head(2, bundle.digest()), signed, bundle)
+        giver = relay.RelayServer(cache, PeerTls())
+        await giver.listen(HOST, 0)
+        store = CountingStore()
+        feed = Feed(
+            "b", "one", store, believe, Bus(), PeerTls(), Random(1), time.time, FeedPace()
+        )
+        feed.cache.take_list(
+            1,
+            [ListChange(1, "a", Instance("a", "papers", "one", HOST, 1, 2, giver.port))],
+            whole=True,
+        )
+        following = asyncio.create_task(feed.follow_hints())
+        feed.check_head(hinted, HOST)
+
+        async def followed():
+            return feed.cache.head is not None and store.asked == reads
+
+        await eventually(followed)
+        following.cancel()
+        await giver.stop()
+
+    run(scenario)
+
+
 def test_what_had_come_of_an_answer_is_told_when_it_is_given_up():
     async def scenario():
         store = StoreStandIn()
