Let the readers of all zones follow each other in a ring

Cause: a zone heard of a change through its two readers alone. Where the platform turned both away their followers stayed with them, and the way out was a request that came from elsewhere. Change: each reader follows the one before it in the ring of all zones' readers besides its own watch; the second of a zone followed the first already. A change that a ring neighbour brought is not taken again from the own watch, and an older answer of the watch is left alone. Another zone's change of readers does not end a watch. Hashes of names are kept, as readers order all zones. Model of the copies: watch and ring at once, few changes kept; it does not notice when the check for repeats is taken out, a test of its own does.

--- a/packages/wheatslip/wheatslip/feedcache.py
+++ b/packages/wheatslip/wheatslip/feedcache.py
@@ -85,6 +85,8 @@
             self._changes.clear()
             self._complete_since = listed
         for change in changes:
+            if not whole and change.version <= self.listed:
+                continue  # brought by another way before
             if change.version < self.version_of(change.name):
                 continue
             taken.append(change)
--- a/packages/wheatslip/wheatslip/relaytree.py
+++ b/packages/wheatslip/wheatslip/relaytree.py
@@ -4,12 +4,17 @@
 platform; each other follows one that stands before it. Daemons whose lists differ for a
 while may follow each other in a ring; `as_of` of the updates then stands still, and the
 follower turns to its next parent.
+
+The watchers of all zones follow each other in one ring besides, so that what reaches any of
+them reaches each zone, also one whose watchers the platform turns away.
 """
 
 import hashlib
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
+from functools import lru_cache
 
 WATCHERS = 2  # of each zone, unless the settings say otherwise
+KEPT_PLACES = 32768  # hashes of names; the target's members and half as many that have gone
 FANOUT = 3  # followers of one daemon, about; docs/CAPACITY.md has the bytes behind it
 
 
@@ -34,14 +39,24 @@
     return [order[parent] for parent in tried]
 
 
-def list_parents_of(name: str, order: Sequence[str], watchers: int = WATCHERS) -> list[str]:
-    """Whom `name` follows for the list: a watcher those before it, else its parents.
+def watches_list(name: str, order: Sequence[str]) -> bool:
+    """Whether `name` watches the list: each change ends every watch, so one of a zone does."""
+    return name in order[:1] or name not in order
+
+
+def watcher_ring(
+    orders: Mapping[str, Sequence[str]], watchers: int = WATCHERS
+) -> tuple[str, ...]:
+    """The watchers of all zones by the zones' orders, those of one zone side by side."""
+    return tuple(name for zone in sorted(orders) for name in orders[zone][:watchers])
+
 
-    Each change of the list ends every watch of it, so only the first watcher has one.
+def ring_parents_of(name: str, ring: Sequence[str]) -> list[str]:
+    """Whom a watcher follows, in the order in which to try: those before it in the ring, the
+    nearest first, round to the one behind it.
     """
-    if not is_watcher(name, order, watchers):
-        return parents_of(name, order, watchers)
-    return list(order[: order.index(name)]) if name in order else []
+    place = ring.index(name) if name in ring else len(ring)
+    return [*reversed(ring[:place]), *reversed(ring[place + 1 :])]
 
 
 def depth_of(count: int) -> int:
@@ -54,5 +69,6 @@
     return depth
 
 
+@lru_cache(maxsize=KEPT_PLACES)
 def _place(name: str) -> bytes:
     return hashlib.blake2b(name.encode(), digest_size=8).digest()
--- a/packages/wheatslipd/wheatslipd/feed.py
+++ b/packages/wheatslipd/wheatslipd/feed.py
@@ -30,7 +30,15 @@
     Unavailable,
     follow,
 )
-from wheatslip.relaytree import WATCHERS, is_watcher, list_parents_of, relay_order
+from wheatslip.relaytree import (
+    WATCHERS,
+    is_watcher,
+    parents_of,
+    relay_order,
+    ring_parents_of,
+    watcher_ring,
+    watches_list,
+)
 from wheatslip.signedbundle import SignedBundle
 
 from wheatslipd import logs
@@ -98,7 +106,9 @@
         self._rng = rng
         self._unix = unix
         self._order: list[str] = []
+        self._ring: tuple[str, ...] = ()  # known to watchers only
         self._role_changed = asyncio.Event()
+        self._parents_changed = asyncio.Event()
         self._hint = asyncio.Event()
         self._hinted_version = 0
         self._hinted_by = ""
@@ -180,14 +190,20 @@
         """Follow one parent after the other until this daemon's role changes.
 
         When none of them has news, those that read the platform for this zone may all be
-        gone, and the list with whom to follow instead comes from the platform alone.
+        gone, and the list with whom to follow instead comes from the platform alone. A watcher
+        reads that anyway.
         """
-        parents = self._parents()
         in_vain = 0
         turn = 0
         while not self._role_changed.is_set():
+            if self._parents_changed.is_set():
+                self._parents_changed.clear()
+                in_vain = 0
+                turn = 0
+            parents = self._parents()
             if in_vain >= len(parents):
-                await self._read_both()
+                if not self.watches:
+                    await self._read_both()
                 await self._rest(IN_VAIN_SECONDS)
                 in_vain = 0
                 continue
@@ -197,10 +213,10 @@
             await self._rest(TURN_SECONDS)
 
     async def _rest(self, seconds: float) -> None:
-        """Sleep for about so long, or until this daemon's role changes."""
+        """Sleep for about so long, or until there are other parents."""
         with suppress(TimeoutError):
             async with asyncio.timeout(seconds * (0.5 + self._rng.random())):
-                await self._role_changed.wait()
+                await self._parents_changed.wait()
 
     async def _read_first(self) -> None:
         """The first list comes from the platform: before it there is no one to follow.
@@ -262,17 +278,18 @@
         return False
 
     async def _watch_platform(self) -> None:
-        """Watch the head and the list until this daemon's role changes.
-
-        The list comes from the watcher before this one, if there is one.
+        """Watch the head until this daemon's role changes, and the list if no other of the zone
+        does; follow the watchers before this one besides.
         """
-        parents = self._parents()
-        logs.info("watching-platform", list_from=parents[0] if parents else "platform")
+        has_list = watches_list(self._name, self._order)
+        logs.info("watching-platform", has_list=has_list)
         async with asyncio.TaskGroup() as group:
             tasks = [
-                group.create_task(self._follow_parents() if parents else self._watch_list()),
                 group.create_task(self._watch_head()),
+                group.create_task(self._follow_parents()),
             ]
+            if has_list:
+                tasks.append(group.create_task(self._watch_list()))
             await self._role_changed.wait()
             for task in tasks:
                 task.cancel()
@@ -366,14 +383,14 @@
             self._know_head(listing.version)
 
     async def _follow(self, parent: str) -> bool:
-        """Follow one parent until it fails or the role changes; whether it had news."""
+        """Follow one parent until it fails or there are others; whether it had news."""
         instance = self.cache.instances.get(parent)
         if instance is None or not instance.control_port:
             return False
         logs.info("following", parent=parent)
         self.parent = parent
         reading = asyncio.ensure_future(self._read_parent(instance))
-        moving = asyncio.ensure_future(self._role_changed.wait())
+        moving = asyncio.ensure_future(self._parents_changed.wait())
         try:
             await asyncio.wait({reading, moving}, return_when=asyncio.FIRST_COMPLETED)
         finally:
@@ -459,6 +476,8 @@
         self._is_head_watched = False
 
     def _take_listing(self, listing: Listing) -> None:
+        if listing.version < self.cache.listed:
+            return  # another daemon has brought a later one
         changes = [change for change in map(_as_change, listing.items) if change is not None]
         self._take_list(listing.version, changes, whole=listing.whole)
 
@@ -473,17 +492,36 @@
 
     def _reorder(self) -> None:
         """Take the present list for the tree; a changed place ends the present role."""
-        in_zone = {i.name for i in self.cache.instances.values() if i.zone == self._zone}
+        zones: dict[str, set[str]] = {}
+        for instance in self.cache.instances.values():
+            zones.setdefault(instance.zone, set()).add(instance.name)
+        in_zone = zones.get(self._zone)
         if in_zone:
             # One that is not listed yet takes the place that it will have.
             in_zone.add(self._name)
-        before = (self.watches, self._parents())
-        self._order = relay_order(in_zone)
-        if before != (self.watches, self._parents()):
+        role_before = self._role()
+        parents_before = self._parents()
+        self._order = relay_order(in_zone or ())
+        # Where all of this zone is new there is no order yet, and all read.
+        is_placed = self._name in self._order[: self._pace.watchers]
+        self._ring = self._ring_of(zones) if is_placed else ()
+        if self._role() != role_before:
             self._role_changed.set()
+        if self._role_changed.is_set() or self._parents() != parents_before:
+            self._parents_changed.set()
+
+    def _ring_of(self, zones: dict[str, set[str]]) -> tuple[str, ...]:
+        orders = {zone: relay_order(names) for zone, names in zones.items()}
+        return watcher_ring(orders, self._pace.watchers)
+
+    def _role(self) -> tuple[bool, bool]:
+        """Whether this daemon watches the platform, and the list there."""
+        return self.watches, watches_list(self._name, self._order)
 
     def _parents(self) -> list[str]:
-        return list_parents_of(self._name, self._order, self._pace.watchers)
+        if self.watches:
+            return ring_parents_of(self._name, self._ring)
+        return parents_of(self._name, self._order, self._pace.watchers)
 
     def _take_update(self, update: Update) -> None:
         if (update.whole or update.changes) and not self.cache.is_late(update):
--- a/test/routed_fleet.py
+++ b/test/routed_fleet.py
@@ -11,6 +11,7 @@
 
 from fleet_adapter.heartbeats import decode_heartbeat
 from fleet_adapter.store import FleetStore
+from fleet_standins.door import Door
 from fleet_standins.store import StoreStandIn
 from standins.cluster import HOST, eventually
 from standins.link import NarrowLink
@@ -19,7 +20,7 @@
 SETTINGS = """
 [daemon]
 name = {name}
-zone = one
+zone = {zone}
 pool = papers
 loop = asyncio
 [entry]
@@ -84,7 +85,8 @@
 @dataclass
 class Fleet:
     """Daemons with their servers, on one store. `link_bytes` bounds what the link of a daemon
-    to the store carries a second.
+    to the store carries a second; with `has_doors` each daemon without such a link reaches the
+    store through a door of its own. Daemons that `zones` does not name are in zone one.
     """
 
     store: StoreStandIn
@@ -97,6 +99,9 @@
     watch_check: str = "0s"
     link_bytes: dict[str, float] = field(default_factory=dict)
     links: dict[str, NarrowLink] = field(default_factory=dict)
+    has_doors: bool = False
+    doors: dict[str, Door] = field(default_factory=dict)
+    zones: dict[str, str] = field(default_factory=dict)
 
     async def add(self, name, backend=None):
         backend = backend or PlainBackend(f"i-{name}")
@@ -110,6 +115,7 @@
         text = SETTINGS.format(
             name=name,
             port=port,
+            zone=self.zones.get(name, "one"),
             store=store,
             settle=self.settle,
             watch=self.watch,
@@ -123,14 +129,19 @@
         await daemon.listening.wait()
 
     async def _store_port(self, name):
-        """Where a daemon finds the store: behind its link, if it has one."""
-        if name not in self.link_bytes:
-            return self.store.server.port
-        if name not in self.links:
-            link = NarrowLink(HOST, self.store.server.port, self.link_bytes[name])
-            await link.open()
-            self.links[name] = link
-        return self.links[name].port
+        """Where a daemon finds the store: behind its link or its door, if it has one."""
+        if name in self.link_bytes:
+            if name not in self.links:
+                link = NarrowLink(HOST, self.store.server.port, self.link_bytes[name])
+                await link.open()
+                self.links[name] = link
+            return self.links[name].port
+        if self.has_doors:
+            if name not in self.doors:
+                self.doors[name] = Door(self.store)
+                await self.doors[name].server.listen(HOST, 0)
+            return self.doors[name].server.port
+        return self.store.server.port
 
     async def stop(self, name):
         self.daemons.pop(name).stop()
@@ -189,5 +200,7 @@
             await backend.server.stop(0.0)
         for link in one.links.values():
             await link.close()
+        for door in one.doors.values():
+            await door.server.stop(0.0)
         await one.session.close()
         await store.server.stop(0.0)
--- a/test/test_feed_model.py
+++ b/test/test_feed_model.py
@@ -1,12 +1,16 @@
 """The copies of the list, explored: a platform, a watcher and followers that lose messages.
 
 Updates may be lost, come late, or come twice; daemons start anew; the platform may forget its
-history. Whatever the course, no copy goes back, and once calm all hold what the platform holds.
+history; each may watch the platform itself while it follows others, and be followed by the
+watcher. Whatever the course, no copy goes back, and once calm all hold what the platform holds.
 """
 
+from unittest import mock
+
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from wheatslip import feedcache
 from wheatslip.feedcache import FeedCache, ListChange, Update
 from wheatslip.instances import Instance, InstanceState
 
@@ -29,6 +33,9 @@
 
     def __init__(self):
         super().__init__()
+        # Few, so that copies forget changes that others still ask for.
+        self.kept = mock.patch.object(feedcache, "KEPT_LIST_CHANGES", 3)
+        self.kept.start()
         self.version = 1
         self.truth: dict[str, Instance] = {}
         self.history: list[ListChange] = []
@@ -36,6 +43,10 @@
         self.on_the_way: list[tuple[int, Update]] = []
         self.states: list[tuple[int, list[ListChange]]] = []  # that stale reads may see
         self.seen = [0] * len(self.caches)
+        self.watched: list[tuple[int, int, list[ListChange]]] = []  # answers on their way
+
+    def teardown(self):
+        self.kept.stop()
 
     def _everything(self):
         return [ListChange(i.incarnation, n, i) for n, i in self.truth.items()]
@@ -96,6 +107,29 @@
         update = parent.since(self.caches[follower].cursor("f"))
         self.on_the_way.append((follower, update))
 
+    @rule(number=st.sampled_from((0, *FOLLOWERS)), back=st.integers(0, 4))
+    def watch_answers(self, number, back):
+        """A watch that began up to `back` versions before what others have brought since."""
+        since = max(0, self.caches[number].listed - back)
+        first = self.history[0].version if self.history else self.version + 1
+        if since and first <= since + 1:
+            changes = [c for c in self.history if c.version > since]
+            self.watched.append((number, self.version, changes))
+
+    @rule(index=st.integers(0, 9))
+    def take_watched(self, index):
+        """What `Feed` does with the answer: one from before its own copy is left alone."""
+        if not self.watched:
+            return
+        number, version, changes = self.watched.pop(index % len(self.watched))
+        if version >= self.caches[number].listed:
+            self.caches[number].take_list(version, changes, whole=False)
+
+    @rule(follower=st.sampled_from(FOLLOWERS))
+    def watcher_asks(self, follower):
+        update = self.caches[follower].since(self.caches[0].cursor("w"))
+        self.on_the_way.append((0, update))
+
     @rule(index=st.integers(0, 9))
     def deliver(self, index):
         if self.on_the_way:
@@ -119,6 +153,7 @@
         self.seen[number] = 0
         # What was on its way to the life before ends with its connections.
         self.on_the_way = [one for one in self.on_the_way if one[0] != number]
+        self.watched = [one for one in self.watched if one[0] != number]
 
     @rule()
     def calm_down(self):
--- a/test/test_relay.py
+++ b/test/test_relay.py
@@ -3,6 +3,7 @@
 import asyncio
 import datetime
 import ipaddress
+import itertools
 import ssl
 
 import msgspec
@@ -22,6 +23,8 @@
     is_watcher,
     parents_of,
     relay_order,
+    ring_parents_of,
+    watcher_ring,
 )
 from wheatslip.signedbundle import SignedBundle
 from wheatslipd.http.client import Pool
@@ -50,6 +53,32 @@
     assert is_watcher("stranger", ["a", "b", "c"])
 
 
+def test_what_reaches_any_watcher_reaches_all_whichever_of_them_are_gone():
+    orders = {
+        zone: relay_order(f"{zone}-{number}" for number in range(9)) for zone in ("a", "b", "c")
+    }
+    ring = watcher_ring(orders)
+    assert sorted(ring) == sorted(
+        name for order in orders.values() for name in order[:WATCHERS]
+    )
+    for size in range(1, len(ring) + 1):
+        for alive in itertools.combinations(ring, size):
+            first = {
+                name: next(p for p in [*ring_parents_of(name, ring), name] if p in alive)
+                for name in alive
+            }
+            reached = {alive[0]}
+            for _ in alive:
+                reached |= {name for name, parent in first.items() if parent in reached}
+            assert reached == set(alive)
+
+
+def test_a_watcher_follows_those_before_it_round_the_ring():
+    ring = watcher_ring({"a": ["a-1", "a-2"], "b": ["b-1"]})
+    assert ring_parents_of("a-1", ring) == ["b-1", "a-2"]
+    assert ring_parents_of("b-1", ring) == ["a-2", "a-1"]
+
+
 def instance(name):
     return Instance(name, "papers", "one", HOST, 1, 2, 3)
 
@@ -110,6 +139,15 @@
     assert cache.instances["papers-1"] == newer
 
 
+def test_what_another_way_has_brought_is_not_told_again():
+    """Told again, an instance that has come and gone would be back for a moment."""
+    cache = filled_cache()
+    came_and_went = [ListChange(3, "c", instance("c")), ListChange(4, "c", None)]
+    cache.take_list(4, came_and_went, whole=False)
+    last = ListChange(5, "d", instance("d"))
+    assert cache.take_list(5, [*came_and_went, last], whole=False) == [last]
+
+
 async def zone_of(installation, count):
     for number in range(count):
         await installation.add(f"papers-{number}")
