Ask of a change that it is in force, and not that the stopped are gone from the list

Change: the test asks for the version at each daemon, with the same bound. Conclusion: a fault of the test.

--- a/test/test_turned_away.py
+++ b/test/test_turned_away.py
@@ -55,8 +55,12 @@
 async def change_arrives(one, version):
     """A change of the configuration is in force at each daemon in time."""
     one.store.write("config", "main", configuration(version))
+
+    async def in_force():
+        return all(d.status().version == version for d in one.daemons.values())
+
     async with asyncio.timeout(IN_FORCE_SECONDS):
-        await one.ready(version)
+        await eventually(in_force)
 
 
 async def drain_arrives(one, name):
