Split the feed into a folder of modules with one job each

Moves only: intake (the one writer of the copy), reader (single reads), watching (list and head), following, hints, place (the tree), and the wiring in feed.py. It was one class of 624 lines, and emptied zones are to be added to it. Tests name the parts where they named methods of the class.

--- /dev/null
+++ b/packages/wheatslipd/wheatslipd/feed/feed.py
@@ -0,0 +1,145 @@
+"""The task that keeps the daemon's copy of the platform's objects: a watcher reads the
+platform, every other daemon follows another one.
+
+It owns the platform's client and the cache; controllers hear of news by events on the bus.
+"""
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+
+from wheatslip.feedcache import FeedCache
+from wheatslip.headage import AgeChange, HeadAge
+from wheatslip.objects import ObjectStore
+
+from wheatslipd import logs
+from wheatslipd.bus import Bus
+from wheatslipd.feed.following import ParentFollower
+from wheatslipd.feed.hints import Hints
+from wheatslipd.feed.intake import Intake
+from wheatslipd.feed.pace import FeedPace
+from wheatslipd.feed.place import Place
+from wheatslipd.feed.reader import PlatformReader
+from wheatslipd.feed.watching import HeadWatch, ListWatch
+from wheatslipd.proof import Proof
+from wheatslipd.relay import HEARTBEAT_SECONDS, RelayServer
+from wheatslipd.tls import PeerTls
+
+AGE_LOOK_SECONDS = 1.0  # between looks at how long ago the head was confirmed
+
+
+class Feed:
+    """Keeps one daemon's copy up to date."""
+
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        store: ObjectStore,
+        prove: Proof,
+        bus: Bus,
+        tls: PeerTls,
+        rng: Random,
+        unix: Callable[[], float],
+        pace: FeedPace,
+    ):
+        """`prove` tells whether a bundle may be believed."""
+        self.client = store
+        self._pace = pace
+        self._rng = rng
+        self._unix = unix
+        self.cache = FeedCache()
+        self.relay = RelayServer(self.cache, tls)
+        self._place = Place(name, zone, pace.watchers)
+        self.intake = Intake(
+            self.cache, self.relay, self._place, prove, bus, unix, self.check_head
+        )
+        self._reader = PlatformReader(name, store, self.intake, pace, rng)
+        self._follower = ParentFollower(self._place, self.intake, self._reader, tls, rng)
+        self.hints = Hints(name, self.relay, self.intake, self._reader, tls, rng)
+        self._head_watch = HeadWatch(store, self._reader, self.intake, pace, rng)
+        self._list_watch = ListWatch(store, self.intake, pace, rng)
+
+    @property
+    def watches(self) -> bool:
+        """Whether this daemon reads the platform for others."""
+        return self._place.watches
+
+    @property
+    def parent(self) -> str:
+        """The daemon that is followed now; empty: none."""
+        return self._follower.parent
+
+    @property
+    def head_age(self) -> float | None:
+        """Seconds since a daemon that reads the platform last had an answer on the head, as far
+        as it was told here and by that daemon's clock; None if it never was.
+        """
+        seen = self.cache.as_of
+        return self._unix() - seen if seen else None
+
+    def removal_turn(self, zone: str) -> int | None:
+        """How many daemons are to remove dead entries of `zone` before this one; None if it
+        does not read the platform.
+        """
+        return self._place.removal_turn(zone)
+
+    def check_head(self, version: int, address: str = "") -> None:
+        """Message: the daemon at `address` knows this newer version."""
+        self.hints.give(version, address)
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._keep_up())
+                group.create_task(self.hints.run())
+                group.create_task(self._tell_age())
+        finally:
+            await self.client.close()
+
+    async def _tell_age(self) -> None:
+        """Log when the way to the newest head is lost and when it is found again."""
+        pace = self._pace
+        watch = HeadAge(2 * (pace.watch_check or pace.watch) + 2 * HEARTBEAT_SECONDS)
+        while True:
+            await asyncio.sleep(AGE_LOOK_SECONDS)
+            age = self.head_age
+            if age is None:
+                continue
+            way = self.parent or "platform"
+            match watch.look(age):
+                case AgeChange.LOST:
+                    logs.warning("head-unconfirmed", age=round(age, 1), way=way)
+                case AgeChange.FOUND:
+                    logs.info("head-confirmed", version=self.intake.version, way=way)
+
+    async def _keep_up(self) -> None:
+        await self._reader.read_first()
+        if self._pace.settle and not self._place.is_known:
+            # All of the zone may be starting now. Once they are listed, most follow others.
+            await asyncio.sleep(self._pace.settle * (0.75 + 0.5 * self._rng.random()))
+            await self._reader.read_settled_list()
+        while True:
+            self._place.role_changed.clear()
+            if self.watches:
+                await self._watch_platform()
+            else:
+                await self._follower.run()
+
+    async def _watch_platform(self) -> None:
+        """Watch the head until this daemon's role changes, and the list if no other of the zone
+        does; follow the watchers before this one besides.
+        """
+        has_list = self._place.watches_list
+        logs.info("watching-platform", has_list=has_list)
+        async with asyncio.TaskGroup() as group:
+            tasks = [
+                group.create_task(self._head_watch.run()),
+                group.create_task(self._follower.run()),
+            ]
+            if has_list:
+                tasks.append(group.create_task(self._list_watch.run()))
+            await self._place.role_changed.wait()
+            for task in tasks:
+                task.cancel()
--- /dev/null
+++ b/packages/wheatslipd/wheatslipd/feed/intake.py
@@ -0,0 +1,150 @@
+"""Takes news into the daemon's copy, whoever brings them, and tells the controllers.
+
+The only writer of the cache: what the platform answered and what another daemon sent go
+through the same checks.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+from result import Err, Ok
+from wheatslip import instances as lists
+from wheatslip.bundle import Bundle
+from wheatslip.deltas import BundleDelta
+from wheatslip.feedcache import FeedCache, ListChange, Update
+from wheatslip.head import Head
+from wheatslip.objects import Listing, StoredObject
+from wheatslip.signedbundle import SignedBundle
+
+from wheatslipd import logs
+from wheatslipd.bus import Bus
+from wheatslipd.events import bundle_verified, instances_seen
+from wheatslipd.feed.place import Place
+from wheatslipd.proof import Proof
+from wheatslipd.relay import RelayServer
+
+
+class Intake:
+    """Owns what goes into the cache."""
+
+    def __init__(
+        self,
+        cache: FeedCache,
+        relay: RelayServer,
+        place: Place,
+        prove: Proof,
+        bus: Bus,
+        unix: Callable[[], float],
+        on_gap: Callable[[int], None],
+    ):
+        """`prove` tells whether a bundle may be believed; `on_gap` hears of a version that the
+        differences sent for it do not lead to.
+        """
+        self.cache = cache
+        self._relay = relay
+        self._place = place
+        self._prove = prove
+        self._bus = bus
+        self._unix = unix
+        self._on_gap = on_gap
+
+    @property
+    def version(self) -> int:
+        """Of the bundle in the cache; 0: none."""
+        return self.cache.head.version if self.cache.head else 0
+
+    def confirm(self) -> None:
+        """The platform has just confirmed the list, or was found down: then no one can change
+        it, as far as we can tell.
+        """
+        self.cache.checked = self._unix()
+
+    def confirm_head(self) -> None:
+        """The platform has just confirmed the head."""
+        self.cache.as_of = self._unix()
+
+    def take_read_list(self, listing: Listing) -> None:
+        """Take a list that was read, whole."""
+        if not listing.stale:
+            self.confirm()
+        elif listing.version < self.cache.listed:
+            return
+        self.take_listing(listing)
+
+    def take_listing(self, listing: Listing) -> None:
+        """Take the list, or changes of it."""
+        if listing.version < self.cache.listed:
+            return  # another daemon has brought a later one
+        changes = [change for change in map(_as_change, listing.items) if change is not None]
+        self._take_list(listing.version, changes, whole=listing.whole)
+
+    def take_update(self, update: Update) -> None:
+        """Take what another daemon sent."""
+        if (update.whole or update.changes) and not self.cache.is_late(update):
+            self._take_list(update.listed, list(update.changes), whole=update.whole)
+        self.cache.checked = max(self.cache.checked, update.checked)
+        if update.as_of > self.cache.as_of:
+            # Not announced: followers hear of it with their next heartbeat.
+            self.cache.as_of = update.as_of
+        if update.head is None or update.head.version <= self.version:
+            return
+        if update.signed is not None:
+            self._take_signed(update.head, update.signed)
+            return
+        self.take_deltas(update.head, update.deltas)
+
+    def take_deltas(self, head: Head, deltas: tuple[BundleDelta, ...]) -> None:
+        """Take differences that lead to the bundle of `head`."""
+        bundle = self.cache.with_deltas(deltas)
+        if bundle is None:
+            logs.warning("delta-does-not-fit", version=head.version)
+            self._on_gap(head.version)
+            return
+        body = bundle.canonical().decode()
+        self._take_signed(head, SignedBundle(body, deltas[-1].signatures))
+
+    def take_stored_bundle(self, head: Head, stored: StoredObject) -> None:
+        """Take a bundle as the platform keeps it."""
+        try:
+            signed = msgspec.json.decode(stored.value, type=SignedBundle)
+        except msgspec.DecodeError as error:
+            logs.error("bundle-refused", version=head.version, why=str(error))
+            return
+        self._take_signed(head, signed)
+
+    def _take_list(self, listed: int, changes: list[ListChange], *, whole: bool) -> None:
+        changes = self.cache.take_list(listed, changes, whole=whole)
+        present = tuple(c.instance for c in changes if c.instance is not None)
+        gone = tuple(c.name for c in changes if c.instance is None)
+        if whole or changes:
+            self._bus.fire(instances_seen(present, gone, whole))
+            self._place.reorder(self.cache.instances.values())
+        self._relay.announce()
+
+    def _take_signed(self, head: Head, signed: SignedBundle) -> None:
+        """Prove a bundle, whoever sent it, and put it to use."""
+        match self._prove(signed):
+            case Ok(bundle) if _is_named_by(bundle, head):
+                self.cache.take_bundle(head, signed, bundle)
+                self._relay.announce()
+                self._bus.fire(bundle_verified(bundle, head))
+            case Ok(_):
+                why = "not what the head names"
+                logs.error("bundle-refused", version=head.version, why=why)
+            case Err(why):
+                logs.error("bundle-refused", version=head.version, why=why)
+
+
+def _is_named_by(bundle: Bundle, head: Head) -> bool:
+    return bundle.version == head.version and bundle.digest() == head.digest
+
+
+def _as_change(item: StoredObject) -> ListChange | None:
+    if item.deleted:
+        return ListChange(item.version, item.name, None)
+    match lists.decode_instance(item.value):
+        case Ok(instance):
+            return ListChange(item.version, item.name, instance)
+        case Err(why):
+            logs.error("instance-unreadable", name=item.name, error=why)
+    return None
--- /dev/null
+++ b/packages/wheatslipd/wheatslipd/feed/pace.py
@@ -0,0 +1,19 @@
+"""The settings of the feed."""
+
+from dataclasses import dataclass
+
+from wheatslip.objects import BACKOFF_LAST, WATCH_SECONDS
+from wheatslip.relaytree import WATCHERS
+
+
+@dataclass(frozen=True, slots=True)
+class FeedPace:
+    """How many daemons of a zone read the platform, and how long their watches wait (s)."""
+
+    watchers: int = WATCHERS
+    watch: float = WATCH_SECONDS
+    watch_check: float = 0.0  # between stale reads of the head beside its watch; 0: none
+    list_watch: float = WATCH_SECONDS
+    list_pause: float = 0.0  # between two changes of the list
+    retry_last: float = BACKOFF_LAST  # longest wait after a failed call
+    settle: float = 0.0  # before an empty list of the own zone is read again, at the start
--- /dev/null
+++ b/packages/wheatslipd/wheatslipd/feed/reader.py
@@ -0,0 +1,132 @@
+"""Single reads of the platform: the list, the head, and the bundle that a head names."""
+
+import asyncio
+from random import Random
+
+import msgspec
+from result import Err, Ok
+from wheatslip import head as heads
+from wheatslip import instances as lists
+from wheatslip.deltas import BundleDelta
+from wheatslip.head import Head
+from wheatslip.objects import Backoff, ObjectStore, StoredObject
+
+from wheatslipd import logs
+from wheatslipd.feed.intake import Intake
+from wheatslipd.feed.pace import FeedPace
+from wheatslipd.feed.trouble import log_trouble
+
+# Stale lists that are read in search of the own entry before a present one is read, which the
+# users' platform charges ten times as much for.
+SETTLE_READS = 3
+
+
+class PlatformReader:
+    """Reads for one daemon; what it finds goes to the intake."""
+
+    def __init__(
+        self, name: str, store: ObjectStore, intake: Intake, pace: FeedPace, rng: Random
+    ):
+        self._name = name
+        self._store = store
+        self._intake = intake
+        self._pace = pace
+        self._rng = rng
+        self.head_known = 0  # the store's version up to which the head is known
+
+    async def read_first(self) -> None:
+        """The first list comes from the platform: before it there is no one to follow.
+
+        The configuration is read beside it, so that requests need not wait for a parent that
+        starts too. Both may be stale: the parent, or the watch, tells what has changed.
+        """
+        backoff = Backoff(self._rng, last=self._pace.retry_last)
+        while not await self.read_both():
+            await asyncio.sleep(backoff.next())
+
+    async def read_both(self) -> bool:
+        """Read the list and the head, which may be stale; whether the list was answered."""
+        answered, _ = await asyncio.gather(
+            self.read_list(stale_ok=True), self.read_head(stale_ok=True)
+        )
+        return answered
+
+    async def read_settled_list(self) -> None:
+        """Read the list after the zone has settled, so that the own entry shows that it is not
+        one from before.
+        """
+        for _ in range(SETTLE_READS):
+            await self.read_list(stale_ok=True)
+            if self._name in self._intake.cache.instances:
+                return
+            await asyncio.sleep(self._pace.settle / SETTLE_READS)
+        backoff = Backoff(self._rng, last=self._pace.retry_last)
+        while not await self.read_list():
+            await asyncio.sleep(backoff.next())
+
+    async def read_list(self, *, stale_ok: bool = False) -> bool:
+        """Read the whole list from the platform once; whether it answered."""
+        match await self._store.list(lists.KIND, stale_ok=stale_ok):
+            case Ok(listing):
+                self._intake.take_read_list(listing)
+                return True
+            case Err(trouble):
+                log_trouble(trouble)
+        return False
+
+    async def read_own_entry(self) -> bool:
+        """Read the own entry in the list, which is short; whether the platform answered."""
+        entry = await self._store.get(lists.KIND, self._name, stale_ok=True)
+        return isinstance(entry, Ok)
+
+    async def read_head(self, *, stale_ok: bool = False) -> bool:
+        """Read the head from the platform once; whether it answered."""
+        match await self._store.get(heads.KIND, heads.NAME, stale_ok=stale_ok):
+            case Ok(found):
+                if found is not None:
+                    await self.fetch_newer(found)
+                    self.know_head(found.version)
+                return True
+            case Err(trouble):
+                log_trouble(trouble)
+        return False
+
+    def know_head(self, version: int) -> None:
+        """The head is in force here as the store has it at `version`."""
+        self.head_known = max(self.head_known, version)
+
+    async def fetch_newer(self, stored: StoredObject) -> None:
+        """Fetch the bundle that a stored head names, if it is newer than ours."""
+        try:
+            head = msgspec.json.decode(stored.value, type=Head)
+        except msgspec.DecodeError as error:
+            logs.error("head-unreadable", error=str(error))
+            return
+        if head.version == self._intake.version + 1 and await self._fetch_delta(head):
+            return
+        backoff = Backoff(self._rng, last=self._pace.retry_last)
+        while head.version > self._intake.version:
+            name = heads.bundle_name(head.version, head.digest)
+            match await self._store.get(heads.BUNDLE_KIND, name):
+                case Ok(found) if found is not None:
+                    self._intake.take_stored_bundle(head, found)
+                    return
+                case Ok(_):
+                    logs.error("bundle-missing", version=head.version)
+                case Err(trouble):
+                    log_trouble(trouble)
+            await asyncio.sleep(backoff.next())
+
+    async def _fetch_delta(self, head: Head) -> bool:
+        """Whether the head's bundle could be had from ours and a stored difference."""
+        name = heads.bundle_name(head.version, head.digest)
+        answer = await self._store.get(heads.DELTA_KIND, name)
+        stored = answer.ok_value if isinstance(answer, Ok) else None
+        if stored is None:
+            return False
+        try:
+            delta = msgspec.json.decode(stored.value, type=BundleDelta)
+        except msgspec.DecodeError:
+            return False
+        self._intake.take_deltas(head, (delta,))
+        return self._intake.version >= head.version
--- a/test/test_relay.py
+++ b/test/test_relay.py
@@ -182,8 +182,8 @@
             await zone_of(installation, 2)
             reads = []
             for node in installation.nodes.values():
-                whole = node.daemon.feed._take_stored_bundle
-                node.daemon.feed._take_stored_bundle = lambda head, stored, whole=whole: (
+                whole = node.daemon.feed.intake.take_stored_bundle
+                node.daemon.feed.intake.take_stored_bundle = lambda head, stored, whole=whole: (
                     reads.append(head.version),
                     whole(head, stored),
                 )
--- a/test/test_slow_links.py
+++ b/test/test_slow_links.py
@@ -181,7 +181,7 @@
             [ListChange(1, "a", Instance("a", "papers", "one", HOST, 1, 2, giver.port))],
             whole=True,
         )
-        following = asyncio.create_task(feed.follow_hints())
+        following = asyncio.create_task(feed.hints.run())
         feed.check_head(hinted, HOST)
 
         async def followed():
