--- /dev/null
+++ b/packages/wheatslip/wheatslip/admission/__init__.py
@@ -0,0 +1,20 @@
+"""Admission at one backend server. `admission` holds the rules, `judgement` the judgement of
+time, `line` who waits in which order, `ticket` the requests at the gate.
+"""
+
+from wheatslip.admission.admission import REFUSAL_LOSS, Admission
+from wheatslip.admission.ticket import (
+    ANY_WAIT,
+    MIN_RETRY_AFTER,
+    AdmissionSettings,
+    Ticket,
+)
+
+__all__ = [
+    "ANY_WAIT",
+    "MIN_RETRY_AFTER",
+    "REFUSAL_LOSS",
+    "Admission",
+    "AdmissionSettings",
+    "Ticket",
+]
--- /dev/null
+++ b/packages/wheatslip/wheatslip/admission/line.py
@@ -0,0 +1,66 @@
+"""Who waits at one gate, and in which order they go.
+
+Within a workspace the one that is needed first goes first; what will miss its target goes
+behind all that may meet theirs.
+"""
+
+from collections.abc import Iterator
+
+from wheatslip.admission.ticket import Ticket
+from wheatslip.call import CallClass
+from wheatslip.fairqueue import FairQueue
+
+LATE = 1e9  # seconds; puts what is late behind what is not, and in order among itself
+
+
+class WaitingLine:
+    """The waiting tickets."""
+
+    def __init__(self, urgent_share: float):
+        """`urgent_share` bounds urgent starts, as a part of all, while others wait."""
+        self._queue: FairQueue[Ticket] = FairQueue(urgent_share)
+
+    def __len__(self) -> int:
+        return len(self._queue)
+
+    def __iter__(self) -> Iterator[Ticket]:
+        return iter(self._queue)
+
+    def set_shares(self, shares: dict[str, float]) -> None:
+        """Weights of the workspaces, by name; one that is missing has weight 1."""
+        self._queue.shares = shares
+
+    def set_urgent_share(self, urgent_share: float) -> None:
+        """Take a new bound on urgent starts."""
+        self._queue.urgent_share = urgent_share
+
+    def push(self, ticket: Ticket) -> None:
+        """Queue a ticket by the time it is needed, what is late behind the rest."""
+        call = ticket.call
+        order = LATE + call.deadline if ticket.late else min(call.deadline, call.target)
+        urgent = call.call_class is CallClass.URGENT
+        self._queue.push(call.workspace, order, ticket, urgent=urgent)
+
+    def pop(self) -> Ticket | None:
+        """The ticket that goes next, None if none waits."""
+        return self._queue.pop()
+
+    def remove(self, ticket: Ticket) -> bool:
+        """Take out a waiting ticket; False if it is not there."""
+        return self._queue.remove(ticket.call.workspace, ticket)
+
+    def ahead_of(self, ticket_workspace: str, *, urgent: bool) -> int:
+        """How many tickets would go before a new one of a workspace, about."""
+        return self._queue.ahead_of(ticket_workspace, urgent=urgent)
+
+    def make_room(self, ticket: Ticket) -> bool:
+        """Evict who waits with most for its share, so that `ticket` has room; False if that
+        would be its own workspace, or if it is urgent: then it has no place to take.
+        """
+        if ticket.call.call_class is CallClass.URGENT:
+            return False
+        return self._queue.evict_for(ticket.call.workspace)
+
+    def take_evicted(self) -> list[Ticket]:
+        """The tickets evicted since the last call."""
+        return self._queue.take_evicted()
