Hold a cold backend server to its rate at the gate

Cause: a server that has just started bears a few requests a second; the gate knew of its coldness (warm_at) and read it nowhere, so it got what its slots let through, fell over and came back cold.

The gate spaces starts evenly, with half of the slack as a burst, which keeps the bound in any second, also with connections that held starts up and with a daemon that is restarted in that second. Coldness is known from heartbeats and from the health endpoint's answers; a server that has not told counts as cold until it is asked; an older word of warmth takes nothing back. Others hear of no more room than the rate keeps busy. [pool] cold-seconds and cold-per-second in bundles, [backend] cold-overage and cold-slack, [headers] cold in settings.

--- a/packages/wheatslip/wheatslip/admission/__init__.py
+++ b/packages/wheatslip/wheatslip/admission/__init__.py
@@ -1,8 +1,10 @@
 """Admission at one backend server. `admission` holds the rules, `judgement` the judgement of
-time, `line` who waits in which order, `ticket` the requests at the gate.
+time, `line` who waits in which order, `coldturns` the turns of a cold server, `ticket` the
+requests at the gate.
 """
 
 from wheatslip.admission.admission import REFUSAL_LOSS, Admission
+from wheatslip.admission.coldturns import ColdRate, ColdTurns, cold_rate
 from wheatslip.admission.ticket import (
     ANY_WAIT,
     MIN_RETRY_AFTER,
@@ -16,5 +18,8 @@
     "REFUSAL_LOSS",
     "Admission",
     "AdmissionSettings",
+    "ColdRate",
+    "ColdTurns",
     "Ticket",
+    "cold_rate",
 ]
--- a/packages/wheatslip/wheatslip/admission/admission.py
+++ b/packages/wheatslip/wheatslip/admission/admission.py
@@ -10,7 +10,8 @@
 | whose gate it is, is not known | refused, try again in 0.2 s |
 | the server leaves, is lost, or the deadline has passed | refused |
 | the server is slow now, and the sender has others to try | refused, goes elsewhere |
-| there is a free slot, no one waits, and no slow stretch is waited out | starts |
+| there is a free slot, no one waits, no slow stretch is waited out, and a cold server has a \
+turn for it | starts |
 | the expected wait is beyond the sender's bound, or the deadline | refused |
 | the queue alone makes it miss its target | refused |
 | it may not be held | starts if its answer is not much too late, else refused |
@@ -19,7 +20,9 @@
 """
 
 from dataclasses import dataclass, field
+from math import ceil
 
+from wheatslip.admission.coldturns import ColdTurns
 from wheatslip.admission.judgement import Judgement
 from wheatslip.admission.line import WaitingLine
 from wheatslip.admission.ticket import (
@@ -51,6 +54,7 @@
     unknown: bool = False  # whose gate it is, is not known yet
     lost: bool = False  # the server resets what is sent to it
     last_finished: float = float("-inf")
+    cold: ColdTurns = field(init=False, default_factory=ColdTurns)
     _line: WaitingLine = field(init=False)
     _running: set[Ticket] = field(init=False, default_factory=set)
     _was_full: bool = field(init=False, default=False)  # someone had to wait or go away
@@ -125,7 +129,7 @@
         """
         if self.unknown or self.draining or self.lost:
             return 0.0
-        if self.queued or self.in_flight >= self.limit.value:
+        if self.queued or not self._has_room(now):
             return 0.0  # it waits, and starts when an answer has told the speed anew
         left = min(call.target, call.deadline) - now
         at_pace = self.judgement.at_pace(call, now)
@@ -144,11 +148,31 @@
 
     def expected_wait(self, call: Call, now: float) -> float:
         """Seconds until a call that arrives now would start, given its workspace's share."""
-        if self.in_flight < self.limit.value and not self.queued:
-            return 0.0
+        has_slot = self.in_flight < self.limit.value
+        if has_slot and not self.queued:
+            return self.cold.wait(0, now)
         urgent = call.call_class is CallClass.URGENT
         ahead = self._line.ahead_of(call.workspace, urgent=urgent)
-        return (ahead + 1) / self.limit.value * self.service_estimate(now)
+        for_slot = (ahead + 1) / self.limit.value * self.service_estimate(now)
+        return max(for_slot, self.cold.wait(ahead, now))
+
+    def turn_wait(self, now: float) -> float | None:
+        """Seconds until one that waits may start, if it waits for nothing but a turn at a cold
+        server.
+        """
+        if not self.queued or self.in_flight >= self.limit.value:
+            return None
+        return self.cold.wait(0, now) or None
+
+    def reported_limit(self, now: float) -> int:
+        """Requests that may run at one time, as others should reckon with: of a cold server no
+        more than its rate keeps busy.
+        """
+        limit = self.limit.value
+        if self.cold.rate is None or not self.cold.is_cold(now):
+            return limit
+        kept_busy = ceil(self.cold.rate.per_second * self.service_estimate(now))
+        return max(1, min(limit, kept_busy))
 
     def arrive(self, call: Call, now: float, max_wait: float = ANY_WAIT) -> Ticket | NotRun:
         """Take a request: a started ticket runs, another waits; or it is refused.
@@ -161,7 +185,7 @@
         ticket = Ticket(call, now, max_wait=max_wait)
         if max_wait < ANY_WAIT and self.judgement.is_better_elsewhere(call, max_wait, now):
             return self._refusal(0.0)
-        has_room = self.in_flight < self.limit.value
+        has_room = self._has_room(now)
         if has_room and not self.queued and not self.judgement.waits_out(call, now):
             self._start(ticket, now)
             return ticket
@@ -215,7 +239,7 @@
         """Start waiting requests while there is room."""
         started = []
         passed_over = []
-        while self.in_flight < self.limit.value:
+        while self._has_room(now):
             ticket = self._line.pop()
             if ticket is None:
                 break
@@ -235,7 +259,7 @@
         too late by it; for anything else a refusal in time is better.
         """
         self._line.remove(ticket)
-        if self.in_flight >= self.limit.value or self.draining or self.lost:
+        if not self._has_room(now) or self.draining or self.lost:
             return False
         call = ticket.call
         bound = LAST_RESORT * (call.target - now)
@@ -276,7 +300,8 @@
         """
         if call.hold_until == ANY_WAIT or call.target == ANY_WAIT:
             return False
-        if self.in_flight + self.queued < self.limit.value:
+        waits_for_turn = self.cold.wait(0, now) > 0
+        if self.in_flight + self.queued < self.limit.value and not waits_for_turn:
             return False  # it waits for a slow stretch to end, not for others
         return now + wait + self.judgement.at_pace(call, now) > call.target
 
@@ -301,7 +326,12 @@
         self._line.push(ticket)
         return ticket
 
+    def _has_room(self, now: float) -> bool:
+        """Whether one more may start: there is a slot, and a turn if the server is cold."""
+        return self.in_flight < self.limit.value and self.cold.wait(0, now) <= 0
+
     def _start(self, ticket: Ticket, now: float) -> None:
+        self.cold.on_start(now)
         self.judgement.on_start(ticket, now)
         self._running.add(ticket)
 
--- a/packages/wheatslip/wheatslip/bundle.py
+++ b/packages/wheatslip/wheatslip/bundle.py
@@ -55,13 +55,23 @@
         return next((kind for kind in self.kinds if kind.name == name), None)
 
 
+class ColdStart(msgspec.Struct, frozen=True):
+    """A backend server stays cold for `seconds` after its start, and bears `per_second`
+    requests a second meanwhile.
+    """
+
+    seconds: float
+    per_second: float
+
+
 class Pool(msgspec.Struct, frozen=True):
     """Backend servers that serve the same services, and the limits of each.
 
     `slots` is the concurrency to start from (0: find it), `probes_per_second` the budget of
     active measuring for one backend server, `shed_status` the HTTP status by which its
     servers say that work was not started (0: none does). An empty `health_path` leaves that
-    of the daemon's settings.
+    of the daemon's settings. `cold` is left out of the bytes where it is not set, so that
+    bundles that were signed without it keep their digests.
     """
 
     name: str
@@ -71,6 +81,7 @@
     probes_per_second: float = 1.0
     shed_status: int = 0
     health_path: str = ""
+    cold: ColdStart | msgspec.UnsetType = msgspec.UNSET
 
 
 class Split(msgspec.Struct, frozen=True):
@@ -245,8 +256,21 @@
             probes_per_second=section.number("probes-per-second", 1.0, 0.0, 1000.0),
             shed_status=section.integer("shed-status", 0, 0, 599),
             health_path=section.text("health-path"),
+            cold=self._cold(section),
         )
 
+    def _cold(self, section: Section) -> ColdStart | msgspec.UnsetType:
+        seconds = section.duration("cold-seconds", 0.0)
+        per_second = section.number("cold-per-second", 0.0, 0.0, 1e6)
+        if not seconds and not per_second:
+            return msgspec.UNSET
+        if not (seconds and per_second):
+            expected = "cold-seconds and cold-per-second together, each above 0"
+            given = f"{seconds:g} s and {per_second:g}"
+            self._problems.add(section.name, "cold-seconds", given, expected)
+            return msgspec.UNSET
+        return ColdStart(seconds, per_second)
+
     def _route(self, name: str, section: Section) -> None:
         self._routes[name] = Route(
             name=name,
--- a/packages/wheatslip/wheatslip/registration.py
+++ b/packages/wheatslip/wheatslip/registration.py
@@ -44,12 +44,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Registered:
-    """The backend server that stands beside the daemon now."""
+    """The backend server that stands beside the daemon now.
+
+    `warm_at` is when it will be warm, in seconds, monotonic; None: it has not told.
+    """
 
     server: str
     slots: int
     draining: bool = False
-    warm_at: float = 0.0  # seconds, monotonic
+    warm_at: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,12 +103,16 @@
         current = self.current
         if current is None or current.server != server or current.draining:
             return False
-        self.current = Registered(server, current.slots, draining=True)
+        self.current = Registered(server, current.slots, True, current.warm_at)
         return True
 
-    def on_health(self, server: str, slots: int, *, well: bool) -> bool:
+    def on_health(
+        self, server: str, slots: int, *, well: bool, warm_at: float | None = None
+    ) -> bool:
         """The health endpoint told who is there; whether `current` changed.
 
+        `warm_at` is when the server will be warm by its word, None if it said nothing of it.
+
         Its word on how the server is counts only until the first heartbeat, as it may be wrong
         in both ways; who it is settles a dispute.
         """
@@ -113,7 +120,7 @@
             return self._settle(server)
         if self.current is not None or server in self._retired or not well:
             return False
-        self.current = Registered(server, slots)
+        self.current = Registered(server, slots, warm_at=warm_at)
         return True
 
     def _confirms_claim(self, server: str, beat: Heartbeat, now: float) -> bool:
@@ -159,8 +166,7 @@
         draining = beat.state is ServerState.DRAINING
         if before is not None and before.server == server:
             draining = draining or before.draining
-        warm_at = now + beat.warm_in if beat.warm_in > 0 else 0.0
-        self.current = Registered(server, beat.slots, draining, warm_at)
+        self.current = Registered(server, beat.slots, draining, now + beat.warm_in)
         return before is None or (before.server, before.slots, before.draining) != (
             server,
             beat.slots,
--- a/packages/wheatslipd/wheatslipd/gate.py
+++ b/packages/wheatslipd/wheatslipd/gate.py
@@ -34,6 +34,7 @@
         self._lost_in_a_row = 0
         self.load_seen = float("-inf")  # when it last told of its load
         self._waiting: dict[Ticket, asyncio.Future[NotRun | None]] = {}
+        self._next_turn: asyncio.TimerHandle | None = None  # of a cold server
 
     async def enter(self, call: Call, max_wait: float) -> Ticket | NotRun:
         """Wait for a turn; the ticket that comes back has started and must be left with."""
@@ -65,6 +66,15 @@
         self.admission.forget_speed()
         self.in_doubt.set()
 
+    def learn_cold(self, remaining: float) -> None:
+        """The backend server was asked, and stays cold for so many seconds."""
+        now = self._clock()
+        was_cold = self.admission.cold.is_cold(now)
+        self.admission.cold.asked()
+        self.admission.cold.told(remaining, now)
+        if self.admission.cold.is_cold(now) and not was_cold:
+            logs.info("backend-cold", remaining=round(remaining, 3))
+
     def learn(self, load: BackendLoad) -> None:
         """The backend server told of its load."""
         if load.slowness != self.admission.slowness and logs.is_enabled(LogLevel.DEBUG):
@@ -153,11 +163,12 @@
     def report(self) -> LoadReport:
         """The load now, to ride on an answer."""
         admission = self.admission
+        now = self._clock()
         return LoadReport(
             in_flight=admission.in_flight,
             queued=admission.queued,
-            limit=admission.limit.value,
-            service=round(admission.usual_service(self._clock()), 4),
+            limit=admission.reported_limit(now),
+            service=round(admission.usual_service(now), 4),
             version=self._view.version,
             draining=admission.draining,
             slowness=round(admission.slowness, 2),
@@ -166,6 +177,7 @@
     async def _wait(self, ticket: Ticket, now: float) -> Ticket | NotRun:
         future: asyncio.Future[NotRun | None] = asyncio.get_running_loop().create_future()
         self._waiting[ticket] = future
+        self._plan_turn()
         patience = self.admission.latest_start(ticket.call, now) - now
         try:
             async with asyncio.timeout(max(0.0, patience)):
@@ -210,6 +222,19 @@
     def _wake(self, started: list[Ticket]) -> None:
         for ticket in started:
             self._tell(ticket, None)
+        self._plan_turn()
+
+    def _plan_turn(self) -> None:
+        """Wake up for the next turn at a cold server, if someone waits for it."""
+        wait = self.admission.turn_wait(self._clock())
+        if wait is None or self._next_turn is not None:
+            return
+        loop = asyncio.get_running_loop()
+        self._next_turn = loop.call_later(wait, self._take_turn)
+
+    def _take_turn(self) -> None:
+        self._next_turn = None
+        self._wake(self.admission.admit(self._clock()))
 
     def _tell_evicted(self) -> None:
         for ticket in self.admission.evicted():
--- a/packages/wheatslipd/wheatslipd/health.py
+++ b/packages/wheatslipd/wheatslipd/health.py
@@ -7,6 +7,7 @@
 from wheatslipd.http.messages import RequestHead, ResponseHead
 
 MAX_BODY_BYTES = 64 * 1024
+MILLISECONDS = 1000.0
 
 
 async def ask_health(backend: Backend, path: str, timeout: float) -> ResponseHead | None:
@@ -28,5 +29,17 @@
     return answer.response.head
 
 
+def cold_remaining(head: ResponseHead, header: bytes) -> float | None:
+    """Seconds that the server stays cold by its answer, 0 if it says nothing of it; None if
+    servers have no `header` to say so, or it can't be read.
+    """
+    if not header:
+        return None
+    try:
+        return max(0.0, float(head.get(header) or b"0")) / MILLISECONDS
+    except ValueError:
+        return None
+
+
 def _nothing() -> None:
     pass
--- a/packages/wheatslipd/wheatslipd/ownserver.py
+++ b/packages/wheatslipd/wheatslipd/ownserver.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable
 from random import Random
 
+from msgspec import UnsetType
+from wheatslip.admission import ColdRate, cold_rate
 from wheatslip.bundle import Pool
 from wheatslip.instances import Instance, InstanceState
 from wheatslip.objects import ObjectStore
@@ -53,18 +55,26 @@
         self._settings = settings
         self._view = view
         self._gate = gate
+        self._clock = clock
         self._server = ""  # the id of the one that registered last
         self._slots = 0  # that the server told of, as far as they are used; 0: none yet
         address = f"{settings.backend_address}:{settings.backend_port}"
         registration = Registration(settings.pool, address)
         self._registrar = Registrar(
-            registration, backend, settings.headers, bus, clock, gate.learn, decode
+            registration,
+            backend,
+            settings.headers,
+            bus,
+            clock,
+            gate.learn,
+            self._learn_cold,
+            decode,
         )
         self._registrar.health_path = settings.health_path
         self._check = SpeedCheck(
             gate,
             backend,
-            settings.headers.load,
+            settings.headers,
             metrics,
             clock,
             SlidingLimit(settings.checks_per_second),
@@ -104,17 +114,41 @@
         health_path = pool.health_path or self._settings.health_path
         self._registrar.health_path = health_path
         self._check.use_path(health_path)
+        self._gate.admission.cold.bound(self._cold_rate(pool))
         return self._slots or pool.slots
 
+    def _cold_rate(self, pool: Pool) -> ColdRate | None:
+        if isinstance(pool.cold, UnsetType):
+            return None
+        settings = self._settings
+        return cold_rate(
+            pool.cold.seconds, pool.cold.per_second, settings.cold_overage, settings.cold_slack
+        )
+
+    def _learn_cold(self, remaining: float) -> None:
+        """The server's heartbeat told for how many seconds it stays cold."""
+        self._gate.admission.cold.told(remaining, self._clock())
+
     def take_registration(self, registered: Registered) -> None:
         """Apply the bounds that the server tells; of a new one, ask how fast it is."""
-        if registered.server != self._server and self._settings.headers.load:
-            self._gate.expect_load()
+        if registered.server != self._server:
+            self._take_new(registered)
         self._server = registered.server
         self._slots = max(1, int(registered.slots * self._settings.slot_share))
         admission = self._gate.admission
         admission.resize(dataclasses.replace(admission.settings, slots=self._slots))
 
+    def _take_new(self, registered: Registered) -> None:
+        if self._settings.headers.load:
+            self._gate.expect_load()
+        cold = self._gate.admission.cold
+        now = self._clock()
+        cold.replaced()
+        if registered.warm_at is None:
+            cold.assume(now)
+        else:
+            cold.told(registered.warm_at - now, now)
+
     def publish(self, entry_port: int, peer_port: int, control_port: int) -> None:
         """Let the list show this daemon as it is now."""
         settings = self._settings
--- a/packages/wheatslipd/wheatslipd/registrar.py
+++ b/packages/wheatslipd/wheatslipd/registrar.py
@@ -15,7 +15,7 @@
 from wheatslipd.backend import Backend
 from wheatslipd.bus import Bus
 from wheatslipd.events import backend_registered
-from wheatslipd.health import ask_health
+from wheatslipd.health import ask_health, cold_remaining
 from wheatslipd.http.body import BodyBroken
 from wheatslipd.http.exchange import Exchange
 from wheatslipd.http.messages import ResponseHead
@@ -49,9 +49,13 @@
         bus: Bus,
         clock: Callable[[], float],
         on_load: Callable[[BackendLoad], None],
+        on_cold: Callable[[float], None],
         decode: HeartbeatDecoder = decode_heartbeat,
     ):
-        """`on_load` hears of the load that the health endpoint tells."""
+        """`on_load` hears of the load that the health endpoint tells, `on_cold` of the seconds
+        that the server stays cold, by its heartbeats.
+        """
+        self._on_cold = on_cold
         self._on_load = on_load
         self._registration = registration
         self._backend = backend
@@ -82,7 +86,11 @@
             logs.warning("heartbeat-unreadable", server=server, repeat_key=server)
             await exchange.respond(ResponseHead(400))
             return
-        self._tell(self._registration.on_heartbeat(server, beat, self._clock()))
+        now = self._clock()
+        self._tell(self._registration.on_heartbeat(server, beat, now))
+        current = self._registration.current
+        if current is not None and current.server == server and current.warm_at is not None:
+            self._on_cold(current.warm_at - now)
         if self._registration.is_disputed:
             logs.info("server-disputed", server=server, sequence=beat.sequence)
             self._disputed.set()
@@ -117,7 +125,9 @@
             return
         slots = load.slots if load is not None else 0
         well = found.status == GOOD
-        self._tell(self._registration.on_health(server, slots, well=well))
+        remaining = cold_remaining(found, self._names.cold)
+        warm_at = None if remaining is None else self._clock() + remaining
+        self._tell(self._registration.on_health(server, slots, well=well, warm_at=warm_at))
         if load is not None:
             self._on_load(load)
 
--- a/packages/wheatslipd/wheatslipd/settings.py
+++ b/packages/wheatslipd/wheatslipd/settings.py
@@ -79,6 +79,7 @@
     not_run: bytes = b""
     load: bytes = b""
     server: bytes = b""
+    cold: bytes = b""
 
     @property
     def set_by_us(self) -> frozenset[bytes]:
@@ -119,6 +120,8 @@
     fleet_budget: FleetBudget | None = None
     registration_port: int | None = None
     slot_share: float = 1.0
+    cold_overage: float = 1.0
+    cold_slack: float = 0.0
     recovery_probe: float = 0.1
     check_price: float = CHECK_PRICE
     checks_per_second: float = CHECKS_PER_SECOND
@@ -206,6 +209,8 @@
         fleet_budget=_fleet_budget(sections["retries"]),
         registration_port=_registration_port(sections["registration"]),
         slot_share=backend.number("slot-share", 1.0, 0.1, 1.0),
+        cold_overage=backend.number("cold-overage", 1.0, 0.1, 1000.0),
+        cold_slack=backend.number("cold-slack", 0.0, 0.0, 1e6),
         recovery_probe=backend.duration("recovery-probe", 0.1),
         check_price=backend.number("check-price", CHECK_PRICE, 0.0, NO_CHECKS),
         checks_per_second=backend.number("checks-per-second", CHECKS_PER_SECOND, 1.0, 1e4),
@@ -252,6 +257,7 @@
         not_run=name("not-run"),
         load=name("load"),
         server=name("server"),
+        cold=name("cold"),
     )
 
 
--- a/packages/wheatslipd/wheatslipd/speedcheck.py
+++ b/packages/wheatslipd/wheatslipd/speedcheck.py
@@ -1,4 +1,4 @@
-"""One question at a time to a backend server's health endpoint: how fast are you now?
+"""One question at a time to a backend server's health endpoint: how fast, and how cold are you?
 
 Whoever wants to know while a question is on its way shares its answer. There is a bound on
 the questions of any second, and one that gets no answer is not repeated for a while.
@@ -13,8 +13,9 @@
 from wheatslipd import logs
 from wheatslipd.backend import Backend
 from wheatslipd.gate import Gate
-from wheatslipd.health import ask_health
+from wheatslipd.health import ask_health, cold_remaining
 from wheatslipd.metrics import Metrics
+from wheatslipd.settings import HeaderNames
 
 TIMEOUT = 0.2  # seconds; the endpoint answers in a few milliseconds, or is in trouble
 # Seconds that a request waits for the answer: some times what an answer takes, and little
@@ -31,15 +32,15 @@
         self,
         gate: Gate,
         backend: Backend,
-        header: bytes,
+        names: HeaderNames,
         metrics: Metrics,
         clock: Callable[[], float],
         limit: SlidingLimit,
     ):
-        """`header` names the load in the endpoint's answer."""
+        """`names` has those of the load and of coldness in the endpoint's answer."""
         self._gate = gate
         self._backend = backend
-        self._header = header
+        self._names = names
         self._metrics = metrics
         self._clock = clock
         self._limit = limit
@@ -93,7 +94,10 @@
         if found is None:
             return False
         self._gate.on_answer()
-        load = decode_backend_load(found.get(self._header) or b"")
+        remaining = cold_remaining(found, self._names.cold)
+        if remaining is not None:
+            self._gate.learn_cold(remaining)
+        load = decode_backend_load(found.get(self._names.load) or b"")
         if load is not None:
             self._gate.learn(load)
         else:
--- a/standins/plainbackend.py
+++ b/standins/plainbackend.py
@@ -42,6 +42,8 @@
     health: int = 200
     service: float = 0.0
     load: bytes = b"0,0,4,100"
+    cold_until: float = 0.0  # the loop's time
+    arrivals: list[float] = field(default_factory=list)  # of requests that it ran; loop's times
     received: list[Received] = field(default_factory=list)
     ran: list[str] = field(default_factory=list)
     server: Server = field(init=False)
@@ -54,6 +56,8 @@
         head = exchange.head
         if head.target == b"/health":
             headers: Headers = [(b"instance-id", self.server_id.encode()), *self._load()]
+            if self.cold_remaining > 0:
+                headers.append((b"cold-remaining", b"%d" % (1000 * self.cold_remaining)))
             await exchange.respond(ResponseHead(self.health, headers))
             return
         body = await exchange.body.read_up_to(1 << 20)
@@ -65,6 +69,11 @@
             return
         await self._run(exchange, received)
 
+    @property
+    def cold_remaining(self) -> float:
+        """Seconds that it stays cold."""
+        return max(0.0, self.cold_until - asyncio.get_running_loop().time())
+
     async def _run(self, exchange: Exchange, received: Received) -> None:
         request_id = received.headers.get("request-id", "")
         headers = [(b"request-id", request_id.encode()), *self._load()]
@@ -73,6 +82,7 @@
             await exchange.respond(ResponseHead(503, headers))
             return
         self.ran.append(request_id)
+        self.arrivals.append(asyncio.get_running_loop().time())
         await asyncio.sleep(self.service)
         match self.trouble:
             case Trouble.FAIL:
--- a/test/routed_fleet.py
+++ b/test/routed_fleet.py
@@ -37,6 +37,7 @@
 list-settle = {settle}
 [backend]
 port = {port}
+{more_backend}
 [registration]
 port = 0
 [headers]
@@ -47,6 +48,7 @@
 not-run = Not-Executed
 server = Instance-Id
 load = Load-Report
+{more_headers}
 [retries]
 share = 5
 reserve = 100
@@ -102,6 +104,8 @@
     has_doors: bool = False
     doors: dict[str, Door] = field(default_factory=dict)
     zones: dict[str, str] = field(default_factory=dict)
+    more_backend: str = ""  # lines of the daemons' settings
+    more_headers: str = ""
 
     async def add(self, name, backend=None):
         backend = backend or PlainBackend(f"i-{name}")
@@ -120,6 +124,8 @@
             settle=self.settle,
             watch=self.watch,
             watch_check=self.watch_check,
+            more_backend=self.more_backend,
+            more_headers=self.more_headers,
         )
         settings = parse_settings(text, name)
         ports = Ports(FleetStore(store), decode_heartbeat)
@@ -152,7 +158,11 @@
         body = {
             "address": f"{HOST}:{backend.server.port}",
             "info": {"service": "papers", "version": "v1", "zone": "one", "slots": 4},
-            "status": {"state": state, "seq": sequence, "cold_remaining_s": 0},
+            "status": {
+                "state": state,
+                "seq": sequence,
+                "cold_remaining_s": backend.cold_remaining,
+            },
         }
         port = self.daemons[name].own_server.registration_server.port
         url = f"http://{HOST}:{port}/heartbeats/{server or backend.server_id}"
@@ -182,11 +192,12 @@
 
 
 @asynccontextmanager
-async def fleet(*names, configured=True, **options):
+async def fleet(*names, configured=True, written=None, **options):
+    """`written` is the configuration to begin with, the usual one if it is not given."""
     store = StoreStandIn()
     await store.server.listen(HOST, 0)
     if configured:
-        store.write("config", "main", configuration())
+        store.write("config", "main", written or configuration())
     one = Fleet(store, aiohttp.ClientSession(), **options)
     try:
         await asyncio.gather(*(one.add(name) for name in names))
--- /dev/null
+++ b/test/test_coldturns.py
@@ -0,0 +1,179 @@
+"""Turns of a cold backend server: its bound holds in any second, whatever the course."""
+
+from bisect import bisect_left
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from wheatslip.admission import Admission, AdmissionSettings, ColdTurns, cold_rate
+from wheatslip.call import Call, CallClass, RequestKind
+from wheatslip.outcome import NotRun, Reason
+
+PER_SECOND = 8.0
+OVERAGE = 1.5
+SLACK = 8.0
+BOUND = PER_SECOND * OVERAGE + SLACK  # requests in any second
+RATE = cold_rate(3.0, PER_SECOND, OVERAGE, SLACK)
+ON_THE_WAY = 0.25  # seconds that a new connection may hold a start up
+RESTART = 0.33  # seconds that a daemon needs to start again, at least
+VIEW = RequestKind("view", repeatable=True)
+URGENT = RequestKind("issue", repeatable=False, call_class=CallClass.URGENT)
+
+
+def call(now=0.0, target=1.0, kind=VIEW):
+    return Call("w", "s", kind, now + 3 * target, target=now + target, hold_until=now + target)
+
+
+def most_in_any_second(times):
+    times = sorted(times)
+    return max(
+        (bisect_left(times, since + 1.0) - place for place, since in enumerate(times)),
+        default=0,
+    )
+
+
+def cold_gate(slots=4, told=3.0, service=0.1):
+    admission = Admission(AdmissionSettings(slots=slots))
+    taught = admission.arrive(call(-100.0), -100.0)
+    admission.finish(taught, -100.0 + service, worked=True)
+    admission.cold.bound(RATE)
+    admission.cold.told(told, 0.0)
+    return admission
+
+
+def play(admission, arrivals, service, until):
+    """Starts at one gate, whose calls each take `service` seconds."""
+    starts = []
+    running = []
+    now = 0.0
+    while now < until:
+        for ticket in [t for t in running if t.started + service <= now]:
+            running.remove(ticket)
+            running += admission.finish(ticket, now, worked=True)
+        running += admission.admit(now)
+        while arrivals and arrivals[0] <= now:
+            arrivals.pop(0)
+            found = admission.arrive(call(now), now)
+            if not isinstance(found, NotRun) and found.started is not None:
+                running.append(found)
+        starts += [t.started for t in running if t.started == now]
+        now = round(now + 0.001, 3)
+    return starts
+
+
+def test_a_storm_at_a_cold_server_stays_below_its_bound_in_any_second():
+    rng = Random(7)
+    arrivals = sorted(rng.random() * 3.0 for _ in range(600))
+    starts = play(cold_gate(), arrivals, 0.02, 3.0)
+    assert most_in_any_second(starts) <= BOUND
+    # It is not starved either: its rate is used.
+    assert len(starts) >= 3 * PER_SECOND * OVERAGE
+
+
+def test_what_is_held_up_on_its_way_stays_below_the_bound_where_it_arrives():
+    rng = Random(8)
+    starts = play(cold_gate(), sorted(rng.random() * 3.0 for _ in range(600)), 0.02, 3.0)
+    # Each second that begins with connections just made gets what was held up until then.
+    arrived = [start + ON_THE_WAY * (start % 1.0 < ON_THE_WAY) for start in starts]
+    assert most_in_any_second(arrived) <= BOUND
+
+
+def test_a_daemon_that_is_restarted_stays_below_the_bound_with_the_one_before():
+    before = play(cold_gate(), [n * 0.002 for n in range(500)], 0.02, 1.0)
+    for gap in (RESTART, 0.5, 0.9):
+        after = play(cold_gate(), [n * 0.002 for n in range(500)], 0.02, 1.0)
+        both = before + [start + 1.0 + gap for start in after]
+        assert most_in_any_second(both) <= BOUND
+
+
+def test_starts_before_the_coldness_was_known_count_too():
+    turns = ColdTurns()
+    turns.bound(RATE)
+    for number in range(30):
+        turns.on_start(0.5 + number * 0.01)  # it was warm, as far as was known
+    turns.told(3.0, 0.8)
+    assert turns.wait(0, 0.8) > 0.6
+
+
+@settings(max_examples=200, deadline=None)
+@given(
+    steps=st.lists(
+        st.tuples(st.floats(0.0, 0.4), st.sampled_from(["start", "told", "asked", "assume"])),
+        max_size=80,
+    )
+)
+def test_the_bound_holds_whatever_is_heard_in_whichever_order(steps):
+    turns = ColdTurns()
+    turns.bound(RATE)
+    now = 0.0
+    cold_starts = []
+    for pause, what in steps:
+        now += pause
+        match what:
+            case "start" if turns.wait(0, now) <= 0:
+                turns.on_start(now)
+                if turns.is_cold(now):
+                    cold_starts.append(now)
+            case "told":
+                turns.told(3.0, now)
+            case "asked":
+                turns.asked()
+            case "assume":
+                turns.assume(now)
+    assert most_in_any_second(cold_starts) <= RATE.in_any_second < BOUND
+
+
+def test_an_older_word_of_warmth_takes_coldness_not_back():
+    turns = ColdTurns()
+    turns.bound(RATE)
+    turns.told(3.0, 1.0)
+    turns.told(0.0, 1.1)
+    turns.asked()
+    assert turns.is_cold(3.9) and not turns.is_cold(4.1)
+
+
+def test_what_is_only_assumed_ends_with_the_servers_answer():
+    turns = ColdTurns()
+    turns.bound(RATE)
+    turns.assume(1.0)
+    assert turns.is_cold(1.1)
+    turns.asked()
+    assert not turns.is_cold(1.1)
+
+
+def test_a_server_without_a_rate_has_no_bound():
+    turns = ColdTurns()
+    turns.told(3.0, 0.0)
+    for number in range(100):
+        assert turns.wait(0, number * 0.001) == 0
+        turns.on_start(number * 0.001)
+
+
+def test_who_waits_for_a_turn_starts_with_it_and_the_urgent_go_first():
+    admission = cold_gate(slots=20)
+    while not isinstance(found := admission.arrive(call(), 0.0), NotRun) and found.started == 0:
+        continue
+    waiting = found
+    urgent = admission.arrive(call(kind=URGENT), 0.0)
+    wait = admission.turn_wait(0.0)
+    assert 0 < wait <= RATE.spacing
+    assert admission.admit(wait / 2) == []
+    assert admission.admit(wait + 1e-9) == [urgent]
+    later = admission.turn_wait(wait + 1e-9)
+    assert admission.admit(wait + later + 1e-8) == [waiting]
+
+
+def test_what_can_get_no_turn_before_its_target_is_refused_at_once():
+    admission = cold_gate(slots=20, service=0.1)
+    outcomes = [admission.arrive(call(target=0.3), 0.0) for _ in range(20)]
+    refused = [o for o in outcomes if isinstance(o, NotRun)]
+    assert refused and all(o.reason is Reason.OVERLOADED for o in refused)
+    # Told when: not before the turns of those that wait.
+    assert refused[-1].retry_after == pytest.approx(0.2, abs=0.1)
+
+
+def test_others_hear_of_no_more_room_than_the_rate_keeps_busy():
+    admission = cold_gate(slots=6, service=0.1)
+    assert admission.reported_limit(0.0) == 2  # 12 a second of 0.1 s each
+    assert admission.reported_limit(5.0) == 6
--- a/test/test_recoveryprobe.py
+++ b/test/test_recoveryprobe.py
@@ -15,11 +15,13 @@
 from wheatslipd.http.messages import ResponseHead
 from wheatslipd.metrics import Metrics
 from wheatslipd.recoveryprobe import RecoveryProbe
+from wheatslipd.settings import HeaderNames
 from wheatslipd.speedcheck import SpeedCheck
 from wheatslipd.view import View
 
 from test.helper import run
 
+NAMES = HeaderNames(load=b"load-report")
 TURNS = 50  # of the event loop; a task that has something to do does it in fewer
 
 
@@ -43,7 +45,7 @@
 def speed_check(gate, backend, per_second=60.0):
     clock = asyncio.get_running_loop().time
     metrics = Metrics("a", "one")
-    return SpeedCheck(gate, backend, b"load-report", metrics, clock, SlidingLimit(per_second))
+    return SpeedCheck(gate, backend, NAMES, metrics, clock, SlidingLimit(per_second))
 
 
 async def doubted(path):
