Empty availability zones: nothing new reaches their servers

What operators empty is an object a zone beside the bundle, so that one of them can ask for it at once (one signature; a bundle takes two). The set travels whole with the platform's revision: a newer one replaces an older. The readers of each zone watch it beside the head and begin anew with it after a silence; the tree and the ring bring it to all others, a start reads it stale beside the list. Entries leave the zone out, its gates refuse by themselves (what waits goes elsewhere without the budget), and a daemon opens only when it knows. A restored zone's servers count as cold until they are asked.

A server that answers 421 gets nothing more until a heartbeat tells who is there.

--- a/packages/wheatslip-cli/wheatslip_cli/bundle_commands.py
+++ b/packages/wheatslip-cli/wheatslip_cli/bundle_commands.py
@@ -14,12 +14,10 @@
 from wheatslip.signing import load_private_key
 
 from wheatslip_cli.operator import complain_about, run_step
+from wheatslip_cli.options import DEFAULT_SETTINGS, Output, SettingsFile
 from wheatslip_cli.output import ExitCode, Format, complain, show
 from wheatslip_cli.settings import Settings
 
-SettingsFile = Annotated[Path, cappa.Arg(short="-s", long="settings", help="Settings (INI).")]
-Output = Annotated[Format, cappa.Arg(short="-o", long="output", help="table or json.")]
-DEFAULT_SETTINGS = Path("wheatslip.ini")
 BundleStep = Callable[[Bundle, Releases, Settings], Awaitable[ExitCode]]
 
 
--- a/packages/wheatslip-cli/wheatslip_cli/main.py
+++ b/packages/wheatslip-cli/wheatslip_cli/main.py
@@ -8,6 +8,7 @@
 from wheatslip_cli import __version__
 from wheatslip_cli.bundle_commands import BundleCommand
 from wheatslip_cli.key_commands import CredentialDigest, MakeKeys
+from wheatslip_cli.zone_commands import ZoneCommand
 
 
 @cappa.command(
@@ -21,14 +22,14 @@
 class Wheatslip:
     """Operate the wheatslip load balancer."""
 
-    command: cappa.Subcommands[BundleCommand | MakeKeys | CredentialDigest]
+    command: cappa.Subcommands[BundleCommand | ZoneCommand | MakeKeys | CredentialDigest]
 
 
 def main() -> None:
     """Entry point of the `wheatslip` command."""
     parsed = cappa.parse(Wheatslip, version=__version__, completion=False)
     chosen = parsed.command
-    command = chosen.command if isinstance(chosen, BundleCommand) else chosen
+    command = chosen.command if isinstance(chosen, BundleCommand | ZoneCommand) else chosen
     sys.exit(int(command()))
 
 
--- a/packages/wheatslip-cli/wheatslip_cli/operator.py
+++ b/packages/wheatslip-cli/wheatslip_cli/operator.py
@@ -14,9 +14,23 @@
 from wheatslip_cli.settings import Settings, load_settings
 
 Step = Callable[[Releases, Settings], Awaitable[ExitCode]]
+ClientStep = Callable[[ObjectClient, Settings], Awaitable[ExitCode]]
 
 
 def run_step(settings_path: Path, step: Step) -> ExitCode:
+    """Load the settings and run one step of a release against the platform."""
+
+    async def with_releases(client: ObjectClient, settings: Settings) -> ExitCode:
+        try:
+            keyring = load_keyring(settings.keyring)
+        except ValueError as error:
+            return complain(ExitCode.BAD_USAGE, str(error))
+        return await step(Releases(client, keyring), settings)
+
+    return run_with_client(settings_path, with_releases)
+
+
+def run_with_client(settings_path: Path, step: ClientStep) -> ExitCode:
     """Load the settings and run one step against the platform."""
     match load_settings(settings_path):
         case Err(problems):
@@ -26,14 +40,10 @@
     raise AssertionError
 
 
-async def _run(settings: Settings, step: Step) -> ExitCode:
+async def _run(settings: Settings, step: ClientStep) -> ExitCode:
     client = ObjectClient(settings.platform, SystemRandom())
     try:
-        keyring = load_keyring(settings.keyring)
-    except ValueError as error:
-        return complain(ExitCode.BAD_USAGE, str(error))
-    try:
-        return await step(Releases(client, keyring), settings)
+        return await step(client, settings)
     finally:
         await client.close()
 
--- /dev/null
+++ b/packages/wheatslip-cli/wheatslip_cli/zone_commands.py
@@ -0,0 +1,155 @@
+"""The commands `wheatslip zone …`: empty an availability zone, take it back, list them."""
+
+import time
+from dataclasses import dataclass
+from datetime import UTC, datetime
+from typing import Annotated
+
+import cappa
+import msgspec
+from result import Err, Ok
+from wheatslip.drainrequests import ZoneDrainRequests
+from wheatslip.instances import KIND as INSTANCES
+from wheatslip.instances import decode_instance
+from wheatslip.objects import ObjectClient
+from wheatslip.signing import load_private_key, sign_drain
+from wheatslip.zonedrains import ZoneDrain
+
+from wheatslip_cli.operator import complain_about, run_with_client
+from wheatslip_cli.options import DEFAULT_SETTINGS, Output, SettingsFile
+from wheatslip_cli.output import ExitCode, Format, complain, show
+from wheatslip_cli.settings import Settings
+
+Zone = Annotated[str, cappa.Arg(help="Name of the availability zone.")]
+
+
+class ZoneRow(msgspec.Struct, frozen=True):
+    """One emptied zone, as listed. `instances` counts those that the platform lists there."""
+
+    zone: str
+    asked_by: str
+    since: str
+    instances: int
+
+
+@cappa.command(name="drain")
+@dataclass
+class DrainZone:
+    """Ask that nothing new be sent to the backend servers of a zone, at once."""
+
+    zone: Zone
+    settings: SettingsFile = DEFAULT_SETTINGS
+    output: Output = Format.TABLE
+
+    def __call__(self) -> ExitCode:
+        """Carry out the command."""
+
+        async def step(client: ObjectClient, settings: Settings) -> ExitCode:
+            counts = await _instances_by_zone(client)
+            if isinstance(counts, ExitCode):
+                return counts
+            if self.zone not in counts:
+                known = ", ".join(sorted(counts)) or "none"
+                return complain(
+                    ExitCode.BAD_USAGE, f"no instance in zone {self.zone!r}; zones: {known}"
+                )
+            if not settings.operator or settings.key is None:
+                return complain(
+                    ExitCode.BAD_USAGE, f"{self.settings}: [operator] name and key are needed"
+                )
+            try:
+                key = load_private_key(settings.key)
+            except (OSError, ValueError) as error:
+                return complain(ExitCode.BAD_USAGE, str(error))
+            drain = sign_drain(ZoneDrain(self.zone, settings.operator, time.time()), key)
+            match await ZoneDrainRequests(client).drain(drain):
+                case Ok(found):
+                    show([_row(found, counts)], self.output)
+                    return ExitCode.GOOD
+                case Err(trouble):
+                    return complain_about(trouble)
+            raise AssertionError
+
+        return run_with_client(self.settings, step)
+
+
+@cappa.command(name="restore")
+@dataclass
+class RestoreZone:
+    """Take the request to empty a zone back."""
+
+    zone: Zone
+    settings: SettingsFile = DEFAULT_SETTINGS
+
+    def __call__(self) -> ExitCode:
+        """Carry out the command."""
+
+        async def step(client: ObjectClient, settings: Settings) -> ExitCode:
+            match await ZoneDrainRequests(client).restore(self.zone):
+                case Ok(True):
+                    print(f"zone {self.zone} is taken back")
+                    return ExitCode.GOOD
+                case Ok(_):
+                    return complain(ExitCode.REFUSED, f"zone {self.zone} is not emptied")
+                case Err(trouble):
+                    return complain_about(trouble)
+            raise AssertionError
+
+        return run_with_client(self.settings, step)
+
+
+@cappa.command(name="list")
+@dataclass
+class ListZones:
+    """List the zones that are emptied, who asked for it and since when."""
+
+    settings: SettingsFile = DEFAULT_SETTINGS
+    output: Output = Format.TABLE
+
+    def __call__(self) -> ExitCode:
+        """Carry out the command."""
+
+        async def step(client: ObjectClient, settings: Settings) -> ExitCode:
+            counts = await _instances_by_zone(client)
+            if isinstance(counts, ExitCode):
+                return counts
+            match await ZoneDrainRequests(client).listed():
+                case Ok(drains):
+                    show([_row(drain, counts) for drain in drains], self.output)
+                    return ExitCode.GOOD
+                case Err(trouble):
+                    return complain_about(trouble)
+            raise AssertionError
+
+        return run_with_client(self.settings, step)
+
+
+@cappa.command(name="zone")
+@dataclass
+class ZoneCommand:
+    """Empty availability zones and take them back."""
+
+    command: cappa.Subcommands[DrainZone | RestoreZone | ListZones]
+
+
+async def _instances_by_zone(client: ObjectClient) -> dict[str, int] | ExitCode:
+    """How many instances the platform lists in each zone; an exit code if it can't be read."""
+    answer = await client.list(INSTANCES)
+    if isinstance(answer, Err):
+        return complain_about(answer.err_value)
+    counts: dict[str, int] = {}
+    for item in answer.ok_value.items:
+        match decode_instance(item.value):
+            case Ok(instance):
+                counts[instance.zone] = counts.get(instance.zone, 0) + 1
+    return counts
+
+
+def _row(drain: ZoneDrain, counts: dict[str, int]) -> ZoneRow:
+    since = datetime.fromtimestamp(drain.since, UTC).isoformat(timespec="seconds")
+    return ZoneRow(
+        zone=drain.zone,
+        asked_by=drain.asked_by or "-",
+        since=since if drain.since else "-",
+        instances=counts.get(drain.zone, 0),
+    )
--- a/packages/wheatslip/wheatslip/admission/__init__.py
+++ b/packages/wheatslip/wheatslip/admission/__init__.py
@@ -8,6 +8,7 @@
 from wheatslip.admission.ticket import (
     ANY_WAIT,
     MIN_RETRY_AFTER,
+    NOT_READY_RETRY_AFTER,
     AdmissionSettings,
     Ticket,
 )
@@ -15,6 +16,7 @@
 __all__ = [
     "ANY_WAIT",
     "MIN_RETRY_AFTER",
+    "NOT_READY_RETRY_AFTER",
     "REFUSAL_LOSS",
     "Admission",
     "AdmissionSettings",
--- a/packages/wheatslip/wheatslip/admission/admission.py
+++ b/packages/wheatslip/wheatslip/admission/admission.py
@@ -8,7 +8,7 @@
 | rule | outcome |
 |---|---|
 | whose gate it is, is not known | refused, try again in 0.2 s |
-| the server leaves, is lost, or the deadline has passed | refused |
+| the server leaves or is lost, its zone is emptied, or the deadline has passed | refused |
 | the server is slow now, and the sender has others to try | refused, goes elsewhere |
 | there is a free slot, no one waits, no slow stretch is waited out, and a cold server has a \
 turn for it | starts |
@@ -51,6 +51,7 @@
     settings: AdmissionSettings
     judgement: Judgement = field(init=False)
     draining: bool = False
+    emptied: bool = False  # its zone is: nothing new may reach the server
     unknown: bool = False  # whose gate it is, is not known yet
     lost: bool = False  # the server resets what is sent to it
     last_finished: float = float("-inf")
@@ -127,7 +128,7 @@
         Only a call that could start now, and meets its target if the server is fast but misses
         it if slow, gains: told fast it may be spared a slow start, told slow a refusal.
         """
-        if self.unknown or self.draining or self.lost:
+        if self._is_closed:
             return 0.0
         if self.queued or not self._has_room(now):
             return 0.0  # it waits, and starts when an answer has told the speed anew
@@ -259,7 +260,7 @@
         too late by it; for anything else a refusal in time is better.
         """
         self._line.remove(ticket)
-        if not self._has_room(now) or self.draining or self.lost:
+        if not self._has_room(now) or self._is_closed:
             return False
         call = ticket.call
         bound = LAST_RESORT * (call.target - now)
@@ -279,8 +280,14 @@
         """Tickets pushed out of a full queue since the last call."""
         return self._line.take_evicted()
 
+    @property
+    def _is_closed(self) -> bool:
+        return self.emptied or self.unknown or self.draining or self.lost
+
     def _closed(self, call: Call, now: float) -> NotRun | None:
         """Why nothing may start here at all, if so."""
+        if self.emptied:
+            return NotRun(Reason.ZONE_EMPTIED)
         if self.unknown:
             return NotRun(Reason.NOT_READY, NOT_READY_RETRY_AFTER)
         if self.draining:
--- a/packages/wheatslip/wheatslip/admission/coldturns.py
+++ b/packages/wheatslip/wheatslip/admission/coldturns.py
@@ -90,6 +90,10 @@
         """Whether the bound applies."""
         return self.rate is not None and now < max(self._told_until, self._assumed_until)
 
+    def is_assumed(self, now: float) -> bool:
+        """Whether the server counts as cold only until it is asked."""
+        return self.rate is not None and now < self._assumed_until
+
     def wait(self, ahead: int, now: float) -> float:
         """Seconds until a request may start that lets `ahead` others go first."""
         rate = self.rate
--- a/packages/wheatslip/wheatslip/feedcache.py
+++ b/packages/wheatslip/wheatslip/feedcache.py
@@ -15,9 +15,11 @@
 from wheatslip.head import Head
 from wheatslip.instances import Instance
 from wheatslip.signedbundle import SignedBundle
+from wheatslip.zonedrains import ZoneDrains
 
 KEPT_DELTAS = 64
 KEPT_LIST_CHANGES = 2000
+UNKNOWN = -1  # version of zone drains that are not known
 
 
 class ListChange(msgspec.Struct, frozen=True, array_like=True):
@@ -29,11 +31,14 @@
 
 
 class Cursor(msgspec.Struct, frozen=True):
-    """What a follower has: versions of the bundle and of the list (0: nothing)."""
+    """What a follower has: versions of the bundle and of the list (0: nothing), and of the
+    zone drains.
+    """
 
     follower: str
     bundle: int = 0
     listed: int = 0
+    drained: int = UNKNOWN
 
 
 class Update(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -41,7 +46,7 @@
     platform last answered one whose watch of the head is in place; `checked` that at which it
     last confirmed the list to a watcher, or the watcher learned that it is down. With `whole`
     the list is complete, else it holds changes. Either `signed` or `deltas` leads to the bundle
-    of `head`.
+    of `head`. `drains` are the emptied zones, if the follower's are older.
     """
 
     as_of: float
@@ -52,6 +57,7 @@
     head: Head | None = None
     signed: SignedBundle | None = None
     deltas: tuple[BundleDelta, ...] = ()
+    drains: ZoneDrains | None = None
 
 
 class FeedCache:
@@ -65,6 +71,7 @@
         self._versions: dict[str, int] = {}  # of the last change of each instance
         self.head: Head | None = None
         self.bundle: Bundle | None = None
+        self.drains: ZoneDrains | None = None  # None: not known yet
         self._signed: SignedBundle | None = None
         self._deltas: deque[BundleDelta] = deque(maxlen=KEPT_DELTAS)
         self._changes: deque[ListChange] = deque(maxlen=KEPT_LIST_CHANGES)
@@ -127,6 +134,19 @@
         self.bundle = bundle
         self._signed = signed
 
+    def take_drains(self, drains: ZoneDrains) -> bool:
+        """Take in the emptied zones; whether they differ from before. Older ones are ignored.
+
+        The version is kept where nothing differs, so that followers need not hear of it.
+        """
+        known = self.drains
+        if known is not None and (
+            drains.version <= known.version or drains.drains == known.drains
+        ):
+            return False
+        self.drains = drains
+        return True
+
     def with_deltas(self, deltas: Iterable[BundleDelta]) -> Bundle | None:
         """The bundle that differences lead to from ours; None if they do not fit."""
         bundle = self.bundle
@@ -138,18 +158,21 @@
 
     def cursor(self, name: str) -> Cursor:
         """What this daemon has, to follow another."""
-        return Cursor(name, self.head.version if self.head else 0, self.listed)
+        drained = UNKNOWN if self.drains is None else self.drains.version
+        return Cursor(name, self.head.version if self.head else 0, self.listed, drained)
 
     def since(self, cursor: Cursor) -> Update:
         """What a follower at `cursor` lacks."""
         changes, whole = self._list_since(cursor.listed)
+        drains = self.drains
+        if drains is not None and drains.version <= cursor.drained:
+            drains = None
+        news = Update(self.as_of, self.checked, self.listed, changes, whole, drains=drains)
         if self.head is None or cursor.bundle >= self.head.version:
-            return Update(self.as_of, self.checked, self.listed, changes, whole)
+            return news
         deltas = self._deltas_since(cursor.bundle)
         signed = None if deltas else self._signed
-        return Update(
-            self.as_of, self.checked, self.listed, changes, whole, self.head, signed, deltas
-        )
+        return msgspec.structs.replace(news, head=self.head, signed=signed, deltas=deltas)
 
     def _list_since(self, listed: int) -> tuple[tuple[ListChange, ...], bool]:
         if listed < self._complete_since:
--- a/packages/wheatslip/wheatslip/outcome.py
+++ b/packages/wheatslip/wheatslip/outcome.py
@@ -21,6 +21,7 @@
     DEADLINE = "deadline"
     DRAINING = "draining"
     NOT_READY = "not-ready"
+    ZONE_EMPTIED = "zone-emptied"
     UNREACHABLE = "unreachable"
     SHED = "shed"
     DUPLICATE = "duplicate"
@@ -48,6 +49,7 @@
         Reason.NOT_KEY_OWNER,
         Reason.WRONG_POOL,
         Reason.NOT_READY,
+        Reason.ZONE_EMPTIED,
     }
 )
 
--- a/packages/wheatslip/wheatslip/signing.py
+++ b/packages/wheatslip/wheatslip/signing.py
@@ -1,4 +1,4 @@
-"""Sign-off of bundles: two different operators sign the canonical bytes with Ed25519."""
+"""Sign-off by Ed25519: two different operators sign a bundle's canonical bytes, one a drain."""
 
 from collections.abc import Mapping
 from pathlib import Path
@@ -13,10 +13,12 @@
 
 from wheatslip.bundle import Bundle, decode_bundle
 from wheatslip.signedbundle import Signature, SignedBundle
+from wheatslip.zonedrains import ZoneDrain
 
 SIGNATURES_NEEDED = 2
 # Signed in front of the bundle, so that a signature can't be used for anything else.
 CONTEXT = b"wheatslip bundle v1\n"
+DRAIN_CONTEXT = b"wheatslip zone drain v1\n"
 
 
 Keyring = Mapping[str, Ed25519PublicKey]
@@ -30,18 +32,31 @@
 def verify(signed: SignedBundle, keyring: Keyring) -> Result[Bundle, str]:
     """The bundle, if enough different operators of the keyring signed exactly these bytes."""
     body = signed.body.encode()
-    signers = {entry.operator for entry in signed.signatures if _is_valid(entry, body, keyring)}
+    message = CONTEXT + body
+    signers = {e.operator for e in signed.signatures if _is_valid(e, message, keyring)}
     if len(signers) < SIGNATURES_NEEDED:
         return Err(f"{len(signers)} valid signatures of {SIGNATURES_NEEDED} needed")
     return decode_bundle(body)
 
 
-def _is_valid(entry: Signature, body: bytes, keyring: Keyring) -> bool:
+def sign_drain(drain: ZoneDrain, key: Ed25519PrivateKey) -> ZoneDrain:
+    """The drain with the signature of the operator who asked for it."""
+    signature = key.sign(DRAIN_CONTEXT + drain.signed_bytes()).hex()
+    return ZoneDrain(drain.zone, drain.asked_by, drain.since, signature)
+
+
+def verify_drain(drain: ZoneDrain, keyring: Keyring) -> bool:
+    """Whether the operator who is said to have asked for it has signed it."""
+    entry = Signature(drain.asked_by, drain.signature)
+    return _is_valid(entry, DRAIN_CONTEXT + drain.signed_bytes(), keyring)
+
+
+def _is_valid(entry: Signature, message: bytes, keyring: Keyring) -> bool:
     key = keyring.get(entry.operator)
     if key is None:
         return False
     try:
-        key.verify(bytes.fromhex(entry.signature), CONTEXT + body)
+        key.verify(bytes.fromhex(entry.signature), message)
     except (InvalidSignature, ValueError):
         return False
     return True
--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -38,13 +38,14 @@
 from wheatslipd.ownserver import OwnServer
 from wheatslipd.pagesource import PageSource, Status
 from wheatslipd.peerport import PeerPort
-from wheatslipd.proof import Proof, believe, prove_by_keyring
+from wheatslipd.proof import KeyringProof, Proof, TrustedPlatform
 from wheatslipd.registrar import HeartbeatDecoder, decode_heartbeat
 from wheatslipd.routefilter import RouteFilter
 from wheatslipd.settings import ConfigurationSource, Interface, Settings
 from wheatslipd.tls import PeerTls, peer_tls
 from wheatslipd.tracing import HopTracer
 from wheatslipd.view import View
+from wheatslipd.zones import ZoneController
 
 if TYPE_CHECKING:
     from wheatslipd.pages import PageServer
@@ -138,6 +139,8 @@
         )
         self._tracer = HopTracer(settings.name, settings.trace_sample, settings.trace_file, rng)
         self.gate = Gate(Admission(AdmissionSettings()), self.view, monotonic)
+        # Whether the zone is emptied is not known yet, so nothing may start.
+        self.gate.admission.emptied = True
         self._backend = Backend(
             settings.backend_address,
             settings.backend_port,
@@ -298,6 +301,8 @@
             watches=self.feed.watches,
             parent=self.feed.parent,
             head_age=self.feed.head_age,
+            emptied_zones=tuple(sorted(self.view.drains.zones)) if self.view.drains else (),
+            cold=admission.cold.is_cold(self._monotonic()),
             followers=self.feed.relay.followers,
             relay_bytes=self.feed.relay.sent_bytes,
         )
@@ -306,7 +311,7 @@
         """Whether callers may come; a backend server that leaves need not keep them away
         where it is not the one that serves them.
         """
-        if not self.view.version or self.view.stopping:
+        if not self.view.version or self.view.drains is None or self.view.stopping:
             return False
         return self.own_server is not None or not self.view.draining
 
@@ -329,6 +334,9 @@
             unix,
             lists_itself=settings.registration_port is not None,
         ).register(self.bus)
+        ZoneController(self.view, settings.zone, self.gate, self.metrics, unix).register(
+            self.bus
+        )
         _Lifecycle(self).register(self.bus)
 
     def _own_server(
@@ -434,6 +442,7 @@
         self.metrics.in_flight.set({}, admission.in_flight)
         self.metrics.queued.set({}, admission.queued)
         self.metrics.limit.set({}, admission.limit.value)
+        self.metrics.cold.set({}, float(admission.cold.is_cold(self._monotonic())))
         self.metrics.key_records.set({}, len(self._keys.ledger))
         self.metrics.platform_calls.set({}, self.feed.client.calls)
         self.metrics.relay_bytes.set({}, self.feed.relay.sent_bytes)
@@ -466,5 +475,5 @@
 
 def _proof(settings: Settings) -> Proof:
     if settings.source is ConfigurationSource.TRUSTED:
-        return believe
-    return prove_by_keyring(settings.keyring)
+        return TrustedPlatform()
+    return KeyringProof(settings.keyring)
--- a/packages/wheatslipd/wheatslipd/events.py
+++ b/packages/wheatslipd/wheatslipd/events.py
@@ -5,6 +5,7 @@
 from wheatslip.head import Head
 from wheatslip.instances import Instance
 from wheatslip.registration import Registered
+from wheatslip.zonedrains import ZoneDrains
 
 
 class newer_version_seen(Event):
@@ -35,6 +36,13 @@
         super().__init__(instances, gone, whole)
 
 
+class zones_drained(Event):
+    """The zones that operators have emptied are these from now on."""
+
+    def __init__(self, drains: ZoneDrains):
+        super().__init__(drains)
+
+
 class backend_registered(Event):
     """The backend server beside us registered, or changed what it says of itself."""
 
--- a/packages/wheatslipd/wheatslipd/feed/feed.py
+++ b/packages/wheatslipd/wheatslipd/feed/feed.py
@@ -20,7 +20,7 @@
 from wheatslipd.feed.pace import FeedPace
 from wheatslipd.feed.place import Place
 from wheatslipd.feed.reader import PlatformReader
-from wheatslipd.feed.watching import HeadWatch, ListWatch
+from wheatslipd.feed.watching import ListWatch, StateWatch
 from wheatslipd.proof import Proof
 from wheatslipd.relay import HEARTBEAT_SECONDS, RelayServer
 from wheatslipd.tls import PeerTls
@@ -36,14 +36,14 @@
         name: str,
         zone: str,
         store: ObjectStore,
-        prove: Proof,
+        proof: Proof,
         bus: Bus,
         tls: PeerTls,
         rng: Random,
         unix: Callable[[], float],
         pace: FeedPace,
     ):
-        """`prove` tells whether a bundle may be believed."""
+        """`proof` tells what may be believed."""
         self.client = store
         self._pace = pace
         self._rng = rng
@@ -52,12 +52,12 @@
         self.relay = RelayServer(self.cache, tls)
         self._place = Place(name, zone, pace.watchers)
         self.intake = Intake(
-            self.cache, self.relay, self._place, prove, bus, unix, self.check_head
+            self.cache, self.relay, self._place, proof, bus, unix, self.check_head
         )
         self._reader = PlatformReader(name, store, self.intake, pace, rng)
         self._follower = ParentFollower(self._place, self.intake, self._reader, tls, rng)
         self.hints = Hints(name, self.relay, self.intake, self._reader, tls, rng)
-        self._head_watch = HeadWatch(store, self._reader, self.intake, pace, rng)
+        self._state_watch = StateWatch(store, self._reader, self.intake, pace, rng)
         self._list_watch = ListWatch(store, self.intake, pace, rng)
 
     @property
@@ -128,14 +128,14 @@
                 await self._follower.run()
 
     async def _watch_platform(self) -> None:
-        """Watch the head until this daemon's role changes, and the list if no other of the zone
-        does; follow the watchers before this one besides.
+        """Watch what operators want until this daemon's role changes, and the list if no other
+        of the zone does; follow the watchers before this one besides.
         """
         has_list = self._place.watches_list
         logs.info("watching-platform", has_list=has_list)
         async with asyncio.TaskGroup() as group:
             tasks = [
-                group.create_task(self._head_watch.run()),
+                group.create_task(self._state_watch.run()),
                 group.create_task(self._follower.run()),
             ]
             if has_list:
--- a/packages/wheatslipd/wheatslipd/feed/following.py
+++ b/packages/wheatslipd/wheatslipd/feed/following.py
@@ -50,7 +50,7 @@
             parents = self._place.parents()
             if in_vain >= len(parents):
                 if not self._place.watches:
-                    await self._reader.read_both()
+                    await self._reader.read_all()
                 await self._rest(IN_VAIN_SECONDS)
                 in_vain = 0
                 continue
--- a/packages/wheatslipd/wheatslipd/feed/intake.py
+++ b/packages/wheatslipd/wheatslipd/feed/intake.py
@@ -15,10 +15,11 @@
 from wheatslip.head import Head
 from wheatslip.objects import Listing, StoredObject
 from wheatslip.signedbundle import SignedBundle
+from wheatslip.zonedrains import ZoneDrain, ZoneDrains, decode_drain, with_changes
 
 from wheatslipd import logs
 from wheatslipd.bus import Bus
-from wheatslipd.events import bundle_verified, instances_seen
+from wheatslipd.events import bundle_verified, instances_seen, zones_drained
 from wheatslipd.feed.place import Place
 from wheatslipd.proof import Proof
 from wheatslipd.relay import RelayServer
@@ -32,18 +33,18 @@
         cache: FeedCache,
         relay: RelayServer,
         place: Place,
-        prove: Proof,
+        proof: Proof,
         bus: Bus,
         unix: Callable[[], float],
         on_gap: Callable[[int], None],
     ):
-        """`prove` tells whether a bundle may be believed; `on_gap` hears of a version that the
+        """`proof` tells what may be believed; `on_gap` hears of a version that the
         differences sent for it do not lead to.
         """
         self.cache = cache
         self._relay = relay
         self._place = place
-        self._prove = prove
+        self._proof = proof
         self._bus = bus
         self._unix = unix
         self._on_gap = on_gap
@@ -78,8 +79,18 @@
         changes = [change for change in map(_as_change, listing.items) if change is not None]
         self._take_list(listing.version, changes, whole=listing.whole)
 
+    def take_drain_listing(self, listing: Listing) -> None:
+        """Take the emptied zones, or changes of them, as the platform told them."""
+        changes = [(item.name, self._as_drain(item)) for item in listing.items]
+        known = self.cache.drains
+        drains = with_changes(known, changes, listing.version, whole=listing.whole)
+        if drains is not None:
+            self._take_drains(drains)
+
     def take_update(self, update: Update) -> None:
         """Take what another daemon sent."""
+        if update.drains is not None:
+            self._take_drains(update.drains)
         if (update.whole or update.changes) and not self.cache.is_late(update):
             self._take_list(update.listed, list(update.changes), whole=update.whole)
         self.cache.checked = max(self.cache.checked, update.checked)
@@ -121,9 +132,33 @@
             self._place.reorder(self.cache.instances.values())
         self._relay.announce()
 
+    def _take_drains(self, drains: ZoneDrains) -> None:
+        was_known = self.cache.drains is not None
+        if self.cache.take_drains(drains) or not was_known:
+            self._relay.announce()
+            self._bus.fire(zones_drained(drains))
+
+    def _as_drain(self, item: StoredObject) -> ZoneDrain | None:
+        """The drain that stands in an object; None: the zone is restored, or no one whom we
+        believe asked for it.
+        """
+        if item.deleted:
+            return None
+        match decode_drain(item.name, item.value):
+            case Ok(drain):
+                pass
+            case Err(why):
+                # That it stands there is what counts, where the platform is trusted.
+                logs.warning("zone-drain-unreadable", zone=item.name, error=why)
+                drain = ZoneDrain(item.name)
+        if self._proof.drain(drain):
+            return drain
+        logs.error("zone-drain-refused", zone=drain.zone, asked_by=drain.asked_by)
+        return None
+
     def _take_signed(self, head: Head, signed: SignedBundle) -> None:
         """Prove a bundle, whoever sent it, and put it to use."""
-        match self._prove(signed):
+        match self._proof.bundle(signed):
             case Ok(bundle) if _is_named_by(bundle, head):
                 self.cache.take_bundle(head, signed, bundle)
                 self._relay.announce()
--- a/packages/wheatslipd/wheatslipd/feed/reader.py
+++ b/packages/wheatslipd/wheatslipd/feed/reader.py
@@ -1,4 +1,4 @@
-"""Single reads of the platform: the list, the head, and the bundle that a head names."""
+"""Single reads of the platform: the list, the emptied zones, the head and its bundle."""
 
 import asyncio
 from random import Random
@@ -7,6 +7,7 @@
 from result import Err, Ok
 from wheatslip import head as heads
 from wheatslip import instances as lists
+from wheatslip import zonedrains
 from wheatslip.deltas import BundleDelta
 from wheatslip.head import Head
 from wheatslip.objects import Backoff, ObjectStore, StoredObject
@@ -37,20 +38,34 @@
     async def read_first(self) -> None:
         """The first list comes from the platform: before it there is no one to follow.
 
-        The configuration is read beside it, so that requests need not wait for a parent that
-        starts too. Both may be stale: the parent, or the watch, tells what has changed.
+        What operators want is read beside it, so that requests need not wait for a parent that
+        starts too. All may be stale: the parent, or the watch, tells what has changed.
         """
         backoff = Backoff(self._rng, last=self._pace.retry_last)
-        while not await self.read_both():
+        while not await self.read_all():
             await asyncio.sleep(backoff.next())
 
-    async def read_both(self) -> bool:
-        """Read the list and the head, which may be stale; whether the list was answered."""
-        answered, _ = await asyncio.gather(
-            self.read_list(stale_ok=True), self.read_head(stale_ok=True)
+    async def read_all(self) -> bool:
+        """Read the list, the head and the emptied zones, which may be stale; whether the list
+        was answered.
+        """
+        answered, _, _ = await asyncio.gather(
+            self.read_list(stale_ok=True),
+            self.read_head(stale_ok=True),
+            self.read_drains(stale_ok=True),
         )
         return answered
 
+    async def read_drains(self, *, stale_ok: bool = False) -> bool:
+        """Read the emptied zones from the platform once; whether it answered."""
+        match await self._store.list(zonedrains.KIND, stale_ok=stale_ok):
+            case Ok(listing):
+                self._intake.take_drain_listing(listing)
+                return True
+            case Err(trouble):
+                log_trouble(trouble)
+        return False
+
     async def read_settled_list(self) -> None:
         """Read the list after the zone has settled, so that the own entry shows that it is not
         one from before.
--- a/packages/wheatslipd/wheatslipd/feed/watching.py
+++ b/packages/wheatslipd/wheatslipd/feed/watching.py
@@ -5,6 +5,7 @@
 
 from wheatslip import head as heads
 from wheatslip import instances as lists
+from wheatslip import zonedrains
 from wheatslip.objects import ObjectStore, Unavailable, follow
 
 from wheatslipd.feed.intake import Intake
@@ -49,10 +50,10 @@
         self._intake.confirm()
 
 
-class HeadWatch:
-    """Watches the head, and begins anew where the platform was silent for a while.
-
-    A watch that was made before the silence hears nothing after it.
+class StateWatch:
+    """Watches what operators want, the head and the emptied zones, and begins anew where the
+    platform was silent for a while: a watch that was made before the silence hears nothing
+    after it.
     """
 
     def __init__(
@@ -73,14 +74,13 @@
 
     async def run(self) -> None:
         """Run until cancelled."""
-        if not self._pace.watch_check:
-            await self._follow()
-            return
         while True:
             tasks = [
-                asyncio.ensure_future(self._follow()),
-                asyncio.ensure_future(self._check()),
+                asyncio.ensure_future(self._follow_head()),
+                asyncio.ensure_future(self._follow_drains()),
             ]
+            if self._pace.watch_check:
+                tasks.append(asyncio.ensure_future(self._check()))
             try:
                 done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
             finally:
@@ -116,12 +116,26 @@
         self._read_at = ended + (ended - began) / HEAD_READ_SHARE
         return answered
 
-    async def _follow(self) -> None:
+    async def _follow_drains(self) -> None:
+        known = self._intake.cache.drains
+        async for listing in follow(
+            self._store,
+            zonedrains.KIND,
+            self._rng,
+            log_trouble,
+            self._pace.watch,
+            backoff_last=self._pace.retry_last,
+            since=known.version if known is not None else None,
+        ):
+            if listing.whole or listing.items:
+                self._intake.take_drain_listing(listing)
+
+    async def _follow_head(self) -> None:
         async for listing in follow(
             self._store,
             heads.KIND,
             self._rng,
-            self._on_trouble,
+            self._on_head_trouble,
             self._pace.watch,
             backoff_last=self._pace.retry_last,
             since=self._reader.head_known or None,
@@ -133,6 +147,6 @@
             # Not before they are in force: a watch that begins anew would pass them over.
             self._reader.know_head(listing.version)
 
-    def _on_trouble(self, trouble: Unavailable) -> None:
+    def _on_head_trouble(self, trouble: Unavailable) -> None:
         log_trouble(trouble)
         self._is_in_place = False
--- a/packages/wheatslipd/wheatslipd/filters.py
+++ b/packages/wheatslipd/wheatslipd/filters.py
@@ -85,7 +85,7 @@
         """Fix the configuration that the request is served under."""
         if self.view.closed:
             return NotRun(Reason.DRAINING, retry_after=1.0)
-        if self.view.configuration is None:
+        if self.view.configuration is None or self.view.drains is None:
             return NotRun(Reason.NO_CONFIGURATION, retry_after=1.0)
         request.configuration = self.view.configuration
         return await proceed(request)
--- a/packages/wheatslipd/wheatslipd/forward.py
+++ b/packages/wheatslipd/wheatslipd/forward.py
@@ -157,7 +157,7 @@
         configuration = sending.request.configuration
         assert configuration is not None
         pool = configuration.services[sending.call.service].pool
-        return self._view.membership.peers(pool)
+        return self._view.peers(pool)
 
     async def _send(
         self, sending: _Sending, chosen: Try, peer: Peer, limit: asyncio.Timeout
--- a/packages/wheatslipd/wheatslipd/gate.py
+++ b/packages/wheatslipd/wheatslipd/gate.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from wheatslip.admission import MIN_RETRY_AFTER, Admission, Ticket
+from wheatslip.admission import MIN_RETRY_AFTER, NOT_READY_RETRY_AFTER, Admission, Ticket
 from wheatslip.backendload import BackendLoad
 from wheatslip.call import Call
 from wheatslip.hop import LoadReport
@@ -56,8 +56,18 @@
         started = self.admission.finish(ticket, self._clock(), worked=worked)
         self._wake(started)
 
+    def on_stranger(self) -> None:
+        """What stands here says that it is not the server that is registered: nothing more is
+        sent until a heartbeat tells who is there. Each request would reach it in vain, and be
+        paid for as a retry.
+        """
+        if not self.admission.unknown:
+            logs.info("backend-replaced", in_flight=self.admission.in_flight)
+            self.admission.unknown = True
+            self._refuse_waiting(NotRun(Reason.NOT_READY, NOT_READY_RETRY_AFTER))
+
     def reopen(self) -> None:
-        """Another backend server stands here: take new work again."""
+        """A backend server is known to stand here: take new work again."""
         self.admission.unknown = False
         self.admission.draining = False
 
@@ -100,6 +110,10 @@
         likely that it is fast again, and the entries should hear so.
         """
         admission = self.admission
+        if admission.emptied:
+            return False
+        if admission.cold.is_assumed(self._clock()):
+            return True
         if admission.lost or not admission.is_speed_known or admission.queued:
             return True
         return self._clock() - self.load_seen >= admission.speed.slow_stretch
@@ -115,6 +129,8 @@
         if self.admission.lost:
             logs.info("backend-back")
             self.admission.lost = False
+            # It may have crashed and come back; the one who asked it clears this, if it told.
+            self.admission.cold.assume(self._clock())
             self.forget_slowness()
 
     def on_lost(self) -> None:
@@ -149,6 +165,23 @@
         self.admission.slowness = 1.0
         self._be_fast_again()
 
+    def empty(self) -> None:
+        """The zone is emptied: nothing new may reach the server, what runs ends by itself."""
+        self.admission.emptied = True
+        self._refuse_waiting(NotRun(Reason.ZONE_EMPTIED))
+
+    def open_zone(self) -> None:
+        """The zone is not emptied, by the first word on it."""
+        self.admission.emptied = False
+
+    def restore(self) -> None:
+        """The zone is taken back: work may come again, as little as a cold server bears until
+        this one is asked how it is.
+        """
+        self.admission.emptied = False
+        self.admission.cold.assume(self._clock())
+        self.in_doubt.set()
+
     def drain(self) -> None:
         """Refuse new work from now on; what waits is refused too, as it has not run."""
         self.admission.draining = True
--- a/packages/wheatslipd/wheatslipd/metrics.py
+++ b/packages/wheatslipd/wheatslipd/metrics.py
@@ -50,6 +50,12 @@
             "wheatslip_relay_bytes_total", "Bytes of control messages sent to followers"
         )
         self.bundle_version = gauge("wheatslip_bundle_version", "Bundle version in force here")
+        self.zones_drained = gauge(
+            "wheatslip_zones_drained", "Availability zones that operators have emptied"
+        )
+        self.cold = gauge(
+            "wheatslip_cold", "Whether the local backend server is held to its cold rate"
+        )
         self.head_age = gauge(
             "wheatslip_head_age_seconds",
             "Since the platform last confirmed the version in force",
--- a/packages/wheatslipd/wheatslipd/ownserver.py
+++ b/packages/wheatslipd/wheatslipd/ownserver.py
@@ -67,7 +67,7 @@
             bus,
             clock,
             gate.learn,
-            self._learn_cold,
+            self._take_beat,
             decode,
         )
         self._registrar.health_path = settings.health_path
@@ -125,9 +125,13 @@
             pool.cold.seconds, pool.cold.per_second, settings.cold_overage, settings.cold_slack
         )
 
-    def _learn_cold(self, remaining: float) -> None:
-        """The server's heartbeat told for how many seconds it stays cold."""
-        self._gate.admission.cold.told(remaining, self._clock())
+    def _take_beat(self, registered: Registered) -> None:
+        """The registered server is there, and told when it will be warm."""
+        now = self._clock()
+        if registered.warm_at is not None:
+            self._gate.admission.cold.told(registered.warm_at - now, now)
+        if not registered.draining:
+            self._gate.reopen()
 
     def take_registration(self, registered: Registered) -> None:
         """Apply the bounds that the server tells; of a new one, ask how fast it is."""
--- a/packages/wheatslipd/wheatslipd/pagesource.py
+++ b/packages/wheatslipd/wheatslipd/pagesource.py
@@ -28,6 +28,8 @@
     watches: bool
     parent: str  # the daemon that is followed; empty: none
     head_age: float | None  # seconds, see `Feed.head_age`
+    emptied_zones: tuple[str, ...]  # by operators, as far as it is known here
+    cold: bool  # the backend server is held to its cold rate
     followers: int
     relay_bytes: int
 
--- a/packages/wheatslipd/wheatslipd/peerport.py
+++ b/packages/wheatslipd/wheatslipd/peerport.py
@@ -40,6 +40,7 @@
 CATCH_UP_STEP = 0.02
 BODY_HOLD = 64 * 1024  # bytes of a request's body that are waited for; entries send as much
 SHED_RETRY_AFTER = 1.0  # seconds
+MISDIRECTED = 421  # HTTP status of a server that is not the one that is meant
 
 
 @dataclass(slots=True, eq=False)
@@ -223,6 +224,8 @@
         response = answer.response
         self._learn_load(response.head)
         if self._was_not_run(response.head, passage.call):
+            if self.server and response.head.status == MISDIRECTED:
+                self._gate.on_stranger()
             return NotRun(Reason.SHED, retry_after=SHED_RETRY_AFTER)
         headers = [
             (name, value)
--- a/packages/wheatslipd/wheatslipd/registrar.py
+++ b/packages/wheatslipd/wheatslipd/registrar.py
@@ -9,7 +9,7 @@
 
 import msgspec
 from wheatslip.backendload import BackendLoad, decode_backend_load
-from wheatslip.registration import Heartbeat, Registration
+from wheatslip.registration import Heartbeat, Registered, Registration
 
 from wheatslipd import logs
 from wheatslipd.backend import Backend
@@ -49,13 +49,13 @@
         bus: Bus,
         clock: Callable[[], float],
         on_load: Callable[[BackendLoad], None],
-        on_cold: Callable[[float], None],
+        on_beat: Callable[[Registered], None],
         decode: HeartbeatDecoder = decode_heartbeat,
     ):
-        """`on_load` hears of the load that the health endpoint tells, `on_cold` of the seconds
-        that the server stays cold, by its heartbeats.
+        """`on_load` hears of the load that the health endpoint tells, `on_beat` of each
+        heartbeat of the server that is registered, changed or not.
         """
-        self._on_cold = on_cold
+        self._on_beat = on_beat
         self._on_load = on_load
         self._registration = registration
         self._backend = backend
@@ -86,11 +86,10 @@
             logs.warning("heartbeat-unreadable", server=server, repeat_key=server)
             await exchange.respond(ResponseHead(400))
             return
-        now = self._clock()
-        self._tell(self._registration.on_heartbeat(server, beat, now))
+        self._tell(self._registration.on_heartbeat(server, beat, self._clock()))
         current = self._registration.current
-        if current is not None and current.server == server and current.warm_at is not None:
-            self._on_cold(current.warm_at - now)
+        if current is not None and current.server == server:
+            self._on_beat(current)
         if self._registration.is_disputed:
             logs.info("server-disputed", server=server, sequence=beat.sequence)
             self._disputed.set()
--- a/packages/wheatslipd/wheatslipd/relay.py
+++ b/packages/wheatslipd/wheatslipd/relay.py
@@ -91,7 +91,8 @@
 
 def _advance(cursor: Cursor, update: Update) -> Cursor:
     bundle = update.head.version if update.head else cursor.bundle
-    return Cursor(cursor.follower, bundle, update.listed)
+    drained = update.drains.version if update.drains else cursor.drained
+    return Cursor(cursor.follower, bundle, update.listed, drained)
 
 
 async def follow_parent(
--- a/packages/wheatslipd/wheatslipd/view.py
+++ b/packages/wheatslipd/wheatslipd/view.py
@@ -10,6 +10,7 @@
 from wheatslip.chooser import Upstream
 from wheatslip.instances import Instance
 from wheatslip.routes import RouteTable
+from wheatslip.zonedrains import ZoneDrains
 
 from wheatslipd.http.client import Pool as ConnectionPool
 
@@ -54,16 +55,27 @@
 class View:
     """The present state, as the request path sees it.
 
+    `drains` are the emptied zones; None: not known yet, so nothing may be sent.
+
     `draining`: the backend server here takes no new work; the entry still forwards callers'
     requests to others. `stopping`: callers are to go elsewhere. `closed`: they have to.
     """
 
     configuration: Configuration | None = None
     membership: Membership = field(default_factory=Membership)
+    drains: ZoneDrains | None = None
     draining: bool = False
     stopping: bool = False
     closed: bool = False
 
+    def peers(self, pool: str) -> tuple[Peer, ...]:
+        """The peers of a pool to which requests may go: those in emptied zones are left out."""
+        peers = self.membership.peers(pool)
+        if self.drains is None or not self.drains.drains:
+            return peers
+        zones = self.drains.zones
+        return tuple(peer for peer in peers if peer.upstream.zone not in zones)
+
     @property
     def version(self) -> int:
         """The bundle version in force here; 0 if none is."""
--- /dev/null
+++ b/packages/wheatslipd/wheatslipd/zones.py
@@ -0,0 +1,60 @@
+"""Controller of the emptied zones: entries send nothing there, and the own gate closes itself.
+
+The gate is the only way to its server, so no entry that has not heard of it breaks the promise.
+After a zone is restored its servers may have turned cold meanwhile: the gate asks its own.
+"""
+
+import time
+from collections.abc import Callable
+
+from circuits import Component
+from wheatslip.zonedrains import ZoneDrains
+
+from wheatslipd import logs
+from wheatslipd.gate import Gate
+from wheatslipd.metrics import Metrics
+from wheatslipd.view import View
+
+
+class ZoneController(Component):
+    """Owns which zones are emptied, as far as this daemon knows."""
+
+    channel = "*"
+
+    def __init__(
+        self,
+        view: View,
+        zone: str,
+        gate: Gate,
+        metrics: Metrics,
+        unix: Callable[[], float] = time.time,
+    ):
+        super().__init__()
+        self._view = view
+        self._zone = zone
+        self._gate = gate
+        self._metrics = metrics
+        self._unix = unix
+
+    def zones_drained(self, drains: ZoneDrains) -> None:
+        """Take over the set of emptied zones."""
+        before = self._view.drains
+        known = before.zones if before is not None else frozenset()
+        if before is not None and drains.version < before.version:
+            logs.debug("older-zone-drains-ignored", version=drains.version, ours=before.version)
+            return
+        self._view.drains = drains
+        for drain in drains.drains:
+            if drain.zone not in known:
+                age = round(self._unix() - drain.since, 1) if drain.since else None
+                asked_by = drain.asked_by or "-"
+                logs.info("zone-emptied", zone=drain.zone, asked_by=asked_by, age=age)
+        for zone in sorted(known - drains.zones):
+            logs.info("zone-restored", zone=zone, version=drains.version)
+        self._metrics.zones_drained.set({}, len(drains.drains))
+        if self._zone in drains.zones:
+            self._gate.empty()
+        elif before is None:
+            self._gate.open_zone()
+        elif self._zone in known:
+            self._gate.restore()
--- a/test/routed_fleet.py
+++ b/test/routed_fleet.py
@@ -188,7 +188,25 @@
         async def checked():
             return check()
 
-        await eventually(checked)
+        try:
+            await eventually(checked)
+        except TimeoutError as error:
+            # What each daemon lacks, so that one failure is enough to trace it.
+            raise AssertionError(self.states()) from error
+
+    def states(self):
+        """What each daemon knows, for a failure's report."""
+        return {
+            name: (
+                self.tasks[name].done(),
+                daemon.status(),
+                daemon.gate.admission.unknown,
+                daemon.view.drains,
+                sorted(daemon.feed.cache.instances),
+                daemon.feed.cache.listed,
+            )
+            for name, daemon in self.daemons.items()
+        }
 
 
 @asynccontextmanager
--- a/test/test_cold_servers.py
+++ b/test/test_cold_servers.py
@@ -121,3 +121,21 @@
     registration = Registration("papers", "10.0.0.9:80")
     registration.on_health("i-1", 4, well=True, warm_at=9.0)
     assert registration.current.warm_at == 9.0
+
+
+def test_one_who_is_not_the_registered_server_gets_one_request_and_others_the_rest():
+    async def scenario():
+        async with cold_fleet("a", "b") as one:
+            await one.beat("a", 1)
+            await one.beat("b", 1)
+            backend = one.backends["a"]
+            backend.server_id = "i-next"  # it crashed and came back; no heartbeat yet
+            backend.received.clear()
+            statuses = [(await one.ask("ab"[n % 2]))[0] for n in range(30)]
+            assert set(statuses) == {200} and len(backend.received) <= 1
+            await one.beat("a", 2, server="i-a")  # it is there after all
+            backend.server_id = "i-a"
+            await asyncio.gather(*(one.ask("a") for _ in range(30)))
+            assert len(backend.received) > 1
+
+    run(scenario)
--- a/test/test_fleet_adapter.py
+++ b/test/test_fleet_adapter.py
@@ -9,7 +9,8 @@
 from result import Err, Ok
 from wheatslip import head as heads
 from wheatslip import instances as lists
-from wheatslip.bundle import Split, decode_bundle
+from wheatslip import zonedrains
+from wheatslip.bundle import ColdStart, Split, decode_bundle
 from wheatslip.instances import Instance
 from wheatslip.objects import Conflict, TooOld, Unavailable, follow
 from wheatslip.registration import Heartbeat, ServerState
@@ -88,6 +89,39 @@
     ]
 
 
+def test_how_cold_servers_start_is_read_where_the_operator_tells():
+    cold = {"cold_start_s": 3.0, "cold_per_s": 8.0}
+    services = CONFIGURATION["services"]
+    told = services | {"papers": services["papers"] | cold}
+    bundle = read_configuration(
+        json.dumps(CONFIGURATION | {"services": told}).encode()
+    ).unwrap()
+    papers, rolls = bundle.pools
+    assert papers.cold == ColdStart(3.0, 8.0)
+    assert rolls.cold is msgspec.UNSET
+    # Where nothing is told nothing is added, so digests stay what they were.
+    assert (
+        b'"cold"'
+        not in read_configuration(json.dumps(CONFIGURATION).encode()).unwrap().canonical()
+    )
+
+
+def test_emptied_zones_are_read_as_drains():
+    async def scenario():
+        async with store() as (stand_in, client):
+            assert (await client.list(zonedrains.KIND)).unwrap().items == ()
+            stand_in.write("evacuations", "wien-a", {})
+            listing = (await client.list(zonedrains.KIND, stale_ok=True)).unwrap()
+            assert [item.name for item in listing.items] == ["wien-a"]
+            since = listing.version
+            stand_in.remove("evacuations", "wien-a")
+            changes = (await client.changes(zonedrains.KIND, since, 1.0)).unwrap()
+            assert [(item.name, item.deleted) for item in changes.items] == [("wien-a", True)]
+            assert changes.version > since
+
+    run(scenario)
+
+
 def test_what_is_no_configuration_is_refused_with_a_reason():
     for bad in (b"", b"{}", json.dumps(CONFIGURATION | {"routes": {"r": {}}}).encode()):
         assert "not a configuration" in read_configuration(bad).unwrap_err()
--- a/test/test_registrar.py
+++ b/test/test_registrar.py
@@ -45,7 +45,7 @@
         bus=Bus(),
         clock=lambda: now[0],
         on_load=lambda load: None,
-        on_cold=lambda remaining: None,
+        on_beat=lambda registered: None,
     )
     asker.health_path = "/health"
     with pytest.raises(asyncio.CancelledError):
--- a/test/test_slow_links.py
+++ b/test/test_slow_links.py
@@ -37,7 +37,7 @@
 from wheatslipd import relay
 from wheatslipd.bus import Bus
 from wheatslipd.feed import Feed, FeedPace
-from wheatslipd.proof import believe
+from wheatslipd.proof import TrustedPlatform
 from wheatslipd.tls import PeerTls
 
 from fleet_adapter.store import FleetStore
@@ -174,7 +174,15 @@
         await giver.listen(HOST, 0)
         store = CountingStore()
         feed = Feed(
-            "b", "one", store, believe, Bus(), PeerTls(), Random(1), time.time, FeedPace()
+            "b",
+            "one",
+            store,
+            TrustedPlatform(),
+            Bus(),
+            PeerTls(),
+            Random(1),
+            time.time,
+            FeedPace(),
         )
         feed.cache.take_list(
             1,
--- a/test/test_store_trouble.py
+++ b/test/test_store_trouble.py
@@ -88,11 +88,13 @@
 
 
 async def all_watch(one):
-    """Wait until the watches of the list and the configuration are made that wait 20 s."""
+    """Wait until the watches of the list, the configuration and the emptied zones are made that
+    wait 20 s.
+    """
 
     async def made():
         waiting = [c.split("?")[0] for c in one.store.calls if "wait_ms=20000" in c]
-        return len(waiting) >= 3 and len(set(waiting)) == 2
+        return len(waiting) >= 5 and len(set(waiting)) == 3
 
     await eventually(made)
 
