--- a/test/test_coldturns.py
+++ b/test/test_coldturns.py
@@ -177,3 +177,58 @@
     admission = cold_gate(slots=6, service=0.1)
     assert admission.reported_limit(0.0) == 2  # 12 a second of 0.1 s each
     assert admission.reported_limit(5.0) == 6
+
+
+FALLS_AT = 2 * PER_SECOND  # requests in a second that a cold server falls over at
+DOWN = 0.5  # seconds until it is back, cold
+DEMAND = 30.0  # requests a second, which the warm server bears easily
+SERVICE = 0.07  # seconds, twice as long while it is cold
+
+
+def falls_of_a_cold_server(rate, seconds):
+    """How often a server falls over whose gate holds it to `rate`, or to its slots alone, and
+    the answers of the last five seconds.
+    """
+    admission = Admission(AdmissionSettings(slots=4))
+    admission.cold.bound(rate)
+    admission.cold.told(3.0, 0.0)
+    cold_until = 3.0
+    back_at = 0.0
+    running = []
+    starts = []
+    answered = falls = arrived = 0
+    now = 0.0
+    while now < seconds:
+        for ticket in [
+            t for t in running if t.started + SERVICE * (1 + (now < cold_until)) <= now
+        ]:
+            running.remove(ticket)
+            answered += now >= seconds - 5.0
+            running += admission.finish(ticket, now, worked=True)
+        running += admission.admit(now)
+        while arrived < now * DEMAND:
+            arrived += 1
+            found = admission.arrive(call(now, 0.3), now)
+            if not isinstance(found, NotRun) and found.started is not None:
+                running.append(found)
+        starts += [t.started for t in running if t.started == now]
+        in_a_second = sum(start > now - 1.0 for start in starts)
+        if back_at <= now < cold_until and in_a_second > FALLS_AT:
+            falls += 1
+            back_at = now + DOWN
+            cold_until = back_at + 3.0
+            lost, running = running, []
+            for ticket in lost:
+                running += admission.finish(ticket, now, worked=False)
+            starts.clear()
+            admission.cold.told(cold_until - now, now)
+        now = round(now + 0.005, 3)
+    return falls, answered
+
+
+def test_a_cold_server_that_is_pressed_falls_again_and_again_unless_it_has_turns():
+    falls, answered = falls_of_a_cold_server(None, 20.0)
+    assert falls >= 5
+    held_falls, held_answered = falls_of_a_cold_server(RATE, 20.0)
+    assert held_falls == 0 and held_answered > answered
+    assert held_answered >= 0.9 * 5.0 * DEMAND
