--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -8,7 +8,6 @@
 from random import Random
 from typing import TYPE_CHECKING, Any
 
-from circuits import Component
 from wheatslip.admission import Admission, AdmissionSettings
 from wheatslip.budget import RetryBudgets
 from wheatslip.bundle import Bundle
@@ -26,22 +25,23 @@
 from wheatslipd.chain import build_chain
 from wheatslipd.entry import Entry
 from wheatslipd.events import leaving, newer_version_seen
-from wheatslipd.feed import Feed, FeedPace
+from wheatslipd.feed import Feed
 from wheatslipd.filters import common_filters, workspace_filters
 from wheatslipd.forward import Forwarder
 from wheatslipd.gate import Gate
 from wheatslipd.http.server import Server
 from wheatslipd.keyguard import KeyGuard
+from wheatslipd.lifecycle import Lifecycle
 from wheatslipd.measure import Measurer
 from wheatslipd.membership import MembershipController
 from wheatslipd.metrics import Metrics
 from wheatslipd.ownserver import OwnServer
 from wheatslipd.pagesource import PageSource, Status
 from wheatslipd.peerport import PeerPort
-from wheatslipd.proof import KeyringProof, Proof, TrustedPlatform
+from wheatslipd.proof import proof_of
 from wheatslipd.registrar import HeartbeatDecoder, decode_heartbeat
 from wheatslipd.routefilter import RouteFilter
-from wheatslipd.settings import ConfigurationSource, Interface, Settings
+from wheatslipd.settings import Interface, Settings
 from wheatslipd.tls import PeerTls, peer_tls
 from wheatslipd.tracing import HopTracer
 from wheatslipd.view import View
@@ -55,39 +55,6 @@
 RELOADED = ("chooser", "log_level", "stop_grace", "trace_sample")
 
 
-class _Lifecycle(Component):
-    """Controller of drain, of bounds from the bundle, and of hints about newer versions."""
-
-    channel = "*"
-
-    def __init__(self, daemon: "Daemon"):
-        super().__init__()
-        self._daemon = daemon
-
-    def leaving(self, cause: str) -> None:
-        """Stop taking new work; what is in flight goes on."""
-        self._daemon.drain(cause)
-
-    def bundle_in_force(self, bundle: Bundle) -> None:
-        """Take over the bounds of our pool and the workspaces' shares."""
-        self._daemon.take_bounds(bundle)
-
-    def backend_registered(self, registered: Registered) -> None:
-        """Open or close the gate to the backend server beside us, and publish it."""
-        self._daemon.take_registration(registered)
-
-    def instances_seen(
-        self, instances: tuple[Instance, ...], gone: tuple[str, ...], whole: bool
-    ) -> None:
-        """Let the publisher see what the list says of us."""
-        self._daemon.check_own_entry(instances, gone, whole)
-
-    def newer_version_seen(self, version: int, address: str) -> None:
-        """Look at the head now rather than wait for the watch."""
-        if version > self._daemon.view.version:
-            self._daemon.feed.check_head(version, address)
-
-
 @dataclass(frozen=True, slots=True)
 class Ports:
     """What an embedder puts in the place of wheatslip's own way to the outside."""
@@ -122,20 +89,12 @@
             settings.name,
             settings.zone,
             store,
-            _proof(settings),
+            proof_of(settings),
             self.bus,
             tls,
             rng,
             unix,
-            FeedPace(
-                settings.watchers,
-                settings.watch_seconds,
-                settings.watch_check,
-                settings.list_watch_seconds,
-                settings.list_pause,
-                settings.platform_retry_last,
-                settings.list_settle,
-            ),
+            settings.feed,
         )
         self._tracer = HopTracer(settings.name, settings.trace_sample, settings.trace_file, rng)
         self.gate = Gate(Admission(AdmissionSettings()), self.view, monotonic)
@@ -280,6 +239,11 @@
             version = cache.version_of(self.settings.name)
             self.own_server.check_entry(instances, gone, whole, version, cache.listed)
 
+    def follow_hint(self, version: int, address: str) -> None:
+        """Look for a version that the daemon at `address` has, if it is newer than ours."""
+        if version > self.view.version:
+            self.feed.check_head(version, address)
+
     def status(self) -> Status:
         """The state for the status page."""
         admission = self.gate.admission
@@ -337,7 +301,7 @@
         ZoneController(self.view, settings.zone, self.gate, self.metrics, unix).register(
             self.bus
         )
-        _Lifecycle(self).register(self.bus)
+        Lifecycle(self).register(self.bus)
 
     def _own_server(
         self, store: ObjectStore, rng: Random, decode: HeartbeatDecoder
@@ -471,9 +435,3 @@
         if not all(finished):
             logs.error("stop-cut-requests", grace=grace)
         self._backend.close()
-
-
-def _proof(settings: Settings) -> Proof:
-    if settings.source is ConfigurationSource.TRUSTED:
-        return TrustedPlatform()
-    return KeyringProof(settings.keyring)
--- a/packages/wheatslipd/wheatslipd/feed/__init__.py
+++ b/packages/wheatslipd/wheatslipd/feed/__init__.py
@@ -6,6 +6,5 @@
 """
 
 from wheatslipd.feed.feed import Feed
-from wheatslipd.feed.pace import FeedPace
 
-__all__ = ["Feed", "FeedPace"]
+__all__ = ["Feed"]
--- a/packages/wheatslipd/wheatslipd/feed/feed.py
+++ b/packages/wheatslipd/wheatslipd/feed/feed.py
@@ -17,10 +17,10 @@
 from wheatslipd.feed.following import ParentFollower
 from wheatslipd.feed.hints import Hints
 from wheatslipd.feed.intake import Intake
-from wheatslipd.feed.pace import FeedPace
 from wheatslipd.feed.place import Place
 from wheatslipd.feed.reader import PlatformReader
 from wheatslipd.feed.watching import ListWatch, StateWatch
+from wheatslipd.feedpace import FeedPace
 from wheatslipd.proof import Proof
 from wheatslipd.relay import HEARTBEAT_SECONDS, RelayServer
 from wheatslipd.tls import PeerTls
--- a/packages/wheatslipd/wheatslipd/feed/reader.py
+++ b/packages/wheatslipd/wheatslipd/feed/reader.py
@@ -14,8 +14,8 @@
 
 from wheatslipd import logs
 from wheatslipd.feed.intake import Intake
-from wheatslipd.feed.pace import FeedPace
 from wheatslipd.feed.trouble import log_trouble
+from wheatslipd.feedpace import FeedPace
 
 # Stale lists that are read in search of the own entry before a present one is read, which the
 # users' platform charges ten times as much for.
--- a/packages/wheatslipd/wheatslipd/feed/watching.py
+++ b/packages/wheatslipd/wheatslipd/feed/watching.py
@@ -9,9 +9,9 @@
 from wheatslip.objects import ObjectStore, Unavailable, follow
 
 from wheatslipd.feed.intake import Intake
-from wheatslipd.feed.pace import FeedPace
 from wheatslipd.feed.reader import PlatformReader
 from wheatslipd.feed.trouble import log_trouble
+from wheatslipd.feedpace import FeedPace
 
 # Share of the time that the check of a watch may spend on reading the head. On a link of
 # 650 kB/s a head of 700 kB, read on each check, took half of the link for good.
--- a/packages/wheatslipd/wheatslipd/feed/pace.py
+++ b/packages/wheatslipd/wheatslipd/feedpace.py
@@ -1,4 +1,4 @@
-"""The settings of the feed."""
+"""How a daemon keeps up with the platform: the settings of the feed."""
 
 from dataclasses import dataclass
 
--- a/packages/wheatslipd/wheatslipd/proof.py
+++ b/packages/wheatslipd/wheatslipd/proof.py
@@ -9,6 +9,8 @@
 from wheatslip.signedbundle import SignedBundle
 from wheatslip.zonedrains import ZoneDrain
 
+from wheatslipd.settings import ConfigurationSource, Settings
+
 TRUSTED_BUNDLE_BYTES = 16 * 1024 * 1024  # of one that the platform vouches for
 
 
@@ -57,3 +59,10 @@
     def drain(self, drain: ZoneDrain) -> bool:
         """Always."""
         return True
+
+
+def proof_of(settings: Settings) -> Proof:
+    """The proof that the settings ask for."""
+    if settings.source is ConfigurationSource.TRUSTED:
+        return TrustedPlatform()
+    return KeyringProof(settings.keyring)
--- a/packages/wheatslipd/wheatslipd/settings.py
+++ b/packages/wheatslipd/wheatslipd/settings.py
@@ -23,6 +23,8 @@
 from wheatslip.objects import BACKOFF_LAST, WATCH_SECONDS
 from wheatslip.relaytree import WATCHERS
 
+from wheatslipd.feedpace import FeedPace
+
 
 class LogLevel(IntEnum):
     """How grave an event must be to be logged."""
@@ -125,13 +127,7 @@
     recovery_probe: float = 0.1
     check_price: float = CHECK_PRICE
     checks_per_second: float = CHECKS_PER_SECOND
-    watchers: int = WATCHERS
-    watch_seconds: float = WATCH_SECONDS
-    watch_check: float = 0.0
-    list_watch_seconds: float = WATCH_SECONDS
-    list_pause: float = 0.0
-    list_settle: float = 0.0
-    platform_retry_last: float = BACKOFF_LAST
+    feed: FeedPace = field(default_factory=FeedPace)
     stop_listening_after: float = 0.0
 
 
@@ -214,14 +210,20 @@
         recovery_probe=backend.duration("recovery-probe", 0.1),
         check_price=backend.number("check-price", CHECK_PRICE, 0.0, NO_CHECKS),
         checks_per_second=backend.number("checks-per-second", CHECKS_PER_SECOND, 1.0, 1e4),
+        feed=_feed(control, sections["platform"]),
+        stop_listening_after=daemon.duration("stop-listening-after", 0.0),
+    )
+
+
+def _feed(control: Section, platform: Section) -> FeedPace:
+    return FeedPace(
         watchers=control.integer("watchers", WATCHERS, 1, 1000),
-        watch_seconds=control.duration("watch", WATCH_SECONDS),
+        watch=control.duration("watch", WATCH_SECONDS),
         watch_check=control.duration("watch-check", 0.0),
-        list_watch_seconds=control.duration("list-watch", WATCH_SECONDS),
+        list_watch=control.duration("list-watch", WATCH_SECONDS),
         list_pause=control.duration("list-pause", 0.0),
-        list_settle=control.duration("list-settle", 0.0),
-        platform_retry_last=sections["platform"].duration("retry-last", BACKOFF_LAST),
-        stop_listening_after=daemon.duration("stop-listening-after", 0.0),
+        retry_last=platform.duration("retry-last", BACKOFF_LAST),
+        settle=control.duration("list-settle", 0.0),
     )
 
 
--- a/test/test_slow_links.py
+++ b/test/test_slow_links.py
@@ -36,7 +36,8 @@
 from wheatslip.signedbundle import SignedBundle
 from wheatslipd import relay
 from wheatslipd.bus import Bus
-from wheatslipd.feed import Feed, FeedPace
+from wheatslipd.feed import Feed
+from wheatslipd.feedpace import FeedPace
 from wheatslipd.proof import TrustedPlatform
 from wheatslipd.tls import PeerTls
 
