Start late look-ups where half of the slots are free, and try a platform by one watch

Two tests of the gate stated the refusal for an idle server; they state it for a busy one now, a third the new decision.

--- a/packages/wheatslip/wheatslip/admission/admission.py
+++ b/packages/wheatslip/wheatslip/admission/admission.py
@@ -39,6 +39,10 @@
 
 LAST_RESORT = 1.5  # part of the time to the target that a call may take which waited in vain
 LAST_RESORT_LEFT = 0.4  # part of the time to the deadline that it may take all the same
+# The same with half of the slots free: it keeps no one waiting, so it starts if it meets its
+# deadline, with room for the error of the estimate. A call that another request made fails that
+# one if it is refused. Worth of a day 0.736 -> 0.768, 0.789 -> 0.798 (13 servers, high load).
+LAST_RESORT_LEFT_IDLE = 0.8
 # What a needless refusal at a server that has become fast again costs, as a part of what an
 # answer within its target is worth: a try elsewhere, or a wait until the speed is asked for.
 REFUSAL_LOSS = 0.1
@@ -266,7 +270,9 @@
         bound = LAST_RESORT * (call.target - now)
         if call.target < ANY_WAIT:
             # Whoever waits much longer than the target wants a late answer rather than none.
-            bound = max(bound, LAST_RESORT_LEFT * call.remaining(now))
+            is_idle = 2 * self.in_flight <= self.limit.value
+            left = LAST_RESORT_LEFT_IDLE if is_idle else LAST_RESORT_LEFT
+            bound = max(bound, left * call.remaining(now))
         if self.judgement.takes(call, now) > bound:
             return False
         self._start(ticket, now)
--- a/packages/wheatslipd/wheatslipd/feed/watching.py
+++ b/packages/wheatslipd/wheatslipd/feed/watching.py
@@ -16,6 +16,11 @@
 # Share of the time that the check of a watch may spend on reading the head. On a link of
 # 650 kB/s a head of 700 kB, read on each check, took half of the link for good.
 HEAD_READ_SHARE = 0.05
+# Longest wait, as a multiple of that of the other calls, before a watch of the emptied zones
+# that failed is made again, if the watch of the head has not come back sooner: one watch that
+# tries is enough to find that the platform is back. On a day on which a third of 24 daemons was
+# turned away for 9 s, 66 of 400 priced calls were tries of the second watch.
+DRAINS_PATIENCE = 5.0
 
 
 class ListWatch:
@@ -69,7 +74,9 @@
         self._intake = intake
         self._pace = pace
         self._rng = rng
+        self._was_in_trouble = False  # whether a call of it failed since the last answer
         self._is_in_place = False  # whether the last call of the watch was answered
+        self._is_back = asyncio.Event()  # set when the watch of the head is answered again
         self._read_at = 0.0  # the loop's time at which the check reads the head again
 
     async def run(self) -> None:
@@ -77,7 +84,7 @@
         while True:
             tasks = [
                 asyncio.ensure_future(self._follow_head()),
-                asyncio.ensure_future(self._follow_drains()),
+                asyncio.ensure_future(self._keep_drains()),
             ]
             if self._pace.watch_check:
                 tasks.append(asyncio.ensure_future(self._check()))
@@ -116,6 +123,23 @@
         self._read_at = ended + (ended - began) / HEAD_READ_SHARE
         return answered
 
+    async def _keep_drains(self) -> None:
+        """Follow the emptied zones, anew whenever the platform is back."""
+        while True:
+            self._is_back.clear()
+            tasks = [
+                asyncio.ensure_future(self._follow_drains()),
+                asyncio.ensure_future(self._is_back.wait()),
+            ]
+            try:
+                done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            finally:
+                for task in tasks:
+                    task.cancel()
+                await asyncio.gather(*tasks, return_exceptions=True)
+            for task in done:
+                task.result()
+
     async def _follow_drains(self) -> None:
         known = self._intake.cache.drains
         async for listing in follow(
@@ -124,7 +148,7 @@
             self._rng,
             log_trouble,
             self._pace.watch,
-            backoff_last=self._pace.retry_last,
+            backoff_last=DRAINS_PATIENCE * self._pace.retry_last,
             since=known.version if known is not None else None,
         ):
             if listing.whole or listing.items:
@@ -142,6 +166,9 @@
         ):
             for item in listing.items:
                 await self._reader.fetch_newer(item)
+            if self._was_in_trouble:
+                self._was_in_trouble = False
+                self._is_back.set()
             self._is_in_place = True
             self._intake.confirm_head()
             # Not before they are in force: a watch that begins anew would pass them over.
@@ -150,3 +177,4 @@
     def _on_head_trouble(self, trouble: Unavailable) -> None:
         log_trouble(trouble)
         self._is_in_place = False
+        self._was_in_trouble = True
--- a/test/test_store_trouble.py
+++ b/test/test_store_trouble.py
@@ -164,6 +164,12 @@
 def test_servers_whose_entries_lapsed_get_work_all_the_while():
     async def scenario():
         async with fleet("a", "b") as one:
+
+            async def list_is_watched():
+                return one.store.waiting[KINDS[lists.KIND]] > 0
+
+            # Between two watches no one would hear of it: the next call is turned away.
+            await eventually(list_is_watched)
             one.store.lapse(KINDS[lists.KIND])
             one.store.fault = Fault.BUSY  # so that the entries stay away for a while
 
--- a/test/test_zone_drains.py
+++ b/test/test_zone_drains.py
@@ -319,3 +319,25 @@
     for number in range(3):
         answer(number, 0, last, True)
         assert caches[number].drains.zones == states[last]
+
+
+def test_a_store_that_turns_away_is_tried_by_one_watch_and_heard_as_soon_as_it_is_back():
+    async def scenario():
+        async with fleet("a", "b", zones={"a": "one", "b": "two"}, watch="20s") as one:
+            one.store.fault = Fault.BUSY
+            one.store.forget()  # which cuts the watches
+            one.store.calls.clear()
+
+            async def tried_often():
+                return sum("config?watch" in call for call in one.store.calls) >= 60
+
+            await eventually(tried_often)
+            heads = sum("config?watch" in call for call in one.store.calls)
+            drains = sum("evacuations?watch" in call for call in one.store.calls)
+            assert drains < heads / 2
+            one.store.fault = Fault.NONE
+            empty(one, "one")
+            async with asyncio.timeout(1.0):  # longer waits than that were due
+                await in_force(one, "one")
+
+    run(scenario)
