Start who waits for a cold turn as soon as the server turns out to be warm

A gate that only assumed coldness planned the next turn by the rate, and kept to it after the server had said that it is warm: up to a second, for a burst's worth of starts. Test red before.

--- a/packages/wheatslipd/wheatslipd/gate.py
+++ b/packages/wheatslipd/wheatslipd/gate.py
@@ -82,8 +82,11 @@
         was_cold = self.admission.cold.is_cold(now)
         self.admission.cold.asked()
         self.admission.cold.told(remaining, now)
-        if self.admission.cold.is_cold(now) and not was_cold:
+        is_cold = self.admission.cold.is_cold(now)
+        if is_cold and not was_cold:
             logs.info("backend-cold", remaining=round(remaining, 3))
+        if was_cold and not is_cold:
+            self._wake(self.admission.admit(now))  # who waits for turns needs none any more
 
     def learn(self, load: BackendLoad) -> None:
         """The backend server told of its load."""
--- a/test/test_coldturns.py
+++ b/test/test_coldturns.py
@@ -1,14 +1,19 @@
 """Turns of a cold backend server: its bound holds in any second, whatever the course."""
 
+import asyncio
 from bisect import bisect_left
 from random import Random
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from wheatslip.admission import Admission, AdmissionSettings, ColdTurns, cold_rate
+from wheatslip.admission import ANY_WAIT, Admission, AdmissionSettings, ColdTurns, cold_rate
 from wheatslip.call import Call, CallClass, RequestKind
 from wheatslip.outcome import NotRun, Reason
+from wheatslipd.gate import Gate
+from wheatslipd.view import View
+
+from test.helper import run
 
 PER_SECOND = 8.0
 OVERAGE = 1.5
@@ -232,3 +237,20 @@
     held_falls, held_answered = falls_of_a_cold_server(RATE, 20.0)
     assert held_falls == 0 and held_answered > answered
     assert held_answered >= 0.9 * 5.0 * DEMAND
+
+
+def test_what_waits_for_a_turn_starts_when_the_server_turns_out_to_be_warm():
+    async def scenario():
+        gate = Gate(Admission(AdmissionSettings(slots=20)), View(), lambda: 0.0)
+        gate.admission.cold.bound(RATE)
+        gate.admission.cold.assume(0.0)
+        for _ in range(int(RATE.burst)):
+            await gate.enter(call(), ANY_WAIT)
+        waiting = asyncio.create_task(gate.enter(call(), ANY_WAIT))
+        await asyncio.sleep(0)
+        assert not waiting.done()
+        gate.learn_cold(0.0)
+        await asyncio.sleep(0)
+        assert waiting.done() and waiting.result().started == 0.0
+
+    run(scenario)
