A fault soak: real processes, faults drawn from a seed, a checker of the promises

Six daemons in two zones under kills, planned stops, freezes, slow and failing servers, drains, a platform that is down, slow or loses answers, rollouts and emptied zones, in series that overlap; checked from what callers and servers see. The checker finds a forged history of each promise.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SETUP = $(VENV)/.installed
 PACKAGES = packages/wheatslip packages/wheatslipd packages/wheatslip-cli
 
-.PHONY: demo test lint format bench bench-decisions bench-speeds bench-slopes clean
+.PHONY: demo soak test lint format bench bench-decisions bench-speeds bench-slopes clean
 
 $(SETUP): requirements-dev.txt $(addsuffix /pyproject.toml,$(PACKAGES))
 	python3 -m venv $(VENV)
@@ -14,6 +14,12 @@
 demo: $(SETUP)
 	$(PY) -m demo.demo
 
+# Played again by its seed, if a promise is broken.
+SEED ?= 1
+MINUTES ?= 1
+soak: $(SETUP)
+	$(PY) -m soak --seed $(SEED) --minutes $(MINUTES)
+
 test: $(SETUP)
 	$(PY) -m pytest
 
--- /dev/null
+++ b/soak/course.py
@@ -0,0 +1,107 @@
+"""The course of one soak: which faults come when, drawn from a seed. Pure code.
+
+Faults come in series and overlap: the next begins before the one before has ended about as
+often as not. Times are seconds from the start of the traffic.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import StrEnum
+from random import Random
+
+FIRST = 2.0  # seconds of calm before the first fault
+LAST = 6.0  # seconds of calm behind the last one, in which all must be well again
+PAUSE = 1.5  # seconds between the begins of two faults, mean
+SHORTEST = 0.5  # seconds that a fault lasts
+LONGEST = 4.0
+
+
+class Fault(StrEnum):
+    """What is done from outside."""
+
+    KILL = "kill"  # a daemon, by SIGKILL; it is started again at the end
+    STOP = "stop"  # a daemon, by SIGTERM; the same
+    FREEZE = "freeze"  # a daemon, by SIGSTOP and SIGCONT
+    SLOW_SERVER = "slow-server"
+    FAILING_SERVER = "failing-server"
+    DRAIN = "drain"  # the platform lists an instance as leaving, and as live at the end
+    PLATFORM_DOWN = "platform-down"
+    PLATFORM_SLOW = "platform-slow"
+    LOST_WRITES = "lost-writes"  # the platform writes, and does not answer
+    ROLLOUT = "rollout"  # the operators bring the next bundle in force
+    EMPTY_ZONE = "empty-zone"  # an operator empties a zone, and takes it back at the end
+
+
+ON_INSTANCE = frozenset(
+    {
+        Fault.KILL,
+        Fault.STOP,
+        Fault.FREEZE,
+        Fault.SLOW_SERVER,
+        Fault.FAILING_SERVER,
+        Fault.DRAIN,
+    }
+)
+ON_PLATFORM = frozenset({Fault.PLATFORM_DOWN, Fault.PLATFORM_SLOW, Fault.LOST_WRITES})
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """One fault: from `at` for `seconds`, at the instance or zone `where` (empty: neither)."""
+
+    at: float
+    fault: Fault
+    where: str
+    seconds: float
+
+    @property
+    def end(self) -> float:
+        """When it is over."""
+        return self.at + self.seconds
+
+
+def draw(
+    seed: int, seconds: float, instances: Sequence[str], zones: Sequence[str]
+) -> list[Step]:
+    """The steps of a soak of so many seconds.
+
+    No instance and no zone has two faults at a time, and one instance at least has none: with
+    all of them away nothing could be told from the answers.
+    """
+    rng = Random(f"soak {seed}")
+    steps: list[Step] = []
+    at = FIRST
+    while at < seconds - LAST - SHORTEST:
+        fault = rng.choice(list(Fault))
+        length = min(rng.uniform(SHORTEST, LONGEST), seconds - LAST - at)
+        step = _place(rng, fault, at, length, steps, instances, zones)
+        if step is not None:
+            steps.append(step)
+        at += rng.expovariate(1 / PAUSE)
+    return steps
+
+
+def _place(
+    rng: Random,
+    fault: Fault,
+    at: float,
+    length: float,
+    before: Sequence[Step],
+    instances: Sequence[str],
+    zones: Sequence[str],
+) -> Step | None:
+    """The step, where there is room for it now."""
+    running = [step for step in before if step.end > at]
+    taken = {step.where for step in running}
+    if fault in ON_INSTANCE:
+        free = [name for name in instances if name not in taken]
+        return Step(at, fault, rng.choice(free), length) if len(free) > 1 else None
+    if fault is Fault.EMPTY_ZONE:
+        if any(step.fault is fault for step in running):
+            return None
+        return Step(at, fault, rng.choice(list(zones)), length)
+    if any(step.fault is fault for step in running):
+        return None
+    if fault in ON_PLATFORM and any(step.fault in ON_PLATFORM for step in running):
+        return None
+    return Step(at, fault, "", length)
--- /dev/null
+++ b/soak/installation.py
@@ -0,0 +1,265 @@
+"""The processes of one soak, and what faults do to them."""
+
+import asyncio
+import signal
+import time
+from collections import defaultdict
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import aiohttp
+import msgspec
+from wheatslip.instances import KIND as INSTANCES
+from wheatslip.instances import Instance, InstanceState
+
+from demo.operators import CommandFailed, Desk, wheatslip
+from soak.course import Fault, Step
+from soak.history import Emptied, History, Seen, Stopped
+from standins.backend import Behaviour
+from standins.cluster import Cluster, Member, Plan, eventually
+from standins.platform import Faults
+
+SLOTS = 4
+SERVICE = 0.02  # seconds
+SLOW = 8.0  # times
+DELAY = 0.5  # seconds that a slow platform takes
+LOST = 3  # writes in a row whose answers are lost
+# Seconds from the moment at which all daemons knew that a zone is emptied: what a gate had let
+# through before has reached its server by then (a connection takes a quarter of a second).
+ON_THE_WAY = 0.5
+TRY_SECONDS = 0.5  # between two tries of a command that must succeed in the end
+
+BUNDLE = """
+[bundle]
+version = {version}
+[workspace alpha]
+credential-sha256 = {digest}
+[pool papers]
+slots = 4
+[service papers]
+workspace = alpha
+pool = papers
+[kind papers/view]
+repeatable = yes
+[kind papers/submit]
+repeatable = no
+[kind papers/extra-{version}]
+repeatable = yes
+"""
+
+
+@dataclass(slots=True)
+class Installation:
+    """A cluster under faults; what they show goes into the history."""
+
+    cluster: Cluster
+    desk: Desk
+    history: History
+    digest: str
+    began: float = field(default_factory=time.time)
+    version: int = 0
+    lives: dict[str, int] = field(default_factory=dict)
+    places: defaultdict[str, asyncio.Lock] = field(
+        default_factory=lambda: defaultdict(asyncio.Lock)
+    )
+
+    @property
+    def now(self) -> float:
+        """Seconds since the soak began, by the time of day that backend servers write down."""
+        return time.time() - self.began
+
+    async def prepare(self, plans: list[Plan]) -> None:
+        """Start everything with the first bundle in force."""
+        await self.desk.prepare(self.cluster.platform_address)
+        await self.cluster.add(plans)
+        self.lives = dict.fromkeys(self.cluster.members, 0)
+        await self._release()
+        await self.cluster.wait_for_version(1)
+        await self.cluster.wait_for_members(len(plans))
+
+    async def begin(self, step: Step) -> None:
+        """Bring a fault about."""
+        self._say(f"{step.fault} {step.where} for {step.seconds:.1f} s")
+        member = self.cluster.members.get(step.where)
+        match step.fault:
+            case Fault.KILL:
+                assert member is not None
+                member.daemon.send(signal.SIGKILL)
+            case Fault.STOP:
+                assert member is not None
+                await self._stop(member)
+            case Fault.FREEZE:
+                assert member is not None
+                member.daemon.send(signal.SIGSTOP)
+            case Fault.SLOW_SERVER:
+                await self._behave(step.where, slow=SLOW)
+            case Fault.FAILING_SERVER:
+                await self._behave(step.where, fail_fast=True)
+            case Fault.DRAIN:
+                assert member is not None
+                await self._try(lambda: self._list(member, InstanceState.LEAVING))
+            case Fault.PLATFORM_DOWN:
+                await self.cluster.set_faults(Faults(down=True))
+            case Fault.PLATFORM_SLOW:
+                await self.cluster.set_faults(Faults(delay=DELAY))
+            case Fault.LOST_WRITES:
+                await self.cluster.set_faults(Faults(lose_write_answers=LOST))
+            case Fault.ROLLOUT:
+                await self._try(self._release)
+            case Fault.EMPTY_ZONE:
+                await self._empty(step)
+
+    async def end(self, step: Step) -> None:
+        """Take a fault back."""
+        member = self.cluster.members.get(step.where)
+        match step.fault:
+            case Fault.KILL | Fault.STOP:
+                assert member is not None
+                await self._start_again(member)
+            case Fault.FREEZE:
+                assert member is not None
+                member.daemon.send(signal.SIGCONT)
+            case Fault.SLOW_SERVER | Fault.FAILING_SERVER:
+                await self._behave(step.where)
+            case Fault.DRAIN:
+                assert member is not None
+                await self._stop(member)
+                await self._start_again(member)
+            case Fault.PLATFORM_DOWN | Fault.PLATFORM_SLOW | Fault.LOST_WRITES:
+                await self.cluster.set_faults(Faults())
+            case Fault.EMPTY_ZONE:
+                await self._restore(step.where)
+
+    def _say(self, what: str) -> None:
+        print(f"{self.now:6.1f} s  {what}", flush=True)
+
+    async def look(self) -> None:
+        """Note what each daemon that answers says of its version."""
+        for name in list(self.cluster.members):
+            life = self.lives[name]
+            at = self.now
+            status = await self._status(name)
+            if status is not None and life == self.lives[name]:
+                version = status["version"]
+                assert isinstance(version, int)
+                self.history.seen.append(Seen(at, name, life, version))
+
+    async def calm(self) -> None:
+        """Wait until all is as if nothing had been."""
+        await self.cluster.set_faults(Faults())
+        await eventually(self._is_calm, 60.0)
+
+    async def _is_calm(self) -> bool:
+        statuses = [await self._status(name) for name in self.cluster.members]
+        count = len(self.cluster.members)
+        return all(
+            status is not None
+            and status["ready"]
+            and status["members"] == count
+            and status["emptied_zones"] == []
+            for status in statuses
+        )
+
+    async def _status(self, name: str) -> dict[str, object] | None:
+        """A daemon's status; None if it gives none soon."""
+        url = f"http://127.0.0.1:{self.cluster.members[name].pages_port}/status"
+        limit = aiohttp.ClientTimeout(total=0.5)
+        try:
+            async with self.cluster.session.get(url, timeout=limit) as answer:
+                found: dict[str, object] = msgspec.json.decode(await answer.read())
+                return found
+        except (aiohttp.ClientError, TimeoutError):
+            return None
+
+    async def _behave(self, name: str, slow: float = 1.0, fail_fast: bool = False) -> None:
+        behaviour = Behaviour(SLOTS, SERVICE, slow=slow, fail_fast=fail_fast)
+        await self.cluster.set_behaviour(name, behaviour)
+
+    async def _stop(self, member: Member) -> None:
+        code = await member.daemon.end()
+        self.history.stopped.append(Stopped(member.plan.name, code))
+
+    async def _start_again(self, member: Member) -> None:
+        """Start a daemon anew at other ports, and list it as a new start of the instance."""
+        name = member.plan.name
+        await member.daemon.process.wait()
+        member.daemon = await self.cluster.start_daemon(member.plan, member.backend_port)
+        entry, peer, control, pages = await self.cluster.ports_of(member.daemon)
+        self.lives[name] += 1
+        member.pages_port = pages
+        member.instance = Instance(
+            name,
+            member.plan.pool,
+            member.plan.zone,
+            member.instance.address,
+            entry,
+            peer,
+            control,
+            incarnation=member.instance.incarnation + 1,
+        )
+        await self._until_done(lambda: self._list(member, InstanceState.LIVE))
+
+    async def _list(self, member: Member, state: InstanceState) -> None:
+        """Write an instance into the list, from whatever version it stands at."""
+        url = f"http://{self.cluster.platform_address}/objects/{INSTANCES}/{member.plan.name}"
+        async with self.cluster.session.get(url) as answer:
+            assert answer.status == 200, await answer.text()
+            member.listed_version = msgspec.json.decode(await answer.read())["version"]
+        await self.cluster.list_instance(member, state)
+
+    async def _release(self) -> None:
+        version = self.version + 1
+        await self.desk.release(version, BUNDLE.format(version=version, digest=self.digest))
+        self.version = version
+
+    async def _empty(self, step: Step) -> None:
+        """Empty a zone; from when on it counts is what all daemons say."""
+        operator = str(self.desk.settings("anna"))
+        if not await self._try(lambda: wheatslip("zone", "drain", step.where, "-s", operator)):
+            return
+        end = self.now + step.seconds
+        while self.now < end:
+            if await self._all_know(step.where):
+                known = self.now + ON_THE_WAY
+                self.history.emptied.append(Emptied(step.where, known, known))
+                return
+
+    async def _all_know(self, zone: str) -> bool:
+        statuses = [await self._status(name) for name in self.cluster.members]
+        return all(s is not None and zone in _texts(s["emptied_zones"]) for s in statuses)
+
+    async def _restore(self, zone: str) -> None:
+        """Take a zone back, however often it takes; the promise ends with the first try."""
+        emptied = self.history.emptied
+        if emptied and emptied[-1].zone == zone and emptied[-1].end == emptied[-1].known:
+            emptied[-1] = Emptied(zone, emptied[-1].known, max(emptied[-1].known, self.now))
+        operator = str(self.desk.settings("anna"))
+
+        async def restore() -> None:
+            try:
+                await wheatslip("zone", "restore", zone, "-s", operator)
+            except CommandFailed as failed:
+                if "is not emptied" not in str(failed):
+                    raise
+
+        await self._until_done(restore)
+
+    async def _try(self, command: Callable[[], Awaitable[object]]) -> bool:
+        """One try of what may fail while the platform is in trouble."""
+        try:
+            await command()
+        except (CommandFailed, AssertionError, aiohttp.ClientError, TimeoutError) as failed:
+            self._say(f"not done: {str(failed).splitlines()[0][:100]}")
+            return False
+        return True
+
+    async def _until_done(self, command: Callable[[], Awaitable[object]]) -> None:
+        async def done() -> bool:
+            return await self._try(command)
+
+        await eventually(done, 60.0)
+
+
+def _texts(value: object) -> list[str]:
+    assert isinstance(value, list)
+    return [str(item) for item in value]
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -6,6 +6,7 @@
 
 import argparse
 import asyncio
+import time
 from random import Random
 
 import msgspec
@@ -27,12 +28,13 @@
 
 
 class Run(msgspec.Struct, frozen=True):
-    """One request that was run: the caller's id of it and its key."""
+    """One request that was run: the caller's id of it and its key; `at` in unix seconds."""
 
     request_id: str
     key: str
     workspace: str
     finished: bool
+    at: float = 0.0
 
 
 class Record(msgspec.Struct):
@@ -50,7 +52,7 @@
         self._behaviour = behaviour
         self._rng = rng
         self._slots = asyncio.Semaphore(behaviour.slots)
-        self._started: list[tuple[str, str, str]] = []
+        self._started: list[tuple[str, str, str, float]] = []
         self._finished: set[int] = set()
         self._probes = 0
 
@@ -83,6 +85,7 @@
         async for chunk in exchange.body.chunks():
             size += len(chunk)
         if behaviour.fail_fast:
+            self._finished.add(self._note_start(exchange))
             await exchange.respond(ResponseHead(500), b"failed")
             return
         async with self._slots:
@@ -95,7 +98,7 @@
         head = exchange.head
         names = (b"x-request-id", b"wheatslip-key", b"wheatslip-workspace")
         request_id, key, workspace = ((head.get(name) or b"").decode() for name in names)
-        self._started.append((request_id, key, workspace))
+        self._started.append((request_id, key, workspace, time.time()))
         return len(self._started) - 1
 
     def _service_time(self, behaviour: Behaviour) -> float:
@@ -116,8 +119,8 @@
 
     def _record(self) -> Record:
         runs = [
-            Run(request_id, key, workspace, number in self._finished)
-            for number, (request_id, key, workspace) in enumerate(self._started)
+            Run(request_id, key, workspace, number in self._finished, at)
+            for number, (request_id, key, workspace, at) in enumerate(self._started)
         ]
         return Record(runs, self._probes)
 
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -227,11 +227,16 @@
         )
         backend_port = int((await backend.wait_for(_LISTENING)).group(1))
         daemon = await self.start_daemon(plan, backend_port)
-        found = await daemon.wait_for(_DAEMON_PORTS)
-        *ports, pages_port = (int(port) for port in found.groups())
+        *ports, pages_port = await self.ports_of(daemon)
         instance = Instance(plan.name, plan.pool, plan.zone, HOST, *ports)
         return Member(plan, backend, backend_port, daemon, instance, pages_port)
 
+    async def ports_of(self, daemon: Running) -> tuple[int, int, int, int]:
+        """A daemon's ports for callers, other daemons, control and pages."""
+        found = await daemon.wait_for(_DAEMON_PORTS)
+        entry, peer, control, pages = (int(port) for port in found.groups())
+        return entry, peer, control, pages
+
     async def start_daemon(self, plan: Plan, backend_port: int) -> Running:
         """Start the daemon beside a backend server."""
         path = self.folder / f"{plan.name}.ini"
--- /dev/null
+++ b/test/test_soak.py
@@ -0,0 +1,88 @@
+"""The soak's own parts: a course that its seed decides, a checker that finds each breach."""
+
+import asyncio
+
+import pytest
+
+from soak.__main__ import soak
+from soak.course import FIRST, LAST, Fault, draw
+from soak.history import Emptied, History, Ran, Seen, Stopped, broken_promises
+from standins.backend import Run
+from standins.caller import Asked, Told
+
+INSTANCES = ("a", "b", "c", "d")
+ZONES = ("one", "two")
+
+
+def asked(request_id="r", told=Told.ANSWERED, once=True, wrong=""):
+    return Asked(request_id, "alpha", "papers", once, told, wrong=wrong)
+
+
+def ran(request_id="r", zone="one", at=1.0):
+    return Ran(Run(request_id, "", "alpha", True), zone, at)
+
+
+def test_a_seed_decides_the_course():
+    assert draw(7, 60.0, INSTANCES, ZONES) == draw(7, 60.0, INSTANCES, ZONES)
+    assert draw(7, 60.0, INSTANCES, ZONES) != draw(8, 60.0, INSTANCES, ZONES)
+
+
+def test_every_fault_comes_and_faults_overlap():
+    steps = [step for seed in range(20) for step in draw(seed, 60.0, INSTANCES, ZONES)]
+    assert {step.fault for step in steps} == set(Fault)
+    course = draw(1, 60.0, INSTANCES, ZONES)
+    overlaps = sum(
+        one.at < other.at < one.end for one in course for other in course if other is not one
+    )
+    assert overlaps >= len(course) / 3
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_a_course_leaves_an_instance_alone_and_a_calm_end(seed):
+    steps = draw(seed, 40.0, INSTANCES, ZONES)
+    for step in steps:
+        at_once = [s for s in steps if s.at <= step.at < s.end]
+        places = [s.where for s in at_once if s.where]
+        assert len(places) == len(set(places))
+        assert len([place for place in places if place in INSTANCES]) < len(INSTANCES)
+        assert step.at >= FIRST and step.end <= 40.0 - LAST + 1e-9
+
+
+def test_a_good_history_breaks_nothing():
+    history = History(
+        asked=[asked("r"), asked("s", Told.NOT_RUN)],
+        ran=[ran("r")],
+        seen=[Seen(1.0, "a", 0, 1), Seen(2.0, "a", 0, 2), Seen(3.0, "a", 1, 1)],
+        emptied=[Emptied("one", 2.0, 3.0)],
+        stopped=[Stopped("a", 0)],
+        last_answered=3,
+        last_asked=3,
+    )
+    assert broken_promises(history) == []
+
+
+FORGED = {
+    "ran twice": History(asked=[asked()], ran=[ran(), ran()]),
+    "ran though told not": History(asked=[asked(told=Told.NOT_RUN)], ran=[ran()]),
+    "answered but never run": History(asked=[asked()]),
+    "wrong answer": History(asked=[asked(wrong="another's")], ran=[ran()]),
+    "went back from version": History(seen=[Seen(1.0, "a", 0, 2), Seen(2.0, "a", 0, 1)]),
+    "emptied since": History(
+        asked=[asked()], ran=[ran(at=2.5)], emptied=[Emptied("one", 2.0, 3.0)]
+    ),
+    "after a planned stop": History(stopped=[Stopped("a", 1)]),
+    "in the calm end": History(last_answered=2, last_asked=3),
+}
+
+
+@pytest.mark.parametrize("promise", FORGED)
+def test_a_forged_history_is_found_out(promise):
+    found = broken_promises(FORGED[promise])
+    assert len(found) == 1 and promise in found[0]
+
+
+@pytest.mark.parametrize("seed", [3, 11])
+def test_a_short_soak_breaks_no_promise(seed, tmp_path):
+    history = asyncio.run(soak(tmp_path, seed, 20.0))
+    assert broken_promises(history) == []
+    assert history.last_asked and any(one.told is Told.ANSWERED for one in history.asked)
