Let who comes in the first moments of a daemon wait for its first reads

Refused with a second to wait, they came back after a third of their time.

They wait now, until both are known, and no longer than 0.2 s from listening; after that a daemon without a configuration refuses at once as before.

--- a/packages/wheatslipd/wheatslipd/bundles.py
+++ b/packages/wheatslipd/wheatslipd/bundles.py
@@ -26,6 +26,7 @@
             logs.debug("older-bundle-ignored", version=bundle.version, ours=self._view.version)
             return
         self._view.configuration = Configuration(bundle)
+        self._view.note_known()
         self._metrics.bundle_version.set({}, bundle.version)
         logs.info("bundle-in-force", version=bundle.version, digest=head.digest[:12])
         self.fire(bundle_in_force(bundle))
--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -51,6 +51,9 @@
     from wheatslipd.pages import PageServer
 
 BACKEND_CONNECTIONS = 220  # until a bundle says otherwise
+# Seconds from listening in which a first configuration and list are expected: 0.05 at the
+# median, 0.07 at most of 78 daemons on 0.43 of a core that lost their power together.
+START_SECONDS = 0.2
 # Settings that SIGHUP takes over; default.ini says so at each.
 RELOADED = ("chooser", "log_level", "stop_grace", "trace_sample")
 
@@ -370,6 +373,7 @@
     async def _listen(self) -> None:
         """Listen for requests, other daemons and heartbeats. Raises OSError."""
         settings = self.settings
+        self.view.expected_until = self._monotonic() + START_SECONDS
         await self.entry_server.listen(settings.address, settings.entry_port)
         await self.peer_server.listen(settings.address, settings.peer_port)
         await self.feed.relay.listen(settings.address, settings.control_port)
--- a/packages/wheatslipd/wheatslipd/filters.py
+++ b/packages/wheatslipd/wheatslipd/filters.py
@@ -1,6 +1,8 @@
 """The entry's filters, in the order in which `entry_filters` lists them."""
 
+import asyncio
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 
 from wheatslip.bundle import Service, credential_digest
@@ -77,19 +79,34 @@
 
 @dataclass(slots=True)
 class ReadyFilter:
-    """Refuses everything while no configuration is in force or the daemon stops."""
+    """Refuses everything while no configuration is in force or the daemon stops.
+
+    Load pattern: after a loss of power all callers ask at once, while each daemon waits for the
+    answers to its first reads. What comes in these moments waits with it; refused, it would
+    come back after a third of its time.
+    """
 
     view: View
+    clock: Callable[[], float]
 
     async def __call__(self, request: EntryRequest, proceed: Proceed) -> Outcome:
         """Fix the configuration that the request is served under."""
         if self.view.closed:
             return NotRun(Reason.DRAINING, retry_after=1.0)
+        if not self.view.known.is_set():
+            await self._wait_for_start()
         if self.view.configuration is None or self.view.drains is None:
             return NotRun(Reason.NO_CONFIGURATION, retry_after=1.0)
         request.configuration = self.view.configuration
         return await proceed(request)
 
+    async def _wait_for_start(self) -> None:
+        """Wait until what requests need is known, as long as that is expected."""
+        left = self.view.expected_until - self.clock()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(max(0.0, left)):
+                await self.view.known.wait()
+
 
 class IdentifyFilter:
     """Finds the workspace by its credential, and by nothing else."""
@@ -156,7 +173,7 @@
     view: View, metrics: Metrics, tracer: HopTracer, clock: Callable[[], float]
 ) -> list[Filter]:
     """What each entry's chain begins with; the order matters."""
-    return [TraceFilter(tracer), CountFilter(metrics, clock), ReadyFilter(view)]
+    return [TraceFilter(tracer), CountFilter(metrics, clock), ReadyFilter(view, clock)]
 
 
 def workspace_filters(clock: Callable[[], float]) -> list[Filter]:
--- a/packages/wheatslipd/wheatslipd/membership.py
+++ b/packages/wheatslipd/wheatslipd/membership.py
@@ -140,6 +140,7 @@
             pools.setdefault(peer.instance.pool, []).append(peer)
         frozen = MappingProxyType({pool: tuple(peers) for pool, peers in pools.items()})
         self._view.membership = Membership(frozen)
+        self._view.note_known()
         members = [peer.instance.name for peer in frozen.get(self._pool, ())]
         self._owners.change(members, self._unix())
         logs.info("members", instances=len(self._peers), own_pool=len(members))
--- a/packages/wheatslipd/wheatslipd/view.py
+++ b/packages/wheatslipd/wheatslipd/view.py
@@ -3,6 +3,7 @@
 Controllers publish here; filters only read. All run in the loop's thread.
 """
 
+import asyncio
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
@@ -55,7 +56,9 @@
 class View:
     """The present state, as the request path sees it.
 
-    `drains` are the emptied zones; None: not known yet, so nothing may be sent.
+    `drains` are the emptied zones; None: not known yet, so nothing may be sent. `known` is set
+    once there are a configuration, the emptied zones and a list; at the start these are
+    expected until `expected_until` (seconds, monotonic).
 
     `draining`: the backend server here takes no new work; the entry still forwards callers'
     requests to others. `stopping`: callers are to go elsewhere. `closed`: they have to.
@@ -67,6 +70,13 @@
     draining: bool = False
     stopping: bool = False
     closed: bool = False
+    expected_until: float = float("-inf")
+    known: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def note_known(self) -> None:
+        """Something has become known: perhaps it was the last that requests need."""
+        if self.configuration is not None and self.drains is not None and self.membership.pools:
+            self.known.set()
 
     def peers(self, pool: str) -> tuple[Peer, ...]:
         """The peers of a pool to which requests may go: those in emptied zones are left out."""
--- a/packages/wheatslipd/wheatslipd/zones.py
+++ b/packages/wheatslipd/wheatslipd/zones.py
@@ -44,6 +44,7 @@
             logs.debug("older-zone-drains-ignored", version=drains.version, ours=before.version)
             return
         self._view.drains = drains
+        self._view.note_known()
         for drain in drains.drains:
             if drain.zone not in known:
                 age = round(self._unix() - drain.since, 1) if drain.since else None
