--- a/test/test_start.py
+++ b/test/test_start.py
@@ -1,4 +1,4 @@
-"""The first moments of a daemon: who comes before its first reads are answered waits with it."""
+"""The first moments of a daemon: who comes before its first reads are answered waits too."""
 
 import asyncio
 
