Take work again when it was an earlier start of the daemon that left

A daemon that starts under the name of one that was listed as leaving reads that entry first, as the list lags, and drained itself for good. Its entry of a new start takes the drain back now. Daemons that list themselves, as on the users' platform, were not concerned.

The soak tells what each daemon says where it does not become calm.

--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -208,6 +208,13 @@
         self.view.draining = True
         self.gate.drain()
 
+    def take_back_drain(self) -> None:
+        """Take new work again: it was not this start that was to drain."""
+        if self.view.draining and not self.view.stopping:
+            logs.info("drain-taken-back")
+            self.view.draining = False
+            self.gate.reopen()
+
     def take_bounds(self, bundle: Bundle) -> None:
         """Apply the pool's limits and the workspaces' shares."""
         pool = next((p for p in bundle.pools if p.name == self.settings.pool), None)
--- a/packages/wheatslipd/wheatslipd/events.py
+++ b/packages/wheatslipd/wheatslipd/events.py
@@ -55,3 +55,7 @@
 
     def __init__(self, cause: str):
         super().__init__(cause)
+
+
+class returned(Event):
+    """The list shows this daemon as a new start: it was the one before that left."""
--- a/packages/wheatslipd/wheatslipd/lifecycle.py
+++ b/packages/wheatslipd/wheatslipd/lifecycle.py
@@ -14,6 +14,9 @@
     def drain(self, cause: str) -> None:
         """Take no new work."""
 
+    def take_back_drain(self) -> None:
+        """Take new work again."""
+
     def take_bounds(self, bundle: Bundle) -> None:
         """Apply the pool's limits and the workspaces' shares."""
 
@@ -42,6 +45,10 @@
         """Stop taking new work; what is in flight goes on."""
         self._daemon.drain(cause)
 
+    def returned(self) -> None:
+        """It was a start before this one that left."""
+        self._daemon.take_back_drain()
+
     def bundle_in_force(self, bundle: Bundle) -> None:
         """Take over the bounds of our pool and the workspaces' shares."""
         self._daemon.take_bounds(bundle)
--- a/packages/wheatslipd/wheatslipd/membership.py
+++ b/packages/wheatslipd/wheatslipd/membership.py
@@ -15,7 +15,7 @@
 from wheatslip.owners import OwnerHistory
 
 from wheatslipd import logs
-from wheatslipd.events import leaving
+from wheatslipd.events import leaving, returned
 from wheatslipd.http.client import Pool
 from wheatslipd.tls import PeerTls
 from wheatslipd.view import Membership, Peer, View
@@ -54,6 +54,7 @@
         self._missing: dict[str, asyncio.TimerHandle] = {}  # by name, to the end of the grace
         self._has_list = False
         self._lists_itself = lists_itself
+        self._left: int | None = None  # the incarnation of ours that was listed as leaving
 
     def instances_seen(
         self, instances: tuple[Instance, ...], gone: tuple[str, ...], whole: bool
@@ -107,8 +108,20 @@
             known.instance = instance
         is_leaving = instance.state is InstanceState.LEAVING
         self._peers[instance.name].upstream.leaving |= is_leaving
-        if is_leaving and instance.name == self._name and not self._lists_itself:
+        if instance.name == self._name and not self._lists_itself:
+            self._take_own(instance, is_leaving)
+
+    def _take_own(self, instance: Instance, is_leaving: bool) -> None:
+        """The list says of this daemon that it leaves, or that it is back.
+
+        The list lags: what it says first may be of the start before, under the same name.
+        """
+        if is_leaving:
+            self._left = instance.incarnation
             self.fire(leaving("listed as leaving"))
+        elif self._left is not None and instance.incarnation > self._left:
+            self._left = None
+            self.fire(returned())
 
     def _new_peer(self, instance: Instance) -> Peer:
         # Who stands in the first list was here before us and is warm, as far as we know.
--- a/soak/installation.py
+++ b/soak/installation.py
@@ -27,7 +27,7 @@
 # Seconds from the moment at which all daemons knew that a zone is emptied: what a gate had let
 # through before has reached its server by then (a connection takes a quarter of a second).
 ON_THE_WAY = 0.5
-TRY_SECONDS = 0.5  # between two tries of a command that must succeed in the end
+CALM_SECONDS = 60.0  # in which all must be well again when the faults are over
 
 BUNDLE = """
 [bundle]
@@ -147,7 +147,11 @@
     async def calm(self) -> None:
         """Wait until all is as if nothing had been."""
         await self.cluster.set_faults(Faults())
-        await eventually(self._is_calm, 60.0)
+        try:
+            await eventually(self._is_calm, CALM_SECONDS)
+        except TimeoutError as error:
+            statuses = {name: await self._status(name) for name in self.cluster.members}
+            raise AssertionError(f"not calm in {CALM_SECONDS:.0f} s: {statuses}") from error
 
     async def _is_calm(self) -> bool:
         statuses = [await self._status(name) for name in self.cluster.members]
--- a/test/helper.py
+++ b/test/helper.py
@@ -156,6 +156,31 @@
         await self.list_instance(node, InstanceState.LIVE)
         return node
 
+    async def start_again(self, name: str) -> Node:
+        """Start a daemon that was stopped anew, at other ports, and list it as a new start once
+        it listens.
+        """
+        before = self.nodes[name]
+        daemon = Daemon(before.daemon.settings, Random(SEED), unix=self.clock)
+        task = asyncio.create_task(daemon.run())
+        await daemon.listening.wait()
+        instance = msgspec.structs.replace(
+            before.instance,
+            entry_port=daemon.entry_server.port,
+            peer_port=daemon.peer_server.port,
+            control_port=daemon.feed.relay.port,
+            incarnation=before.instance.incarnation + 1,
+        )
+        node = Node(instance, before.backend, daemon, task, before.listed_version)
+        self.nodes[name] = node
+
+        async def has_read_the_list() -> bool:
+            return bool(daemon.feed.cache.instances)
+
+        await eventually(has_read_the_list)
+        await self.list_instance(node, InstanceState.LIVE)
+        return node
+
     async def list_instance(self, node: Node, state: InstanceState) -> None:
         """Write an instance into the platform's list."""
         instance = msgspec.structs.replace(node.instance, state=state)
--- a/test/test_path.py
+++ b/test/test_path.py
@@ -318,3 +318,28 @@
         assert older.daemon.status().version == 2
 
     two_upstreams(tmp_path, scenario)
+
+
+def test_a_start_under_the_name_of_one_that_left_is_not_drained_by_the_list_of_before(tmp_path):
+    async def main():
+        async with Installation(tmp_path) as installation:
+            first = await installation.add("papers-1")
+            await installation.add("papers-2")
+            await installation.release(bundle())
+            await installation.ready()
+            await installation.list_instance(first, InstanceState.LEAVING)
+
+            async def drained():
+                return first.daemon.status().draining
+
+            await eventually(drained)
+            first.daemon.stop()
+            await first.task
+            again = await installation.start_again("papers-1")
+
+            async def ready():
+                return again.daemon.status().ready and again.daemon.status().members == 2
+
+            await eventually(ready)
+
+    run(main)
