--- a/packages/wheatslip-cli/wheatslip_cli/zone_commands.py
+++ b/packages/wheatslip-cli/wheatslip_cli/zone_commands.py
@@ -1,8 +1,11 @@
 """The commands `wheatslip zone …`: empty an availability zone, take it back, list them."""
 
 import time
+from collections import Counter
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from datetime import UTC, datetime
+from pathlib import Path
 from typing import Annotated
 
 import cappa
@@ -20,6 +23,8 @@
 from wheatslip_cli.output import ExitCode, Format, complain, show
 from wheatslip_cli.settings import Settings
 
+Counts = Counter[str]  # instances by zone
+CountsStep = Callable[[ObjectClient, Settings, Counts], Awaitable[ExitCode]]
 Zone = Annotated[str, cappa.Arg(help="Name of the availability zone.")]
 
 
@@ -44,10 +49,7 @@
     def __call__(self) -> ExitCode:
         """Carry out the command."""
 
-        async def step(client: ObjectClient, settings: Settings) -> ExitCode:
-            counts = await _instances_by_zone(client)
-            if isinstance(counts, ExitCode):
-                return counts
+        async def step(client: ObjectClient, settings: Settings, counts: Counts) -> ExitCode:
             if self.zone not in counts:
                 known = ", ".join(sorted(counts)) or "none"
                 return complain(
@@ -70,7 +72,7 @@
                     return complain_about(trouble)
             raise AssertionError
 
-        return run_with_client(self.settings, step)
+        return _run_with_counts(self.settings, step)
 
 
 @cappa.command(name="restore")
@@ -109,10 +111,7 @@
     def __call__(self) -> ExitCode:
         """Carry out the command."""
 
-        async def step(client: ObjectClient, settings: Settings) -> ExitCode:
-            counts = await _instances_by_zone(client)
-            if isinstance(counts, ExitCode):
-                return counts
+        async def step(client: ObjectClient, settings: Settings, counts: Counts) -> ExitCode:
             match await ZoneDrainRequests(client).listed():
                 case Ok(drains):
                     show([_row(drain, counts) for drain in drains], self.output)
@@ -121,7 +120,7 @@
                     return complain_about(trouble)
             raise AssertionError
 
-        return run_with_client(self.settings, step)
+        return _run_with_counts(self.settings, step)
 
 
 @cappa.command(name="zone")
@@ -132,24 +131,25 @@
     command: cappa.Subcommands[DrainZone | RestoreZone | ListZones]
 
 
-async def _instances_by_zone(client: ObjectClient) -> dict[str, int] | ExitCode:
-    """How many instances the platform lists in each zone; an exit code if it can't be read."""
-    answer = await client.list(INSTANCES)
-    if isinstance(answer, Err):
-        return complain_about(answer.err_value)
-    counts: dict[str, int] = {}
-    for item in answer.ok_value.items:
-        match decode_instance(item.value):
-            case Ok(instance):
-                counts[instance.zone] = counts.get(instance.zone, 0) + 1
-    return counts
+def _run_with_counts(settings_path: Path, step: CountsStep) -> ExitCode:
+    """Run one step that needs to know how many instances the platform lists in each zone."""
+
+    async def with_counts(client: ObjectClient, settings: Settings) -> ExitCode:
+        answer = await client.list(INSTANCES)
+        if isinstance(answer, Err):
+            return complain_about(answer.err_value)
+        found = (decode_instance(item.value) for item in answer.ok_value.items)
+        counts = Counter(one.ok_value.zone for one in found if isinstance(one, Ok))
+        return await step(client, settings, counts)
+
+    return run_with_client(settings_path, with_counts)
 
 
-def _row(drain: ZoneDrain, counts: dict[str, int]) -> ZoneRow:
+def _row(drain: ZoneDrain, counts: Counts) -> ZoneRow:
     since = datetime.fromtimestamp(drain.since, UTC).isoformat(timespec="seconds")
     return ZoneRow(
         zone=drain.zone,
         asked_by=drain.asked_by or "-",
         since=since if drain.since else "-",
-        instances=counts.get(drain.zone, 0),
+        instances=counts[drain.zone],
     )
