--- a/demo/demo.py
+++ b/demo/demo.py
@@ -41,6 +41,9 @@
 SEED = 20261202
 KILLED = "papers-2"
 DRAINED = "tarifs-1"
+EMPTIED = "linz-c"  # an availability zone
+# Seconds until what a gate had let through before it knew has reached its server.
+ON_THE_WAY = 0.5
 SECOND_BUNDLE = "\n[kind papers/preview]\nrepeatable = yes\n"
 MICROSECONDS = 1e6
 LONGEST_MICROSECONDS = 60_000_000
@@ -54,13 +57,18 @@
     records: dict[str, Record]
     lost_records: list[str]
     exit_codes: list[int]
+    emptied: tuple[float, float] = (0.0, 0.0)  # unix seconds between which the zone was empty
     lifetime: float = 0.0  # seconds from the daemons' start to the reading of the records
 
 
-async def traffic(caller: Caller, services: list[str], cluster: Cluster, end: float) -> None:
-    """Poisson traffic of one workspace over its deployment's services and all entries."""
+async def traffic(
+    caller: Caller, services: list[str], cluster: Cluster, end: float, over: asyncio.Event
+) -> None:
+    """Poisson traffic of one workspace over its deployment's services and all entries, until
+    `end` and until the troubles are over.
+    """
     tasks: set[asyncio.Task[Asked]] = set()
-    while time.monotonic() < end:
+    while time.monotonic() < end or not over.is_set():
         await asyncio.sleep(caller.rng.expovariate(CALLS_PER_SECOND))
         service = caller.rng.choice(services)
         entries = [m for m in cluster.members.values() if m.plan.pool in services]
@@ -77,9 +85,13 @@
     await asyncio.gather(*tasks)
 
 
-async def trouble(cluster: Cluster, desk: Desk, observed: Observed) -> None:
-    """A backend server with its daemon is killed, another drains, a bundle is rolled out."""
-    part = TRAFFIC_SECONDS / 5
+async def trouble(
+    cluster: Cluster, desk: Desk, observed: Observed, over: asyncio.Event
+) -> None:
+    """A backend server with its daemon is killed, another drains, a bundle is rolled out, and a
+    zone is emptied and taken back.
+    """
+    part = TRAFFIC_SECONDS / 6
     await asyncio.sleep(part)
     print(f"killing {KILLED} and its daemon", flush=True)
     killed = cluster.members[KILLED]
@@ -93,6 +105,30 @@
     await asyncio.sleep(part)
     print("rolling out the second bundle", flush=True)
     await roll_out(cluster, desk, 2, observed)
+    await asyncio.sleep(part / 2)
+    await empty_zone(cluster, desk, part, observed)
+    over.set()
+
+
+async def empty_zone(cluster: Cluster, desk: Desk, seconds: float, observed: Observed) -> None:
+    """An operator empties a zone for a while, under load."""
+    print(f"emptying {EMPTIED}", flush=True)
+    await desk.empty_zone(EMPTIED)
+    await cluster.wait_for_emptied(EMPTIED)
+    began = time.time() + ON_THE_WAY
+    await asyncio.sleep(seconds)
+    observed.emptied = (began, time.time())
+    await desk.restore_zone(EMPTIED)
+    await cluster.wait_for_emptied()
+    print(f"{EMPTIED} is taken back", flush=True)
+
+
+def runs_in_emptied_zone(observed: Observed) -> int:
+    """Requests that ran in the zone while it was to be empty."""
+    began, ended = observed.emptied
+    servers = [plan.name for plan in plans() if plan.zone == EMPTIED]
+    runs = [run for name in servers for run in observed.records[name].runs]
+    return sum(began < run.at < ended for run in runs)
 
 
 async def roll_out(cluster: Cluster, desk: Desk, version: int, observed: Observed) -> None:
@@ -123,9 +159,10 @@
         print("traffic starts", flush=True)
         callers = make_callers(cluster)
         end = time.monotonic() + TRAFFIC_SECONDS
+        over = asyncio.Event()
         await asyncio.gather(
-            *(traffic(caller, services, cluster, end) for caller, services in callers),
-            trouble(cluster, desk, observed),
+            *(traffic(caller, services, cluster, end, over) for caller, services in callers),
+            trouble(cluster, desk, observed, over),
         )
         await collect(cluster, observed)
         observed.lifetime = time.monotonic() - started
@@ -189,6 +226,7 @@
         ("run twice (must be 0)", str(len(verdict.ran_twice))),
         ("run though told not (must be 0)", str(len(verdict.ran_though_told_not))),
         ("wrong answers (must be 0)", str(len(verdict.wrong_answers))),
+        (f"run in {EMPTIED} while emptied (must be 0)", str(runs_in_emptied_zone(observed))),
         ("p50 / p99 at the caller, ms", _percentiles(histogram)),
         ("rollout to in force everywhere, s", _seconds(observed.rollout_seconds)),
         ("probes a second at a backend server, most", f"{max(probes):.2f}"),
@@ -214,6 +252,10 @@
     stopped_well = observed.exit_codes.count(0) == len(observed.exit_codes) - 1
     if not stopped_well:
         print(f"BROKEN: exit codes of the daemons: {observed.exit_codes}")
+    in_emptied = runs_in_emptied_zone(observed)
+    if in_emptied or not any(observed.emptied):
+        print(f"BROKEN: {in_emptied} requests ran in the emptied zone")
+        return 1
     if verdict.broken or not stopped_well or not verdict.answered:
         return 1
     print("all promises held")
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -201,6 +201,10 @@
         """Wait until every daemon that runs knows so many instances."""
         await self._wait_all(lambda status: status["members"] == count)
 
+    async def wait_for_emptied(self, *zones: str) -> None:
+        """Wait until every daemon that runs knows that just these zones are emptied."""
+        await self._wait_all(lambda status: status["emptied_zones"] == sorted(zones))
+
     async def _wait_all(self, is_met: Callable[[dict[str, object]], bool]) -> None:
         names = [n for n, m in self.members.items() if m.daemon.process.returncode is None]
         await asyncio.gather(*(self._wait_one(name, is_met) for name in names))
--- a/test/helper.py
+++ b/test/helper.py
@@ -129,13 +129,14 @@
         name: str,
         behaviour: Behaviour | None = None,
         pool: str = "papers",
+        zone: str = "one",
     ) -> Node:
         """Start a backend server and its daemon, and list them."""
         behaviour = behaviour or Behaviour(slots=4, service=0.001)
         backend = BackendStandIn(name, behaviour, Random(SEED))
         await backend.server.listen(HOST, 0)
         settings = parse_settings(
-            f"[daemon]\nname = {name}\nzone = one\npool = {pool}\n"
+            f"[daemon]\nname = {name}\nzone = {zone}\npool = {pool}\n"
             f"[entry]\nwarm-up = 0s\n"
             f"[peer]\nplain-text = yes\n"
             f"[backend]\nport = {backend.server.port}\n"
@@ -151,7 +152,7 @@
             daemon.peer_server.port,
             daemon.feed.relay.port,
         )
-        node = Node(Instance(name, pool, "one", HOST, *ports), backend, daemon, task)
+        node = Node(Instance(name, pool, zone, HOST, *ports), backend, daemon, task)
         self.nodes[name] = node
         await self.list_instance(node, InstanceState.LIVE)
         return node
--- a/test/test_zone_commands.py
+++ b/test/test_zone_commands.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import time
+from collections import Counter
 
 from wheatslip.drainrequests import ZoneDrainRequests
 from wheatslip.signing import load_private_key, sign_drain
@@ -9,6 +11,7 @@
 from wheatslip_cli.output import ExitCode, Format
 from wheatslip_cli.zone_commands import DrainZone, ListZones, RestoreZone
 
+from standins.caller import Told, make_key
 from standins.cluster import eventually
 from test.helper import OPERATORS, Installation, bundle, run
 
@@ -92,3 +95,42 @@
             await knows(installation, "one")
 
     run(main)
+
+
+def test_a_key_runs_once_though_the_zone_of_its_owner_is_emptied_between_its_sends(tmp_path):
+    """Sent, and sent again while the owner's zone is emptied: no other may run it."""
+
+    async def main():
+        async with Installation(tmp_path) as installation:
+            for name, zone in (("papers-1", "one"), ("papers-2", "two"), ("papers-3", "two")):
+                await installation.add(name, zone=zone)
+            await installation.release(bundle())
+            await installation.ready()
+            caller = installation.caller()
+            entry = installation.nodes["papers-1"].entry
+            keys = [make_key(caller.rng, time.time()) for _ in range(20)]
+
+            async def send_all():
+                return [
+                    await caller.ask(entry, "papers", "submit", once=True, key=key)
+                    for key in keys
+                ]
+
+            first = await send_all()
+            assert {one.told for one in first} == {Told.ANSWERED}
+            key = load_private_key(tmp_path / f"{OPERATORS[0]}.key")
+            drain = sign_drain(ZoneDrain("two", OPERATORS[0], 5.0), key)
+            (await ZoneDrainRequests(installation.client).drain(drain)).unwrap()
+            await knows(installation, "two")
+            again = await send_all()
+            assert {one.told for one in again} <= {Told.ANSWERED, Told.NOT_RUN}
+            runs = Counter(
+                run.key for node in installation.nodes.values() for run in runs_of(node)
+            )
+            assert set(runs) == set(keys) and set(runs.values()) == {1}
+
+    run(main)
+
+
+def runs_of(node):
+    return node.backend._record().runs
