--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -129,6 +129,9 @@
     broken = broken_promises(history)
     for sentence in broken:
         print(f"BROKEN: {sentence}")
+        for one in history.asked:
+            if one.request_id in sentence:
+                print(f"  {one}")
     if not broken:
         print("all promises held")
     return 1 if broken else 0
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -131,7 +131,7 @@
 
     async def open(self) -> None:
         """Start the platform's stand-in."""
-        self.session = aiohttp.ClientSession()
+        self.session = caller_session()
         self.platform = await start("platform", "standins.platform")
         port = (await self.platform.wait_for(_LISTENING)).group(1)
         self.platform_address = f"{HOST}:{port}"
@@ -255,6 +255,17 @@
         return await start(f"daemon {plan.name}", "wheatslipd.main", "--settings", str(path))
 
 
+def caller_session() -> aiohttp.ClientSession:
+    """A session of callers, each of whose requests is sent once.
+
+    aiohttp sends a GET again by itself when a kept connection breaks. If the second can't
+    connect, the first may have run all the same, and the caller would say that it did not.
+    """
+    session = aiohttp.ClientSession()
+    session._retry_connection = False
+    return session
+
+
 async def eventually(is_met: Callable[[], Awaitable[bool]], seconds: float = 30.0) -> None:
     """Wait until a condition is met; raises TimeoutError after `seconds`."""
     async with asyncio.timeout(seconds):
