--- a/test/test_slow_links.py
+++ b/test/test_slow_links.py
@@ -244,12 +244,20 @@
     async def scenario():
         async with fleet("a", "b", "c", watch="20s", watch_check="100ms") as one:
 
-            async def young_everywhere():
-                ages = [daemon.status().head_age for daemon in one.daemons.values()]
-                return all(age is not None and age < 3.0 for age in ages)
-
-            await eventually(young_everywhere)
-            followers = [d for d in one.daemons.values() if not d.status().watches]
-            assert all(daemon.status().parent in one.daemons for daemon in followers)
+            async def told_everywhere():
+                """Young everywhere, and each follower names whom it has it from.
+
+                One that becomes a follower has its age from its own reads before, and a parent
+                a moment later.
+                """
+                states = [daemon.status() for daemon in one.daemons.values()]
+                return all(
+                    state.head_age is not None
+                    and state.head_age < 3.0
+                    and (state.watches or state.parent in one.daemons)
+                    for state in states
+                )
+
+            await eventually(told_everywhere)
 
     run(scenario)
