Log which requests a backend server ran when it ended

Cause: when a server ended, the logs said only that its connections broke.

Change: after a lost answer one connection finds out whether anything listens at the server's address; requests that lose their answers together share it. An end is logged (backend-ended) with the fingerprints of the requests that ran, and counted. Nothing is decided by it yet.

--- a/packages/wheatslipd/wheatslipd/gate/backend.py
+++ b/packages/wheatslipd/wheatslipd/gate/backend.py
@@ -1,6 +1,7 @@
 """The way to the local backend server: its connections and one request on one of them."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from wheatslip.outcome import NotRun, Reason, Unknown
@@ -11,6 +12,7 @@
 from wheatslipd.http.client import ClientConnection, Response
 from wheatslipd.http.messages import RequestHead
 from wheatslipd.http.pool import ConnectionPool
+from wheatslipd.telemetry import logs
 
 NO_LENGTH = frozenset({b"GET", b"HEAD"})
 
@@ -28,6 +30,8 @@
 
     def __init__(self, address: str, port: int, connections: int, connect_timeout: float):
         """`connections` bounds those open at one time; `connect_timeout` in seconds."""
+        self._address = address
+        self._port = port
         self._pool = ConnectionPool(address, port, connections)
         self._connect_timeout = connect_timeout
         self._resting = RestLimit()
@@ -38,17 +42,20 @@
         body: Body,
         echo: tuple[bytes, bytes] | None = None,
         connect_timeout: float = 0.0,
+        on_connected: Callable[[], None] = lambda: None,
     ) -> BackendAnswer | NotRun | Unknown:
         """Send a request; `NotRun` if surely nothing of it reached the server.
 
         `echo` is the header, with its value, by which its answer is known from a surplus one;
-        `connect_timeout` the seconds that a connection may take, if more than usual.
+        `connect_timeout` the seconds that a connection may take, if more than usual;
+        `on_connected` is called before the first byte is sent.
         """
         now = asyncio.get_running_loop().time()
         timeout = max(self._connect_timeout, connect_timeout)
         connection = await self._pool.take(timeout, self._resting.trusted(now))
         if connection is None:
             return NO_CONNECTION
+        on_connected()
         if echo is not None:
             connection.expect_echo(*echo)
         try:
@@ -65,6 +72,23 @@
             self._pool.give_back(connection)
             raise
 
+    async def refuses_connections(self) -> bool:
+        """Whether nothing listens at the server's address: its process has ended."""
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(self._connect_timeout):
+                transport, _ = await loop.create_connection(
+                    asyncio.Protocol, self._address, self._port
+                )
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError) as error:
+            # Nothing is known then; only a refusal says that the port is closed.
+            logs.debug("backend-check-failed", error=type(error).__name__)
+            return False
+        transport.abort()
+        return False
+
     def bound_connections(self, connections: int) -> None:
         """Take a new bound; connections that are open beyond it are used up."""
         self._pool.limit = connections
--- a/packages/wheatslipd/wheatslipd/gate/peerport.py
+++ b/packages/wheatslipd/wheatslipd/gate/peerport.py
@@ -11,6 +11,8 @@
 from wheatslip.admission import Ticket
 from wheatslip.backendload import decode_backend_load
 from wheatslip.call import ANY_WAIT, Call, CallClass, RequestKind
+from wheatslip.exposure import Run
+from wheatslip.fingerprint import BODY_BYTES, request_fingerprint
 from wheatslip.hop import (
     HOP_HEADER,
     LOAD_HEADER,
@@ -29,6 +31,7 @@
 from wheatslipd.gate.backendhead import backend_head, named_headers, wheatslip_headers
 from wheatslipd.gate.gate import Gate
 from wheatslipd.gate.keyguard import KeyGuard
+from wheatslipd.gate.serverend import ServerEnds
 from wheatslipd.http.body import BodyBroken
 from wheatslipd.http.exchange import Exchange
 from wheatslipd.http.messages import Headers, RequestHead, ResponseHead
@@ -56,6 +59,11 @@
     hop: Hop
     call: Call
     trace: HopTrace
+    fingerprint: str
+
+    def run(self) -> Run:
+        """The request as one that its backend server begins to run."""
+        return Run(self.fingerprint, self.call.service, self.call.kind.name)
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +73,7 @@
     keys: KeyGuard
     gate: Gate
     backend: Backend
+    ends: ServerEnds
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +107,7 @@
         self._keys = way.keys
         self._gate = way.gate
         self._backend = way.backend
+        self._ends = way.ends
         self._terms = terms
         self._names = terms.names
         self._metrics = metrics
@@ -131,7 +141,7 @@
                 await exchange.body.hold_up_to(BODY_HOLD)
             except BodyBroken:
                 return Unknown(Reason.CANCELLED)
-        passage = _Passage(exchange, hop, call, trace)
+        passage = _Passage(exchange, hop, call, trace, _fingerprint(exchange, hop))
         refusal = await self._check_entry(hop, exchange)
         if refusal is not None:
             return refusal
@@ -200,27 +210,51 @@
         self, passage: _Passage, ticket: Ticket, kept: KeptAnswer | None
     ) -> Outcome:
         worked = False
+        run = passage.run()
         try:
             remaining = passage.call.remaining(self._clock())
             async with asyncio.timeout(max(0.0, remaining)):
                 await passage.exchange.send_continue()
-                answer = await self._send(passage, remaining)
+                answer = await self._send(passage, remaining, run)
             if not isinstance(answer, BackendAnswer):
                 self._gate.on_lost()
-                return answer
+                return await self._after_loss(run, answer)
             self._gate.on_answer()
             worked = True
             try:
-                return await self._answer(passage, answer, kept)
+                outcome = await self._answer(passage, answer, kept)
             finally:
                 self._backend.release(answer)
+            return await self._after_answer(run, outcome)
         except TimeoutError:
             return Unknown(Reason.DEADLINE)
         finally:
+            self._ends.exposure.left(run, self._clock())
             self._gate.leave(ticket, worked=worked)
 
+    async def _after_loss(self, run: Run, outcome: NotRun | Unknown) -> NotRun | Unknown:
+        """No answer came: find out whether the server has ended."""
+        if isinstance(outcome, NotRun):
+            self._ends.exposure.not_run(run)
+            self._ends.begin_check()
+            return outcome
+        self._ends.exposure.broken(run, self._clock())
+        await self._ends.check()
+        return outcome
+
+    async def _after_answer(self, run: Run, outcome: Outcome) -> Outcome:
+        """An answer began; it counts as one when it came whole."""
+        match outcome:
+            case Answered():
+                self._ends.exposure.answered(run, self._clock())
+            case NotRun():
+                self._ends.exposure.not_run(run)
+            case Unknown():
+                await self._after_loss(run, outcome)
+        return outcome
+
     def _send(
-        self, passage: _Passage, remaining: float
+        self, passage: _Passage, remaining: float, run: Run
     ) -> Awaitable[BackendAnswer | NotRun | Unknown]:
         """Send the request to the backend server; `remaining` seconds are left for it."""
         call = passage.call
@@ -233,6 +267,7 @@
             # The same key sent again meanwhile is refused as running, so the connection may
             # take all the time that is left.
             remaining if call.runs_once_by_key else 0.0,
+            lambda: self._ends.exposure.begin(run),
         )
 
     async def _answer(
@@ -294,6 +329,14 @@
         return [(LOAD_HEADER, encode(self._gate.report()))]
 
 
+def _fingerprint(exchange: Exchange, hop: Hop) -> str:
+    """The request's fingerprint, from what came of its body so far."""
+    head = exchange.head
+    line = (head.method, head.get(b"host") or b"", head.target)
+    body = exchange.body.peek(BODY_BYTES)
+    return request_fingerprint(hop.workspace, hop.service, line, body)
+
+
 def _call_of(hop: Hop, now: float, request_id: str) -> Call:
     """The call that an entry forwards; its times begin when its head is read."""
     call_class = CallClass.URGENT if hop.urgent else CallClass.NORMAL
--- /dev/null
+++ b/packages/wheatslipd/wheatslipd/gate/serverend.py
@@ -0,0 +1,70 @@
+"""Finds out whether the local backend server has ended, and which requests it ran then.
+
+A connection that breaks is no end: a server in trouble may reset some connections and go on. It
+has ended when nothing listens at its address any more, which one connection tells.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from wheatslip.exposure import Exposed, Exposure
+
+from wheatslipd.gate.backend import Backend
+from wheatslipd.gate.gate import Gate
+from wheatslipd.telemetry import logs
+from wheatslipd.telemetry.metrics import Metrics
+
+# Seconds from a check that found the server listening to the next one. Shorter, a server that
+# resets many connections gets as many more; longer, the requests that wait for the check wait
+# longer. Chosen, not measured.
+CHECK_PAUSE = 0.05
+MAX_LOGGED = 16  # fingerprints in the line of one end
+
+
+class ServerEnds:
+    """Checks one backend server when an answer of it is lost."""
+
+    def __init__(
+        self, backend: Backend, gate: Gate, metrics: Metrics, clock: Callable[[], float]
+    ):
+        """`clock` in seconds, monotonic."""
+        self.exposure = Exposure()
+        self._backend = backend
+        self._gate = gate
+        self._metrics = metrics
+        self._clock = clock
+        self._running: asyncio.Task[bool] | None = None
+        self._next_at = float("-inf")
+
+    async def check(self) -> bool:
+        """Whether the server has ended; all that ask meanwhile share the answer."""
+        return await asyncio.shield(self.begin_check())
+
+    def begin_check(self) -> asyncio.Task[bool]:
+        """Begin a check, if none is running; returns the one that runs."""
+        if self._running is None or self._running.done():
+            self._running = asyncio.get_running_loop().create_task(self._check())
+        return self._running
+
+    async def _check(self) -> bool:
+        await asyncio.sleep(max(0.0, self._next_at - self._clock()))
+        is_gone = await self._backend.refuses_connections()
+        self._next_at = self._clock() + CHECK_PAUSE
+        if is_gone:
+            self._note_end()
+        return is_gone
+
+    def _note_end(self) -> None:
+        exposed = self.exposure.server_ended(self._clock())
+        if not exposed.runs:
+            return  # nobody was harmed, or this end was noted already
+        self._metrics.server_ends.inc({})
+        self._log(exposed)
+
+    def _log(self, exposed: Exposed) -> None:
+        logs.warning(
+            "backend-ended",
+            running=exposed.runs,
+            answered_before=exposed.answered_before,
+            suspects=",".join(run.fingerprint for run in exposed.suspects[:MAX_LOGGED]) or "-",
+        )
--- a/packages/wheatslipd/wheatslipd/gate/serverside.py
+++ b/packages/wheatslipd/wheatslipd/gate/serverside.py
@@ -13,6 +13,7 @@
 from wheatslipd.gate.keyguard import KeyGuard
 from wheatslipd.gate.measure import Measurer
 from wheatslipd.gate.peerport import BackendWay, PeerPort, PeerTerms
+from wheatslipd.gate.serverend import ServerEnds
 from wheatslipd.gate.speedcheck import SpeedCheck
 from wheatslipd.settings import NO_CHECKS, Interface, Settings
 from wheatslipd.shared import Shared
@@ -31,6 +32,7 @@
     speed_check: SpeedCheck  # used where a backend server registers
     backend: Backend
     measurer: Measurer
+    ends: ServerEnds
 
 
 def build_server_side(
@@ -55,11 +57,12 @@
         SlidingLimit(settings.checks_per_second),
     )
     gate = _gate(settings, shared, speed_check)
+    ends = ServerEnds(backend, gate, shared.metrics, shared.monotonic)
     ledger = KeyLedger(watching_since=shared.unix())
     keys = KeyGuard(settings.name, ledger, owners, shared.unix, lambda: cache.checked)
     peer_port = PeerPort(
         shared.view,
-        BackendWay(keys, gate, backend),
+        BackendWay(keys, gate, backend, ends),
         PeerTerms(settings.pool, settings.headers, settings.interface is Interface.ROUTES),
         shared.metrics,
         tracer,
@@ -67,7 +70,7 @@
         shared.hint_newer_version,
     )
     measurer = _measurer(settings, shared, gate, backend)
-    return ServerSide(peer_port, keys, gate, speed_check, backend, measurer)
+    return ServerSide(peer_port, keys, gate, speed_check, backend, measurer, ends)
 
 
 def _gate(settings: Settings, shared: Shared, speed_check: SpeedCheck) -> Gate:
--- a/packages/wheatslipd/wheatslipd/http/body.py
+++ b/packages/wheatslipd/wheatslipd/http/body.py
@@ -91,6 +91,17 @@
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
 
+    def peek(self, limit: int) -> bytes:
+        """The first bytes that have come and are not read, at most `limit`; they stay."""
+        parts = []
+        size = 0
+        for chunk in self._chunks:
+            parts.append(chunk)
+            size += len(chunk)
+            if size >= limit:
+                break
+        return b"".join(parts)[:limit]
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """The rest of the body."""
         while chunk := await self.read():
--- a/packages/wheatslipd/wheatslipd/telemetry/metrics.py
+++ b/packages/wheatslipd/wheatslipd/telemetry/metrics.py
@@ -36,6 +36,10 @@
         self.admissions = counter(
             "wheatslip_admissions_total", "Requests at the local gate, by outcome and reason"
         )
+        self.server_ends = counter(
+            "wheatslip_server_ends_total",
+            "Ends of the local backend server while it ran requests",
+        )
         self.in_flight = gauge("wheatslip_in_flight", "Requests at the local backend server")
         self.queued = gauge("wheatslip_queued", "Requests waiting at the local gate")
         self.limit = gauge("wheatslip_limit", "Concurrency limit of the local backend server")
