Read a connection on after an answer to a body that nobody read

Cause: a whole body above 64 KiB stops the reading of its socket until it is read. When the request was answered without that (a refusal after the body had come, say), the connection was kept and never read again: the next request on it had no answer until its caller gave up. Found on the way: with a streamed POST beside others, two of some 500 GETs on kept connections waited for 7 s.

Change: what is left of a body is dropped behind its answer, which starts the socket again.

--- a/packages/wheatslipd/wheatslipd/http/body.py
+++ b/packages/wheatslipd/wheatslipd/http/body.py
@@ -66,11 +66,16 @@
             await self._waiter
         chunk = self._chunks.popleft()
         self.held -= len(chunk)
-        if self._paused and self.held <= HIGH_WATER // 2:
-            self._paused = False
-            self._resume()
+        if self.held <= HIGH_WATER // 2:
+            self._read_socket_again()
         return chunk
 
+    def drop(self) -> None:
+        """Forget what is not read, so that the socket is read again."""
+        self._chunks.clear()
+        self.held = 0
+        self._read_socket_again()
+
     async def read_up_to(self, limit: int) -> bytes:
         """Bytes until the end of the body or until `limit` or more have come."""
         parts = []
@@ -107,6 +112,11 @@
         while chunk := await self.read():
             yield chunk
 
+    def _read_socket_again(self) -> None:
+        if self._paused:
+            self._paused = False
+            self._resume()
+
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
--- a/packages/wheatslipd/wheatslipd/http/server.py
+++ b/packages/wheatslipd/wheatslipd/http/server.py
@@ -168,6 +168,9 @@
         elif not exchange.head.keep_alive or not exchange.body.complete:
             self.close()
         else:
+            # A whole body that nobody read may have stopped the socket: the next request on the
+            # connection would never be read.
+            exchange.body.drop()
             self._next()
 
     def _end_or_wait(self) -> None:
--- a/test/test_http.py
+++ b/test/test_http.py
@@ -5,7 +5,7 @@
 import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
-from wheatslipd.http.body import Body, BodyBroken
+from wheatslipd.http.body import HIGH_WATER, Body, BodyBroken
 from wheatslipd.http.messages import RequestHead, ResponseHead
 from wheatslipd.http.pool import ConnectionPool
 from wheatslipd.http.server import Server
@@ -331,3 +331,26 @@
             await broken.hold_up_to(8)
 
     run(scenario)
+
+
+def test_a_body_that_is_not_read_does_not_stop_its_connection():
+    """A whole body above the mark stops the reading of its socket; when the answer went out
+    without the body being read, nothing started it again, and the next request on the connection
+    was never answered.
+    """
+
+    async def answer_unread(exchange):
+        await exchange.body.hold_up_to(1 << 20)
+        await exchange.respond(ResponseHead(200), exchange.head.target)
+
+    async def scenario(port):
+        reader, writer = await asyncio.open_connection(HOST, port)
+        size = HIGH_WATER + 1
+        writer.write(b"POST /one HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % size + b"x" * size)
+        assert (await reader.readuntil(b"/one")).startswith(b"HTTP/1.1 200")
+        writer.write(b"GET /two HTTP/1.1\r\n\r\n")
+        async with asyncio.timeout(5):
+            assert (await reader.readuntil(b"/two")).startswith(b"HTTP/1.1 200")
+        writer.close()
+
+    with_server(scenario, answer_unread)
