--- a/test/helper.py
+++ b/test/helper.py
@@ -166,10 +166,14 @@
         behaviour: Behaviour | None = None,
         pool: str = "papers",
         zone: str = "one",
+        prepare: Callable[[BackendStandIn], object] = lambda backend: None,
     ) -> Node:
-        """Start a backend server and its daemon, and list them."""
+        """Start a backend server and its daemon, and list them. `prepare` gets the server
+        before it listens.
+        """
         behaviour = behaviour or Behaviour(slots=4, service=0.001)
         backend = BackendStandIn(name, behaviour, Random(SEED))
+        prepare(backend)
         await backend.server.listen(HOST, 0)
         settings = parse_settings(
             f"[daemon]\nname = {name}\nzone = {zone}\npool = {pool}\n"
--- a/test/routed_fleet.py
+++ b/test/routed_fleet.py
@@ -1,6 +1,7 @@
 """A fleet of routed daemons inside one process: registering servers and the adapter's store."""
 
 import asyncio
+from collections.abc import Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
@@ -105,9 +106,10 @@
     zones: dict[str, str] = field(default_factory=dict)
     more_backend: str = ""  # lines of the daemons' settings
     more_headers: str = ""
+    make_backend: Callable[[str], PlainBackend] = lambda name: PlainBackend(f"i-{name}")
 
     async def add(self, name, backend=None):
-        backend = backend or PlainBackend(f"i-{name}")
+        backend = backend or self.make_backend(name)
         await backend.server.listen(HOST, 0)
         self.backends[name] = backend
         await self.start(name)
--- a/test/test_http.py
+++ b/test/test_http.py
@@ -335,8 +335,8 @@
 
 def test_a_body_that_is_not_read_does_not_stop_its_connection():
     """A whole body above the mark stops the reading of its socket; when the answer went out
-    without the body being read, nothing started it again, and the next request on the connection
-    was never answered.
+    without the body being read, nothing started it again, and the next request on the
+    connection was never answered.
     """
 
     async def answer_unread(exchange):
