Hold a request that ends each backend server that runs it

Cause: nothing was known of a request beyond its own tries at one entry. A try that ended with its server counted as a lost connection, and the next one like it began anew, at any entry. Class: a failure that belongs to the request was booked on the server only, and by one daemon only.

Change: the daemon beside a server that has ended without notice reports the requests that ran there and that no server there had answered. Reports pass from daemon to daemon, up the tree by a call and down it with the updates, and a copy stays at the platform for daemons that start. After three ends in a row without an answer a request is refused as not run, by entries and gates. Before that it is a suspect: a gate runs one suspect at a time, so the second end names one of those that the first one left. An answer below 500 clears it, an operator's lift too. A gate closes at once when nothing listens at its server's address. /status, metrics and the operators' page show what is held.

A form test held the set of reasons and status fields: the new ones stand beside the old, which are unchanged.

--- a/packages/wheatslip/wheatslip/distribution/feedcache.py
+++ b/packages/wheatslip/wheatslip/distribution/feedcache.py
@@ -1,5 +1,5 @@
 """A daemon's copy of what the platform holds for all: the list, the head with its bundle, and
-the zone drains.
+the zone drains; beside it the reports of ends of servers, which pass between daemons.
 
 It also works out what a follower lacks. Pure: the daemon's tasks fill it and give the time. The
 platform stays the only store; the copy starts empty with the process.
@@ -15,6 +15,8 @@
 from wheatslip.config.head import Head
 from wheatslip.config.signedbundle import SignedBundle
 from wheatslip.config.zonedrains import ZoneDrains
+from wheatslip.distribution.endlog import EndLog
+from wheatslip.quarantine import EndReport
 from wheatslip.store.instances import Instance
 
 # Differences of bundles that are kept; a follower that lacks more gets the whole bundle.
@@ -62,6 +64,7 @@
     signed: SignedBundle | None = None  # the bundle of `head`, unless `deltas` lead to it
     deltas: tuple[BundleDelta, ...] = ()
     drains: ZoneDrains | None = None  # if the follower's are older
+    ends: tuple[EndReport, ...] = ()  # reports of ends of servers, not sent on this stream yet
 
 
 class FeedCache:
@@ -76,6 +79,7 @@
         self.head: Head | None = None
         self.bundle: Bundle | None = None
         self.drains: ZoneDrains | None = None  # None: not known yet
+        self.ends = EndLog()
         self._signed: SignedBundle | None = None
         self._deltas: deque[BundleDelta] = deque(maxlen=KEPT_DELTAS)
         self._changes: deque[ListChange] = deque(maxlen=KEPT_LIST_CHANGES)
--- a/packages/wheatslip/wheatslip/hop.py
+++ b/packages/wheatslip/wheatslip/hop.py
@@ -14,6 +14,11 @@
 HOP_HEADER = b"wheatslip-hop"
 OUTCOME_HEADER = b"wheatslip-outcome"
 LOAD_HEADER = b"wheatslip-load"
+# Beside a hop whose body follows later: the request's fingerprint, made of the body's
+# beginning.
+FINGERPRINT_HEADER = b"wheatslip-fingerprint"
+# Beside a hop: a server ended under an earlier try of the request, so this one may end another.
+SUSPECT_HEADER = b"wheatslip-suspect"
 # Bytes of a header value; above what a daemon sends, so that a longer one is not parsed.
 MAX_HOP_BYTES = 2048
 
--- a/packages/wheatslip/wheatslip/outcome.py
+++ b/packages/wheatslip/wheatslip/outcome.py
@@ -34,6 +34,8 @@
     CONNECTION_LOST = "connection-lost"
     UNACKNOWLEDGED = "unacknowledged"  # the other machine acknowledged none of the bytes
     BACKEND_FAILED = "backend-failed"
+    SERVER_ENDED = "server-ended"  # the backend server ended while it ran the request
+    ENDS_SERVERS = "ends-servers"  # servers ended whenever they ran it, so it is held
     CANCELLED = "cancelled"
 
 
--- a/packages/wheatslip/wheatslip/retryafter.py
+++ b/packages/wheatslip/wheatslip/retryafter.py
@@ -29,15 +29,19 @@
 | `TURNED_AWAY`        | shed, 1              | gate: the server itself turns it away        |
 | `LEASE_LAPSED`       | lease-lapsed, 1      | gate: it may not decide on keys now          |
 | `NOT_KEY_OWNER`      | not-key-owner, 1     | gate: another daemon owns the key            |
+| `held(seconds)`      | ends-servers, the    | entry, gate: backend servers ended whenever  |
+|                      | rest of the hold     | they ran the request                         |
+| `SUSPECT_RUNS`       | overloaded, 0.05     | gate: the request is suspected of ending     |
+|                      |                      | servers, and another such request runs here  |
 
 Refusals with any other reason have no time. The daemon's `entry/answers.py` gives each reason
 its HTTP status, 503 where it names no other. Callers by routes get `UNTIMED` with a 503 that
 has no time; callers with a workspace's credential get no `Retry-After` then.
 
-All times but that of `overloaded` are chosen, not measured: 1 s where the daemon can't know
-when the cause ends, less where a probe or a heartbeat decides soon, and the shortest where
-another server can take the request at once. A longer time keeps callers away from servers with
-room; a shorter one has them refused again.
+All times but those of `overloaded` and `held` are chosen, not measured: 1 s where the daemon
+can't know when the cause ends, less where a probe or a heartbeat decides soon, and the shortest
+where another server can take the request at once. A longer time keeps callers away from servers
+with room; a shorter one has them refused again.
 """
 
 from wheatslip.outcome import NotRun, Reason
@@ -66,7 +70,14 @@
 LEASE_LAPSED = NotRun(Reason.LEASE_LAPSED, 1.0)
 NOT_KEY_OWNER = NotRun(Reason.NOT_KEY_OWNER, 1.0)
 
+SUSPECT_RUNS = NotRun(Reason.OVERLOADED, SHORTEST)
+
 
 def overloaded(wait: float) -> NotRun:
     """The refusal of a request that would wait for `wait` seconds: come back after them."""
     return NotRun(Reason.OVERLOADED, max(SHORTEST, wait))
+
+
+def held(seconds: float) -> NotRun:
+    """The refusal of a request that is held for `seconds` more."""
+    return NotRun(Reason.ENDS_SERVERS, max(SHORTEST, seconds))
--- a/packages/wheatslipd/wheatslipd/controllers/events.py
+++ b/packages/wheatslipd/wheatslipd/controllers/events.py
@@ -4,6 +4,8 @@
 from wheatslip.config.bundle import Bundle
 from wheatslip.config.head import Head
 from wheatslip.config.zonedrains import ZoneDrains
+from wheatslip.exposure import Exposed
+from wheatslip.quarantine import EndReport
 from wheatslip.store.instances import Instance
 from wheatslip.store.registration import Registered
 
@@ -43,6 +45,20 @@
         super().__init__(drains)
 
 
+class server_ended(Event):
+    """The backend server beside us ended without notice, while it ran requests."""
+
+    def __init__(self, exposed: Exposed):
+        super().__init__(exposed)
+
+
+class ends_reported(Event):
+    """These reports of ends of servers are new here."""
+
+    def __init__(self, reports: tuple[EndReport, ...]):
+        super().__init__(reports)
+
+
 class backend_registered(Event):
     """The backend server beside us registered, or changed what it says of itself."""
 
--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -11,6 +11,7 @@
 from circuits import Component
 from wheatslip.chooser import Chooser
 from wheatslip.owners import OwnerHistory
+from wheatslip.quarantine import Quarantine
 from wheatslip.store.objects import ObjectStore
 
 from wheatslipd.controllers.bundles import BundleController
@@ -18,6 +19,7 @@
 from wheatslipd.controllers.events import leaving
 from wheatslipd.controllers.lifecycle import Lifecycle
 from wheatslipd.controllers.membership import MembershipController
+from wheatslipd.controllers.quarantine import QuarantineController
 from wheatslipd.controllers.view import View
 from wheatslipd.controllers.zones import ZoneController
 from wheatslipd.entry.wiring import build_entry
@@ -74,7 +76,7 @@
         tls = peer_tls(settings.peer_tls)
         owners = OwnerHistory()
         metrics = Metrics(settings.name, settings.zone)
-        shared = Shared(View(), Bus(), metrics, rng, monotonic, unix)
+        shared = Shared(View(), Bus(), metrics, rng, Quarantine(), monotonic, unix)
         self.settings = settings
         self.view = shared.view
         self.bus = shared.bus
@@ -100,7 +102,11 @@
         # The backend server's registration, where the platform does not list instances.
         self.own_server = self._own_server(store, adapters) if settings.lists_itself else None
         # What happens is fired on the bus, and these act on it.
+        self.quarantine = QuarantineController(
+            shared.quarantine, settings.name, settings.pool, self.feed.report_end, rng, unix
+        )
         self._register(
+            self.quarantine,
             BundleController(self.view, metrics),
             MembershipController(settings, shared, owners, tls),
             ZoneController(self.view, settings.zone, self.server_side.gate, metrics, unix),
@@ -208,7 +214,9 @@
         from wheatslipd.telemetry.pages import PageServer
 
         loop = asyncio.get_running_loop()
-        source = PageSource(loop, self._report.status, self._report.metrics)
+        source = PageSource(
+            loop, self._report.status, self._report.metrics, self.quarantine.lift
+        )
         pages = PageServer(settings.address, settings.pages_port, source)
         pages_port = await pages.start()
         logs.info(
--- a/packages/wheatslipd/wheatslipd/entry/forward.py
+++ b/packages/wheatslipd/wheatslipd/entry/forward.py
@@ -24,11 +24,13 @@
     encode,
 )
 from wheatslip.outcome import Answered, NotRun, Outcome, Reason, Unknown
+from wheatslip.quarantine import Quarantine
 from wheatslip.retryafter import NO_PEER_CONNECTION
 
 from wheatslipd.chain import EntryRequest
 from wheatslipd.controllers.view import Peer, View
 from wheatslipd.entry.answers import RETRY_AFTER_MS
+from wheatslipd.entry.sendguard import SendGuard
 from wheatslipd.http.body import BodyBroken
 from wheatslipd.http.client import ClientConnection, Response
 from wheatslipd.http.messages import RequestHead, ResponseHead
@@ -45,6 +47,8 @@
 # Seconds. Shorter, a peer that lost a packet counts as unreachable; longer, a lost machine
 # holds a request for as long. Chosen, not measured.
 CONNECT_TIMEOUT = 0.25
+# Refusals by which a gate says that its server is in trouble.
+_SERVER_TROUBLE = frozenset({Reason.UNREACHABLE, Reason.CONNECTION_LOST, Reason.SERVER_ENDED})
 _NOT_FORWARDED = frozenset({b"authorization", b"content-length", TRACEPARENT})
 
 
@@ -65,6 +69,7 @@
 
     chooser: Chooser
     budgets: RetryBudgets
+    quarantine: Quarantine
 
 
 @dataclass(slots=True, eq=False)
@@ -75,6 +80,7 @@
     call: Call
     pool: str  # of the call's service
     attempts: Attempts
+    guard: SendGuard
     limit: asyncio.Timeout  # the call's deadline, for the head of an answer
     replay: bytes  # the body as far as it was read
     has_more: bool  # whether the body goes on behind `replay`
@@ -90,10 +96,12 @@
         view: View,
         metrics: Metrics,
         clock: Callable[[], float],
+        unix: Callable[[], float],
         on_newer_version: Callable[[int, str], None],
     ):
-        """`clock` is in seconds, monotonic. `on_newer_version` takes a bundle version that is
-        newer than the one in force here, and the address of the daemon that has it.
+        """Both clocks are in seconds, `clock` is monotonic. `on_newer_version` takes a bundle
+        version that is newer than the one in force here, and the address of the daemon that
+        has it.
         """
         self._settings = settings
         self._chooser = decisions.chooser
@@ -102,6 +110,8 @@
         self._view = view
         self._metrics = metrics
         self._clock = clock
+        self._unix = unix
+        self._quarantine = decisions.quarantine
         self._on_newer_version = on_newer_version
 
     async def __call__(self, request: EntryRequest) -> Outcome:
@@ -134,12 +144,20 @@
         assert request.configuration is not None
         pool = request.configuration.services[call.service].pool
         has_more = not body.exhausted
-        return _Sending(request, call, pool, attempts, limit, replay, has_more)
+        by_routes = self._settings.by_routes
+        guard = SendGuard(self._quarantine, self._unix, call, by_routes=by_routes)
+        return _Sending(request, call, pool, attempts, guard, limit, replay, has_more)
 
     async def _try_all(self, sending: _Sending) -> None:
         attempts = sending.attempts
+        head = sending.request.exchange.head
         again = True
         while again:
+            refusal = sending.guard.refusal(head, sending.replay)
+            if refusal is not None:
+                self._log_held(sending)
+                attempts.last = refusal
+                return
             peers = self._view.peers(sending.pool)
             upstreams = [peer.upstream for peer in peers]
             chosen = attempts.next(upstreams, self._clock())
@@ -148,10 +166,28 @@
             peer = next(peer for peer in peers if peer.upstream is chosen.upstream)
             outcome = await self._send(sending, chosen, peer)
             self._log_try(sending, chosen, outcome)
+            sending.guard.on_outcome(outcome)
             if isinstance(outcome, Replaced):
                 continue  # the attempts have counted it, and paid for the next
             again = attempts.ended(outcome) and not sending.request.exchange.started
 
+    @staticmethod
+    def _log_held(sending: _Sending) -> None:
+        """Tell operators which request it is: the fingerprint alone does not say."""
+        call = sending.call
+        head = sending.request.exchange.head
+        fingerprint = sending.guard.fingerprint
+        logs.info(
+            "held-request-refused",
+            fingerprint=fingerprint,
+            workspace=call.workspace,
+            service=call.service,
+            kind=call.kind.name,
+            method=head.method.decode("ascii", "replace"),
+            path=head.target.partition(b"?")[0].decode("ascii", "replace"),
+            repeat_key=fingerprint,
+        )
+
     def _log_try(self, sending: _Sending, chosen: Try, outcome: Outcome) -> None:
         if not logs.is_enabled(LogLevel.DEBUG):
             return
@@ -216,7 +252,7 @@
         self._learn(peer, response)
         refusal = self._refusal(response)
         if refusal is not None:
-            if refusal.reason in (Reason.UNREACHABLE, Reason.CONNECTION_LOST):
+            if refusal.reason in _SERVER_TROUBLE:
                 peer.upstream.on_failure(self._clock(), self._rng)
             return refusal
         if sending.attempts.replace_answer(response.head.status):
@@ -228,7 +264,10 @@
             return Unknown(Reason.CONNECTION_LOST)
         # From here on the answer streams; its deadline was for the head.
         sending.limit.reschedule(None)
-        return await self._relay(sending.request, response, held)
+        outcome = await self._relay(sending.request, response, held)
+        if isinstance(outcome, Answered) and outcome.status < SERVER_ERROR:
+            sending.guard.on_answer()
+        return outcome
 
     async def _send_request(
         self, sending: _Sending, chosen: Try, connection: ClientConnection
@@ -259,6 +298,8 @@
         if names.caller:
             headers.append((names.caller, self._settings.caller))
         headers.append((HOP_HEADER, encode(self._hop(sending.call, chosen))))
+        is_whole = not sending.has_more
+        headers += sending.guard.headers(original, sending.replay, is_whole=is_whole)
         if sending.request.trace.outgoing is not None:
             headers.append((TRACEPARENT, sending.request.trace.outgoing))
         return RequestHead(original.method, original.target, headers)
--- a/packages/wheatslipd/wheatslipd/entry/wiring.py
+++ b/packages/wheatslipd/wheatslipd/entry/wiring.py
@@ -34,10 +34,11 @@
     )
     forwarder = Forwarder(
         forward_settings,
-        Decisions(chooser, budgets),
+        Decisions(chooser, budgets, shared.quarantine),
         shared.view,
         shared.metrics,
         clock,
+        shared.unix,
         shared.hint_newer_version,
     )
     filters = common_filters(shared.view, shared.metrics, tracer, clock)
--- a/packages/wheatslipd/wheatslipd/feed/feed.py
+++ b/packages/wheatslipd/wheatslipd/feed/feed.py
@@ -10,10 +10,13 @@
 
 from wheatslip.distribution.feedcache import FeedCache
 from wheatslip.distribution.headage import AgeChange, HeadAge
+from wheatslip.quarantine import EndReport
 from wheatslip.store.objects import ObjectStore
 
 from wheatslipd.controllers.bus import Bus
 from wheatslipd.feed.access import PlatformAccess
+from wheatslipd.feed.endreporter import EndReporter
+from wheatslipd.feed.endstore import EndStore
 from wheatslipd.feed.feedpace import FeedPace
 from wheatslipd.feed.following import ParentFollower
 from wheatslipd.feed.hints import Hints
@@ -55,12 +58,13 @@
     def __init__(self, member: Member, around: Surroundings, proof: Proof, bus: Bus):
         """`proof` decides what may be put in force; `bus` takes the events."""
         name, tls, rng = member.name, around.tls, around.rng
+        self._name = name
         self.client = around.store
         self._pace = member.pace
         self._rng = rng
         self._unix = around.unix
         self.cache = FeedCache()
-        self.relay = RelayServer(self.cache, tls)
+        self.relay = RelayServer(self.cache, tls, self._take_reports)
         self._place = Place(name, member.zone, member.pace.watchers)
         self.intake = Intake(
             self.cache, self.relay, self._place, proof, bus, around.unix, self.check_head
@@ -68,6 +72,10 @@
         access = PlatformAccess(around.store, self.intake, member.pace, rng)
         self._reader = PlatformReader(name, access)
         self._follower = ParentFollower(self._place, access, self._reader, tls)
+        self._end_reporter = EndReporter(name, self.cache, lambda: self.parent, tls)
+        self._end_store = EndStore(name, access, around.unix)
+        self.intake.on_ends = self._end_reporter.wake
+        self._follower.on_parent = self._end_reporter.wake
         self.hints = Hints(name, self.relay, self.intake, self._reader, tls, rng)
         self._state_watch = StateWatch(access, self._reader)
         self._list_watch = ListWatch(access)
@@ -100,11 +108,21 @@
         """Message: the daemon at `address` has this newer version in force."""
         self.hints.give(version, address)
 
+    def report_end(self, report: EndReport) -> None:
+        """Message: this daemon has made a report, which all others should have."""
+        self.intake.take_ends((report,), self._name)
+        self._end_store.keep(report)
+
+    def _take_reports(self, reports: tuple[EndReport, ...], sender: str) -> None:
+        self.intake.take_ends(reports, sender)
+
     async def run(self) -> None:
         """Run until cancelled."""
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._keep_up())
+                group.create_task(self._end_reporter.run())
+                group.create_task(self._end_store.run())
                 group.create_task(self.hints.run())
                 group.create_task(self._watch_age())
         finally:
--- a/packages/wheatslipd/wheatslipd/feed/following.py
+++ b/packages/wheatslipd/wheatslipd/feed/following.py
@@ -1,6 +1,7 @@
 """Follows other daemons, one after the other, for what they know of the platform."""
 
 import asyncio
+from collections.abc import Callable
 from contextlib import aclosing, suppress
 
 from wheatslip.store.instances import Instance
@@ -62,6 +63,8 @@
         self._reader = reader
         self._tls = tls
         self.parent = ""  # the daemon that is followed now; empty: none
+        # Called when another parent is followed.
+        self.on_parent: Callable[[], None] = lambda: None
 
     async def run(self) -> None:
         """Follow one parent after the other until this daemon's role changes.
@@ -120,6 +123,7 @@
             return False
         logs.info("following", parent=parent)
         self.parent = parent
+        self.on_parent()
         try:
             had_news, _ = await until_first_ends(
                 self._read(instance), self._place.parents_changed.wait()
@@ -151,7 +155,7 @@
                 had_news |= confirmed > before or update.listed > cursor.listed
                 head.take(update.as_of, loop.time())
                 listed.take(update.checked, loop.time())
-                self._intake.take_update(update)
+                self._intake.take_update(update, parent.name)
                 now = loop.time()
                 if head.is_stale(now) or (needs_list and listed.is_stale(now)):
                     break
--- a/packages/wheatslipd/wheatslipd/feed/hints.py
+++ b/packages/wheatslipd/wheatslipd/feed/hints.py
@@ -83,5 +83,5 @@
         cursor = self._intake.cache.cursor(self._name)
         async with aclosing(follow_parent(instance, cursor, self._tls)) as updates:
             async for update in updates:
-                self._intake.take_update(update)
+                self._intake.take_update(update, instance.name)
                 return
--- a/packages/wheatslipd/wheatslipd/feed/intake.py
+++ b/packages/wheatslipd/wheatslipd/feed/intake.py
@@ -14,11 +14,17 @@
 from wheatslip.config.signedbundle import SignedBundle
 from wheatslip.config.zonedrains import ZoneDrain, ZoneDrains, decode_drain, with_changes
 from wheatslip.distribution.feedcache import FeedCache, ListChange, Update
+from wheatslip.quarantine import EndReport
 from wheatslip.store.instances import decode_instance
 from wheatslip.store.objects import Listing, StoredObject
 
 from wheatslipd.controllers.bus import Bus
-from wheatslipd.controllers.events import bundle_verified, instances_seen, zones_drained
+from wheatslipd.controllers.events import (
+    bundle_verified,
+    ends_reported,
+    instances_seen,
+    zones_drained,
+)
 from wheatslipd.feed.place import Place
 from wheatslipd.feed.proof import Proof
 from wheatslipd.feed.relay import RelayServer
@@ -48,6 +54,8 @@
         self._bus = bus
         self._unix = unix
         self._on_gap = on_gap
+        # Called when reports of ends of servers came that are new here.
+        self.on_ends: Callable[[], None] = lambda: None
 
     @property
     def version(self) -> int:
@@ -86,8 +94,19 @@
         if drains is not None:
             self._take_drains(drains)
 
-    def take_update(self, update: Update) -> None:
-        """Take what another daemon sent."""
+    def take_ends(self, reports: tuple[EndReport, ...], source: str) -> None:
+        """Take reports of ends of servers that came from the daemon `source`."""
+        now = self._unix()
+        new = tuple(one for one in reports if self.cache.ends.add(one, source, now))
+        if new:
+            self._relay.announce()
+            self.on_ends()
+            self._bus.fire(ends_reported(new))
+
+    def take_update(self, update: Update, source: str) -> None:
+        """Take what the daemon `source` sent."""
+        if update.ends:
+            self.take_ends(update.ends, source)
         if update.drains is not None:
             self._take_drains(update.drains)
         if (update.whole or update.changes) and not self.cache.is_late(update):
--- a/packages/wheatslipd/wheatslipd/feed/relay.py
+++ b/packages/wheatslipd/wheatslipd/feed/relay.py
@@ -6,18 +6,19 @@
 """
 
 import asyncio
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Callable
 from contextlib import suppress
 from typing import cast
 
 import grpclib.const
 import msgspec
-from grpclib.client import Channel, UnaryStreamMethod
+from grpclib.client import Channel, UnaryStreamMethod, UnaryUnaryMethod
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Server, Stream
 from result import Err, Ok
 from wheatslip.distribution.chunks import Chunk, Joiner, cut
 from wheatslip.distribution.feedcache import Cursor, FeedCache, Update
+from wheatslip.quarantine import EndReport
 from wheatslip.store.instances import Instance
 
 from wheatslipd.feed.codec import StructCodec
@@ -25,6 +26,7 @@
 from wheatslipd.tls import PeerTls
 
 METHOD = "/wheatslip.Relay/FollowInPieces"
+REPORT_METHOD = "/wheatslip.Relay/ReportEnds"
 HEARTBEAT_SECONDS = 2.0  # longest time between two updates of a stream; chosen, not measured
 # Seconds without a chunk after which a parent is taken for dead or frozen: two heartbeats, and
 # one for a delay. Chosen, not measured.
@@ -32,14 +34,37 @@
 # Followers that one daemon serves. The tree gives it about three, and more only while others
 # are gone. Chosen, not measured.
 MAX_FOLLOWERS = 64
+# Seconds for a parent to take reports: as long as it may be silent. Chosen, not measured.
+REPORT_TIMEOUT = 5.0
+
+
+class EndReports(msgspec.Struct, frozen=True):
+    """Reports of ends of servers that the daemon `sender` brings to its parent."""
+
+    sender: str
+    reports: tuple[EndReport, ...]
+
+
+class Taken(msgspec.Struct, frozen=True):
+    """The answer to `EndReports`."""
+
+
+OnReports = Callable[[tuple[EndReport, ...], str], None]
 
 
 class RelayServer:
     """Serves the followers of one daemon."""
 
-    def __init__(self, cache: FeedCache, tls: PeerTls):
+    def __init__(
+        self,
+        cache: FeedCache,
+        tls: PeerTls,
+        on_reports: OnReports = lambda reports, sender: None,
+    ):
+        """`on_reports` takes the reports that a follower brings, and its name."""
         self._cache = cache
         self._tls = tls
+        self._on_reports = on_reports
         self._changed = asyncio.Event()
         self._codec = StructCodec()
         self._server = Server([self], codec=self._codec)
@@ -53,8 +78,12 @@
 
     def __mapping__(self) -> dict[str, grpclib.const.Handler]:
         """The methods by path, as grpclib asks for them."""
-        cardinality = grpclib.const.Cardinality.UNARY_STREAM
-        return {METHOD: grpclib.const.Handler(self._follow, cardinality, Cursor, Chunk)}
+        stream = grpclib.const.Cardinality.UNARY_STREAM
+        unary = grpclib.const.Cardinality.UNARY_UNARY
+        return {
+            METHOD: grpclib.const.Handler(self._follow, stream, Cursor, Chunk),
+            REPORT_METHOD: grpclib.const.Handler(self._report, unary, EndReports, Taken),
+        }
 
     async def listen(self, host: str, port: int) -> None:
         """Listen; `port` 0 takes a free one. Raises OSError."""
@@ -80,10 +109,13 @@
         if self.followers >= MAX_FOLLOWERS:
             raise GRPCError(grpclib.const.Status.RESOURCE_EXHAUSTED)
         self.followers += 1
+        ends_sent = 0  # position of the last report that was sent on this stream
         try:
             while True:
                 changed = self._changed
-                update = self._cache.since(cursor)
+                ends = self._cache.ends.after(ends_sent, but_from=cursor.follower)
+                ends_sent = self._cache.ends.position
+                update = msgspec.structs.replace(self._cache.since(cursor), ends=ends)
                 for chunk in cut(msgspec.msgpack.encode(update)):
                     await stream.send_message(chunk)
                 cursor = _advance(cursor, update)
@@ -93,6 +125,12 @@
         finally:
             self.followers -= 1
 
+    async def _report(self, stream: Stream[EndReports, Taken]) -> None:
+        brought = await stream.recv_message()
+        if brought is not None:
+            self._on_reports(brought.reports, brought.sender)
+            await stream.send_message(Taken())
+
 
 def _advance(cursor: Cursor, update: Update) -> Cursor:
     bundle = update.head.version if update.head else cursor.bundle
@@ -126,3 +164,22 @@
         return  # the caller logs the daemon that it tries, and goes on to another
     finally:
         channel.close()
+
+
+async def report_ends(parent: Instance, reports: EndReports, tls: PeerTls) -> bool:
+    """Bring reports to a parent; whether it took them."""
+    channel = Channel(parent.address, parent.control_port, codec=StructCodec(), ssl=tls.client)
+    method: UnaryUnaryMethod[EndReports, Taken] = UnaryUnaryMethod(
+        channel, REPORT_METHOD, EndReports, Taken
+    )
+    try:
+        await method(reports, timeout=REPORT_TIMEOUT)
+    except (OSError, TimeoutError, GRPCError, StreamTerminatedError) as error:
+        # A parent of the version before does not know the method.
+        logs.info(
+            "report-not-taken", parent=parent.name, error=repr(error), repeat_key=parent.name
+        )
+        return False
+    finally:
+        channel.close()
+    return True
--- a/packages/wheatslipd/wheatslipd/gate/gate.py
+++ b/packages/wheatslipd/wheatslipd/gate/gate.py
@@ -152,7 +152,16 @@
         if not self._is_probed:
             return
         self._lost_in_a_row += 1
-        if self._lost_in_a_row < LOST_IN_A_ROW or self.is_closed_by(ClosedBy.SERVER_LOST):
+        if self._lost_in_a_row >= LOST_IN_A_ROW:
+            self._close_as_lost()
+
+    def on_ended(self) -> None:
+        """Nothing listens at the server's address: nothing is sent until it answers a probe."""
+        if self._is_probed:
+            self._close_as_lost()
+
+    def _close_as_lost(self) -> None:
+        if self.is_closed_by(ClosedBy.SERVER_LOST):
             return
         logs.warning("backend-lost", in_flight=self.admission.in_flight)
         self.admission.closures.add(ClosedBy.SERVER_LOST)
--- a/packages/wheatslipd/wheatslipd/gate/peerport.py
+++ b/packages/wheatslipd/wheatslipd/gate/peerport.py
@@ -9,14 +9,17 @@
 from dataclasses import dataclass
 
 from wheatslip.admission import Ticket
+from wheatslip.attempts import SERVER_ERROR
 from wheatslip.backendload import decode_backend_load
 from wheatslip.call import ANY_WAIT, Call, CallClass, RequestKind
 from wheatslip.exposure import Run
 from wheatslip.fingerprint import BODY_BYTES, request_fingerprint
 from wheatslip.hop import (
+    FINGERPRINT_HEADER,
     HOP_HEADER,
     LOAD_HEADER,
     OUTCOME_HEADER,
+    SUSPECT_HEADER,
     Hop,
     decode_hop,
     encode,
@@ -32,6 +35,7 @@
 from wheatslipd.gate.gate import Gate
 from wheatslipd.gate.keyguard import KeyGuard
 from wheatslipd.gate.serverend import ServerEnds
+from wheatslipd.gate.suspects import SuspectGuard
 from wheatslipd.http.body import BodyBroken
 from wheatslipd.http.exchange import Exchange
 from wheatslipd.http.messages import Headers, RequestHead, ResponseHead
@@ -71,6 +75,7 @@
     """What a request passes to the backend server, in this order."""
 
     keys: KeyGuard
+    suspects: SuspectGuard
     gate: Gate
     backend: Backend
     ends: ServerEnds
@@ -105,6 +110,7 @@
         """
         self._view = view
         self._keys = way.keys
+        self._suspects = way.suspects
         self._gate = way.gate
         self._backend = way.backend
         self._ends = way.ends
@@ -201,10 +207,16 @@
     async def _run(self, passage: _Passage, kept: KeptAnswer | None) -> Outcome:
         bound = passage.hop.max_wait
         max_wait = ANY_WAIT if bound is None else bound
-        ticket = await self._gate.enter(passage.call, max_wait)
-        if isinstance(ticket, NotRun):
-            return ticket
-        return await self._run_started(passage, ticket, kept)
+        was_suspected = passage.exchange.head.get(SUSPECT_HEADER) is not None
+        async with self._suspects.passing(
+            passage.call, passage.fingerprint, max_wait, was_suspected=was_suspected
+        ) as refusal:
+            if refusal is not None:
+                return refusal
+            ticket = await self._gate.enter(passage.call, max_wait)
+            if isinstance(ticket, NotRun):
+                return ticket
+            return await self._run_started(passage, ticket, kept)
 
     async def _run_started(
         self, passage: _Passage, ticket: Ticket, kept: KeptAnswer | None
@@ -239,14 +251,18 @@
             self._ends.begin_check()
             return outcome
         self._ends.exposure.broken(run, self._clock())
-        await self._ends.check()
-        return outcome
+        has_ended = await self._ends.check()
+        return Unknown(Reason.SERVER_ENDED) if has_ended else outcome
 
     async def _after_answer(self, run: Run, outcome: Outcome) -> Outcome:
         """An answer began; it counts as one when it came whole."""
         match outcome:
+            case Answered(status) if status >= SERVER_ERROR:
+                # It may have given up on what will end it.
+                self._ends.exposure.left(run, self._clock())
             case Answered():
                 self._ends.exposure.answered(run, self._clock())
+                self._suspects.answered(run.fingerprint)
             case NotRun():
                 self._ends.exposure.not_run(run)
             case Unknown():
@@ -330,8 +346,11 @@
 
 
 def _fingerprint(exchange: Exchange, hop: Hop) -> str:
-    """The request's fingerprint, from what came of its body so far."""
+    """The request's fingerprint, by its entry or from what came of its body so far."""
     head = exchange.head
+    named = head.get(FINGERPRINT_HEADER)
+    if named is not None:
+        return named.decode("ascii", "replace")
     line = (head.method, head.get(b"host") or b"", head.target)
     body = exchange.body.peek(BODY_BYTES)
     return request_fingerprint(hop.workspace, hop.service, line, body)
--- a/packages/wheatslipd/wheatslipd/gate/serverend.py
+++ b/packages/wheatslipd/wheatslipd/gate/serverend.py
@@ -7,8 +7,11 @@
 import asyncio
 from collections.abc import Callable
 
+from wheatslip.admission import ClosedBy
 from wheatslip.exposure import Exposed, Exposure
 
+from wheatslipd.controllers.bus import Bus
+from wheatslipd.controllers.events import server_ended
 from wheatslipd.gate.backend import Backend
 from wheatslipd.gate.gate import Gate
 from wheatslipd.telemetry import logs
@@ -25,12 +28,18 @@
     """Checks one backend server when an answer of it is lost."""
 
     def __init__(
-        self, backend: Backend, gate: Gate, metrics: Metrics, clock: Callable[[], float]
+        self,
+        backend: Backend,
+        gate: Gate,
+        bus: Bus,
+        metrics: Metrics,
+        clock: Callable[[], float],
     ):
         """`clock` in seconds, monotonic."""
         self.exposure = Exposure()
         self._backend = backend
         self._gate = gate
+        self._bus = bus
         self._metrics = metrics
         self._clock = clock
         self._running: asyncio.Task[bool] | None = None
@@ -60,6 +69,10 @@
             return  # nobody was harmed, or this end was noted already
         self._metrics.server_ends.inc({})
         self._log(exposed)
+        if not self._gate.is_closed_by(ClosedBy.SERVER_LEAVES):
+            # An end that was announced is no sign against what ran to its end.
+            self._bus.fire(server_ended(exposed))
+        self._gate.on_ended()
 
     def _log(self, exposed: Exposed) -> None:
         logs.warning(
--- a/packages/wheatslipd/wheatslipd/gate/serverside.py
+++ b/packages/wheatslipd/wheatslipd/gate/serverside.py
@@ -15,6 +15,7 @@
 from wheatslipd.gate.peerport import BackendWay, PeerPort, PeerTerms
 from wheatslipd.gate.serverend import ServerEnds
 from wheatslipd.gate.speedcheck import SpeedCheck
+from wheatslipd.gate.suspects import SuspectGuard
 from wheatslipd.settings import NO_CHECKS, Interface, Settings
 from wheatslipd.shared import Shared
 from wheatslipd.telemetry.tracing import HopTracer
@@ -57,12 +58,13 @@
         SlidingLimit(settings.checks_per_second),
     )
     gate = _gate(settings, shared, speed_check)
-    ends = ServerEnds(backend, gate, shared.metrics, shared.monotonic)
+    ends = ServerEnds(backend, gate, shared.bus, shared.metrics, shared.monotonic)
+    guard = SuspectGuard(shared.quarantine, shared.monotonic, shared.unix)
     ledger = KeyLedger(watching_since=shared.unix())
     keys = KeyGuard(settings.name, ledger, owners, shared.unix, lambda: cache.checked)
     peer_port = PeerPort(
         shared.view,
-        BackendWay(keys, gate, backend, ends),
+        BackendWay(keys, guard, gate, backend, ends),
         PeerTerms(settings.pool, settings.headers, settings.interface is Interface.ROUTES),
         shared.metrics,
         tracer,
--- a/packages/wheatslipd/wheatslipd/shared.py
+++ b/packages/wheatslipd/wheatslipd/shared.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from random import Random
 
+from wheatslip.quarantine import Quarantine
+
 from wheatslipd.controllers.bus import Bus
 from wheatslipd.controllers.events import newer_version_seen
 from wheatslipd.controllers.view import View
@@ -12,7 +14,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Shared:
-    """The present state, the events, the metrics, the generator and the clocks of a daemon.
+    """The present state, the events, the metrics, the generator, what is held against requests,
+    and the clocks of a daemon.
 
     `rng` is seeded by whoever starts the daemon. Both clocks return seconds.
     """
@@ -21,6 +24,7 @@
     bus: Bus
     metrics: Metrics
     rng: Random
+    quarantine: Quarantine
     monotonic: Callable[[], float]
     unix: Callable[[], float]
 
--- a/packages/wheatslipd/wheatslipd/telemetry/metrics.py
+++ b/packages/wheatslipd/wheatslipd/telemetry/metrics.py
@@ -40,6 +40,13 @@
             "wheatslip_server_ends_total",
             "Ends of the local backend server while it ran requests",
         )
+        self.held_requests = gauge(
+            "wheatslip_held_requests", "Requests refused because servers end when they run them"
+        )
+        self.suspects = gauge(
+            "wheatslip_suspects",
+            "Requests under which servers have ended, the held ones included",
+        )
         self.in_flight = gauge("wheatslip_in_flight", "Requests at the local backend server")
         self.queued = gauge("wheatslip_queued", "Requests waiting at the local gate")
         self.limit = gauge("wheatslip_limit", "Concurrency limit of the local backend server")
--- a/packages/wheatslipd/wheatslipd/telemetry/pages.py
+++ b/packages/wheatslipd/wheatslipd/telemetry/pages.py
@@ -44,6 +44,15 @@
         self.response.headers["Content-Type"] = "text/plain; version=0.0.4"
         return self._source.ask(self._source.metrics).decode()
 
+    def lift(self, fingerprint: str = "") -> str:
+        """Let a held request run again, at all daemons; by POST, as it changes something."""
+        if self.request.method != "POST":
+            self.response.status = 405
+            return "only POST\n"
+        was_held = self._source.ask(lambda: self._source.lift(fingerprint))
+        self.response.status = 200 if was_held else 404
+        return "lifted\n" if was_held else "no such request is held here\n"
+
 
 class _ReadyWatch(Component):
     """Notes the port on which the server listens."""
--- a/packages/wheatslipd/wheatslipd/telemetry/pagesource.py
+++ b/packages/wheatslipd/wheatslipd/telemetry/pagesource.py
@@ -12,6 +12,15 @@
 ASK_TIMEOUT = 2.0  # seconds that a page waits for the daemon's loop; chosen, not measured
 
 
+class HeldRequest(msgspec.Struct, frozen=True):
+    """A request that is refused because servers ended whenever they ran it."""
+
+    fingerprint: str
+    service: str
+    last_end: float  # unix seconds
+    held_for: float  # seconds from now, if no other server ends
+
+
 class Status(msgspec.Struct, frozen=True):
     """What the status page shows, as JSON."""
 
@@ -35,6 +44,8 @@
     cold: bool  # the backend server is cold and its starts are spaced
     followers: int
     relay_bytes: int
+    held_requests: tuple[HeldRequest, ...]
+    suspects: int  # requests that something is held against, the held ones among them
 
 
 @dataclass(slots=True)
@@ -44,6 +55,8 @@
     loop: asyncio.AbstractEventLoop
     status: Callable[[], Status]
     metrics: Callable[[], bytes]
+    # Lets a held request run again; whether it was held. Takes its fingerprint.
+    lift: Callable[[str], bool] = lambda fingerprint: False
 
     def ask(self, read: Callable[[], T]) -> T:
         """Call `read` in the daemon's loop; returns its result. Raises TimeoutError."""
--- a/packages/wheatslipd/wheatslipd/telemetry/statereport.py
+++ b/packages/wheatslipd/wheatslipd/telemetry/statereport.py
@@ -5,7 +5,7 @@
 from wheatslipd.http.server import Server
 from wheatslipd.settings import Settings
 from wheatslipd.shared import Shared
-from wheatslipd.telemetry.pagesource import Status
+from wheatslipd.telemetry.pagesource import HeldRequest, Status
 
 
 class StateReport:
@@ -55,6 +55,21 @@
             cold=admission.cold.is_cold(self._shared.monotonic()),
             followers=feed.relay.followers,
             relay_bytes=feed.relay.sent_bytes,
+            held_requests=self._held_requests(),
+            suspects=len(self._shared.quarantine),
+        )
+
+    def _held_requests(self) -> tuple[HeldRequest, ...]:
+        quarantine = self._shared.quarantine
+        now = self._shared.unix()
+        return tuple(
+            HeldRequest(
+                one.fingerprint,
+                one.service,
+                one.ends[-1],
+                round(quarantine.held_for(one.fingerprint, now), 1),
+            )
+            for one in quarantine.held(now)
         )
 
     def metrics(self) -> bytes:
@@ -72,6 +87,9 @@
         metrics.platform_calls.set({}, self._feed.client.calls)
         metrics.relay_bytes.set({}, self._feed.relay.sent_bytes)
         metrics.head_age.set({}, self._feed.head_age or 0.0)
+        quarantine = self._shared.quarantine
+        metrics.suspects.set({}, len(quarantine))
+        metrics.held_requests.set({}, len(quarantine.held(self._shared.unix())))
         metrics.connections.set({"port": "entry"}, self._entry_server.open_connections)
         metrics.connections.set({"port": "peer"}, self._peer_server.open_connections)
         return metrics.render()
--- a/test/test_forms.py
+++ b/test/test_forms.py
@@ -48,7 +48,8 @@
 from wheatslip_cli.settings import load_settings as load_operators_settings
 from wheatslipd.entry.answers import send_refusal
 from wheatslipd.feed.codec import StructCodec
-from wheatslipd.feed.relay import METHOD
+from wheatslipd.feed.endstore import StoredEnds
+from wheatslipd.feed.relay import METHOD, EndReports
 from wheatslipd.http.body import Body
 from wheatslipd.http.exchange import Exchange
 from wheatslipd.http.messages import RequestHead
@@ -116,6 +117,8 @@
     "cursor": as_bytes(Cursor),
     "update": as_bytes(Update),
     "piece": as_bytes(Chunk),
+    "end-reports": as_bytes(EndReports),
+    "stored-ends": through(StoredEnds),
 }
 
 
