--- a/packages/wheatslip/wheatslip/exposure.py
+++ b/packages/wheatslip/wheatslip/exposure.py
@@ -53,6 +53,11 @@
         self._unanswered: deque[tuple[float, Run]] = deque()  # until when it stays exposed
         self._answers: OrderedDict[str, float] = OrderedDict()  # when, by fingerprint
 
+    @property
+    def running(self) -> int:
+        """How many requests are at the server now."""
+        return len(self._running)
+
     def begin(self, run: Run) -> None:
         """The request is sent to the server now."""
         self._running[run] = None
--- a/packages/wheatslip/wheatslip/fingerprint.py
+++ b/packages/wheatslip/wheatslip/fingerprint.py
@@ -18,12 +18,12 @@
 
 
 def request_fingerprint(
-    workspace: str, service: str, request_line: tuple[bytes, bytes, bytes], body: bytes
+    workspace: str, service: str, resource: tuple[bytes, bytes, bytes], body: bytes
 ) -> str:
-    """The fingerprint in hex. `request_line` is the method, the host and the target; of `body`
+    """The fingerprint in hex. `resource` is the method, the host and the target; of `body`
     the first `BODY_BYTES` count.
     """
-    named = (workspace.encode(), service.encode(), *request_line)
+    named = (workspace.encode(), service.encode(), *resource)
     digest = blake2b(_SEPARATOR.join(named), digest_size=DIGEST_BYTES)
     digest.update(_SEPARATOR)
     digest.update(body[:BODY_BYTES])
--- a/packages/wheatslip/wheatslip/quarantine.py
+++ b/packages/wheatslip/wheatslip/quarantine.py
@@ -129,6 +129,8 @@
     def _take_end(self, end: ServerEnd, now: float) -> tuple[str, ...]:
         if not is_valid(end, now):
             return ()
+        # By a clock that is ahead of ours, an end would count for longer than it should.
+        end = msgspec.structs.replace(end, since=min(end.since, now))
         newly_held = []
         for fingerprint in end.fingerprints:
             if end.since <= self._lifts.get(fingerprint, 0.0):
--- a/packages/wheatslipd/wheatslipd/entry/sendguard.py
+++ b/packages/wheatslipd/wheatslipd/entry/sendguard.py
@@ -64,6 +64,7 @@
 
     def _made(self, head: RequestHead, body: bytes) -> str:
         if not self.fingerprint:
-            line = (head.method, head.get(b"host") or b"", head.target)
-            self.fingerprint = request_fingerprint(self._workspace, self._service, line, body)
+            self.fingerprint = request_fingerprint(
+                self._workspace, self._service, head.resource, body
+            )
         return self.fingerprint
--- a/packages/wheatslipd/wheatslipd/gate/peerport.py
+++ b/packages/wheatslipd/wheatslipd/gate/peerport.py
@@ -351,9 +351,8 @@
     named = head.get(FINGERPRINT_HEADER)
     if named is not None:
         return named.decode("ascii", "replace")
-    line = (head.method, head.get(b"host") or b"", head.target)
     body = exchange.body.peek(BODY_BYTES)
-    return request_fingerprint(hop.workspace, hop.service, line, body)
+    return request_fingerprint(hop.workspace, hop.service, head.resource, body)
 
 
 def _call_of(hop: Hop, now: float, request_id: str) -> Call:
--- a/packages/wheatslipd/wheatslipd/gate/serverend.py
+++ b/packages/wheatslipd/wheatslipd/gate/serverend.py
@@ -1,7 +1,8 @@
 """Finds out whether the local backend server has ended, and which requests it ran then.
 
 A connection that breaks is no end: a server in trouble may reset some connections and go on. It
-has ended when nothing listens at its address any more, which one connection tells.
+has ended when no request is left on the connections that it had, and nothing listens at its
+address any more, which one connection tells.
 """
 
 import asyncio
@@ -21,6 +22,9 @@
 # resets many connections gets as many more; longer, the requests that wait for the check wait
 # longer. Chosen, not measured.
 CHECK_PAUSE = 0.05
+# Seconds in which all connections of a process that has ended break. A server that resets some,
+# or refuses one more because it is full, goes on with the others. Chosen, not measured.
+BREAK_SECONDS = 0.01
 MAX_LOGGED = 16  # fingerprints in the line of one end
 
 
@@ -56,6 +60,10 @@
         return self._running
 
     async def _check(self) -> bool:
+        if self.exposure.running:
+            await asyncio.sleep(BREAK_SECONDS)
+        if self.exposure.running:
+            return False
         await asyncio.sleep(max(0.0, self._next_at - self._clock()))
         is_gone = await self._backend.refuses_connections()
         self._next_at = self._clock() + CHECK_PAUSE
--- a/packages/wheatslipd/wheatslipd/gate/suspects.py
+++ b/packages/wheatslipd/wheatslipd/gate/suspects.py
@@ -14,6 +14,11 @@
 from wheatslip.quarantine import Quarantine, Standing
 from wheatslip.retryafter import SUSPECT_RUNS, held
 
+# Seconds that a suspect waits for another one at the most: some service times. Longer, one that
+# hangs holds up all; shorter, innocent ones are refused while they could still be answered.
+# Chosen, not measured.
+LANE_SECONDS = 1.0
+
 
 class SuspectGuard:
     """Lets requests pass to one backend server by what is held against them."""
@@ -71,7 +76,7 @@
         now = self._clock()
         until = call.deadline if call.hold_until >= ANY_WAIT else call.hold_until
         try:
-            async with asyncio.timeout(max(0.0, min(max_wait, until - now))):
+            async with asyncio.timeout(max(0.0, min(max_wait, until - now, LANE_SECONDS))):
                 await self._lane.acquire()
         except TimeoutError:
             return False
--- a/test/test_quarantine.py
+++ b/test/test_quarantine.py
@@ -72,6 +72,13 @@
     assert quarantine.standing("f", NOW + 2) is Standing.SUSPECT
 
 
+def test_an_end_by_a_clock_that_is_ahead_counts_no_longer_than_others():
+    quarantine = Quarantine()
+    for number in range(HELD_AFTER):
+        quarantine.take(end(number, "f", since=NOW + 3600), NOW)
+    assert quarantine.held_for("f", NOW) == REPORT_SECONDS
+
+
 def test_reports_that_are_too_old_do_not_count():
     quarantine = Quarantine()
     quarantine.take(end(1, "f", since=NOW - REPORT_SECONDS), NOW)
