--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SETUP = $(VENV)/.installed
 PACKAGES = packages/wheatslip packages/wheatslipd packages/wheatslip-cli
 
-.PHONY: demo soak test lint format bench bench-fairness bench-memory clean
+.PHONY: demo soak test lint format bench bench-fairness bench-memory bench-quarantine clean
 
 $(SETUP): requirements-dev.txt $(addsuffix /pyproject.toml,$(PACKAGES))
 	python3 -m venv $(VENV)
@@ -41,5 +41,8 @@
 bench-memory: $(SETUP)
 	$(PY) -m bench.memory
 
+bench-quarantine: $(SETUP)
+	$(PY) -m bench.quarantine
+
 clean:
 	rm -rf $(VENV) out
--- a/test/test_end_reports.py
+++ b/test/test_end_reports.py
@@ -219,3 +219,36 @@
             assert not suspects
 
     run(scenario)
+
+
+def test_requests_that_run_and_come_again_beside_the_cause_are_not_held():
+    """Each of them comes again wherever the cause comes again."""
+
+    async def scenario():
+        endings = Endings()
+        outcomes = []
+        async with fleet(*"abcd", make_backend=endings.make) as one:
+            endings.bind(one)
+            for backend in one.backends.values():
+                backend.service = 0.05
+
+            async def ask(path, turn):
+                for again in range(5):
+                    name = "abcd"[(turn + again) % 4]
+                    status, _, headers = await one.ask(name, path)
+                    outcomes.append((path, headers["wheatslip-outcome"]))
+                    if status == 200:
+                        return
+
+            tasks = []
+            for turn in range(150):
+                tasks.append(asyncio.create_task(ask(f"/view/single-{turn}", turn)))
+                if turn % 10 == 0:
+                    tasks.append(asyncio.create_task(ask(FATAL, turn)))
+                await asyncio.sleep(0.02)
+            await asyncio.gather(*tasks)
+            held = {path for path, outcome in outcomes if outcome == HELD_OUTCOME}
+            assert held == {FATAL}
+            assert HELD_AFTER <= endings.count <= 2 * HELD_AFTER
+
+    run(scenario)
