Refuse a configuration with numbers that daemons cannot work with

Found by writing odd values: a cold rate of 1e308 raised OverflowError in the handler that applies a bundle, which stops the daemon. Negative rates, weights, time limits and connections came into force and failed each request (502, 503 or a closed connection). The ranges stood in the INI reader only, which the platform's configurations do not pass.

Change: the ranges are part of the bundle's types, so each way of reading one refuses them (bundle-refused) and the version before stays in force. Parts of a route that all have weight 0 get equal parts; drawing by such weights raised an error for each request.

--- a/packages/wheatslip/wheatslip/config/bundle.py
+++ b/packages/wheatslip/wheatslip/config/bundle.py
@@ -5,8 +5,10 @@
 """
 
 import hashlib
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 from result import Err, Ok, Result
 
 from wheatslip.call import CallClass, RequestKind
@@ -14,13 +16,22 @@
 FORMAT = 1  # of the canonical bytes; another one is refused
 MAX_BUNDLE_BYTES = 1_000_000  # the platform's limit for a value, which operators meet
 
+# What a daemon can work with; a bundle with other numbers is refused when it is read, whoever
+# wrote it. Applied, it would stop each daemon that takes it (a rate of 1e308 a second did).
+# Longer than a week no request, and no cold start, lasts; the others are chosen beyond all use.
+Seconds = Annotated[float, Meta(ge=0.0, le=604_800.0)]
+Rate = Annotated[float, Meta(ge=0.0, le=1e6)]  # a second
+Share = Annotated[float, Meta(ge=0.001, le=1000.0)]
+Weight = Annotated[float, Meta(ge=0.0, le=1e9)]
+Count = Annotated[int, Meta(ge=0, le=1_000_000)]
+
 
 class Workspace(msgspec.Struct, frozen=True):
     """A customer: who may call, and with what weight. The credential is kept as its hash."""
 
     name: str
     credential_sha256: str
-    share: float = 1.0
+    share: Share = 1.0
 
 
 class Kind(msgspec.Struct, frozen=True):
@@ -44,7 +55,7 @@
     pool: str
     callers: tuple[str, ...] = ()
     kinds: tuple[Kind, ...] = ()
-    max_deadline: float = 10.0
+    max_deadline: Seconds = 10.0
 
     def kind(self, name: str) -> Kind | None:
         """The kind of that name, if the service has it."""
@@ -56,8 +67,8 @@
     requests a second meanwhile.
     """
 
-    seconds: float
-    per_second: float
+    seconds: Seconds
+    per_second: Rate
 
 
 class Pool(msgspec.Struct, frozen=True):
@@ -71,10 +82,10 @@
     """
 
     name: str
-    slots: int = 0
-    connections: int = 220
-    queue: int = 64
-    probes_per_second: float = 1.0
+    slots: Count = 0
+    connections: Count = 220
+    queue: Count = 64
+    probes_per_second: Rate = 1.0
     shed_status: int = 0
     health_path: str = ""
     cold: ColdStart | msgspec.UnsetType = msgspec.UNSET
@@ -84,7 +95,7 @@
     """The part of a route's requests that goes to one service, relative to the others'."""
 
     service: str
-    weight: float = 1.0
+    weight: Weight = 1.0
 
 
 class Route(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -101,8 +112,8 @@
     prefix: str
     splits: tuple[Split, ...]
     repeatable: bool = False
-    timeout: float = 10.0
-    target: float = 0.0
+    timeout: Seconds = 10.0
+    target: Seconds = 0.0
     priority: int = 0
     max_attempts: int = 1
 
--- a/packages/wheatslip/wheatslip/config/routes.py
+++ b/packages/wheatslip/wheatslip/config/routes.py
@@ -33,9 +33,13 @@
 
 
 def pick_service(route: Route, rng: Random) -> str:
-    """The service for one request of a route, drawn by the weights of its splits."""
+    """The service for one request of a route, drawn by the weights of its splits; where all of
+    these are 0, each is as likely.
+    """
     splits = route.splits
     if len(splits) == 1:
         return splits[0].service
     weights = [split.weight for split in splits]
+    if not any(weights):
+        return rng.choice(splits).service
     return rng.choices(splits, weights)[0].service
