Ask a parent that does not know of reports only once, and survive what it answers

Cause: found in a reading of the change. A parent of the version before answers UNIMPLEMENTED, and was asked again every 0.5 s for as long as a report counts. An answer that cannot be read would have ended the task that brings reports, and with it the daemon.

Change: UNIMPLEMENTED counts as told; an unreadable answer as not taken.

Figures: test_a_parent_of_the_version_before_is_not_asked_again_and_one_that_is_away_is.

--- a/packages/wheatslipd/wheatslipd/feed/relay.py
+++ b/packages/wheatslipd/wheatslipd/feed/relay.py
@@ -167,19 +167,24 @@
 
 
 async def report_ends(parent: Instance, reports: EndReports, tls: PeerTls) -> bool:
-    """Bring reports to a parent; whether it took them."""
+    """Bring reports to a parent; False if that should be tried again."""
     channel = Channel(parent.address, parent.control_port, codec=StructCodec(), ssl=tls.client)
     method: UnaryUnaryMethod[EndReports, Taken] = UnaryUnaryMethod(
         channel, REPORT_METHOD, EndReports, Taken
     )
     try:
         await method(reports, timeout=REPORT_TIMEOUT)
-    except (OSError, TimeoutError, GRPCError, StreamTerminatedError) as error:
-        # A parent of the version before does not know the method.
-        logs.info(
-            "report-not-taken", parent=parent.name, error=repr(error), repeat_key=parent.name
-        )
+    except GRPCError as error:
+        _log_not_taken(parent, error)
+        # A parent of the version before does not know the method, and will not learn it.
+        return error.status is grpclib.const.Status.UNIMPLEMENTED
+    except (OSError, TimeoutError, StreamTerminatedError, msgspec.DecodeError) as error:
+        _log_not_taken(parent, error)
         return False
     finally:
         channel.close()
     return True
+
+
+def _log_not_taken(parent: Instance, error: Exception) -> None:
+    logs.info("report-not-taken", parent=parent.name, error=repr(error), repeat_key=parent.name)
--- a/test/test_end_reports.py
+++ b/test/test_end_reports.py
@@ -5,7 +5,11 @@
 
 import pytest
 from grpclib.server import Server
-from wheatslip.quarantine import HELD_AFTER
+from wheatslip.quarantine import HELD_AFTER, ServerEnd
+from wheatslip.store.instances import Instance
+from wheatslipd.feed.codec import StructCodec
+from wheatslipd.feed.relay import EndReports, report_ends
+from wheatslipd.tls import PeerTls
 
 from fleet_standins.store import Fault
 from standins.cluster import HOST, eventually
@@ -252,3 +256,26 @@
             assert HELD_AFTER <= endings.count <= 2 * HELD_AFTER
 
     run(scenario)
+
+
+class RelayBefore:
+    """The relay of the version before: it does not know the method that takes reports."""
+
+    def __mapping__(self):
+        return {}
+
+
+def test_a_parent_of_the_version_before_is_not_asked_again_and_one_that_is_away_is():
+    async def scenario():
+        codec = StructCodec()
+        server = Server([RelayBefore()], codec=codec)
+        await server.start(HOST, 0)
+        port = server._server.sockets[0].getsockname()[1]
+        parent = Instance("old", "papers", "one", HOST, 0, 0, port)
+        reports = EndReports("a", (ServerEnd("a/1", 1.0, "papers", ("f",)),))
+        assert await report_ends(parent, reports, PeerTls())
+        server.close()
+        await server.wait_closed()
+        assert not await report_ends(parent, reports, PeerTls())
+
+    run(scenario)
