Take any gRPC error for a parent that does not know of reports

Change: a parent that answers with a gRPC error has been reached and is not asked again; one that does not answer is.

--- a/packages/wheatslipd/wheatslipd/feed/relay.py
+++ b/packages/wheatslipd/wheatslipd/feed/relay.py
@@ -175,9 +175,9 @@
     try:
         await method(reports, timeout=REPORT_TIMEOUT)
     except GRPCError as error:
+        # Most likely of the version before, which does not know the method and will not learn
+        # it. grpclib has no status of its own for that: the answer lacks its content type.
         _log_not_taken(parent, error)
-        # A parent of the version before does not know the method, and will not learn it.
-        return error.status is grpclib.const.Status.UNIMPLEMENTED
     except (OSError, TimeoutError, StreamTerminatedError, msgspec.DecodeError) as error:
         _log_not_taken(parent, error)
         return False
