Tell a workspace's request from others without its host, and let the soak bring such requests

Cause: found by the soak.

Change: the host counts by routes only, without its port; one function makes the fingerprint for entry and gate. The soak sends a request every half second that ends each server which runs it, and checks the bound; the tests check that each daemon holds one request.

--- a/bench/quarantine.py
+++ b/bench/quarantine.py
@@ -32,7 +32,7 @@
     """So many of them, all different."""
     for number in range(count):
         target = b"/view/%d" % number
-        yield request_fingerprint("alpha", "papers", (b"GET", b"a.example", target), b"")
+        yield request_fingerprint("alpha", "papers", b"GET", target, b"")
 
 
 def report_bytes(requests: int) -> float:
@@ -55,8 +55,9 @@
     quarantine = Quarantine()
 
     def step(number: int) -> None:
-        resource = (b"GET", b"papers.example", b"/view/%d" % number)
-        run = Run(request_fingerprint("alpha", "papers", resource, body), "papers", "view")
+        target = b"/view/%d" % number
+        fingerprint = request_fingerprint("alpha", "papers", b"GET", target, body)
+        run = Run(fingerprint, "papers", "view")
         if len(quarantine):
             quarantine.standing(run.fingerprint, NOW)
         exposure.begin(run)
--- a/packages/wheatslip/wheatslip/fingerprint.py
+++ b/packages/wheatslip/wheatslip/fingerprint.py
@@ -1,9 +1,9 @@
 """The fingerprint of a request: what stays the same when its caller sends it again.
 
 A repeat has a request id, a deadline and perhaps an entry of its own; what a backend server
-does with it depends on the method, the target and the body. The workspace is part of it, so
-that nothing learned of one workspace's request touches another's, and the service, because
-other servers may well bear the same request.
+does with it depends on the method, the target and the body. The workspace is part of it, or
+the host where requests come by routes, so that nothing learned of one owner's request touches
+another's; and the service, because other servers may well bear the same request.
 """
 
 from hashlib import blake2b
@@ -18,12 +18,12 @@
 
 
 def request_fingerprint(
-    workspace: str, service: str, resource: tuple[bytes, bytes, bytes], body: bytes
+    owner: str, service: str, method: bytes, target: bytes, body: bytes
 ) -> str:
-    """The fingerprint in hex. `resource` is the method, the host and the target; of `body`
-    the first `BODY_BYTES` count.
+    """The fingerprint in hex. `owner` is the workspace, or the host that the route stands for;
+    of `body` the first `BODY_BYTES` count.
     """
-    named = (workspace.encode(), service.encode(), *resource)
+    named = (owner.encode(), service.encode(), method, target)
     digest = blake2b(_SEPARATOR.join(named), digest_size=DIGEST_BYTES)
     digest.update(_SEPARATOR)
     digest.update(body[:BODY_BYTES])
--- a/packages/wheatslipd/wheatslipd/entry/routefilter.py
+++ b/packages/wheatslipd/wheatslipd/entry/routefilter.py
@@ -13,6 +13,7 @@
 from wheatslip.retryafter import NO_SUCH_SERVICE
 
 from wheatslipd.chain import EntryRequest, Proceed
+from wheatslipd.http.identity import host_of
 from wheatslipd.http.messages import MILLISECONDS, RequestHead
 from wheatslipd.settings import HeaderNames
 
@@ -30,7 +31,7 @@
         """Set the service and the call, or refuse what can't be read."""
         assert request.configuration is not None
         head = request.exchange.head
-        host = _host(head)
+        host = host_of(head)
         path = head.target.partition(b"?")[0].decode("ascii", "replace")
         if host is None or not path.startswith("/"):
             return NotRun(Reason.BAD_REQUEST)
@@ -78,14 +79,3 @@
         except ValueError:
             return None
         return milliseconds / MILLISECONDS if isfinite(milliseconds) else None
-
-
-def _host(head: RequestHead) -> str | None:
-    """The host without its port; None unless there is exactly one."""
-    values = [value for name, value in head.headers if name == b"host"]
-    if len(values) != 1 or not values[0].strip():
-        return None
-    host = values[0].strip().decode("ascii", "replace")
-    if host.startswith("["):
-        return host.partition("]")[0] + "]"
-    return host.partition(":")[0]
--- a/packages/wheatslipd/wheatslipd/entry/sendguard.py
+++ b/packages/wheatslipd/wheatslipd/entry/sendguard.py
@@ -7,12 +7,12 @@
 from collections.abc import Callable
 
 from wheatslip.call import Call
-from wheatslip.fingerprint import request_fingerprint
 from wheatslip.hop import FINGERPRINT_HEADER, SUSPECT_HEADER
 from wheatslip.outcome import NotRun, Outcome, Reason, Unknown
 from wheatslip.quarantine import Quarantine
 from wheatslip.retryafter import held
 
+from wheatslipd.http.identity import fingerprint_of
 from wheatslipd.http.messages import Headers, RequestHead
 
 
@@ -64,7 +64,5 @@
 
     def _made(self, head: RequestHead, body: bytes) -> str:
         if not self.fingerprint:
-            self.fingerprint = request_fingerprint(
-                self._workspace, self._service, head.resource, body
-            )
+            self.fingerprint = fingerprint_of(head, self._workspace, self._service, body)
         return self.fingerprint
--- a/packages/wheatslipd/wheatslipd/gate/peerport.py
+++ b/packages/wheatslipd/wheatslipd/gate/peerport.py
@@ -13,7 +13,7 @@
 from wheatslip.backendload import decode_backend_load
 from wheatslip.call import ANY_WAIT, Call, CallClass, RequestKind
 from wheatslip.exposure import Run
-from wheatslip.fingerprint import BODY_BYTES, request_fingerprint
+from wheatslip.fingerprint import BODY_BYTES
 from wheatslip.hop import (
     FINGERPRINT_HEADER,
     HOP_HEADER,
@@ -38,6 +38,7 @@
 from wheatslipd.gate.suspects import SuspectGuard
 from wheatslipd.http.body import BodyBroken
 from wheatslipd.http.exchange import Exchange
+from wheatslipd.http.identity import fingerprint_of
 from wheatslipd.http.messages import Headers, RequestHead, ResponseHead
 from wheatslipd.settings import HeaderNames
 from wheatslipd.telemetry.metrics import Metrics
@@ -352,7 +353,7 @@
     if named is not None:
         return named.decode("ascii", "replace")
     body = exchange.body.peek(BODY_BYTES)
-    return request_fingerprint(hop.workspace, hop.service, head.resource, body)
+    return fingerprint_of(head, hop.workspace, hop.service, body)
 
 
 def _call_of(hop: Hop, now: float, request_id: str) -> Call:
--- a/packages/wheatslipd/wheatslipd/http/messages.py
+++ b/packages/wheatslipd/wheatslipd/http/messages.py
@@ -67,11 +67,6 @@
     keep_alive: bool = True
     is_http_1_0: bool = False
 
-    @property
-    def resource(self) -> tuple[bytes, bytes, bytes]:
-        """Method, host and target: what is asked, and of whom."""
-        return self.method, (self.get(b"host") or b"").lower(), self.target
-
 
 @dataclass(slots=True)
 class ResponseHead(MessageHead):
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -25,6 +25,8 @@
 INSTANCES = 6
 CALLS_PER_SECOND = 40.0
 OBSERVE_SECONDS = 0.2  # between two readings of all status pages
+FATAL_SECONDS = 0.5  # between two of the requests that end each server that runs them
+FATAL = "fatal"  # their kind
 LAST_CALLS = 50  # when all faults are over; all of them must be answered
 SECONDS_A_MINUTE = 60.0
 MORE_SETTINGS = "[control]\nwatch = 1s\nlist-watch = 1s\n[entry]\nwarm-up = 0s\n"
@@ -49,6 +51,7 @@
         observing = asyncio.create_task(_observe(injector))
         over = asyncio.Event()
         sending = asyncio.create_task(_send(caller, cluster, seconds, over))
+        sending_fatal = asyncio.create_task(_send_fatal(cluster, seed, plans))
         steps, updates = _course(plans, seed, seconds)
         await _play(injector, steps)
         if updates:
@@ -60,6 +63,7 @@
         await sending
         await injector.wait_until_calm()
         observing.cancel()
+        sending_fatal.cancel()
         await _send_in_calm(caller, cluster, history)
         await _collect(injector, caller, history)
     finally:
@@ -76,9 +80,10 @@
         zone = number % len(ZONES)
         is_other = (number // len(ZONES) + zone) % 2 == 0
         checkout = other_version if is_other else None
-        plans.append(
-            Plan(f"papers-{number + 1}", "papers", ZONES[zone], SLOTS, SERVICE, checkout)
-        )
+        # The version before does not know of such requests.
+        fatal = f"/papers/{FATAL}" if other_version is None else ""
+        name = f"papers-{number + 1}"
+        plans.append(Plan(name, "papers", ZONES[zone], SLOTS, SERVICE, checkout, fatal))
     return plans
 
 
@@ -131,6 +136,18 @@
     await asyncio.gather(*tasks)
 
 
+async def _send_fatal(cluster: Cluster, seed: int, plans: list[Plan]) -> None:
+    """The same request over and over, at any entry. Runs until cancelled; it has a caller of
+    its own, as nobody is owed an answer to it.
+    """
+    caller = Caller(cluster.session, WORKSPACE, SECRET, Random(f"fatal {seed}"))
+    while any(plan.fatal for plan in plans):
+        await asyncio.sleep(FATAL_SECONDS)
+        member = caller.rng.choice(list(cluster.members.values()))
+        port = member.instance.entry_port
+        await caller.send(port, "papers", FATAL, once=False, deadline_ms=2000)
+
+
 async def _send_in_calm(caller: Caller, cluster: Cluster, history: History) -> None:
     for _ in range(LAST_CALLS):
         member = caller.rng.choice(list(cluster.members.values()))
@@ -146,6 +163,8 @@
         record = await injector.cluster.record(name)
         zone = member.plan.zone
         history.ran += [Ran(run, zone, run.at - injector.began) for run in record.runs]
+        history.fatal_runs += [at - injector.began for at in record.fatal_runs]
+        history.ends += [at - injector.began for at in record.ends]
 
 
 def main() -> int:
@@ -170,7 +189,7 @@
     print(
         f"seed {options.seed}: {len(reported)} requests ({counts}), "
         f"{len(history.observations)} observations, {len(history.drained_zones)} zone drains, "
-        f"{len(history.stopped)} planned stops"
+        f"{len(history.stopped)} planned stops, {len(history.ends)} ends of servers"
     )
     broken = broken_promises(history)
     for sentence in broken:
--- a/soak/history.py
+++ b/soak/history.py
@@ -7,10 +7,17 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+from wheatslip.quarantine import HELD_AFTER
+
 from standins.backend import Run
 from standins.caller import Request
 from standins.verdict import judge
 
+# Seconds after the third end within which all daemons must know of the request that ended
+# servers, and how often it may run later than that: what the users' rules allow.
+KNOWN_SECONDS = 3.0
+ALLOWED_LATER = 3
+
 
 @dataclass(frozen=True, slots=True)
 class Observation:
@@ -57,6 +64,9 @@
     observations: list[Observation] = field(default_factory=list)
     drained_zones: list[DrainedZone] = field(default_factory=list)
     stopped: list[Stopped] = field(default_factory=list)
+    # When servers began to run the request that ends them, and when they ended.
+    fatal_runs: list[float] = field(default_factory=list)
+    ends: list[float] = field(default_factory=list)
     last_answered: int = 0  # requests of the calm end that were answered
     last_sent: int = 0
 
@@ -66,6 +76,7 @@
     broken = judge(history.requests, [ran.run for ran in history.ran]).broken
     broken += _versions_that_went_back(history.observations)
     broken += _runs_in_drained_zones(history)
+    broken += _sent_on_after_ends(history)
     broken += [
         f"{stop.instance} ended with {stop.code} after a planned stop"
         for stop in history.stopped
@@ -90,6 +101,17 @@
     return broken
 
 
+def _sent_on_after_ends(history: History) -> list[str]:
+    """A request under which three servers have ended must be known everywhere soon after."""
+    if len(history.ends) < HELD_AFTER:
+        return []
+    third = sorted(history.ends)[HELD_AFTER - 1]
+    later = [at for at in history.fatal_runs if at > third + KNOWN_SECONDS]
+    if len(later) <= ALLOWED_LATER:
+        return []
+    return [f"ran {len(later)} times more after {HELD_AFTER} servers had ended, at {later}"]
+
+
 def _runs_in_drained_zones(history: History) -> list[str]:
     return [
         f"{ran.run.request_id} ran in {ran.zone} at {ran.at:.2f} s, emptied since "
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -40,6 +40,8 @@
 repeatable = yes
 [kind papers/submit]
 repeatable = no
+[kind papers/fatal]
+repeatable = yes
 [kind papers/extra-{version}]
 repeatable = yes
 """
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -14,6 +14,8 @@
 from wheatslipd.http.messages import ResponseHead
 from wheatslipd.http.server import Server
 
+from standins.ending import EndingServer
+
 HOST = "127.0.0.1"
 SEED = 1  # of the service times
 
@@ -41,6 +43,9 @@
 
     runs: list[Run]
     probes: int
+    # Unix seconds at which it began to run requests that ended it, and at which it ended.
+    fatal_runs: list[float] = []
+    ends: list[float] = []
 
 
 class BackendStandIn:
@@ -53,6 +58,7 @@
         self._slots = asyncio.Semaphore(behaviour.slots)
         self.runs: list[Run] = []
         self._probes = 0
+        self.ending: EndingServer | None = None  # what ends it, if anything does
 
         self.server = Server(self.handle)
 
@@ -66,11 +72,18 @@
             self._behaviour = msgspec.json.decode(body, type=Behaviour)
             await exchange.respond(ResponseHead(204, []))
         elif path == b"/stand-in/record":
-            record = Record(self.runs, self._probes)
-            await exchange.respond(ResponseHead(200), msgspec.json.encode(record))
+            await exchange.respond(ResponseHead(200), msgspec.json.encode(self._record()))
         else:
             await self._serve(exchange)
 
+    def _record(self) -> Record:
+        if self.ending is None:
+            return Record(self.runs, self._probes)
+        to_unix = time.time() - asyncio.get_running_loop().time()
+        began = [at + to_unix for at in self.ending.began]
+        ends = [at + to_unix for at in self.ending.ends]
+        return Record(self.runs, self._probes, began, ends)
+
     async def _health(self, exchange: Exchange) -> None:
         self._probes += 1
         await exchange.respond(ResponseHead(200), b"{}")
@@ -117,9 +130,12 @@
     parser.add_argument("--port", type=int, default=0)
     parser.add_argument("--slots", type=int, default=12)
     parser.add_argument("--service", type=float, default=0.004)
+    parser.add_argument("--fatal", default="", help="target of requests that end the server")
     options = parser.parse_args()
     behaviour = Behaviour(options.slots, options.service)
     stand_in = BackendStandIn(options.name, behaviour, Random(SEED))
+    if options.fatal:
+        stand_in.ending = EndingServer(stand_in, {options.fatal})
     await stand_in.server.listen(HOST, options.port)
     print(f"listening {stand_in.server.port}", flush=True)
     await asyncio.Event().wait()
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -35,7 +35,8 @@
 @dataclass(frozen=True, slots=True)
 class Plan:
     """One backend server to start, and the daemon beside it. `checkout` is the root of the
-    checkout whose code the daemon runs; None: this one's.
+    checkout whose code the daemon runs; None: this one's. Requests of the target `fatal` end
+    the server for a moment; empty: none does.
     """
 
     name: str
@@ -44,6 +45,7 @@
     slots: int = 12
     service: float = 0.004
     checkout: Path | None = None
+    fatal: str = ""
 
 
 class Running:
@@ -264,6 +266,8 @@
             str(plan.slots),
             "--service",
             str(plan.service),
+            "--fatal",
+            plan.fatal,
         )
         backend_port = int((await backend.wait_for(_LISTENING)).group(1))
         daemon = await self.start_daemon(plan, backend_port)
--- a/test/test_exposure.py
+++ b/test/test_exposure.py
@@ -2,8 +2,10 @@
 
 from wheatslip.exposure import ANSWER_SECONDS, LEFT_SECONDS, MAX_ANSWERS, Exposure, Run
 from wheatslip.fingerprint import BODY_BYTES, request_fingerprint
+from wheatslipd.http.identity import fingerprint_of
+from wheatslipd.http.messages import RequestHead
 
-LINE = (b"GET", b"papers.example", b"/view/1?page=2")
+METHOD, TARGET = b"GET", b"/view/1?page=2"
 
 
 def run_of(name):
@@ -15,23 +17,36 @@
 
 
 def test_a_fingerprint_is_that_of_what_a_caller_sends_again():
-    same = request_fingerprint("alpha", "papers", LINE, b"body")
-    assert same == request_fingerprint("alpha", "papers", LINE, b"body")
+    same = request_fingerprint("alpha", "papers", METHOD, TARGET, b"body")
+    assert same == request_fingerprint("alpha", "papers", METHOD, TARGET, b"body")
     others = {
-        request_fingerprint("beta", "papers", LINE, b"body"),
-        request_fingerprint("alpha", "results", LINE, b"body"),
-        request_fingerprint("alpha", "papers", (b"POST", *LINE[1:]), b"body"),
-        request_fingerprint("alpha", "papers", (LINE[0], b"x.example", LINE[2]), b"body"),
-        request_fingerprint("alpha", "papers", (*LINE[:2], b"/view/1"), b"body"),
-        request_fingerprint("alpha", "papers", LINE, b"other"),
+        request_fingerprint("beta", "papers", METHOD, TARGET, b"body"),
+        request_fingerprint("alpha", "results", METHOD, TARGET, b"body"),
+        request_fingerprint("alpha", "papers", b"POST", TARGET, b"body"),
+        request_fingerprint("alpha", "papers", METHOD, b"/view/1", b"body"),
+        request_fingerprint("alpha", "papers", METHOD, TARGET, b"other"),
     }
-    assert len(others) == 6 and same not in others
+    assert len(others) == 5 and same not in others
+
+
+def head_for(host):
+    return RequestHead(METHOD, TARGET, [(b"host", host)])
+
+
+def test_a_workspace_sends_the_same_request_whichever_daemon_it_is_sent_to():
+    """Its host is the address of the entry; by routes the host selects the route."""
+    first, second = head_for(b"127.0.0.1:7001"), head_for(b"127.0.0.2:7001")
+    made = [fingerprint_of(head, "alpha", "papers", b"") for head in (first, second)]
+    assert made[0] == made[1]
+    hosts = (b"a.example", b"A.example:7001", b"b.example")
+    by_routes = [fingerprint_of(head_for(host), "", "papers", b"") for host in hosts]
+    assert by_routes[0] == by_routes[1] != by_routes[2]
 
 
 def test_of_a_long_body_the_beginning_counts():
     begun = b"x" * BODY_BYTES
-    whole = request_fingerprint("", "papers", LINE, begun + b"the rest")
-    assert whole == request_fingerprint("", "papers", LINE, begun)
+    whole = request_fingerprint("", "papers", METHOD, TARGET, begun + b"the rest")
+    assert whole == request_fingerprint("", "papers", METHOD, TARGET, begun)
 
 
 def test_what_ran_on_a_server_that_ends_is_suspect_and_what_it_answered_is_not():
--- a/test/test_requests_that_end_servers.py
+++ b/test/test_requests_that_end_servers.py
@@ -76,8 +76,10 @@
         noted.append((sent, await self._ask(name, path, method, body)))
 
 
-async def judge(ask, endings, method, path, body):
-    """Send until well after the third end; the request must stay away, and others be served."""
+async def judge(ask, endings, daemons, method, path, body):
+    """Send until well after the third end; the request must stay away, and others be served.
+    All daemons know it for one request, whichever it came to.
+    """
     endings = list(endings)
     callers = Callers(ask)
     sending = asyncio.create_task(callers.send(method, path, body))
@@ -95,6 +97,7 @@
     for noted in (callers.hot, callers.single):
         statuses = [status for sent, status in noted if sent > since]
         assert statuses and set(statuses) == {200}, statuses
+    assert [len(daemon.status().held_requests) for daemon in daemons] == [1] * len(NAMES)
 
 
 def in_chunks(body):
@@ -132,7 +135,7 @@
                 data = in_chunks(body) if body is LONG_BODY else body
                 return (await one.ask(name, path, method, data))[0]
 
-            await judge(ask, endings.values(), method, path, body)
+            await judge(ask, endings.values(), one.daemons.values(), method, path, body)
 
     run(scenario)
 
@@ -167,6 +170,6 @@
                     await answer.read()
                     return answer.status
 
-            await judge(ask, endings, method, path, body)
+            await judge(ask, endings, place.daemons.values(), method, path, body)
 
     run(scenario)
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -99,6 +99,7 @@
         requests=[request()], ran=[ran(at=2.5)], drained_zones=[DrainedZone("one", 2.0, 3.0)]
     ),
     "after a planned stop": History(stopped=[Stopped("a", 1)]),
+    "servers had ended": History(ends=[1.0, 2.0, 3.0], fatal_runs=[1.0, 6.1, 6.2, 6.3, 6.4]),
     "in the calm end": History(last_answered=2, last_sent=3),
 }
 
