Let the fatal request of the test go to one entry after the other

Cause: the callers of the test counted all requests together, twelve to a round, so the fatal one always came to the same of four entries. That is why the tests by workspaces passed while a request was told apart by the entry that it was sent to.

Change: each kind goes from entry to entry by itself. Nothing else of the test has changed.

--- a/test/test_requests_that_end_servers.py
+++ b/test/test_requests_that_end_servers.py
@@ -14,6 +14,7 @@
 """
 
 import asyncio
+from collections import Counter
 from functools import partial
 
 import pytest
@@ -49,7 +50,7 @@
         self.hot = []  # (when it was sent, status) of a GET that comes a hundred times a second
         self.single = []  # the same of GETs that come once each
         self.fatal = []
-        self._sent = 0
+        self._begun = Counter()  # requests of each kind
         self._tasks = []
 
     async def send(self, method, path, body):
@@ -67,8 +68,9 @@
         await asyncio.gather(*self._tasks)
 
     def _begin(self, noted, path, method, body):
-        name = NAMES[self._sent % len(NAMES)]
-        self._sent += 1
+        # Each kind by itself goes to one entry after the other.
+        name = NAMES[self._begun[id(noted)] % len(NAMES)]
+        self._begun[id(noted)] += 1
         self._tasks.append(asyncio.create_task(self._note(noted, name, path, method, body)))
 
     async def _note(self, noted, name, path, method, body):
