Log why a parent was left, and from which version a watch of the head begins

No line told a stream that went silent from one that failed, nor a reader that begins its watch far behind from one that goes on: the two hypotheses on a change that was late at one daemon need both.

--- a/packages/wheatslipd/wheatslipd/feed/following.py
+++ b/packages/wheatslipd/wheatslipd/feed/following.py
@@ -45,6 +45,10 @@
             self._latest = value
             self._latest_at = now
 
+    def age(self, now: float) -> float:
+        """Seconds since it has grown."""
+        return round(now - self._latest_at, 1)
+
     def is_stale(self, now: float) -> bool:
         """Whether it has not grown for longer than the time-out."""
         return now - self._latest_at > self._timeout
@@ -158,5 +162,6 @@
                 self._intake.take_update(update, parent.name)
                 now = loop.time()
                 if head.is_stale(now) or (needs_list and listed.is_stale(now)):
+                    logs.info("parent-stale", parent=parent.name, head_age=head.age(now))
                     break
         return had_news
--- a/packages/wheatslipd/wheatslipd/feed/relay.py
+++ b/packages/wheatslipd/wheatslipd/feed/relay.py
@@ -160,8 +160,15 @@
                     case Err(why):
                         logs.warning("update-refused", parent=parent.name, why=why)
                         return
-    except (OSError, TimeoutError, GRPCError, StreamTerminatedError, msgspec.DecodeError):
-        return  # the caller logs the daemon that it tries, and goes on to another
+    except (
+        OSError,
+        TimeoutError,
+        GRPCError,
+        StreamTerminatedError,
+        msgspec.DecodeError,
+    ) as error:
+        # A time-out is the only sign of a connection that is open and says nothing.
+        logs.info("parent-lost", parent=parent.name, error=repr(error), repeat_key=parent.name)
     finally:
         channel.close()
 
--- a/packages/wheatslipd/wheatslipd/feed/watching.py
+++ b/packages/wheatslipd/wheatslipd/feed/watching.py
@@ -10,6 +10,7 @@
 from wheatslipd.feed.access import PlatformAccess, log_trouble
 from wheatslipd.feed.reader import PlatformReader
 from wheatslipd.feed.tasks import until_first_ends
+from wheatslipd.telemetry import logs
 
 # Share of the time that the check of a watch may spend on reading the head. Without it, reading
 # a head of 700 kB on each check took half of a link of 650 kB/s. The value is chosen.
@@ -118,6 +119,7 @@
                 self._intake.take_drain_listing(listing)
 
     async def _follow_head(self) -> None:
+        logs.info("watching-head", since=self._reader.head_known, version=self._intake.version)
         async for listing in self._access.changes(
             HEAD_KIND,
             self._on_head_trouble,
