Bring about the fault: a change is late where a source of news goes quiet

A link between daemons, or to the store, lets its open connections say nothing more, and a parent leaves. On this code: followers of a silent parent and of one that left are late by 5 s, each run; a daemon that becomes a reader again is late on a narrow link; after a silence of all connections the last daemon is late in some runs and not in others. A reader whose own watch goes silent has the change from the ring in time: that suspect is cleared where there is a ring.

--- a/standins/link.py
+++ b/standins/link.py
@@ -1,4 +1,6 @@
-"""Stand-in for a narrow link: forwards connections to one port, so many bytes a second."""
+"""Stand-in for a link: forwards connections to one port, so many bytes a second, and may let
+those that are open go silent.
+"""
 
 import asyncio
 from contextlib import suppress
@@ -11,6 +13,9 @@
 class NarrowLink:
     """Bounds what comes back from `target` to those that connect here; what they send passes at
     once. All connections share `bytes_per_second`.
+
+    `silence` lets the connections that are open now say nothing more for good, without an error
+    at either end.
     """
 
     host: str
@@ -21,6 +26,12 @@
     _server: asyncio.Server | None = None
     _sending: asyncio.Lock = field(default_factory=asyncio.Lock)
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    _silenced: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def silence(self) -> None:
+        """Let open connections go silent for good; new ones work."""
+        self._silenced.set()
+        self._silenced = asyncio.Event()
 
     async def open(self) -> None:
         """Listen on a free port."""
@@ -45,8 +56,8 @@
         try:
             far_reader, far_writer = await asyncio.open_connection(self.host, self.target)
             ways = [
-                asyncio.create_task(self._pass_on(near_reader, far_writer)),
-                asyncio.create_task(self._carry(far_reader, near_writer)),
+                asyncio.create_task(self._pass_on(near_reader, far_writer, self._silenced)),
+                asyncio.create_task(self._carry(far_reader, near_writer, self._silenced)),
             ]
             try:
                 await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
@@ -62,17 +73,32 @@
             self._tasks.discard(task)
 
     @staticmethod
-    async def _pass_on(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _pass_on(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter, silenced: asyncio.Event
+    ) -> None:
         with suppress(ConnectionError):
             while piece := await reader.read(PIECE):
+                if silenced.is_set():
+                    await asyncio.Event().wait()
                 writer.write(piece)
                 await writer.drain()
+        if silenced.is_set():
+            await asyncio.Event().wait()
 
-    async def _carry(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _carry(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        silenced: asyncio.Event,
+    ) -> None:
         with suppress(ConnectionError):
             while piece := await reader.read(PIECE):
                 async with self._sending:
                     await asyncio.sleep(len(piece) / self.bytes_per_second)
+                if silenced.is_set():
+                    await asyncio.Event().wait()
                 self.carried += len(piece)
                 writer.write(piece)
                 await writer.drain()
+        if silenced.is_set():
+            await asyncio.Event().wait()
--- a/test/helper.py
+++ b/test/helper.py
@@ -99,10 +99,14 @@
         `parts` are passed on to `Daemon`.
         """
         daemon = self.daemons[settings.name] = Daemon(settings, Random(seed), **parts)
+        await self.prepare(daemon)
         self.tasks[settings.name] = asyncio.create_task(daemon.run())
         await daemon.listening.wait()
         return daemon
 
+    async def prepare(self, daemon: Daemon) -> None:
+        """Called with each daemon before it runs."""
+
     async def stop(self, name: str) -> int:
         """Stop a daemon; returns its exit code."""
         self.daemons.pop(name).stop()
--- a/test/routed_fleet.py
+++ b/test/routed_fleet.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from math import inf
 
 import aiohttp
 from wheatslip.admission import ClosedBy
@@ -90,7 +91,8 @@
 class Fleet(InProcess):
     """Daemons with their servers, on one store. `link_bytes` bounds what the link of a daemon
     to the store carries a second; with `has_doors` each daemon without such a link reaches the
-    store through a door of its own. Daemons that `zones` does not name are in zone one.
+    store through a door of its own. Daemons that `zones` does not name are in zone one. With
+    `has_control_links` daemons reach the control port of each through a link of its own.
     """
 
     store: StoreStandIn
@@ -103,6 +105,8 @@
     links: dict[str, NarrowLink] = field(default_factory=dict)
     has_doors: bool = False
     doors: dict[str, Door] = field(default_factory=dict)
+    has_control_links: bool = False
+    control_links: dict[str, NarrowLink] = field(default_factory=dict)
     zones: dict[str, str] = field(default_factory=dict)
     more_backend: str = ""  # lines of the daemons' settings
     more_headers: str = ""
@@ -132,6 +136,21 @@
         adapters = Adapters(FleetStore(store), decode_heartbeat)
         await self.start_daemon(settings, seed=3, adapters=adapters)
 
+    async def prepare(self, daemon):
+        """Let the daemon list its link's port in place of its own control port."""
+        if not self.has_control_links:
+            return
+        listen = daemon.feed.relay.listen
+
+        async def listen_behind_link(host, port):
+            await listen(host, port)
+            link = NarrowLink(HOST, daemon.feed.relay.port, inf)
+            await link.open()
+            self.control_links[daemon.settings.name] = link
+            daemon.feed.relay.port = link.port
+
+        daemon.feed.relay.listen = listen_behind_link
+
     async def _store_port(self, name):
         """Where a daemon finds the store: behind its link or its door, if it has one."""
         if name in self.link_bytes:
@@ -220,7 +239,7 @@
         await one.stop_all()
         for backend in one.backends.values():
             await backend.server.stop(0.0)
-        for link in one.links.values():
+        for link in (*one.links.values(), *one.control_links.values()):
             await link.close()
         for door in one.doors.values():
             await door.server.stop(0.0)
