End the streams to followers when a daemon begins to stop

A daemon that is asked to stop now ends its streams at once and refuses new ones, so followers go on to the next parent while it still finishes requests.

--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -148,6 +148,7 @@
     def stop(self) -> None:
         """Begin a planned stop: callers are asked to leave, what is in flight is finished."""
         self.view.stopping = True
+        self.feed.relay.leave()
         if not self.settings.stop_listening_after:
             self._close()
         self._stopping.set()
--- a/packages/wheatslipd/wheatslipd/feed/relay.py
+++ b/packages/wheatslipd/wheatslipd/feed/relay.py
@@ -27,15 +27,14 @@
 
 METHOD = "/wheatslip.Relay/FollowInPieces"
 REPORT_METHOD = "/wheatslip.Relay/ReportEnds"
-HEARTBEAT_SECONDS = 2.0  # longest time between two updates of a stream; chosen, not measured
-# Seconds without a chunk after which a parent is taken for dead or frozen: two heartbeats, and
-# one for a delay. Chosen, not measured.
+HEARTBEAT_SECONDS = 2.0  # longest time between two updates of a stream
+# Seconds without a chunk after which a parent is taken for dead, frozen or out of reach: two
+# heartbeats, and half of one for a delay.
 SILENCE_TIMEOUT = 5.0
 # Followers that one daemon serves. The tree gives it about three, and more only while others
-# are gone. Chosen, not measured.
+# are gone.
 MAX_FOLLOWERS = 64
-# Seconds for a parent to take reports: as long as it may be silent. Chosen, not measured.
-REPORT_TIMEOUT = 5.0
+REPORT_TIMEOUT = SILENCE_TIMEOUT  # seconds for a parent to take reports
 
 
 class EndReports(msgspec.Struct, frozen=True):
@@ -66,6 +65,7 @@
         self._tls = tls
         self._on_reports = on_reports
         self._changed = asyncio.Event()
+        self._is_leaving = False
         self._codec = StructCodec()
         self._server = Server([self], codec=self._codec)
         self.followers = 0
@@ -102,16 +102,23 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def leave(self) -> None:
+        """Message: this daemon stops. Ends the streams, so that followers go on to others."""
+        self._is_leaving = True
+        self.announce()
+
     async def _follow(self, stream: Stream[Cursor, Chunk]) -> None:
         cursor = await stream.recv_message()
         if cursor is None:
             return
+        if self._is_leaving:
+            raise GRPCError(grpclib.const.Status.UNAVAILABLE)
         if self.followers >= MAX_FOLLOWERS:
             raise GRPCError(grpclib.const.Status.RESOURCE_EXHAUSTED)
         self.followers += 1
         ends_sent = 0  # position of the last report that was sent on this stream
         try:
-            while True:
+            while not self._is_leaving:
                 changed = self._changed
                 ends = self._cache.ends.after(ends_sent, but_from=cursor.follower)
                 ends_sent = self._cache.ends.position
