Take a parent for silent after 1.25 s

Followers of a parent whose open connections went silent, or that froze, were late by 5 s: that long a stream might say nothing, and no error comes. The bound on a change is 2 s after its acknowledgement. With a heartbeat each 0.5 s a follower goes on after 1.25 s and 0.1 to 0.3 s more. test_a_parent_whose_streams_go_silent was late before and holds now.

--- a/packages/wheatslipd/wheatslipd/feed/relay.py
+++ b/packages/wheatslipd/wheatslipd/feed/relay.py
@@ -27,10 +27,10 @@
 
 METHOD = "/wheatslip.Relay/FollowInPieces"
 REPORT_METHOD = "/wheatslip.Relay/ReportEnds"
-HEARTBEAT_SECONDS = 2.0  # longest time between two updates of a stream
+HEARTBEAT_SECONDS = 0.5  # longest time between two updates of a stream
 # Seconds without a chunk after which a parent is taken for dead, frozen or out of reach: two
 # heartbeats, and half of one for a delay.
-SILENCE_TIMEOUT = 5.0
+SILENCE_TIMEOUT = 1.25
 # Followers that one daemon serves. The tree gives it about three, and more only while others
 # are gone.
 MAX_FOLLOWERS = 64
