--- /dev/null
+++ b/test/test_store_comes_back_older.py
@@ -0,0 +1,138 @@
+"""The store comes back from a copy, and gives revisions out again.
+
+Read from the code: a watch from a revision that the store has given to another change heard
+nothing of what was written before it, and a list or a zone drain at a smaller revision than the
+one before was dropped as late.
+"""
+
+import asyncio
+
+import pytest
+
+from standins.cluster import eventually
+from test.helper import run
+from test.routed_fleet import configuration, fleet
+
+IN_FORCE_SECONDS = 2.0  # from the write
+NAMES = "abcd"
+OTHER = "other"  # a kind that no daemon reads
+
+
+def older_fleet():
+    return fleet(*NAMES, watch="20s", watch_check="1s")
+
+
+async def settled(one):
+    async def watched():
+        return one.store.waiting["config"] >= 2 and one.store.waiting["evacuations"] >= 2
+
+    await eventually(watched)
+
+
+async def reached(one, holds):
+    """Wait until something holds at each daemon."""
+
+    async def everywhere():
+        return all(holds(daemon) for daemon in one.daemons.values())
+
+    async with asyncio.timeout(IN_FORCE_SECONDS):
+        await eventually(everywhere)
+
+
+@pytest.mark.parametrize("more", [0, 1, 5])
+def test_a_change_at_a_revision_that_was_given_to_another(more):
+    """`more` changes are lost with the copy; the watches began behind them."""
+
+    async def scenario():
+        async with older_fleet() as one:
+            await settled(one)
+            copy = one.store.copy()
+            for number in range(more):
+                one.store.write(OTHER, f"lost-{number}", number)
+            one.store.write("config", "main", configuration(2))
+            await one.ready(2)
+            one.store.restore(copy)
+            one.store.write("config", "main", configuration(3))
+            await reached(one, lambda daemon: daemon.status().version == 3)
+
+    run(scenario)
+
+
+def test_a_configuration_in_force_is_not_rolled_back():
+    async def scenario():
+        async with older_fleet() as one:
+            await settled(one)
+            copy = one.store.copy()
+            one.store.write("config", "main", configuration(2))
+            await one.ready(2)
+            one.store.restore(copy)
+            await asyncio.sleep(2.5)
+            assert {daemon.status().version for daemon in one.daemons.values()} == {2}
+            one.store.write("config", "main", configuration(2))
+            one.store.write("config", "main", configuration(3))
+            await reached(one, lambda daemon: daemon.status().version == 3)
+
+    run(scenario)
+
+
+def test_an_entry_that_was_lost_is_written_again():
+    async def scenario():
+        async with older_fleet() as one:
+            await settled(one)
+            copy = one.store.copy()
+            await one.add("e")
+            await one.ready()
+            one.store.restore(copy)
+
+            async def listed():
+                return ("wheatslip-instances", "e") in one.store.objects
+
+            async with asyncio.timeout(IN_FORCE_SECONDS + 0.5):
+                await eventually(listed)
+            await reached(one, lambda daemon: "e" in daemon.feed.cache.instances)
+
+    run(scenario)
+
+
+def test_an_entry_that_was_removed_is_listed_again_until_it_is_removed_again():
+    async def scenario():
+        async with older_fleet() as one:
+            await settled(one)
+            one.store.write("wheatslip-instances", "gone", entry("gone"))
+            await reached(one, lambda daemon: "gone" in daemon.feed.cache.instances)
+            copy = one.store.copy()
+            one.store.remove("wheatslip-instances", "gone")
+            await reached(one, lambda daemon: "gone" not in daemon.feed.cache.instances)
+            one.store.restore(copy)
+            await reached(one, lambda daemon: "gone" in daemon.feed.cache.instances)
+            one.store.remove("wheatslip-instances", "gone")
+            await reached(one, lambda daemon: "gone" not in daemon.feed.cache.instances)
+
+    run(scenario)
+
+
+def test_a_zone_drained_twice_in_two_eras():
+    async def scenario():
+        async with older_fleet() as one:
+            await settled(one)
+            copy = one.store.copy()
+            for _ in range(2):
+                one.store.write("evacuations", "two", {"zone": "two"})
+                await reached(one, lambda daemon: bool(daemon.view.drains.drains))
+                one.store.restore(copy)
+                await reached(one, lambda daemon: not daemon.view.drains.drains)
+
+    run(scenario)
+
+
+def entry(name):
+    """A list entry of a daemon that is not there."""
+    return {
+        "name": name,
+        "pool": "other",
+        "zone": "two",
+        "address": "127.0.0.1",
+        "entry_port": 1,
+        "peer_port": 2,
+        "control_port": 3,
+    }
