--- a/packages/wheatslip/wheatslip/admission/coldstart.py
+++ b/packages/wheatslip/wheatslip/admission/coldstart.py
@@ -24,7 +24,7 @@
 WINDOW = 1.0  # seconds; the platform bounds a cold server by the second
 # Part of the pool's slack that is used for a burst. More leaves no room for starts that a new
 # connection holds up: a quarter of a second's may reach the server together
-# (`connect-timeout`). Less leaves slots idle. 0.9 was measured: 19 of 20 allowed in one second.
+# (`connect-timeout`). Less leaves slots idle.
 BURST_SHARE = 0.5
 
 
--- a/packages/wheatslip/wheatslip/admission/slowserver.py
+++ b/packages/wheatslip/wheatslip/admission/slowserver.py
@@ -21,11 +21,10 @@
 
 # Part of the time left to its target that a call may take on a slow server. Higher, it stays
 # though the estimate may be too short; lower, it goes elsewhere for nothing, which has its
-# price. Chosen, not measured.
+# price.
 CLOSE_MISS = 0.9
 # What a needless refusal at a server that has become fast again costs, as a part of what an
 # answer within its target is worth: a try elsewhere, or a wait until the server is probed.
-# Chosen, not measured.
 REFUSAL_LOSS = 0.1
 
 
--- a/packages/wheatslip/wheatslip/admission/ticket.py
+++ b/packages/wheatslip/wheatslip/admission/ticket.py
@@ -5,7 +5,7 @@
 from wheatslip.call import ANY_WAIT, Call
 
 # Part of the starts that urgent requests may take while others wait. More starves the others,
-# less makes urgent ones wait. Chosen, not measured.
+# less makes urgent ones wait.
 DEFAULT_URGENT_SHARE = 0.25
 
 
--- a/packages/wheatslip/wheatslip/admission/timing.py
+++ b/packages/wheatslip/wheatslip/admission/timing.py
@@ -36,20 +36,19 @@
 from wheatslip.speed import SLOW, USUAL, SpeedModel
 
 # Factor between two reports of the slowness that count as the same. Smaller, few answers are
-# learned from; larger, the usual time takes in what a slow spell did. Chosen, not measured.
+# learned from; larger, the usual time takes in what a slow spell did.
 SAME_SPEED = 1.3
 # Part of the time to its target that a kind of request takes which was not seen yet. Smaller,
-# it is held too long; larger, it is refused where it had time. Chosen, not measured.
+# it is held too long; larger, it is refused where it had time.
 UNKNOWN_SHARE = 0.3
 # A mean age of what runs beyond so many service times speaks of a slow-down: of requests caught
 # at a random moment, the mean age equals the mean service time only in the worst case.
-# Measured: at a slow-down of ten, 0.87 of what an ideal queue reaches that does not see it.
 OLD_AGE = 2
 
 # Parts of the time left that a request may take which starts after its latest start. More takes
 # slots from requests in time; less refuses requests whose late answer is still worth something.
-LATE_TARGET_SHARE = 1.5  # of the time to the target; chosen, not measured
-LATE_DEADLINE_SHARE = 0.4  # of the time to the deadline; measured against not starting it
+LATE_TARGET_SHARE = 1.5  # of the time to the target
+LATE_DEADLINE_SHARE = 0.4  # of the time to the deadline
 # The same with half of the slots free: it keeps no other waiting, so it starts if it meets its
 # deadline with room for the error of the estimate. A request that another one made would fail
 # that one if it was refused.
--- a/packages/wheatslip/wheatslip/attempts.py
+++ b/packages/wheatslip/wheatslip/attempts.py
@@ -46,7 +46,7 @@
 from wheatslip.upstream import Upstream
 
 # Tries of a call in all, also those that no backend server saw, which cost messages only and
-# which `Call.max_attempts` does not count. Chosen, not measured.
+# which `Call.max_attempts` does not count.
 MAX_TRIES = 6
 SERVER_ERROR = 500  # HTTP statuses from here on are failures of the backend server
 
--- a/packages/wheatslip/wheatslip/budget.py
+++ b/packages/wheatslip/wheatslip/budget.py
@@ -11,13 +11,13 @@
 from typing import Protocol
 
 # Tokens that a request earns: retries per request. With less, single failures reach callers;
-# with more, retries add load where servers fail of load. Chosen, not measured.
+# with more, retries add load where servers fail of load.
 RETRY_SHARE = 0.1
-INITIAL_TOKENS = 3.0  # so that the first failures of a new budget are retried. Chosen.
-# Tokens that a budget can save up, which bounds a burst of retries. Chosen, not measured.
+INITIAL_TOKENS = 3.0  # so that the first failures of a new budget are retried
+# Tokens that a budget can save up, which bounds a burst of retries.
 MAX_TOKENS = 20.0
 # Buckets that a window is counted in: more cost memory, fewer let go of requests in larger
-# steps, so fewer retries are allowed. Chosen, not measured.
+# steps, so fewer retries are allowed.
 BUCKETS = 20
 
 
--- a/packages/wheatslip/wheatslip/callerwait.py
+++ b/packages/wheatslip/wheatslip/callerwait.py
@@ -10,11 +10,11 @@
 
 # Seconds, at least, in which the longest deadline of a route is looked for. Shorter, a pause
 # between first attempts hides the full deadline; longer, a shorter one counts as waiting for
-# longer after callers have changed theirs. Chosen, not measured.
+# longer after callers have changed theirs.
 LONGEST_WINDOW = 10.0
-MAX_ROUTES = 10_000  # bounds the memory; the route added first is dropped. Chosen.
+MAX_ROUTES = 10_000  # bounds the memory; the route added first is dropped
 # Part of the longest deadline from which on an attempt counts as a first one: callers send what
-# is left when they write, a little less than they have. Chosen, not measured.
+# is left when they write, a little less than they have.
 FIRST_SHARE = 0.97
 
 
--- a/packages/wheatslip/wheatslip/chooser.py
+++ b/packages/wheatslip/wheatslip/chooser.py
@@ -25,8 +25,7 @@
 
 Load pattern: many entries choose at the same moment by the same reports. Each that took the
 best server would send its requests to the same one (herding); so reports count half and fade,
-small differences count as none, and candidates are drawn. docs/DECISIONS.md has the trials;
-"within the spread" below means that other values measured the same there.
+small differences count as none, and candidates are drawn. docs/DECISIONS.md has the trials.
 """
 
 from collections.abc import Sequence, Set
@@ -42,44 +41,41 @@
 __all__ = ["Chooser", "ChooserSettings", "Upstream"]
 
 # Load at a server changes completely in about the time that one request takes there, so a
-# report is trusted for this many service times (to 1/e). Measured: 0.5 is too short, 1 to 8
-# are within the spread.
+# report is trusted for this many service times (to 1/e).
 TRUST_SERVICE_TIMES = 4.0
 # Weights of an entry's own requests in flight and of the load by reports, in the fill of a
-# server. Measured: with them a wave of arrivals is answered sooner, and own requests alone do
-# worse. More weight on reports makes entries herd.
+# server. With the reports a wave of arrivals is answered sooner; more weight on them makes
+# entries herd.
 OWN_WEIGHT = 2.0
 REPORT_WEIGHT = 0.5
 # Weight of one report in the mean load and mean limit of a pool: the mean covers the last 20
-# reports or so. Chosen, not measured.
+# reports or so.
 POOL_LOAD_WEIGHT = 0.05
 MIN_SERVICE = 1e-6  # seconds; keeps a report of no service time from dividing by zero
-# Ratio up to which service times count as equal. Measured: without it entries follow noise and
+# Ratio up to which service times count as equal. Without it entries follow noise and
 # herd, and several times as many first tries are refused.
 SAME_SERVICE = 1.5
 # Share of the picks that an upstream takes part in when it has just joined. With none it would
-# report nothing, and so stay unknown, until its warm-up is over. Chosen, not measured.
+# report nothing, and so stay unknown, until its warm-up is over.
 WARM_UP_FLOOR = 0.05
 # Seconds in which a report of slowness falls to 1/e. Longer, entries avoid a server that is
-# fast again; shorter, they go back to one that is still slow. Chosen, not measured.
+# fast again; shorter, they go back to one that is still slow.
 SLOWNESS_MEMORY = 0.05
 # Largest part of its cost that is added to a candidate at random. Below the differences that
-# matter, above those of rounding. Chosen, not measured.
+# matter, above those of rounding.
 COST_JITTER = 0.02
-# Candidates from other availability zones, at least. Measured: with none, a zone whose callers
+# Candidates from other availability zones, at least. With none, a zone whose callers
 # grow does not see the room of the others.
 FAR_CANDIDATES = 2
 # Expected wait, in service times, at a server that is just full; the power by which it rises up
-# to there; and how much each further fill of the limit adds. Within the spread: 0.3 to 2 for
-# the weights, powers from 1 to 4.
+# to there; and how much each further fill of the limit adds.
 CROWDING = 1.0
 CROWDING_POWER = 2
 CROWDING_BEYOND = 2.0
-# Seconds that a certain failure costs. Measured against no such cost: a server that fails fast
-# draws requests then, as it looks idle.
+# Seconds that a certain failure costs. Without it a server that fails fast draws requests,
+# as it looks idle.
 ERROR_COST = 1.0
 # Factor of the cost where only the list calls an upstream unhealthy: a hint, as the list lags.
-# Chosen, not measured.
 UNHEALTHY_FACTOR = 2.0
 
 
--- a/packages/wheatslip/wheatslip/config/bundle.py
+++ b/packages/wheatslip/wheatslip/config/bundle.py
@@ -18,7 +18,7 @@
 
 # What a daemon can work with; a bundle with other numbers is refused when it is read, whoever
 # wrote it. Applied, it would stop each daemon that takes it (a rate of 1e308 a second did).
-# Longer than a week no request, and no cold start, lasts; the others are chosen beyond all use.
+# Longer than a week no request, and no cold start, lasts; the others are beyond all use.
 Seconds = Annotated[float, Meta(ge=0.0, le=604_800.0)]
 Rate = Annotated[float, Meta(ge=0.0, le=1e6)]  # a second
 Share = Annotated[float, Meta(ge=0.001, le=1000.0)]
--- a/packages/wheatslip/wheatslip/config/releases.py
+++ b/packages/wheatslip/wheatslip/config/releases.py
@@ -25,7 +25,7 @@
 from wheatslip.store.objectclient import ObjectClient
 from wheatslip.store.objects import Conflict, StoredObject, Unavailable
 
-SIGN_TRIES = 5  # of adding a signature while others add theirs; chosen, not measured
+SIGN_TRIES = 5  # of adding a signature while others add theirs
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/wheatslip/wheatslip/distribution/chunks.py
+++ b/packages/wheatslip/wheatslip/distribution/chunks.py
@@ -11,11 +11,11 @@
 from result import Err, Ok, Result
 
 CHUNK_BYTES = 32 * 1024  # a twentieth of a second on a link of 650 kB/s
-PACK_FROM = 1024  # bytes; a shorter message is sent as it is; chosen, not measured
+PACK_FROM = 1024  # bytes; a shorter message is sent as it is
 # The fastest of zlib's levels. A difference of 1,400 routes has 242 kB: level 1 makes 27 kB of
 # it in 1 ms, level 6 makes 23 kB in 2.2 ms.
 PACK_LEVEL = 1
-# Bytes unpacked; a longer message is refused as a defect of the sender. Chosen, not measured.
+# Bytes unpacked; a longer message is refused as a defect of the sender.
 LONGEST_MESSAGE = 64 * 1024 * 1024
 
 
--- a/packages/wheatslip/wheatslip/distribution/endlog.py
+++ b/packages/wheatslip/wheatslip/distribution/endlog.py
@@ -9,7 +9,7 @@
 
 from wheatslip.quarantine import EndReport, is_valid
 
-# Reports kept for followers, up to 1.3 kB each; the oldest give way. Chosen, not measured.
+# Reports kept for followers, up to 1.3 kB each; the oldest give way.
 MAX_REPORTS = 512
 
 
--- a/packages/wheatslip/wheatslip/distribution/feedcache.py
+++ b/packages/wheatslip/wheatslip/distribution/feedcache.py
@@ -20,10 +20,8 @@
 from wheatslip.store.instances import Instance
 
 # Differences of bundles that are kept; a follower that lacks more gets the whole bundle.
-# Chosen, not measured.
 KEPT_DELTAS = 64
-# Changes of the list that are kept; a follower that lacks more gets the whole list. Chosen, not
-# measured.
+# Changes of the list that are kept; a follower that lacks more gets the whole list.
 KEPT_LIST_CHANGES = 2000
 UNKNOWN = -1  # version of zone drains that are not known
 
--- a/packages/wheatslip/wheatslip/distribution/relaytree.py
+++ b/packages/wheatslip/wheatslip/distribution/relaytree.py
@@ -15,7 +15,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from functools import lru_cache
 
-# Watchers of each zone, unless the settings say otherwise: one can fail. Chosen, not measured.
+# Watchers of each zone, unless the settings say otherwise: one can fail.
 WATCHERS = 2
 # Followers for which a daemon is the first parent; docs/CAPACITY.md has the bytes behind it.
 FANOUT = 3
--- a/packages/wheatslip/wheatslip/exposure.py
+++ b/packages/wheatslip/wheatslip/exposure.py
@@ -10,13 +10,12 @@
 
 # Seconds that a request without an answer stays exposed after its connection broke: the
 # connections of a process that ends break within a few milliseconds of each other, but the end
-# is found out by a connection that may take some time. Chosen, not measured.
+# is found out by a connection that may take some time.
 BROKEN_SECONDS = 0.5
 # Seconds that a request stays exposed after its caller left: the server may still run it.
-# Chosen, not measured.
 LEFT_SECONDS = 1.0
 # Seconds for which an answer speaks for its request, at the next end only. Longer, one that
-# begins to end servers (with new data, say) is found out later. Chosen, not measured.
+# begins to end servers (with new data, say) is found out later.
 ANSWER_SECONDS = 30.0
 # Answers remembered, about 150 bytes each; the oldest give way. A server with 30 answers a
 # second fills it in half a minute.
--- a/packages/wheatslip/wheatslip/fairqueue.py
+++ b/packages/wheatslip/wheatslip/fairqueue.py
@@ -12,10 +12,10 @@
 T = TypeVar("T")
 
 # Workspaces whose place in virtual time is remembered before those that have caught up are
-# dropped; fewer only drop them more often. Chosen, not measured.
+# dropped; fewer only drop them more often.
 MAX_LEFT_OFF = 1000
 # Urgent starts that may be saved up while none waits. More would let a burst of urgent items
-# hold up the others for longer. Chosen, not measured.
+# hold up the others for longer.
 MAX_URGENT_CREDIT = 2.0
 
 
--- a/packages/wheatslip/wheatslip/ledger.py
+++ b/packages/wheatslip/wheatslip/ledger.py
@@ -12,11 +12,11 @@
 from uuid import UUID
 
 # Seconds that a record is kept, and records at most. With fewer, a key that is sent again late
-# gets "unknown" instead of its first answer; more take memory. Chosen, not measured.
+# gets "unknown" instead of its first answer; more take memory.
 KEPT_SECONDS = 600.0
 MAX_RECORDS = 50_000
 # Bytes of one answer that is kept for a re-send, and of all of them; a larger one is not kept,
-# so its re-send gets "unknown". Chosen, not measured.
+# so its re-send gets "unknown".
 MAX_KEPT_ANSWER = 16 * 1024
 MAX_KEPT_ANSWERS = 16 * 1024 * 1024
 # Seconds by which a caller's clock may differ from ours. Below the real difference a key that
--- a/packages/wheatslip/wheatslip/limit.py
+++ b/packages/wheatslip/wheatslip/limit.py
@@ -8,27 +8,26 @@
 from dataclasses import dataclass
 
 # Requests that may run at one time before anything is learned. Higher, a small server is
-# overrun at first; lower, a large one idles until the limit has grown. Chosen, not measured.
+# overrun at first; lower, a large one idles until the limit has grown.
 INITIAL_LIMIT = 8
 # Bounds of the limit. Below the lower one a server that was slow for a while would serve one
-# request at a time; beyond the upper one the limit protects nothing. Chosen, not measured.
+# request at a time; beyond the upper one the limit protects nothing.
 MIN_LIMIT = 2
 MAX_LIMIT = 1000
 # Weight of one answer in the service time: about the last ten count. Less follows a change
-# late, more follows single answers. Chosen, not measured.
+# late, more follows single answers.
 SERVICE_WEIGHT = 0.1
 # Mean time of a window / unhurried time, below which the limit grows and above which it
-# shrinks. Nearer to each other the limit swings, further apart it stays where it is. Chosen,
-# not measured.
+# shrinks. Nearer to each other the limit swings, further apart it stays where it is.
 GROW_BELOW = 1.25
 SHRINK_ABOVE = 1.6
 # By which a limit shrinks in one window: smaller gives up slots for one bad window, larger
-# leaves an overload standing. Chosen, not measured.
+# leaves an overload standing.
 SHRINK_FACTOR = 0.9
 # Part by which the unhurried time follows a slower window, so that a lasting slow-down becomes
-# the new normal. More forgets the unhurried time during an overload. Chosen, not measured.
+# the new normal. More forgets the unhurried time during an overload.
 BASELINE_DRIFT = 0.02
-# Seconds that a request is taken to last until the first answer. Chosen, not measured.
+# Seconds that a request is taken to last until the first answer.
 INITIAL_SERVICE = 0.005
 
 
--- a/packages/wheatslip/wheatslip/owners.py
+++ b/packages/wheatslip/wheatslip/owners.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 
 # Memberships remembered. With fewer, a key that has long been ours counts as taken over later
-# than it was, so that fewer old keys run; more take memory. Chosen, not measured.
+# than it was, so that fewer old keys run; more take memory.
 KEPT_VIEWS = 256
 # Seconds that an owner acts after its list was last checked, and a new owner waits. Two quiet
 # watches of the platform, with room for the relays: shorter refuses keys while nothing is
--- a/packages/wheatslip/wheatslip/quarantine.py
+++ b/packages/wheatslip/wheatslip/quarantine.py
@@ -30,8 +30,7 @@
 # gate knows of them, would be held; with 4, each request that ends servers ends one more.
 HELD_AFTER = 3
 # Seconds for which a report counts. A held request is refused for as long, and an innocent one
-# at the most; a request that ends servers ends three more in each such time. Chosen, not
-# measured.
+# at the most; a request that ends servers ends three more in each such time.
 REPORT_SECONDS = 300.0
 # Requests of one end that are reported, the latest ones; a server with more slots has others
 # reported at its next end. Bounds a report to about 1.3 kB.
--- a/packages/wheatslip/wheatslip/resting.py
+++ b/packages/wheatslip/wheatslip/resting.py
@@ -8,12 +8,12 @@
 from dataclasses import dataclass
 
 # Part of the idle time before a reset that is still trusted: more, and the next connection is
-# reset as well; less, and connections are opened that were not needed. Chosen, not measured.
+# reset as well; less, and connections are opened that were not needed.
 MARGIN = 0.5
 # Seconds after the last such reset until any idle time is trusted again, as the server may have
-# been replaced. Chosen, not measured.
+# been replaced.
 MEMORY = 10.0
-# Seconds; a reset after a shorter idle time has another cause. Chosen, not measured.
+# Seconds; a reset after a shorter idle time has another cause.
 LONG_ENOUGH = 0.05
 
 
--- a/packages/wheatslip/wheatslip/retryafter.py
+++ b/packages/wheatslip/wheatslip/retryafter.py
@@ -38,10 +38,10 @@
 its HTTP status, 503 where it names no other. Callers by routes get `UNTIMED` with a 503 that
 has no time; callers with a workspace's credential get no `Retry-After` then.
 
-All times but those of `overloaded` and `held` are chosen, not measured: 1 s where the daemon
-can't know when the cause ends, less where a probe or a heartbeat decides soon, and the shortest
-where another server can take the request at once. A longer time keeps callers away from servers
-with room; a shorter one has them refused again.
+All times but those of `overloaded` and `held` are fixed: 1 s where the daemon can't know when
+the cause ends, less where a probe or a heartbeat decides soon, and the shortest where another
+server can take the request at once. A longer time keeps callers away from servers with room; a
+shorter one has them refused again.
 """
 
 from wheatslip.outcome import NotRun, Reason
--- a/packages/wheatslip/wheatslip/servicetimes.py
+++ b/packages/wheatslip/wheatslip/servicetimes.py
@@ -3,10 +3,10 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-# Weight of one answer in the mean of its kind: about the last ten count. Chosen, not measured.
+# Weight of one answer in the mean of its kind: about the last ten count.
 WEIGHT = 0.1
 # Kinds that are remembered, so that made-up names don't take memory without bound; the kind
-# that was seen first goes first. Chosen, not measured.
+# that was seen first goes first.
 MAX_KINDS = 1000
 
 
--- a/packages/wheatslip/wheatslip/speed.py
+++ b/packages/wheatslip/wheatslip/speed.py
@@ -22,8 +22,7 @@
 from math import exp
 
 # Slowness from which on a server counts as slow, and is spared what others can take. Lower,
-# ordinary noise counts as slow; higher, work goes to servers that are worth avoiding. Chosen,
-# not measured.
+# ordinary noise counts as slow; higher, work goes to servers that are worth avoiding.
 SLOW = 1.3
 USUAL = 1.0  # slowness of a server that is as fast as usual
 # Seconds of reports whose least slowness is the base slowness. Shorter than a slow spell, the
@@ -31,15 +30,15 @@
 # long. Slow spells seen so far hardly ever last as long.
 BASE_MEMORY = 1.0
 # Seconds of close reports before they may raise the base slowness: the first report of a server
-# may come from a slow spell. Chosen, not measured.
+# may come from a slow spell.
 BASE_SURE_AFTER = 0.2
 # Two reports further apart than this (seconds) may have a whole spell between them, so they say
 # nothing of how long one lasts. Slow spells seen so far last 0.1 to 0.4 s.
 CLOSE_REPORTS = 0.25
 # Seconds of each state that are remembered; older ones count half. That is some dozens of
-# spells: fewer make the chances noisy, more adapt late. Chosen, not measured.
+# spells: fewer make the chances noisy, more adapt late.
 SPELL_MEMORY = 20.0
-# Weight of one report in the slow factor: about the last ten count. Chosen, not measured.
+# Weight of one report in the slow factor: about the last ten count.
 SLOW_FACTOR_WEIGHT = 0.1
 
 # What is assumed of a server that has reported little, and for how many seconds of reports the
--- a/packages/wheatslip/wheatslip/store/backoff.py
+++ b/packages/wheatslip/wheatslip/store/backoff.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-# Bounds of the first and of the longest wait, in seconds; chosen, not measured.
+# Bounds of the first and of the longest wait, in seconds.
 BACKOFF_FIRST = 0.1
 BACKOFF_LAST = 5.0
 MAX_DOUBLINGS = 30  # far beyond any longest wait, and small enough for a float
--- a/packages/wheatslip/wheatslip/store/objectclient.py
+++ b/packages/wheatslip/wheatslip/store/objectclient.py
@@ -26,11 +26,11 @@
 if TYPE_CHECKING:
     import aiohttp
 
-# Seconds without a byte of an answer, besides what a watch waits; chosen, not measured.
+# Seconds without a byte of an answer, besides what a watch waits.
 REQUEST_TIMEOUT = 2.0
 # Seconds for a whole answer, besides: a bundle of 16 MB at 1 MB/s.
 WHOLE_ANSWER_TIMEOUT = 16.0
-READ_BACK_TRIES = 5  # of a write whose answer was lost; chosen, not measured
+READ_BACK_TRIES = 5  # of a write whose answer was lost
 
 
 class WriteBody(msgspec.Struct, frozen=True):
--- a/packages/wheatslip/wheatslip/store/objects.py
+++ b/packages/wheatslip/wheatslip/store/objects.py
@@ -15,8 +15,7 @@
 
 from wheatslip.store.backoff import BACKOFF_LAST, Backoff
 
-# Seconds that one watch waits, so also how often a quiet one confirms that nothing has changed;
-# chosen, not measured.
+# Seconds that one watch waits, so also how often a quiet one confirms that nothing has changed.
 WATCH_SECONDS = 5.0
 
 
--- a/packages/wheatslip/wheatslip/store/registration.py
+++ b/packages/wheatslip/wheatslip/store/registration.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-# Ids remembered so that their late heartbeats change nothing; chosen, not measured.
+# Ids remembered so that their late heartbeats change nothing.
 MAX_RETIRED = 1000
 # Seconds between two heartbeats of a new id after which it is registered without an answer of
 # the health endpoint. It is less than the pause between two heartbeats of a server that lives,
--- a/packages/wheatslip/wheatslip/upstream.py
+++ b/packages/wheatslip/wheatslip/upstream.py
@@ -11,20 +11,20 @@
 
 # Seconds that an upstream is left alone after its first failure, twice as many after each
 # further one, and at most. Shorter, requests go on meeting a lost server; longer, a server
-# that is back stays idle. Chosen, not measured.
+# that is back stays idle.
 FAILURE_FIRST_PAUSE = 0.2
 FAILURE_LAST_PAUSE = 5.0
 # An upstream whose machine must be gone: no connection for so many seconds, which are longer
 # than a restart or a short cut, and so many failures, as time alone shows nothing where nobody
-# tried. Chosen, not measured.
+# tried.
 DEAD_AFTER = 15.0
 DEAD_AFTER_FAILURES = 4
-# Weight of one answer in the error rate of an upstream. Chosen, not measured.
+# Weight of one answer in the error rate of an upstream.
 ERROR_WEIGHT = 0.3
-# Seconds in which an error rate falls to 1/e. Measured together with `chooser.ERROR_COST`.
+# Seconds in which an error rate falls to 1/e.
 ERROR_MEMORY = 1.0
-# Seconds for which a good answer outweighs the list. Measured: without it a list that is wrong
-# about many servers crowds the others.
+# Seconds for which a good answer outweighs the list. Without it a list that is wrong about many
+# servers crowds the others.
 VOUCHED_SECONDS = 5.0
 
 
--- a/packages/wheatslipd/wheatslipd/controllers/membership.py
+++ b/packages/wheatslipd/wheatslipd/controllers/membership.py
@@ -22,7 +22,7 @@
 from wheatslipd.telemetry import logs
 from wheatslipd.tls import PeerTls
 
-PEER_CONNECTIONS = 256  # to one peer, at most; chosen, not measured
+PEER_CONNECTIONS = 256  # to one peer, at most
 # Seconds within which a daemon that lives writes a lapsed entry again: the users' platform asks
 # for that.
 LAPSE_GRACE = 2.0
--- a/packages/wheatslipd/wheatslipd/entry/filters.py
+++ b/packages/wheatslipd/wheatslipd/entry/filters.py
@@ -24,7 +24,7 @@
 KEY_HEADER = b"wheatslip-key"
 DEADLINE_HEADER = b"wheatslip-deadline-ms"
 DEPTH_HEADER = b"wheatslip-depth"
-MAX_DEPTH = 16  # calls in a chain; a longer one is most likely a loop. Chosen, not measured.
+MAX_DEPTH = 16  # calls in a chain; a longer one is most likely a loop.
 BEARER = b"Bearer "
 # Methods that HTTP defines as safe: repeatable unless the caller names a kind.
 SAFE_METHODS = frozenset({b"GET", b"HEAD", b"OPTIONS"})
--- a/packages/wheatslipd/wheatslipd/entry/forward.py
+++ b/packages/wheatslipd/wheatslipd/entry/forward.py
@@ -42,10 +42,10 @@
 
 TIME_DIGITS = 3  # of seconds that travel with a request: milliseconds
 # Bytes of a body that are kept, so that it can be sent again; a larger one is streamed, and
-# sent once. Each request under way may hold as much. Chosen, not measured.
+# sent once. Each request under way may hold as much.
 REPLAY_LIMIT = 64 * 1024
 # Seconds. Shorter, a peer that lost a packet counts as unreachable; longer, a lost machine
-# holds a request for as long. Chosen, not measured.
+# holds a request for as long.
 CONNECT_TIMEOUT = 0.25
 # Refusals by which a gate says that its server is in trouble.
 _SERVER_TROUBLE = frozenset({Reason.UNREACHABLE, Reason.CONNECTION_LOST, Reason.SERVER_ENDED})
--- a/packages/wheatslipd/wheatslipd/feed/endreporter.py
+++ b/packages/wheatslipd/wheatslipd/feed/endreporter.py
@@ -13,7 +13,7 @@
 from wheatslipd.feed.relay import EndReports, report_ends
 from wheatslipd.tls import PeerTls
 
-# Seconds until a parent that did not take reports is tried again; chosen, not measured.
+# Seconds until a parent that did not take reports is tried again.
 RETRY_SECONDS = 0.5
 
 
--- a/packages/wheatslipd/wheatslipd/feed/endstore.py
+++ b/packages/wheatslipd/wheatslipd/feed/endstore.py
@@ -17,7 +17,7 @@
 from wheatslipd.feed.access import PlatformAccess, log_trouble
 from wheatslipd.telemetry import logs
 
-# Own reports that are kept, up to 1.3 kB each; the oldest give way. Chosen, not measured.
+# Own reports that are kept, up to 1.3 kB each; the oldest give way.
 MAX_KEPT = 16
 
 
--- a/packages/wheatslipd/wheatslipd/feed/feed.py
+++ b/packages/wheatslipd/wheatslipd/feed/feed.py
@@ -31,7 +31,7 @@
 from wheatslipd.telemetry import logs
 from wheatslipd.tls import PeerTls
 
-AGE_LOOK_SECONDS = 1.0  # between looks at the age of the head; chosen, not measured
+AGE_LOOK_SECONDS = 1.0  # between looks at the age of the head
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/wheatslipd/wheatslipd/feed/following.py
+++ b/packages/wheatslipd/wheatslipd/feed/following.py
@@ -15,17 +15,17 @@
 from wheatslipd.tls import PeerTls
 
 # Seconds for which a parent may send the same `as_of` before the next parent is tried: some
-# heartbeats for each step of the tree. Chosen, not measured.
+# heartbeats for each step of the tree.
 STALE_TIMEOUT = 15.0
-NEXT_PARENT_PAUSE = 0.2  # seconds before the next parent is tried; chosen, not measured
+NEXT_PARENT_PAUSE = 0.2  # seconds before the next parent is tried
 # Seconds before the parents are tried again after all of them failed. The platform is read once
-# in that time, so this bounds what a zone without its watchers costs. Chosen, not measured.
+# in that time, so this bounds what a zone without its watchers costs.
 ROUND_PAUSE = 1.0
 
 
 def list_timeout(list_watch: float) -> float:
     """Seconds for which a parent may send the same `checked`: two watches of the list, which
-    confirm it at their ends, beside the time of the way. Chosen, not measured.
+    confirm it at their ends, beside the time of the way.
     """
     return STALE_TIMEOUT + 2 * list_watch
 
--- a/packages/wheatslipd/wheatslipd/feed/hints.py
+++ b/packages/wheatslipd/wheatslipd/feed/hints.py
@@ -13,13 +13,13 @@
 from wheatslipd.tls import PeerTls
 
 # Seconds, half to one and a half times, in which the version may come by the tree before the
-# daemon that gave the hint is asked. Chosen, not measured.
+# daemon that gave the hint is asked.
 HINT_DELAY = 0.25
 # Seconds in which the daemon that gave the hint may send the version before the platform is
-# read. Chosen, not measured.
+# read.
 HINT_TIMEOUT = 1.5
 # Seconds between two hints that are acted on, which bounds the reads of the platform that hints
-# cause. Chosen, not measured.
+# cause.
 HINT_SPACING = 1.0
 
 
--- a/packages/wheatslipd/wheatslipd/feed/proof.py
+++ b/packages/wheatslipd/wheatslipd/feed/proof.py
@@ -11,7 +11,7 @@
 
 from wheatslipd.settings import ConfigurationSource, Settings
 
-# Longest bundle from a platform that is trusted without signatures. Chosen, not measured.
+# Longest bundle from a platform that is trusted without signatures.
 TRUSTED_BUNDLE_BYTES = 16 * 1024 * 1024
 
 
--- a/packages/wheatslipd/wheatslipd/feed/reader.py
+++ b/packages/wheatslipd/wheatslipd/feed/reader.py
@@ -21,7 +21,7 @@
 from wheatslipd.telemetry import logs
 
 # Stale lists that are read in search of the own entry before a present one is read, which the
-# users' platform charges ten times as much for. Chosen, not measured.
+# users' platform charges ten times as much for.
 SETTLE_READS = 3
 
 
--- a/packages/wheatslipd/wheatslipd/gate/gate.py
+++ b/packages/wheatslipd/wheatslipd/gate/gate.py
@@ -27,8 +27,7 @@
 
 # Requests in a row that find no connection, or lose it before the answer, after which the
 # server counts as lost. With one, a single broken connection would close the gate; with more,
-# requests that may not run twice are spent on a server that is gone. Measured on the replay of
-# an incident: 66 requests at a dead server, 103 without the rule.
+# requests that may not run twice are spent on a server that is gone.
 LOST_IN_A_ROW = 2
 
 
--- a/packages/wheatslipd/wheatslipd/gate/measure.py
+++ b/packages/wheatslipd/wheatslipd/gate/measure.py
@@ -16,7 +16,7 @@
 from wheatslipd.telemetry.metrics import Metrics
 
 DRAINING_HEADER = b"x-draining"
-# Seconds that a probe may take; a longer one only delays the next. Chosen, not measured.
+# Seconds that a probe may take; a longer one only delays the next.
 PROBE_TIMEOUT = 1.0
 
 
--- a/packages/wheatslipd/wheatslipd/gate/peerport.py
+++ b/packages/wheatslipd/wheatslipd/gate/peerport.py
@@ -47,9 +47,8 @@
 
 # Seconds that a request waits for a configuration which its entry has already and this daemon
 # has not: shorter refuses requests while a change travels, longer only delays their next try.
-# Chosen, not measured.
 CATCH_UP_SECONDS = 0.5
-CATCH_UP_STEP = 0.02  # seconds between two looks at the version; chosen, not measured
+CATCH_UP_STEP = 0.02  # seconds between two looks at the version
 # Bytes of a body that are waited for before a request takes a slot: less lets slow bodies hold
 # slots, more holds memory for each request. As much as an entry sends ahead.
 BODY_HOLD = 64 * 1024
--- a/packages/wheatslipd/wheatslipd/gate/recoveryprobe.py
+++ b/packages/wheatslipd/wheatslipd/gate/recoveryprobe.py
@@ -14,7 +14,7 @@
 from wheatslipd.gate.speedcheck import SpeedCheck
 
 # Seconds between probes of a lost server: shorter loads a server in trouble, longer keeps a
-# server that is back without work. Chosen, not measured.
+# server that is back without work.
 LOST_INTERVAL = 0.2
 
 
--- a/packages/wheatslipd/wheatslipd/gate/serverend.py
+++ b/packages/wheatslipd/wheatslipd/gate/serverend.py
@@ -20,10 +20,10 @@
 
 # Seconds from a check that found the server listening to the next one. Shorter, a server that
 # resets many connections gets as many more; longer, the requests that wait for the check wait
-# longer. Chosen, not measured.
+# longer.
 CHECK_PAUSE = 0.05
 # Seconds in which all connections of a process that has ended break. A server that resets some,
-# or refuses one more because it is full, goes on with the others. Chosen, not measured.
+# or refuses one more because it is full, goes on with the others.
 BREAK_SECONDS = 0.01
 MAX_LOGGED = 16  # fingerprints in the line of one end
 
--- a/packages/wheatslipd/wheatslipd/gate/speedcheck.py
+++ b/packages/wheatslipd/wheatslipd/gate/speedcheck.py
@@ -18,14 +18,13 @@
 from wheatslipd.telemetry.metrics import Metrics
 
 # Seconds that a probe may take. The endpoint answers in a few milliseconds, or is in trouble;
-# longer, one lost answer holds up the next probe. Chosen, not measured.
+# longer, one lost answer holds up the next probe.
 TIMEOUT = 0.2
 # Seconds that a request waits for the answer; the probe itself goes on. Shorter, answers come
-# too late for it; longer, it costs more than the slow start that it may spare. Chosen, not
-# measured.
+# too late for it; longer, it costs more than the slow start that it may spare.
 REQUEST_TIMEOUT = 0.02
 # Seconds without probes for requests after one that was not answered in time: less holds up
-# more requests for nothing, more starts them on old reports. Chosen, not measured.
+# more requests for nothing, more starts them on old reports.
 UNANSWERED_PAUSE = 0.5
 
 
--- a/packages/wheatslipd/wheatslipd/gate/suspects.py
+++ b/packages/wheatslipd/wheatslipd/gate/suspects.py
@@ -16,7 +16,6 @@
 
 # Seconds that a suspect waits for another one at the most: some service times. Longer, one that
 # hangs holds up all; shorter, innocent ones are refused while they could still be answered.
-# Chosen, not measured.
 LANE_SECONDS = 1.0
 
 
--- a/packages/wheatslipd/wheatslipd/http/body.py
+++ b/packages/wheatslipd/wheatslipd/http/body.py
@@ -5,7 +5,6 @@
 from collections.abc import AsyncIterator, Callable
 
 # Bytes held before the socket is no longer read; each request under way may hold as many.
-# Chosen, not measured.
 HIGH_WATER = 64 * 1024
 
 
--- a/packages/wheatslipd/wheatslipd/http/client.py
+++ b/packages/wheatslipd/wheatslipd/http/client.py
@@ -18,8 +18,7 @@
 
 INTERIM_LIMIT = 200  # HTTP statuses below it announce the final response
 # Milliseconds for which sent bytes may be unacknowledged. Shorter, a few lost packets end a
-# connection whose request may have run; longer, requests wait for a lost machine. Chosen, not
-# measured.
+# connection whose request may have run; longer, requests wait for a lost machine.
 UNACKNOWLEDGED_MS = 400
 # Seconds without traffic after which the other machine is probed, and between two probes, of
 # which so many may be lost: the shortest that the system takes.
--- a/packages/wheatslipd/wheatslipd/http/connection.py
+++ b/packages/wheatslipd/wheatslipd/http/connection.py
@@ -4,7 +4,6 @@
 from typing import cast
 
 # Bounds of a message's head; above what callers send, so that one can't fill the memory.
-# Chosen, not measured.
 MAX_HEAD_BYTES = 32 * 1024
 MAX_HEADERS = 100
 
--- a/packages/wheatslipd/wheatslipd/http/exchange.py
+++ b/packages/wheatslipd/wheatslipd/http/exchange.py
@@ -15,7 +15,7 @@
 )
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-# Bytes of a response that wait for more before they are sent. Chosen, not measured.
+# Bytes of a response that wait for more before they are sent.
 HOLD_AT_MOST = 16 * 1024
 
 
--- a/packages/wheatslipd/wheatslipd/http/server.py
+++ b/packages/wheatslipd/wheatslipd/http/server.py
@@ -14,14 +14,13 @@
 from wheatslipd.http.messages import RequestHead, ResponseHead, encode_response
 from wheatslipd.telemetry import logs
 
-# Requests of a connection that wait behind the present one before it is no longer read. Chosen,
-# not measured.
+# Requests of a connection that wait behind the present one before it is no longer read.
 MAX_PIPELINED = 8
-BACKLOG = 1024  # connections that wait to be accepted. Chosen, not measured.
+BACKLOG = 1024  # connections that wait to be accepted.
 # Seconds until an idle connection is closed; longer than `pool.IDLE_SECONDS`, so that a client
-# of ours closes first. Chosen, not measured.
+# of ours closes first.
 IDLE_SECONDS = 60.0
-SWEEP_SECONDS = 10.0  # between two looks for idle connections. Chosen, not measured.
+SWEEP_SECONDS = 10.0  # between two looks for idle connections.
 
 Handler = Callable[[Exchange], Awaitable[None]]
 
--- a/packages/wheatslipd/wheatslipd/registration/ownserver.py
+++ b/packages/wheatslipd/wheatslipd/registration/ownserver.py
@@ -26,7 +26,7 @@
 from wheatslipd.settings import Settings
 from wheatslipd.shared import Shared
 
-# Seconds that a planned stop waits for the last write of our list entry; chosen, not measured.
+# Seconds that a planned stop waits for the last write of our list entry.
 PUBLISH_TIMEOUT = 0.5
 
 
--- a/packages/wheatslipd/wheatslipd/registration/registrar.py
+++ b/packages/wheatslipd/wheatslipd/registration/registrar.py
@@ -23,9 +23,9 @@
 from wheatslipd.telemetry import logs
 
 PATH = b"/heartbeats/"
-MAX_HEARTBEAT_BYTES = 64 * 1024  # chosen, not measured
+MAX_HEARTBEAT_BYTES = 64 * 1024
 # Seconds from the begin of one question to the health endpoint to the begin of the next; and
-# until a question without an answer is given up. Chosen, not measured.
+# until a question without an answer is given up.
 ASK_SECONDS = 0.25
 ASK_TIMEOUT = 0.25
 GOOD = 200  # HTTP status of the health endpoint
--- a/packages/wheatslipd/wheatslipd/registration/removal.py
+++ b/packages/wheatslipd/wheatslipd/registration/removal.py
@@ -17,7 +17,7 @@
 from wheatslipd.controllers.view import Peer, View
 from wheatslipd.telemetry import logs
 
-LOOK_SECONDS = 5.0  # between two looks for dead entries; chosen, not measured
+LOOK_SECONDS = 5.0  # between two looks for dead entries
 # Seconds that each daemon leaves to the one of the rank before its own: two of its looks.
 RANK_SECONDS = 2 * LOOK_SECONDS
 
--- a/packages/wheatslipd/wheatslipd/run.py
+++ b/packages/wheatslipd/wheatslipd/run.py
@@ -23,7 +23,7 @@
 EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 2
 # The garbage collector's thresholds: new objects before the youngest generation is collected,
-# and collections of a generation before the next one is. Chosen, not measured.
+# and collections of a generation before the next one is.
 COLLECT_AFTER = (20_000, 20, 100)
 
 
--- a/packages/wheatslipd/wheatslipd/settings.py
+++ b/packages/wheatslipd/wheatslipd/settings.py
@@ -37,7 +37,7 @@
     ERROR = 40
 
 
-MAX_ANSWER_HOLD = 16 * 1024 * 1024  # bytes; chosen, not measured
+MAX_ANSWER_HOLD = 16 * 1024 * 1024  # bytes
 NO_CHECKS = 1.0  # the price from which on no request is worth a question
 PLAIN_TEXT_WORDS = ("no", "yes", "trusted-network")
 LOG_LEVELS = {level.name.lower(): level for level in LogLevel}
--- a/packages/wheatslipd/wheatslipd/telemetry/logs.py
+++ b/packages/wheatslipd/wheatslipd/telemetry/logs.py
@@ -10,8 +10,8 @@
 
 from wheatslipd.settings import LogLevel
 
-REPEAT_SECONDS = 10.0  # between two lines of one event and key; chosen, not measured
-MAX_REPEAT_KEYS = 1000  # remembered, then all are forgotten; chosen, not measured
+REPEAT_SECONDS = 10.0  # between two lines of one event and key
+MAX_REPEAT_KEYS = 1000  # remembered, then all are forgotten
 _ELIOT_FIELDS = ("task_uuid", "task_level", "timestamp", "message_type", "level")
 _PLAIN = frozenset("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_-.:/@+")
 
--- a/packages/wheatslipd/wheatslipd/telemetry/pages.py
+++ b/packages/wheatslipd/wheatslipd/telemetry/pages.py
@@ -16,7 +16,7 @@
 
 from wheatslipd.telemetry.pagesource import PageSource
 
-START_TIMEOUT = 10.0  # seconds until the server listens; chosen, not measured
+START_TIMEOUT = 10.0  # seconds until the server listens
 
 
 class _Pages(Controller):
--- a/packages/wheatslipd/wheatslipd/telemetry/pagesource.py
+++ b/packages/wheatslipd/wheatslipd/telemetry/pagesource.py
@@ -9,7 +9,7 @@
 
 T = TypeVar("T")
 
-ASK_TIMEOUT = 2.0  # seconds that a page waits for the daemon's loop; chosen, not measured
+ASK_TIMEOUT = 2.0  # seconds that a page waits for the daemon's loop
 
 
 class HeldRequest(msgspec.Struct, frozen=True):
