--- a/bench/streams.py
+++ b/bench/streams.py
@@ -8,7 +8,8 @@
 import asyncio
 import sys
 from contextlib import aclosing
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+from math import inf
 from random import Random
 
 from wheatslip.config.bundle import Bundle, Pool, Service, Workspace
@@ -21,6 +22,7 @@
 from wheatslipd.tls import PeerTls
 
 from bench.figures import Bound, Figure, add_record_option, report
+from standins.link import NarrowLink
 
 HOST = "127.0.0.1"
 REST_SECONDS = 10.0
@@ -34,44 +36,6 @@
 CONTROL_BOUND = Bound(most=3000.0)  # bytes a second
 
 
-@dataclass(slots=True)
-class CountingLink:
-    """Forwards connections to a port and counts what passes, both ways, with headers."""
-
-    target: int
-    port: int = 0
-    carried: int = 0
-    _server: asyncio.Server | None = None
-    _tasks: set[asyncio.Task[None]] = field(default_factory=set)
-
-    async def open(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._forward, HOST, 0)
-        self.port = self._server.sockets[0].getsockname()[1]
-
-    def close(self) -> None:
-        """End all connections."""
-        assert self._server is not None
-        self._server.close()
-        for task in self._tasks:
-            task.cancel()
-
-    async def _forward(
-        self, near_reader: asyncio.StreamReader, near_writer: asyncio.StreamWriter
-    ) -> None:
-        far_reader, far_writer = await asyncio.open_connection(HOST, self.target)
-        for reader, writer in ((near_reader, far_writer), (far_reader, near_writer)):
-            self._tasks.add(asyncio.create_task(self._pass_on(reader, writer)))
-
-    async def _pass_on(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        while piece := await reader.read(1 << 16):
-            self.carried += len(piece) + HEADERS
-            writer.write(piece)
-            await writer.drain()
-
-
 @dataclass(frozen=True, slots=True)
 class StreamBytes:
     """What one stream carries."""
@@ -109,25 +73,30 @@
     put_in_force(cache, 1)
     server = RelayServer(cache, PeerTls())
     await server.listen(HOST, 0)
-    link = CountingLink(server.port)
+    link = NarrowLink(HOST, server.port, inf)
     await link.open()
     following = asyncio.create_task(_follow(link.port))
     await asyncio.sleep(1.0)
-    before = link.carried
+    before = _bytes_of(link)
     await asyncio.sleep(REST_SECONDS)
-    per_second = (link.carried - before) / REST_SECONDS
-    before = link.carried
+    per_second = (_bytes_of(link) - before) / REST_SECONDS
+    before = _bytes_of(link)
     for version in range(2, 2 + CHANGES):
         put_in_force(cache, version)
         server.announce()
         await asyncio.sleep(CHANGE_SECONDS)
-    per_change = (link.carried - before) / CHANGES - per_second * CHANGE_SECONDS
+    per_change = (_bytes_of(link) - before) / CHANGES - per_second * CHANGE_SECONDS
     following.cancel()
-    link.close()
+    await link.close()
     await server.stop()
     return StreamBytes(per_second, per_change)
 
 
+def _bytes_of(link: NarrowLink) -> int:
+    """What has passed both ways, with headers."""
+    return link.carried + link.sent + HEADERS * link.pieces
+
+
 async def _follow(port: int) -> None:
     parent = Instance("parent", "papers", "one", HOST, 1, 2, port)
     async with aclosing(follow_parent(parent, Cursor("child"), PeerTls())) as updates:
--- a/standins/link.py
+++ b/standins/link.py
@@ -22,7 +22,9 @@
     target: int
     bytes_per_second: float
     port: int = 0
-    carried: int = 0
+    carried: int = 0  # bytes that came back
+    sent: int = 0  # bytes that went to `target`
+    pieces: int = 0  # in which both went
     _server: asyncio.Server | None = None
     _sending: asyncio.Lock = field(default_factory=asyncio.Lock)
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
@@ -72,14 +74,18 @@
         finally:
             self._tasks.discard(task)
 
-    @staticmethod
     async def _pass_on(
-        reader: asyncio.StreamReader, writer: asyncio.StreamWriter, silenced: asyncio.Event
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        silenced: asyncio.Event,
     ) -> None:
         with suppress(ConnectionError):
             while piece := await reader.read(PIECE):
                 if silenced.is_set():
                     await asyncio.Event().wait()
+                self.sent += len(piece)
+                self.pieces += 1
                 writer.write(piece)
                 await writer.drain()
         if silenced.is_set():
@@ -98,6 +104,7 @@
                 if silenced.is_set():
                     await asyncio.Event().wait()
                 self.carried += len(piece)
+                self.pieces += 1
                 writer.write(piece)
                 await writer.drain()
         if silenced.is_set():
