Let the soak silence open connections, and ask that the last version is in force

No fault of the soak left a connection open that says nothing more. Daemons reach each other's control ports and the platform through links; a silence is drawn beside the rest of a seed's course, which stays as it was. After the course each daemon has the last version in force.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -29,7 +29,9 @@
 FATAL = "fatal"  # their kind
 LAST_CALLS = 50  # when all faults are over; all of them must be answered
 SECONDS_A_MINUTE = 60.0
-MORE_SETTINGS = "[control]\nwatch = 1s\nlist-watch = 1s\n[entry]\nwarm-up = 0s\n"
+MORE_SETTINGS = (
+    "[control]\nwatch = 1s\nwatch-check = 1s\nlist-watch = 1s\n[entry]\nwarm-up = 0s\n"
+)
 
 
 async def soak(
--- a/soak/course.py
+++ b/soak/course.py
@@ -31,6 +31,7 @@
     LOST_WRITES = "lost-writes"  # the platform writes, and does not answer
     ROLLOUT = "rollout"  # the operators bring the next bundle in force
     ZONE_DRAIN = "zone-drain"  # an operator drains a zone, and restores it at the end
+    SILENCE = "silence"  # open connections between daemons and to the platform say nothing more
 
 
 ON_INSTANCE = frozenset(
@@ -43,6 +44,9 @@
         Fault.DRAIN,
     }
 )
+# Drawn for themselves, so that the rest of a seed's course stays as it was.
+SEPARATE = (Fault.SILENCE,)
+SILENCES = 20.0  # seconds between two, mean
 ON_PLATFORM = frozenset({Fault.PLATFORM_DOWN, Fault.PLATFORM_SLOW, Fault.LOST_WRITES})
 
 
@@ -70,15 +74,26 @@
     all of them away, the answers would show nothing.
     """
     rng = Random(f"soak {seed}")
+    drawn = [fault for fault in Fault if fault not in SEPARATE]
     steps: list[Step] = []
     at = FIRST
     while at < seconds - LAST - SHORTEST:
-        fault = rng.choice(list(Fault))
+        fault = rng.choice(drawn)
         length = min(rng.uniform(SHORTEST, LONGEST), seconds - LAST - at)
         step = _place(rng, fault, at, length, steps, instances, zones)
         if step is not None:
             steps.append(step)
         at += rng.expovariate(1 / PAUSE)
+    return sorted([*steps, *_silences(seed, seconds)], key=lambda step: step.at)
+
+
+def _silences(seed: int, seconds: float) -> list[Step]:
+    rng = Random(f"soak silences {seed}")
+    steps: list[Step] = []
+    at = FIRST + rng.expovariate(1 / SILENCES)
+    while at < seconds - LAST:
+        steps.append(Step(at, Fault.SILENCE, "", 0.0))
+        at += rng.expovariate(1 / SILENCES)
     return steps
 
 
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -107,6 +107,8 @@
                 await self._try(self._release)
             case Fault.ZONE_DRAIN:
                 await self._drain_zone(step)
+            case Fault.SILENCE:
+                self.cluster.silence_connections()
 
     async def end(self, step: Step) -> None:
         """Take a fault back."""
@@ -144,8 +146,7 @@
             at = self.now
             status = await self._status(name)
             if status is not None and life == self.lives[name]:
-                version = status["version"]
-                assert isinstance(version, int)
+                version = _number(status["version"])
                 self.history.observations.append(Observation(at, name, life, version))
 
     async def wait_until_calm(self) -> None:
@@ -165,6 +166,7 @@
             and status["ready"]
             and status["members"] == count
             and status["emptied_zones"] == []
+            and _number(status["version"]) >= self.version
             for status in statuses
         )
 
@@ -246,6 +248,11 @@
         await eventually(done, 60.0)
 
 
+def _number(value: object) -> int:
+    assert isinstance(value, int)
+    return value
+
+
 def _texts(value: object) -> list[str]:
     assert isinstance(value, list)
     return [str(item) for item in value]
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -10,6 +10,7 @@
 import sys
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from math import inf
 from pathlib import Path
 
 import aiohttp
@@ -17,6 +18,7 @@
 from wheatslip.store.instances import INSTANCE_KIND, Instance, InstanceState
 
 from standins.backend import Behaviour, Record
+from standins.link import NarrowLink
 from standins.platform import Faults
 
 HOST = "127.0.0.1"
@@ -132,7 +134,10 @@
 
 @dataclass(slots=True)
 class Cluster:
-    """The processes of one installation. `folder` holds settings and keys."""
+    """The processes of one installation. `folder` holds settings and keys.
+
+    Daemons reach each other's control ports and the platform through links.
+    """
 
     folder: Path
     extra_settings: str = ""
@@ -141,6 +146,8 @@
     platform: Running = field(init=False)
     platform_address: str = field(init=False)
     members: dict[str, Member] = field(default_factory=dict)
+    _links: list[NarrowLink] = field(default_factory=list)
+    _daemons_platform: str = field(init=False)  # the platform's address as daemons see it
 
     async def open(self) -> None:
         """Start the platform's stand-in."""
@@ -148,6 +155,19 @@
         self.platform = await start("platform", "standins.platform")
         port = (await self.platform.wait_for(_LISTENING)).group(1)
         self.platform_address = f"{HOST}:{port}"
+        self._daemons_platform = f"{HOST}:{await self._behind_link(int(port))}"
+
+    def silence_connections(self) -> None:
+        """Let open connections between daemons, and to the platform, say nothing more."""
+        for link in self._links:
+            link.silence()
+
+    async def _behind_link(self, port: int) -> int:
+        """The port of a new link to `port`."""
+        link = NarrowLink(HOST, port, inf)
+        await link.open()
+        self._links.append(link)
+        return link.port
 
     async def close(self) -> list[int]:
         """Stop everything; returns the daemons' exit codes."""
@@ -155,6 +175,8 @@
         codes = await asyncio.gather(*(member.daemon.end() for member in members))
         rest = [member.backend.end() for member in members] + [self.platform.end()]
         await asyncio.gather(*rest)
+        for link in self._links:
+            await link.close()
         await self.session.close()
         return codes
 
@@ -279,7 +301,7 @@
         """A daemon's ports for callers, other daemons, control and pages."""
         found = await daemon.wait_for(_DAEMON_PORTS)
         entry, peer, control, pages = (int(port) for port in found.groups())
-        return entry, peer, control, pages
+        return entry, peer, await self._behind_link(control), pages
 
     async def start_daemon(self, plan: Plan, backend_port: int) -> Running:
         """Start the daemon beside a backend server."""
@@ -289,7 +311,7 @@
             f"loop = {self.loop}\n"
             f"[peer]\nplain-text = yes\n"
             f"[backend]\nport = {backend_port}\n"
-            f"[platform]\naddress = {self.platform_address}\n"
+            f"[platform]\naddress = {self._daemons_platform}\n"
             f"[operators]\nkeyring = {self.folder}\n" + self.extra_settings
         )
         return await start(
--- a/standins/link.py
+++ b/standins/link.py
@@ -3,6 +3,7 @@
 """
 
 import asyncio
+from collections.abc import AsyncIterator
 from contextlib import suppress
 from dataclasses import dataclass, field
 
@@ -58,8 +59,8 @@
         try:
             far_reader, far_writer = await asyncio.open_connection(self.host, self.target)
             ways = [
-                asyncio.create_task(self._pass_on(near_reader, far_writer, self._silenced)),
-                asyncio.create_task(self._carry(far_reader, near_writer, self._silenced)),
+                asyncio.create_task(self._send(near_reader, far_writer)),
+                asyncio.create_task(self._carry(far_reader, near_writer)),
             ]
             try:
                 await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
@@ -74,38 +75,28 @@
         finally:
             self._tasks.discard(task)
 
-    async def _pass_on(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        silenced: asyncio.Event,
-    ) -> None:
-        with suppress(ConnectionError):
-            while piece := await reader.read(PIECE):
-                if silenced.is_set():
-                    await asyncio.Event().wait()
-                self.sent += len(piece)
-                self.pieces += 1
-                writer.write(piece)
-                await writer.drain()
-        if silenced.is_set():
-            await asyncio.Event().wait()
+    async def _send(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async for piece in self._pieces(reader):
+            self.sent += len(piece)
+            writer.write(piece)
+            await writer.drain()
 
-    async def _carry(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        silenced: asyncio.Event,
-    ) -> None:
+    async def _carry(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async for piece in self._pieces(reader):
+            async with self._sending:
+                await asyncio.sleep(len(piece) / self.bytes_per_second)
+            self.carried += len(piece)
+            writer.write(piece)
+            await writer.drain()
+
+    async def _pieces(self, reader: asyncio.StreamReader) -> AsyncIterator[bytes]:
+        """What is read until the connection ends; without an end once it is silent."""
+        silenced = self._silenced
         with suppress(ConnectionError):
             while piece := await reader.read(PIECE):
-                async with self._sending:
-                    await asyncio.sleep(len(piece) / self.bytes_per_second)
                 if silenced.is_set():
-                    await asyncio.Event().wait()
-                self.carried += len(piece)
+                    break
                 self.pieces += 1
-                writer.write(piece)
-                await writer.drain()
+                yield piece
         if silenced.is_set():
             await asyncio.Event().wait()
