Let a parent say how often it sends, so that one of the version before is not left

A daemon of this version would leave each parent of the version before 1.25 s after its last update, as such a parent sends one each 2 s: during an update of the fleet its followers would go from parent to parent. The first update of a stream now tells the seconds between two (heartbeat); a parent that tells none has 5 s, as before. The new test fails without it.

--- a/packages/wheatslip/wheatslip/distribution/feedcache.py
+++ b/packages/wheatslip/wheatslip/distribution/feedcache.py
@@ -52,6 +52,8 @@
     what the head is, or that it has not changed. `checked` is the time at which the platform
     last confirmed the list to a watcher, or did not answer it. `head_at` is the store's version
     up to which no newer head than the sender's was written, 0 if that was sent before.
+    `heartbeat` are the seconds in which the sender sends at least one update; it is told with
+    the first one.
     """
 
     as_of: float
@@ -65,6 +67,7 @@
     drains: ZoneDrains | None = None  # if the follower's are older
     ends: tuple[EndReport, ...] = ()  # reports of ends of servers, not sent on this stream yet
     head_at: int = 0
+    heartbeat: float = 0.0
 
 
 class FeedCache:
--- a/packages/wheatslipd/wheatslipd/feed/relay.py
+++ b/packages/wheatslipd/wheatslipd/feed/relay.py
@@ -28,9 +28,12 @@
 METHOD = "/wheatslip.Relay/FollowInPieces"
 REPORT_METHOD = "/wheatslip.Relay/ReportEnds"
 HEARTBEAT_SECONDS = 0.5  # longest time between two updates of a stream
-# Seconds without a chunk after which a parent is taken for dead, frozen or out of reach: two
-# heartbeats, and half of one for a delay.
-SILENCE_TIMEOUT = 1.25
+# Heartbeats without a chunk after which a parent is taken for dead, frozen or out of reach:
+# two, and half of one for a delay.
+SILENT_HEARTBEATS = 2.5
+SILENCE_TIMEOUT = SILENT_HEARTBEATS * HEARTBEAT_SECONDS
+# Of a parent that does not say its own: one of the version before.
+UNTOLD_HEARTBEAT_SECONDS = 2.0
 # Followers that one daemon serves. The tree gives it about three, and more only while others
 # are gone.
 MAX_FOLLOWERS = 64
@@ -118,14 +121,16 @@
         self.followers += 1
         ends_sent = 0  # position of the last report that was sent on this stream
         head_at_sent = 0  # the last of the store's versions of the head, likewise
+        heartbeat = HEARTBEAT_SECONDS  # told with the first update only
         try:
             while not self._is_leaving:
                 changed = self._changed
                 ends = self._cache.ends.after(ends_sent, but_from=cursor.follower)
                 ends_sent = self._cache.ends.position
                 news = self._cache.since(cursor, head_at_sent)
-                update = msgspec.structs.replace(news, ends=ends)
+                update = msgspec.structs.replace(news, ends=ends, heartbeat=heartbeat)
                 head_at_sent = max(head_at_sent, news.head_at)
+                heartbeat = 0.0
                 for chunk in cut(msgspec.msgpack.encode(update)):
                     await stream.send_message(chunk)
                 cursor = _advance(cursor, update)
@@ -155,18 +160,23 @@
     channel = Channel(parent.address, parent.control_port, codec=StructCodec(), ssl=tls.client)
     method: UnaryStreamMethod[Cursor, Chunk] = UnaryStreamMethod(channel, METHOD, Cursor, Chunk)
     joiner = Joiner()
+    heartbeat = 0.0  # of the parent; 0: it has sent nothing yet
+    silence = SILENCE_TIMEOUT
     try:
         async with method.open() as stream:
             async with asyncio.timeout(SILENCE_TIMEOUT):
                 await stream.send_message(cursor, end=True)
             while True:
-                async with asyncio.timeout(SILENCE_TIMEOUT):
+                async with asyncio.timeout(silence):
                     chunk = await stream.recv_message()
                 if chunk is None:
                     return
                 match joiner.add(chunk):
                     case Ok(message) if message is not None:
-                        yield msgspec.msgpack.decode(message, type=Update)
+                        update = msgspec.msgpack.decode(message, type=Update)
+                        heartbeat = heartbeat or update.heartbeat or UNTOLD_HEARTBEAT_SECONDS
+                        silence = SILENT_HEARTBEATS * heartbeat
+                        yield update
                     case Err(why):
                         logs.warning("update-refused", parent=parent.name, why=why)
                         return
--- a/test/test_silent_sources.py
+++ b/test/test_silent_sources.py
@@ -7,13 +7,24 @@
 """
 
 import asyncio
+import itertools
 from collections import Counter
+from contextlib import aclosing
 from math import inf
 
+import grpclib.const
+import msgspec
 import pytest
+from grpclib.server import Server
+from wheatslip.distribution.chunks import Chunk, cut
+from wheatslip.distribution.feedcache import Cursor, Update
 from wheatslip.distribution.relaytree import WATCHERS, relay_order
+from wheatslip.store.instances import Instance
+from wheatslipd.feed.codec import StructCodec
+from wheatslipd.feed.relay import METHOD, follow_parent
+from wheatslipd.tls import PeerTls
 
-from standins.cluster import eventually
+from standins.cluster import HOST, eventually
 from test.helper import run
 from test.routed_fleet import configuration, fleet
 
@@ -164,3 +175,35 @@
             assert one.links[third].carried - read < 1.5 * SIZE  # the new version, once
 
     run(scenario)
+
+
+class ParentOfTheVersionBefore:
+    """Sends an update each so many seconds, and does not say so."""
+
+    def __init__(self, seconds):
+        self._seconds = seconds
+
+    def __mapping__(self):
+        stream = grpclib.const.Cardinality.UNARY_STREAM
+        return {METHOD: grpclib.const.Handler(self._follow, stream, Cursor, Chunk)}
+
+    async def _follow(self, stream):
+        await stream.recv_message()
+        for number in itertools.count(1):
+            for chunk in cut(msgspec.msgpack.encode(Update(float(number)))):
+                await stream.send_message(chunk)
+            await asyncio.sleep(self._seconds)
+
+
+def test_a_parent_of_the_version_before_is_not_left_between_its_heartbeats():
+    async def scenario():
+        server = Server([ParentOfTheVersionBefore(1.6)], codec=StructCodec())
+        await server.start(HOST, 0)
+        port = server._server.sockets[0].getsockname()[1]
+        parent = Instance("parent", "papers", "one", HOST, 1, 2, port)
+        async with aclosing(follow_parent(parent, Cursor("child"), PeerTls())) as updates:
+            assert [(await anext(updates)).as_of for _ in range(3)] == [1.0, 2.0, 3.0]
+        server.close()
+        await server.wait_closed()
+
+    run(scenario)
