Hold what an older store costs, and what a daemon has that starts on it

Four more tests of a store that comes back from a copy: a daemon that starts in between has the newer configuration from its parent, twice in a row, a lost leaving, and no more priced calls than after a forgotten history.

--- a/test/test_store_comes_back_older.py
+++ b/test/test_store_comes_back_older.py
@@ -8,6 +8,9 @@
 import asyncio
 
 import pytest
+from wheatslip.distribution.relaytree import relay_order
+from wheatslip.store.instances import InstanceState
+from wheatslipd.feed import watchcheck
 
 from standins.cluster import eventually
 from test.helper import run
@@ -111,6 +114,90 @@
     run(scenario)
 
 
+def test_a_daemon_that_starts_on_the_older_copy_has_the_newer_configuration_from_its_parent():
+    async def scenario():
+        async with older_fleet() as one:
+            await settled(one)
+            copy = one.store.copy()
+            one.store.write("config", "main", configuration(2))
+            await one.ready(2)
+            one.store.restore(copy)
+            follower = relay_order(NAMES)[-1]
+            await one.stop(follower)
+            await one.start(follower)
+            await reached(one, lambda daemon: daemon.status().version == 2)
+
+    run(scenario)
+
+
+def test_a_store_that_comes_back_older_twice_in_a_row():
+    async def scenario():
+        async with older_fleet() as one:
+            await settled(one)
+            copy = one.store.copy()
+            one.store.write("config", "main", configuration(2))
+            await one.ready(2)
+            one.store.restore(copy)
+            await asyncio.sleep(0.2)
+            one.store.write(OTHER, "again", 1)
+            one.store.restore(copy)
+            one.store.write("config", "main", configuration(3))
+            await reached(one, lambda daemon: daemon.status().version == 3)
+
+    run(scenario)
+
+
+def test_an_instance_that_leaves_while_its_leaving_is_lost_is_listed_as_leaving_again():
+    async def scenario():
+        async with older_fleet() as one:
+            assert await one.beat("a", 1) == 200
+            await settled(one)
+            copy = one.store.copy()
+            assert await one.beat("a", 2, "draining") == 200
+            await reached(one, is_leaving)
+            one.store.restore(copy)
+            assert await one.beat("a", 3, "draining") == 200
+
+            async def listed():
+                entry = one.store.objects["wheatslip-instances", "a"]
+                return b"leaving" in bytes(entry.spec)
+
+            async with asyncio.timeout(IN_FORCE_SECONDS):
+                await eventually(listed)
+            await reached(one, is_leaving)
+
+    run(scenario)
+
+
+def test_an_older_store_costs_no_more_calls_than_a_forgotten_history(monkeypatch):
+    # Each watcher makes one proof, before the calls are counted.
+    monkeypatch.setattr(watchcheck, "PROOF_SECONDS", 1000.0)
+
+    async def scenario():
+        async with older_fleet() as one:
+            await settled(one)
+            await asyncio.sleep(1.5)
+            one.store.write(OTHER, "behind", 1)  # so that the history of each watch is gone
+            forgotten = await calls_after(one, one.store.forget)
+            copy = one.store.copy()
+            restored = await calls_after(one, lambda: one.store.restore(copy))
+            assert restored <= forgotten
+
+    run(scenario)
+
+
+def is_leaving(daemon):
+    return daemon.feed.cache.instances["a"].state is InstanceState.LEAVING
+
+
+async def calls_after(one, trouble):
+    """Priced calls in the seconds after something happens to the store."""
+    before = len(one.store.priced_calls)
+    trouble()
+    await asyncio.sleep(3.0)
+    return len(one.store.priced_calls) - before
+
+
 def test_a_zone_drained_twice_in_two_eras():
     async def scenario():
         async with older_fleet() as one:
