Prove the head each 2 s only where no other daemon brings changes

What a watcher's silent watch misses the ring brings within 2 s (test_silent_sources.py), so every 4 s is enough for those that follow another; a daemon that follows none goes on with 2 s (test_silent_watch.py).

--- a/packages/wheatslipd/wheatslipd/feed/feed.py
+++ b/packages/wheatslipd/wheatslipd/feed/feed.py
@@ -79,7 +79,12 @@
         self._follower.on_parent = self._end_reporter.wake
         self.hints = Hints(name, self.relay, self.intake, self._reader, tls, rng)
         self._list_watch = ListWatch(access)
-        self._state_watch = StateWatch(access, self._reader, self._list_watch.platform_is_back)
+        self._state_watch = StateWatch(
+            access,
+            self._reader,
+            on_back=self._list_watch.platform_is_back,
+            has_parent=lambda: bool(self.parent),
+        )
 
     @property
     def watches(self) -> bool:
--- a/packages/wheatslipd/wheatslipd/feed/watchcheck.py
+++ b/packages/wheatslipd/wheatslipd/feed/watchcheck.py
@@ -1,16 +1,16 @@
 """Finds out that the watches of the platform hear nothing any more, without an error."""
 
 import asyncio
+from collections.abc import Callable
 
 from wheatslipd.feed.access import PlatformAccess
 from wheatslipd.feed.reader import PlatformReader
 
-# Seconds between two proofs that the head in force is the platform's. Each is a call at the
-# full price; stale reads of the head, which are cheap, come between.
+# Seconds between two proofs that the head in force is the platform's, each a call at the full
+# price. In between, another daemon or cheap reads of the head bring what a silent watch misses.
 PROOF_SECONDS = 4.0
-# The same while the configuration is too long to be read in between: at a check each second, at
-# every second one.
-LONG_HEAD_PROOF_SECONDS = 1.5
+# The same where nothing else brings it: at a check each second, at every second one.
+LONE_PROOF_SECONDS = 1.5
 # Longest configuration that is read at each check. Some platforms answer a read of the head
 # with the whole configuration, and one of 700 kB takes a second of a narrow link.
 SHORT_BYTES = 20_000
@@ -23,8 +23,12 @@
     shows no more than that calls pass.
     """
 
-    def __init__(self, access: PlatformAccess, reader: PlatformReader):
+    def __init__(
+        self, access: PlatformAccess, reader: PlatformReader, has_parent: Callable[[], bool]
+    ):
+        """`has_parent` returns whether another daemon brings changes too."""
         self._access = access
+        self._has_parent = has_parent
         self._reader = reader
         self._cache = access.intake.cache
         self._proved_at = -PROOF_SECONDS  # the loop's time of the last proof
@@ -46,7 +50,8 @@
     async def _is_answered(self) -> bool:
         now = asyncio.get_running_loop().time()
         is_short = self._cache.bundle_bytes <= SHORT_BYTES
-        proof_seconds = PROOF_SECONDS if is_short else LONG_HEAD_PROOF_SECONDS
+        is_alone = not is_short and not self._has_parent()
+        proof_seconds = LONE_PROOF_SECONDS if is_alone else PROOF_SECONDS
         if now >= self._proved_at + proof_seconds:
             self._proved_at = now
             return await self._reader.prove_head()
--- a/packages/wheatslipd/wheatslipd/feed/watching.py
+++ b/packages/wheatslipd/wheatslipd/feed/watching.py
@@ -69,13 +69,16 @@
         access: PlatformAccess,
         reader: PlatformReader,
         on_back: Callable[[], None] = lambda: None,
+        has_parent: Callable[[], bool] = lambda: False,
     ):
-        """`on_back` is called when the platform answers after it did not."""
+        """`on_back` is called when the platform answers after it did not; `has_parent` returns
+        whether another daemon is followed.
+        """
         self._access = access
         self._reader = reader
         self._intake = access.intake
         self._on_back = on_back
-        self._check = WatchCheck(access, reader)
+        self._check = WatchCheck(access, reader, has_parent)
         self._was_in_trouble = False  # the watch of the head failed since its last answer
         self._is_back = asyncio.Event()  # set when the watch of the head is answered again
 
