--- a/test/test_slow_links.py
+++ b/test/test_slow_links.py
@@ -78,9 +78,7 @@
 
 
 def test_a_configuration_at_rest_is_not_read_again_and_again():
-    """The check of a watch asks whether the platform is there, which needs few bytes; it may
-    spend a twentieth of the time on reading the whole.
-    """
+    """The check of a watch asks whether the head has changed, which needs few bytes."""
 
     async def scenario():
         links = {"a": 10 * LINK}  # the configuration takes 0.13 s
