Hold silent watches and lost entries to the stated 2 s, and prove a lone head each second

Two new tests had half a second more than the stated bound, which nothing asked for: it goes. With it a daemon that follows no other, under a long configuration, kept the bound only by the phase of its checks: it proved its head at every second check, so a change could be 2 s old before anything looked. It proves at every check now, which concerns such daemons alone.

--- a/packages/wheatslipd/wheatslipd/feed/watchcheck.py
+++ b/packages/wheatslipd/wheatslipd/feed/watchcheck.py
@@ -9,8 +9,8 @@
 # Seconds between two proofs that the head in force is the platform's, each a call at the full
 # price. In between, another daemon or cheap reads of the head bring what a silent watch misses.
 PROOF_SECONDS = 4.0
-# The same where nothing else brings it: at a check each second, at every second one.
-LONE_PROOF_SECONDS = 1.5
+# The same where nothing else brings it: at a check each second, at every one.
+LONE_PROOF_SECONDS = 0.75
 # Longest configuration that is read at each check. Some platforms answer a read of the head
 # with the whole configuration, and one of 700 kB takes a second of a narrow link.
 SHORT_BYTES = 20_000
--- a/test/test_silent_watch.py
+++ b/test/test_silent_watch.py
@@ -26,7 +26,6 @@
 
 IN_FORCE_SECONDS = 2.0  # from the write, beside the time that a read takes
 WATCH = 20.0
-LATE = 0.5  # seconds for a call that is cancelled or a task that is slow
 
 
 class DeafStore:
@@ -116,7 +115,7 @@
         await asyncio.sleep(2.0 + read_seconds)
         for version in (2, 3):
             store.change()
-            async with asyncio.timeout(IN_FORCE_SECONDS + read_seconds + LATE):
+            async with asyncio.timeout(IN_FORCE_SECONDS + read_seconds):
                 await in_force(feed, version)
         running.cancel()
 
--- a/test/test_store_comes_back_older.py
+++ b/test/test_store_comes_back_older.py
@@ -90,7 +90,7 @@
             async def listed():
                 return ("wheatslip-instances", "e") in one.store.objects
 
-            async with asyncio.timeout(IN_FORCE_SECONDS + 0.5):
+            async with asyncio.timeout(IN_FORCE_SECONDS):
                 await eventually(listed)
             await reached(one, lambda daemon: "e" in daemon.feed.cache.instances)
 
