Log and show when a backend server names a limit or that it leaves

The gate's side reads them in every answer of the registered server, but not in an answer 421, which is another server's, and logs server-limit-named, server-limit-ended, server-leaving-said and server-notice-unreadable; wheatslip_named_limit shows the rate. No request is treated differently yet.

--- a/packages/wheatslipd/wheatslipd/controllers/lifecycle.py
+++ b/packages/wheatslipd/wheatslipd/controllers/lifecycle.py
@@ -3,6 +3,7 @@
 from circuits import Component
 from wheatslip.admission import AdmissionSettings
 from wheatslip.config.bundle import Bundle
+from wheatslip.servernotice import ServerStart
 from wheatslip.store.instances import Instance
 from wheatslip.store.registration import RegisteredServer
 
@@ -66,7 +67,7 @@
     def backend_registered(self, registered: RegisteredServer) -> None:
         """Apply the registration of the local backend server, and publish it."""
         assert self._local_backend is not None
-        self._server_side.peer_port.server = registered.server
+        self._server_side.notices.on_registered(ServerStart(registered.server))
         self._local_backend.apply_registration(registered)
         if registered.leaving:
             self.leaving(f"backend server {registered.server} leaves")
--- a/packages/wheatslipd/wheatslipd/gate/peerport.py
+++ b/packages/wheatslipd/wheatslipd/gate/peerport.py
@@ -38,6 +38,7 @@
 )
 from wheatslipd.gate.gate import Gate
 from wheatslipd.gate.keyguard import KeyGuard
+from wheatslipd.gate.noticereader import NoticeReader
 from wheatslipd.gate.serverend import ServerEndDetector
 from wheatslipd.gate.suspects import SuspectGuard
 from wheatslipd.http.body import BodyTruncated
@@ -80,6 +81,7 @@
     gate: Gate
     backend: Backend
     end_detector: ServerEndDetector
+    notices: NoticeReader
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,13 +120,13 @@
         self._gate = stages.gate
         self._backend = stages.backend
         self._end_detector = stages.end_detector
+        self._notices = stages.notices
         self._settings = settings
         self._names = settings.names
         self._metrics = metrics
         self._tracer = tracer
         self._clock = clock
         self._on_newer_version = on_newer_version
-        self.server = ""  # registered id of the backend server, or empty
 
     async def handle(self, exchange: Exchange) -> None:
         trace = self._tracer.hop(
@@ -296,9 +298,12 @@
         response = answer.response
         self._update_load(response.head)
         if self._reports_not_run(response.head, request.call):
-            if self.server and response.head.status == MISDIRECTED_STATUS:
+            if self._server and response.head.status == MISDIRECTED_STATUS:
                 self._gate.on_server_replaced()
+            else:
+                self._notices.on_response(response.head)
             return SHED_BY_SERVER
+        self._notices.on_response(response.head)
         headers = [
             (name, value)
             for name, value in response.head.forwarded()
@@ -316,11 +321,16 @@
             kept.status = response.head.status
         return Answered(response.head.status)
 
+    @property
+    def _server(self) -> str:
+        """The registered id of the backend server, or empty."""
+        return self._notices.start.server
+
     def _backend_head(self, request: _ForwardedRequest) -> RequestHead:
         call = request.call
         now = self._clock()
         if self._settings.by_routes:
-            own_headers = configured_headers(self._names, call, now, self.server)
+            own_headers = configured_headers(self._names, call, now, self._server)
         else:
             own_headers = wheatslip_headers(call, now)
         return build_backend_head(request.exchange.head, own_headers, request.trace.outgoing)
--- a/packages/wheatslipd/wheatslipd/gate/serverside.py
+++ b/packages/wheatslipd/wheatslipd/gate/serverside.py
@@ -12,6 +12,7 @@
 from wheatslipd.gate.gate import Gate, SpeedProbing
 from wheatslipd.gate.idleprobe import IdleProbe
 from wheatslipd.gate.keyguard import KeyGuard
+from wheatslipd.gate.noticereader import NoticeReader
 from wheatslipd.gate.peerport import BackendStages, PeerPort, PeerPortSettings
 from wheatslipd.gate.serverend import ServerEndDetector
 from wheatslipd.gate.speedcheck import SpeedCheck
@@ -34,6 +35,7 @@
     backend: Backend
     idle_probe: IdleProbe
     end_detector: ServerEndDetector
+    notices: NoticeReader
 
 
 def build_server_side(
@@ -64,12 +66,13 @@
     end_detector = ServerEndDetector(
         backend, gate, shared.bus, shared.metrics, shared.monotonic
     )
+    notices = NoticeReader(settings.headers)
     guard = SuspectGuard(shared.quarantine, shared.monotonic, shared.unix)
     ledger = KeyLedger(watching_since=shared.unix())
     keys = KeyGuard(settings.name, ledger, owners, shared.unix, lambda: cache.checked)
     peer_port = PeerPort(
         shared.view,
-        BackendStages(keys, guard, gate, backend, end_detector),
+        BackendStages(keys, guard, gate, backend, end_detector, notices),
         PeerPortSettings(
             settings.pool, settings.headers, settings.interface is Interface.ROUTES
         ),
@@ -79,7 +82,9 @@
         shared.hint_newer_version,
     )
     idle_probe = _build_idle_probe(settings, shared, gate, backend)
-    return ServerSide(peer_port, keys, gate, speed_check, backend, idle_probe, end_detector)
+    return ServerSide(
+        peer_port, keys, gate, speed_check, backend, idle_probe, end_detector, notices
+    )
 
 
 def _build_gate(settings: Settings, shared: SharedState, speed_check: SpeedCheck) -> Gate:
--- a/packages/wheatslipd/wheatslipd/http/messages.py
+++ b/packages/wheatslipd/wheatslipd/http/messages.py
@@ -39,6 +39,10 @@
                 return value
         return None
 
+    def get_all(self, name: bytes) -> list[bytes]:
+        """Return all values of a header, given its lower-case name."""
+        return [value for key, value in self.headers if key == name]
+
     def forwarded(self) -> Headers:
         """Return the headers to forward: all but hop-by-hop headers and wheatslip's own."""
         options = self._connection_options()
--- a/packages/wheatslipd/wheatslipd/settings.py
+++ b/packages/wheatslipd/wheatslipd/settings.py
@@ -82,6 +82,8 @@
     load: bytes = b""
     server: bytes = b""
     cold: bytes = b""
+    limit: bytes = b""
+    leaving: bytes = b""
 
     @property
     def set_by_daemon(self) -> frozenset[bytes]:
@@ -270,6 +272,8 @@
         load=name("load"),
         server=name("server"),
         cold=name("cold"),
+        limit=name("limit"),
+        leaving=name("leaving"),
     )
 
 
--- a/packages/wheatslipd/wheatslipd/telemetry/metrics.py
+++ b/packages/wheatslipd/wheatslipd/telemetry/metrics.py
@@ -70,6 +70,10 @@
         self.cold = gauge(
             "wheatslip_cold", "Whether the local backend server is held to its cold rate"
         )
+        self.named_limit = gauge(
+            "wheatslip_named_limit",
+            "Requests per second that the local backend server has named as its limit; 0: none",
+        )
         self.head_age = gauge(
             "wheatslip_head_age_seconds",
             "Since the platform last confirmed the version in force",
--- a/packages/wheatslipd/wheatslipd/telemetry/statereport.py
+++ b/packages/wheatslipd/wheatslipd/telemetry/statereport.py
@@ -83,6 +83,7 @@
         metrics.queued.set({}, admission.queued)
         metrics.limit.set({}, admission.limit.value)
         metrics.cold.set({}, float(admission.cold.is_cold(self._shared.monotonic())))
+        metrics.named_limit.set({}, self._server_side.notices.rate or 0.0)
         metrics.key_records.set({}, len(self._server_side.keys.ledger))
         metrics.platform_calls.set({}, self._feed.client.calls)
         metrics.relay_bytes.set({}, self._feed.relay.sent_bytes)
