--- a/standins/plainbackend.py
+++ b/standins/plainbackend.py
@@ -38,7 +38,7 @@
     """One server. `server_id` identifies this start of it.
 
     `health` is the status of health responses, `service` is the service time in seconds, and
-    `load` is the value of the load header.
+    `load` is the value of the load header. `extra_headers` are added to the responses to requests.
     """
 
     server_id: str
@@ -47,6 +47,7 @@
     service: float = 0.0
     load: bytes = b"0,0,4,100"
     cold_until: float = 0.0  # on the loop's clock
+    extra_headers: Headers = field(default_factory=list)
     # Starts of the requests that it ran, on the loop's clock.
     arrivals: list[float] = field(default_factory=list)
     received: list[ReceivedRequest] = field(default_factory=list)
@@ -85,7 +86,11 @@
 
     async def _run(self, exchange: Exchange, received: ReceivedRequest) -> None:
         request_id = received.headers.get("request-id", "")
-        headers = [(b"request-id", request_id.encode()), *self._load_headers()]
+        headers = [
+            (b"request-id", request_id.encode()),
+            *self._load_headers(),
+            *self.extra_headers,
+        ]
         if self.fault is ServerFault.SHED:
             headers.append((b"not-executed", b"1"))
             await exchange.respond(ResponseHead(503, headers))
