Keep the rate of requests at a backend server within the limit it names

Callers saw nothing; a server of papers that named 8.4 a second got 141 requests in 4 s (allowed 55), its full share. Cause: nobody read the header, and the gate, the only way to the server, could hold a number of running requests but no rate. Ruled out: restarts (none before the windows were broken). A limit that becomes known allows one start at once; one that changes keeps what was started ahead. Waiting requests that the new rate cannot serve in time are refused at once. A final refusal says when the rate will have served those refused in the last second. Cold servers and named limits share the even spacing.

--- a/packages/wheatslip/wheatslip/admission/__init__.py
+++ b/packages/wheatslip/wheatslip/admission/__init__.py
@@ -6,6 +6,8 @@
 - `slowserver`: rules for a server that is or may be slow
 - `gatequeue`: the queue of waiting requests
 - `coldstart`: rate limit for a cold server
+- `namedlimit`: rate limit that a server names
+- `pacing`: evenly spaced starts
 - `ticket`: one request at a gate
 """
 
--- a/packages/wheatslip/wheatslip/admission/admission.py
+++ b/packages/wheatslip/wheatslip/admission/admission.py
@@ -24,7 +24,8 @@
 | the queue is full, and no other workspace has a larger backlog | refused | `_enqueue` |
 | otherwise | waits until it starts or its latest start has passed | `admit`, `expire` |
 
-There is capacity if a slot is free and, for a cold server, `ColdStartLimiter` allows a start.
+There is capacity if a slot is free and both `ColdStartLimiter`, for a cold server, and
+`NamedLimit`, for one that names its limit, allow a start.
 Waiting requests start by the shares of their workspaces and by urgency; those that will miss
 their target start last.
 """
@@ -35,12 +36,13 @@
 from wheatslip.admission.closures import Closures
 from wheatslip.admission.coldstart import ColdStartLimiter
 from wheatslip.admission.gatequeue import GateQueue
+from wheatslip.admission.namedlimit import NamedLimit
 from wheatslip.admission.slowserver import (
     gain_of_probing,
     should_try_elsewhere,
     should_wait_out_slow_period,
 )
-from wheatslip.admission.ticket import AdmissionSettings, Ticket
+from wheatslip.admission.ticket import AdmissionSettings, RefusedTicket, Ticket
 from wheatslip.admission.timing import ServiceTiming
 from wheatslip.call import UNLIMITED, Call, CallClass
 from wheatslip.limit import ConcurrencyLimit
@@ -57,6 +59,7 @@
     closures: Closures = field(init=False, default_factory=Closures)
     last_finished_at: float = float("-inf")
     cold: ColdStartLimiter = field(init=False, default_factory=ColdStartLimiter)
+    named_limit: NamedLimit = field(init=False, default_factory=NamedLimit)
     _queue: GateQueue = field(init=False)
     _running: set[Ticket] = field(init=False, default_factory=set)
     # Whether requests found no capacity or waited since the last recorded service time.
@@ -107,31 +110,30 @@
         """
         has_slot = self.in_flight < self.limit.value
         if has_slot and not self.queued:
-            return self.cold.wait(0, now)
+            return self._rate_wait(0, now)
         urgent = call.call_class is CallClass.URGENT
         ahead = self._queue.count_ahead(call.workspace, urgent=urgent)
         slot_wait = (ahead + 1) / self.limit.value * self.timing.current_service_time(now)
-        return max(slot_wait, self.cold.wait(ahead, now))
+        return max(slot_wait, self._rate_wait(ahead, now))
 
-    def cold_start_wait(self, now: float) -> float | None:
-        """Returns the seconds until a waiting request may start if it waits only because the
-        server is cold, else None.
+    def paced_start_wait(self, now: float) -> float | None:
+        """Returns the seconds until a waiting request may start if it waits only because of a
+        rate limit, else None.
         """
         if not self.queued or self.in_flight >= self.limit.value:
             return None
-        return self.cold.wait(0, now) or None
+        return self._rate_wait(0, now) or None
 
     def reported_limit(self, now: float) -> int:
-        """Returns the concurrency limit for the load report. For a cold server it is at most
-        the concurrency that its start rate can sustain.
+        """Returns the concurrency limit for the load report. If the rate of starts is limited,
+        it is at most the concurrency that this rate can sustain.
         """
-        limit = self.limit.value
-        if self.cold.rate is None or not self.cold.is_cold(now):
-            return limit
-        sustained_concurrency = ceil(
-            self.cold.rate.per_second * self.timing.current_service_time(now)
-        )
-        return max(1, min(limit, sustained_concurrency))
+        rates = [self.named_limit.rate] if self.named_limit.rate is not None else []
+        if self.cold.rate is not None and self.cold.is_cold(now):
+            rates.append(self.cold.rate.per_second)
+        service_time = self.timing.current_service_time(now)
+        sustained_concurrencies = [ceil(rate * service_time) for rate in rates]
+        return max(1, min([self.limit.value, *sustained_concurrencies]))
 
     def arrive(self, call: Call, now: float, max_wait: float = UNLIMITED) -> Ticket | NotRun:
         """Admits or refuses a request. A returned ticket with a start time runs, one without
@@ -151,17 +153,30 @@
         if self._start_if_possible(ticket, now):
             return ticket
         wait = self.expected_wait(call, now)
-        if wait > max_wait or self.timing.is_too_late(call, wait, now):
-            return overloaded_refusal(wait)
-        if self._misses_target(call, wait, now):
-            return overloaded_refusal(wait)
+        if self._is_wait_useless(ticket, wait, now):
+            return self._refusal(wait, max_wait, now)
         if call.hold_until <= now:
-            return (
-                ticket
-                if self._start_late_if_worthwhile(ticket, now)
-                else overloaded_refusal(wait)
-            )
-        return ticket if self._enqueue(ticket) else overloaded_refusal(wait)
+            may_run = self._start_late_if_worthwhile(ticket, now)
+        else:
+            may_run = self._enqueue(ticket)
+        return ticket if may_run else self._refusal(wait, max_wait, now)
+
+    def limit_rate(self, rate: float | None, now: float) -> list[RefusedTicket]:
+        """Applies the rate that the server names, in requests per second; None: no limit.
+
+        Removes and returns the waiting tickets whose wait has become too long.
+        """
+        self.named_limit.set_rate(rate, now)
+        refused = []
+        kept_count = 0
+        for ticket in list(self._queue):
+            wait = self._rate_wait(kept_count, now)
+            if wait > 0 and self._is_wait_useless(ticket, wait, now):
+                self._queue.remove(ticket)
+                refused.append(RefusedTicket(ticket, self._refusal(wait, ticket.max_wait, now)))
+            else:
+                kept_count += 1
+        return refused
 
     def finish(self, ticket: Ticket, now: float, *, worked: bool) -> list[Ticket]:
         """Removes a started request that has ended, and returns the tickets that start now.
@@ -225,7 +240,7 @@
         """Returns the refusal of a call that has waited and was not started."""
         if call.hold_until > now:
             return NotRun(Reason.DEADLINE)
-        return overloaded_refusal(self.expected_wait(call, now))
+        return self._refusal(self.expected_wait(call, now), UNLIMITED, now)
 
     def take_evicted(self) -> list[Ticket]:
         """Returns the tickets evicted from a full queue since the last call."""
@@ -244,12 +259,33 @@
         self._was_full = self._was_full or not has_capacity
         return False
 
+    def _rate_wait(self, ahead: int, now: float) -> float:
+        """Seconds until the rate limits let a request with `ahead` others before it start."""
+        return max(self.cold.wait(ahead, now), self.named_limit.wait(ahead, now))
+
+    def _is_wait_useless(self, ticket: Ticket, wait: float, now: float) -> bool:
+        """Whether a ticket should be refused now instead of after a wait."""
+        call = ticket.call
+        return (
+            wait > ticket.max_wait
+            or self.timing.is_too_late(call, wait, now)
+            or self._misses_target(call, wait, now)
+        )
+
+    def _refusal(self, wait: float, max_wait: float, now: float) -> NotRun:
+        """Refuses a request that would wait for `wait` seconds.
+
+        With a finite `max_wait`, its sender tries another server next.
+        """
+        is_final = max_wait == UNLIMITED
+        return overloaded_refusal(self.named_limit.retry_after(wait, now) if is_final else wait)
+
     def _misses_target(self, call: Call, wait: float, now: float) -> bool:
-        """Whether waiting for other requests or for a cold server makes a call miss its target.
+        """Whether waiting for other requests or for a rate limit makes a call miss its target.
         A call that waits only for the end of a slow period may still meet it.
         """
-        waits_for_cold_start = self.cold.wait(0, now) > 0
-        if self.in_flight + self.queued < self.limit.value and not waits_for_cold_start:
+        waits_for_rate = self._rate_wait(0, now) > 0
+        if self.in_flight + self.queued < self.limit.value and not waits_for_rate:
             return False
         return self.timing.misses_target(call, wait, now)
 
@@ -289,10 +325,11 @@
         return True
 
     def _has_capacity(self, now: float) -> bool:
-        """Whether a slot is free and, for a cold server, the rate limit allows a start."""
-        return self.in_flight < self.limit.value and self.cold.wait(0, now) <= 0
+        """Whether a slot is free and the rate limits, if any, allow a start."""
+        return self.in_flight < self.limit.value and self._rate_wait(0, now) <= 0
 
     def _start_ticket(self, ticket: Ticket, now: float) -> None:
         self.cold.on_start(now)
+        self.named_limit.on_start(now)
         self.timing.on_start(ticket, now)
         self._running.add(ticket)
--- a/packages/wheatslip/wheatslip/admission/coldstart.py
+++ b/packages/wheatslip/wheatslip/admission/coldstart.py
@@ -21,6 +21,8 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from wheatslip.admission.pacing import Pace, PacedStarts
+
 WINDOW_SECONDS = 1.0  # the platform limits the requests per second at a cold server
 # The rest of the slack is for starts that a new connection delays, up to `connect-timeout`.
 BURST_SHARE_OF_SLACK = 0.5
@@ -40,7 +42,11 @@
     @property
     def spacing(self) -> float:
         """Seconds between two starts."""
-        return 1.0 / self.per_second
+        return self.pace.spacing
+
+    @property
+    def pace(self) -> Pace:
+        return Pace(self.per_second, self.burst)
 
     @property
     def max_per_second(self) -> int:
@@ -62,7 +68,7 @@
     rate: ColdRate | None = None  # None: its pool has no limit
     _reported_until: float = float("-inf")
     _assumed_until: float = float("-inf")
-    _next_start_due: float = float("-inf")  # when the next evenly spaced start is due
+    _paced: PacedStarts = field(default_factory=PacedStarts)
     # The latest starts, including those at the warm server, which may lie in the same second.
     _starts: deque[float] = field(default_factory=deque)
 
@@ -109,7 +115,7 @@
         rate = self.rate
         if rate is None or not self.is_cold(now):
             return 0.0
-        earliest = self._next_start_due - (rate.burst - 1.0) * rate.spacing
+        earliest = self._paced.earliest(rate.pace)
         if len(self._starts) == self._starts.maxlen:
             earliest = max(earliest, self._starts[0] + WINDOW_SECONDS)
         return max(0.0, earliest - now) + ahead * rate.spacing
@@ -118,4 +124,4 @@
         if self.rate is None:
             return
         self._starts.append(now)
-        self._next_start_due = max(self._next_start_due, now) + self.rate.spacing
+        self._paced.on_start(self.rate.pace, now)
--- a/packages/wheatslip/wheatslip/admission/ticket.py
+++ b/packages/wheatslip/wheatslip/admission/ticket.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from wheatslip.call import UNLIMITED, Call
+from wheatslip.outcome import NotRun
 
 DEFAULT_URGENT_SHARE = 0.25  # largest part of urgent starts while other requests wait
 
@@ -20,6 +21,14 @@
     is_late: bool = False  # will miss its target, so it starts after all that may meet theirs
 
 
+@dataclass(frozen=True, slots=True)
+class RefusedTicket:
+    """A ticket that was waiting, and its refusal."""
+
+    ticket: Ticket
+    refusal: NotRun
+
+
 @dataclass(frozen=True, slots=True)
 class AdmissionSettings:
     """Settings of one gate. If `slots` is 0, the concurrency limit is adaptive."""
--- a/packages/wheatslipd/wheatslipd/gate/gate.py
+++ b/packages/wheatslipd/wheatslipd/gate/gate.py
@@ -65,7 +65,7 @@
         self._consecutive_failures = 0
         self.load_reported_at = float("-inf")
         self._waiting: dict[Ticket, asyncio.Future[NotRun | None]] = {}
-        self._cold_start_timer: asyncio.TimerHandle | None = None
+        self._paced_start_timer: asyncio.TimerHandle | None = None
 
     async def start_call(self, call: Call, max_wait: float) -> Ticket | NotRun:
         """Wait until the call may start; refuse it if that would take over `max_wait` seconds.
@@ -231,6 +231,16 @@
             # A warm server has capacity for more of the queued requests.
             self._end_waits(self.admission.admit(now))
 
+    def limit_rate(self, rate: float | None) -> None:
+        """Apply the rate that the server names, in requests per second; None: no limit."""
+        now = self._clock()
+        for refused in self.admission.limit_rate(rate, now):
+            self._end_wait(refused.ticket, refused.refusal)
+        if self._paced_start_timer is not None:
+            self._paced_start_timer.cancel()
+            self._paced_start_timer = None
+        self._end_waits(self.admission.admit(now))
+
     def should_probe(self) -> bool:
         """Whether to probe now, while `needs_probe` is set.
 
@@ -273,7 +283,7 @@
     async def _wait_for_start(self, ticket: Ticket, now: float) -> Ticket | NotRun:
         future: asyncio.Future[NotRun | None] = asyncio.get_running_loop().create_future()
         self._waiting[ticket] = future
-        self._schedule_cold_start()
+        self._schedule_paced_start()
         timeout = self.admission.timing.latest_start(ticket.call, now) - now
         try:
             async with asyncio.timeout(max(0.0, timeout)):
@@ -295,18 +305,18 @@
     def _end_waits(self, started_tickets: list[Ticket]) -> None:
         for ticket in started_tickets:
             self._end_wait(ticket, None)
-        self._schedule_cold_start()
+        self._schedule_paced_start()
 
-    def _schedule_cold_start(self) -> None:
-        """Schedule the next start on a cold server, if a request is queued."""
-        wait = self.admission.cold_start_wait(self._clock())
-        if wait is None or self._cold_start_timer is not None:
+    def _schedule_paced_start(self) -> None:
+        """Schedule the next start that a rate limit allows, if a request is queued."""
+        wait = self.admission.paced_start_wait(self._clock())
+        if wait is None or self._paced_start_timer is not None:
             return
         loop = asyncio.get_running_loop()
-        self._cold_start_timer = loop.call_later(wait, self._admit_cold_start)
+        self._paced_start_timer = loop.call_later(wait, self._admit_paced_start)
 
-    def _admit_cold_start(self) -> None:
-        self._cold_start_timer = None
+    def _admit_paced_start(self) -> None:
+        self._paced_start_timer = None
         self._end_waits(self.admission.admit(self._clock()))
 
     def _refuse_evicted(self) -> None:
--- a/packages/wheatslipd/wheatslipd/gate/noticereader.py
+++ b/packages/wheatslipd/wheatslipd/gate/noticereader.py
@@ -4,6 +4,7 @@
 logged and has no effect.
 """
 
+from collections.abc import Callable
 from typing import TypeVar
 
 from result import Err, Result
@@ -19,8 +20,10 @@
 class NoticeReader:
     """Reads the responses of one backend server."""
 
-    def __init__(self, names: HeaderNames):
+    def __init__(self, names: HeaderNames, on_rate: Callable[[float | None], None]):
+        """`on_rate` gets each new rate in requests per second; None: the server names none."""
         self._names = names
+        self._on_rate = on_rate
         self.start = ServerStart()  # the registered start
         self.rate: float | None = None  # requests per second that the server named last
         self.leaving = False
@@ -28,8 +31,8 @@
     def on_registered(self, start: ServerStart) -> None:
         """Forget the announcements of another start once this one has registered."""
         if not start.may_equal(self.start):
-            self.rate = None
             self.leaving = False
+            self._set_rate(None)
         self.start = start
 
     def on_response(self, head: ResponseHead) -> None:
@@ -47,7 +50,9 @@
         if not self._names.limit:
             return
         values = head.get_all(self._names.limit)
-        rate = self._accept(decode_rate(values), "limit", values, self.rate)
+        self._set_rate(self._accept(decode_rate(values), "limit", values, self.rate))
+
+    def _set_rate(self, rate: float | None) -> None:
         if rate == self.rate:
             return
         if rate is None:
@@ -55,6 +60,7 @@
         else:
             logs.info("server-limit-named", server=self.start.server, rate=rate)
         self.rate = rate
+        self._on_rate(rate)
 
     def _read_leaving(self, head: ResponseHead) -> None:
         if not self._names.leaving or self.leaving:
--- a/packages/wheatslipd/wheatslipd/gate/serverside.py
+++ b/packages/wheatslipd/wheatslipd/gate/serverside.py
@@ -66,7 +66,7 @@
     end_detector = ServerEndDetector(
         backend, gate, shared.bus, shared.metrics, shared.monotonic
     )
-    notices = NoticeReader(settings.headers)
+    notices = NoticeReader(settings.headers, gate.limit_rate)
     guard = SuspectGuard(shared.quarantine, shared.monotonic, shared.unix)
     ledger = KeyLedger(watching_since=shared.unix())
     keys = KeyGuard(settings.name, ledger, owners, shared.unix, lambda: cache.checked)
--- a/standins/plainbackend.py
+++ b/standins/plainbackend.py
@@ -38,7 +38,7 @@
     """One server. `server_id` identifies this start of it.
 
     `health` is the status of health responses, `service` is the service time in seconds, and
-    `load` is the value of the load header. `extra_headers` are added to the responses to requests.
+    `load` is the value of the load header. `extra_headers` are those of responses to requests.
     """
 
     server_id: str
--- a/test/test_coldstarts.py
+++ b/test/test_coldstarts.py
@@ -172,11 +172,11 @@
         continue
     waiting = result
     urgent = admission.arrive(make_call(kind=URGENT), 0.0)
-    wait = admission.cold_start_wait(0.0)
+    wait = admission.paced_start_wait(0.0)
     assert 0 < wait <= RATE.spacing
     assert admission.admit(wait / 2) == []
     assert admission.admit(wait + 1e-9) == [urgent]
-    next_wait = admission.cold_start_wait(wait + 1e-9)
+    next_wait = admission.paced_start_wait(wait + 1e-9)
     assert admission.admit(wait + next_wait + 1e-8) == [waiting]
 
 
