Send nothing more to a backend server whose responses say that it leaves

Callers were sent to a server that had said in its answers that it leaves, for as long as it ran, and each heartbeat that said ready opened its gate again. Cause: the header was not read, and only heartbeats told the registration; the health endpoint's x-draining, of the same class, closed the gate as well but the next heartbeat opened it again. Both now pass one place (NoticeReader), which closes the gate at once and tells the registration of this start of the server, where a heartbeat cannot take it back. The next start of the server gets requests again (test_next_start_of_a_server_that_left_gets_requests).

--- a/packages/wheatslip/wheatslip/store/registration.py
+++ b/packages/wheatslip/wheatslip/store/registration.py
@@ -10,11 +10,13 @@
 """
 
 from collections import OrderedDict
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import StrEnum
 
 import msgspec
 
+from wheatslip.servernotice import ServerStart
+
 MAX_RETIRED_IDS = 1000  # ids of former servers whose late heartbeats are ignored
 # Less than a heartbeat interval, more than the time in which late heartbeats arrive together.
 CLAIM_CONFIRM_SECONDS = 1.0
@@ -54,6 +56,10 @@
     leaving: bool = False
     warm_at: float | None = None
 
+    @property
+    def start(self) -> ServerStart:
+        return ServerStart(self.server)
+
 
 @dataclass(frozen=True, slots=True)
 class _Claim:
@@ -100,10 +106,14 @@
         self._retire_id(server)
         if self._claim is not None and self._claim.server == server:
             self._claim = None
+        return self.on_leaving(server)
+
+    def on_leaving(self, server: str) -> bool:
+        """Responses of the server say that it leaves; returns whether `current` changed."""
         current = self.current
         if current is None or current.server != server or current.leaving:
             return False
-        self.current = RegisteredServer(server, current.slots, True, current.warm_at)
+        self.current = replace(current, leaving=True)
         return True
 
     def on_health(
--- a/packages/wheatslipd/wheatslipd/controllers/events.py
+++ b/packages/wheatslipd/wheatslipd/controllers/events.py
@@ -69,6 +69,13 @@
         super().__init__(registered)
 
 
+class backend_leaving(Event):
+    """The local backend server has said that it leaves; `server` is its id, or empty."""
+
+    def __init__(self, server: str):
+        super().__init__(server)
+
+
 class leaving(Event):
     """This daemon and its backend server must drain; `cause` is logged."""
 
--- a/packages/wheatslipd/wheatslipd/controllers/lifecycle.py
+++ b/packages/wheatslipd/wheatslipd/controllers/lifecycle.py
@@ -3,7 +3,6 @@
 from circuits import Component
 from wheatslip.admission import AdmissionSettings
 from wheatslip.config.bundle import Bundle
-from wheatslip.servernotice import ServerStart
 from wheatslip.store.instances import Instance
 from wheatslip.store.registration import RegisteredServer
 
@@ -44,11 +43,19 @@
         self._view.leaving = True
         self._gate.on_server_leaving()
 
+    def backend_leaving(self, server: str) -> None:
+        """Leave with the backend server, until another start of it registers."""
+        if self._local_backend is not None:
+            self._local_backend.on_leaving(server)
+        else:
+            self.leaving("the backend server says that it leaves")
+
     def rejoined(self) -> None:
         """Accept new requests again: only an earlier process of this daemon was leaving."""
         if self._view.leaving and not self._view.stopping:
             logs.info("drain-taken-back")
             self._view.leaving = False
+            self._server_side.notices.leaving = False
             self._gate.on_server_available()
 
     def bundle_in_force(self, bundle: Bundle) -> None:
@@ -67,7 +74,7 @@
     def backend_registered(self, registered: RegisteredServer) -> None:
         """Apply the registration of the local backend server, and publish it."""
         assert self._local_backend is not None
-        self._server_side.notices.on_registered(ServerStart(registered.server))
+        self._server_side.notices.on_registered(registered.start, leaving=registered.leaving)
         self._local_backend.apply_registration(registered)
         if registered.leaving:
             self.leaving(f"backend server {registered.server} leaves")
--- a/packages/wheatslipd/wheatslipd/gate/idleprobe.py
+++ b/packages/wheatslipd/wheatslipd/gate/idleprobe.py
@@ -8,10 +8,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from wheatslipd.controllers.bus import Bus
-from wheatslipd.controllers.events import leaving
 from wheatslipd.gate.backend import Backend
 from wheatslipd.gate.health import ask_health
+from wheatslipd.gate.noticereader import NoticeReader
 from wheatslipd.telemetry import logs
 from wheatslipd.telemetry.metrics import Metrics
 
@@ -41,7 +40,7 @@
         self,
         backend: Backend,
         path: str,
-        bus: Bus,
+        notices: NoticeReader,
         metrics: Metrics,
         clock: Callable[[], float],
         is_idle: Callable[[float], bool],
@@ -49,7 +48,7 @@
         """`is_idle(seconds)` tells whether no request has run or finished for that long."""
         self._backend = backend
         self._path = path
-        self._bus = bus
+        self._notices = notices
         self._metrics = metrics
         self._clock = clock
         self._is_idle = is_idle
@@ -71,4 +70,4 @@
         if head is None:
             logs.warning("probe-failed", repeat_key="probe")
         elif head.get(DRAINING_HEADER) == b"yes":
-            self._bus.fire(leaving("the backend server reports that it is draining"))
+            self._notices.mark_leaving("its health endpoint says so")
--- a/packages/wheatslipd/wheatslipd/gate/noticereader.py
+++ b/packages/wheatslipd/wheatslipd/gate/noticereader.py
@@ -20,20 +20,28 @@
 class NoticeReader:
     """Reads the responses of one backend server."""
 
-    def __init__(self, names: HeaderNames, on_rate: Callable[[float | None], None]):
-        """`on_rate` gets each new rate in requests per second; None: the server names none."""
+    def __init__(
+        self,
+        names: HeaderNames,
+        on_rate: Callable[[float | None], None],
+        on_leaving: Callable[[], None],
+    ):
+        """`on_rate` gets each new rate in requests per second; None: the server names none.
+        `on_leaving` is called once for a start of the server that leaves.
+        """
         self._names = names
         self._on_rate = on_rate
+        self._on_leaving = on_leaving
         self.start = ServerStart()  # the registered start
         self.rate: float | None = None  # requests per second that the server named last
         self.leaving = False
 
-    def on_registered(self, start: ServerStart) -> None:
+    def on_registered(self, start: ServerStart, *, leaving: bool) -> None:
         """Forget the announcements of another start once this one has registered."""
         if not start.may_equal(self.start):
-            self.leaving = False
             self._set_rate(None)
         self.start = start
+        self.leaving = leaving
 
     def on_response(self, head: ResponseHead) -> None:
         """Read the response to a request. Without a rate in it, the earlier one ends."""
@@ -67,8 +75,15 @@
             return
         values = head.get_all(self._names.leaving)
         if self._accept(decode_leaving(values), "leaving", values, False):
-            logs.info("server-leaving-said", server=self.start.server)
-            self.leaving = True
+            self.mark_leaving("its responses say so")
+
+    def mark_leaving(self, cause: str) -> None:
+        """Record that the server leaves; `cause` is logged."""
+        if self.leaving:
+            return
+        logs.info("server-leaving-said", server=self.start.server, cause=cause)
+        self.leaving = True
+        self._on_leaving()
 
     def _accept(
         self, decoded: Result[T, str], header: str, values: list[bytes], current: T
--- a/packages/wheatslipd/wheatslipd/gate/serverside.py
+++ b/packages/wheatslipd/wheatslipd/gate/serverside.py
@@ -8,6 +8,7 @@
 from wheatslip.owners import OwnerHistory
 from wheatslip.slidinglimit import SlidingLimit
 
+from wheatslipd.controllers.events import backend_leaving
 from wheatslipd.gate.backend import Backend
 from wheatslipd.gate.gate import Gate, SpeedProbing
 from wheatslipd.gate.idleprobe import IdleProbe
@@ -66,7 +67,7 @@
     end_detector = ServerEndDetector(
         backend, gate, shared.bus, shared.metrics, shared.monotonic
     )
-    notices = NoticeReader(settings.headers, gate.limit_rate)
+    notices = _build_notice_reader(settings, shared, gate)
     guard = SuspectGuard(shared.quarantine, shared.monotonic, shared.unix)
     ledger = KeyLedger(watching_since=shared.unix())
     keys = KeyGuard(settings.name, ledger, owners, shared.unix, lambda: cache.checked)
@@ -81,7 +82,7 @@
         shared.monotonic,
         shared.hint_newer_version,
     )
-    idle_probe = _build_idle_probe(settings, shared, gate, backend)
+    idle_probe = _build_idle_probe(settings, shared, gate, backend, notices)
     return ServerSide(
         peer_port, keys, gate, speed_check, backend, idle_probe, end_detector, notices
     )
@@ -109,8 +110,18 @@
     )
 
 
+def _build_notice_reader(settings: Settings, shared: SharedState, gate: Gate) -> NoticeReader:
+    def close_gate() -> None:
+        # Events are handled later, and no request may start until then.
+        gate.on_server_leaving()
+        shared.bus.fire(backend_leaving(notices.start.server))
+
+    notices = NoticeReader(settings.headers, gate.limit_rate, close_gate)
+    return notices
+
+
 def _build_idle_probe(
-    settings: Settings, shared: SharedState, gate: Gate, backend: Backend
+    settings: Settings, shared: SharedState, gate: Gate, backend: Backend, notices: NoticeReader
 ) -> IdleProbe:
     def is_idle(seconds: float) -> bool:
         admission = gate.admission
@@ -118,5 +129,5 @@
         return admission.in_flight == 0 and idle_time >= seconds
 
     return IdleProbe(
-        backend, settings.health_path, shared.bus, shared.metrics, shared.monotonic, is_idle
+        backend, settings.health_path, notices, shared.metrics, shared.monotonic, is_idle
     )
--- a/packages/wheatslipd/wheatslipd/registration/localbackend.py
+++ b/packages/wheatslipd/wheatslipd/registration/localbackend.py
@@ -142,6 +142,10 @@
         else:
             cold.on_report(registered.warm_at - now, now)
 
+    def on_leaving(self, server: str) -> None:
+        """Record that responses of the server say that it leaves."""
+        self._registrar.on_leaving(server)
+
     def publish(self) -> None:
         """Publish the current state of this daemon in the list of instances."""
         settings = self._settings
--- a/packages/wheatslipd/wheatslipd/registration/registrar.py
+++ b/packages/wheatslipd/wheatslipd/registration/registrar.py
@@ -111,6 +111,10 @@
             self._disputed.clear()
             await self._disputed.wait()
 
+    def on_leaving(self, server: str) -> None:
+        """Record that responses of the server say that it leaves."""
+        self._fire_change(self._registration.on_leaving(server))
+
     def _apply_heartbeat(self, server: str, heartbeat: Heartbeat) -> None:
         self._fire_change(self._registration.on_heartbeat(server, heartbeat, self._clock()))
         current = self._registration.current
--- a/test/test_named_limits.py
+++ b/test/test_named_limits.py
@@ -111,3 +111,20 @@
             assert {answer.status for answer in answers} == {200}
 
     run(scenario)
+
+
+def test_next_start_of_a_server_that_left_gets_requests():
+    async def scenario():
+        async with limited_fleet("a", "b") as cluster:
+            backend = cluster.backends["a"]
+            await cluster.send_heartbeat("a", 1)
+            backend.extra_headers = [(b"server-leaving", b"1")]
+            await send_steadily(cluster, 0.5)
+            backend.server_id = "i-next"
+            backend.extra_headers = []
+            backend.arrivals.clear()
+            await cluster.send_heartbeat("a", 1)
+            await send_steadily(cluster, 3.0)
+            assert backend.arrivals
+
+    run(scenario)
