Register a server that has started again under its earlier id

A server that left, or was stopped, and started again under the id it had got no more requests from its daemon: its sequence numbers start anew and were taken for late heartbeats, and what the earlier start had said of leaving held for ever. Heartbeats may carry born, the time of the start; the start, not the id, is what leaves, retires and resets speed and coldness. A later born takes over at once, an earlier one is late. Without born everything is as before. Three new cases of test_registration fail on the code before, which does not know the field.

--- a/packages/wheatslip/wheatslip/store/registration.py
+++ b/packages/wheatslip/wheatslip/store/registration.py
@@ -14,6 +14,7 @@
 from enum import StrEnum
 
 import msgspec
+from msgspec import UNSET, UnsetType
 
 from wheatslip.servernotice import ServerStart
 
@@ -32,7 +33,8 @@
 class Heartbeat(msgspec.Struct, frozen=True):
     """A heartbeat. `sequence` increases with each heartbeat of the same server.
 
-    `warm_in` is the time in seconds until the server has warmed up after its start.
+    `warm_in` is the time in seconds until the server has warmed up after its start, `born` the
+    time of its start in Unix milliseconds.
     """
 
     pool: str
@@ -41,6 +43,7 @@
     sequence: int
     state: ServerState = ServerState.READY
     warm_in: float = 0.0
+    born: int | UnsetType = UNSET
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,10 +58,11 @@
     slots: int
     leaving: bool = False
     warm_at: float | None = None
+    born: int = 0  # Unix milliseconds; 0: unknown
 
     @property
     def start(self) -> ServerStart:
-        return ServerStart(self.server)
+        return ServerStart(self.server, self.born)
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,7 +83,8 @@
     current: RegisteredServer | None = None
     _sequence: int = -1
     _claim: _Claim | None = None
-    _retired: OrderedDict[str, None] = field(default_factory=OrderedDict)
+    # When the latest retired start of each id was born, in Unix milliseconds; 0: unknown.
+    _retired: OrderedDict[str, int] = field(default_factory=OrderedDict)
 
     @property
     def is_disputed(self) -> bool:
@@ -88,7 +93,13 @@
 
     def on_heartbeat(self, server: str, heartbeat: Heartbeat, now: float) -> bool:
         """Processes a heartbeat; returns whether `current` changed."""
-        if server in self._retired or not self._is_for_this_daemon(heartbeat):
+        if not self._is_for_this_daemon(heartbeat):
+            return False
+        born = heartbeat.born or 0
+        if self._is_current(server) and self._is_born_later(born):
+            # It has started again under its id, with new sequence numbers.
+            return self._take_over(server, heartbeat, now)
+        if server in self._retired and not 0 < self._retired[server] < born:
             return False
         if self._is_current(server):
             return self._update_current(heartbeat, now)
@@ -153,8 +164,9 @@
 
     def _take_over(self, server: str, heartbeat: Heartbeat, now: float) -> bool:
         """Replaces the current server by one that was not registered."""
-        if self.current is not None:
+        if self.current is not None and self.current.server != server:
             self._retire_id(self.current.server)
+        self._retired.pop(server, None)
         self._claim = None
         self._sequence = heartbeat.sequence
         return self._set_current(server, heartbeat, now)
@@ -165,28 +177,43 @@
     def _is_current(self, server: str) -> bool:
         return self.current is not None and self.current.server == server
 
+    def _is_born_later(self, born: int) -> bool:
+        """Whether a start that was born then is known to be later than the current one."""
+        assert self.current is not None
+        return 0 < self.current.born < born
+
     def _update_current(self, heartbeat: Heartbeat, now: float) -> bool:
         assert self.current is not None
         if heartbeat.sequence <= self._sequence:
             return False
+        if heartbeat.born and heartbeat.born < self.current.born:
+            return False  # a late heartbeat of an earlier start under this id
         self._sequence = heartbeat.sequence
         return self._set_current(self.current.server, heartbeat, now)
 
     def _set_current(self, server: str, heartbeat: Heartbeat, now: float) -> bool:
         previous = self.current
+        start = ServerStart(server, heartbeat.born or 0)
         leaving = heartbeat.state is ServerState.LEAVING
-        if previous is not None and previous.server == server:
+        if previous is not None and previous.start.may_equal(start):
             leaving = leaving or previous.leaving
-        self.current = RegisteredServer(
-            server, heartbeat.slots, leaving, now + heartbeat.warm_in
-        )
-        return previous is None or (previous.server, previous.slots, previous.leaving) != (
-            server,
-            heartbeat.slots,
-            leaving,
+            start = ServerStart(server, start.born or previous.born)
+        current = RegisteredServer(
+            server, heartbeat.slots, leaving, now + heartbeat.warm_in, start.born
         )
+        self.current = current
+        return previous is None or _differs(previous, current)
 
     def _retire_id(self, server: str) -> None:
-        self._retired[server] = None
+        current = self.current
+        born = current.born if current is not None and current.server == server else 0
+        self._retired[server] = born or self._retired.get(server, 0)
         while len(self._retired) > MAX_RETIRED_IDS:
             self._retired.popitem(last=False)
+
+
+def _differs(first: RegisteredServer, second: RegisteredServer) -> bool:
+    """Whether two registrations differ in more than the time until the server has warmed up."""
+    if not first.start.may_equal(second.start):
+        return True
+    return (first.slots, first.leaving) != (second.slots, second.leaving)
--- a/packages/wheatslipd/wheatslipd/registration/localbackend.py
+++ b/packages/wheatslipd/wheatslipd/registration/localbackend.py
@@ -12,6 +12,7 @@
 from msgspec import UnsetType
 from wheatslip.admission import ColdRate, cold_rate
 from wheatslip.config.bundle import Pool
+from wheatslip.servernotice import ServerStart
 from wheatslip.store.instances import Instance, InstanceState
 from wheatslip.store.objects import ObjectStore
 from wheatslip.store.registration import RegisteredServer, Registration
@@ -58,7 +59,7 @@
         self._clock = clock
         self._cache = feed.cache
         self._ports = ports
-        self._server = ""  # id of the server that registered last
+        self._start = ServerStart()  # of the server that registered last
         self._slots = 0  # the reported slots times `slot_share`; 0: none reported yet
         self._registrar = Registrar(
             Registration(settings.pool, f"{settings.backend_address}:{settings.backend_port}"),
@@ -124,9 +125,10 @@
 
     def apply_registration(self, registered: RegisteredServer) -> None:
         """Apply the reported slots; for a new server, reset its speed and cold state first."""
-        if registered.server != self._server:
+        is_first = not self._start.server
+        if is_first or not registered.start.may_equal(self._start):
             self._reset_for_new_server(registered)
-        self._server = registered.server
+        self._start = registered.start
         self._slots = max(1, int(registered.slots * self._settings.slot_share))
         admission = self._gate.admission
         admission.resize(dataclasses.replace(admission.settings, slots=self._slots))
--- a/test/routed_fleet.py
+++ b/test/routed_fleet.py
@@ -173,7 +173,7 @@
             return self.doors[name].server.port
         return self.store.server.port
 
-    async def send_heartbeat(self, name, sequence, state="ready", server=None):
+    async def send_heartbeat(self, name, sequence, state="ready", server=None, born=0):
         backend = self.backends[name]
         body = {
             "address": f"{HOST}:{backend.server.port}",
@@ -184,6 +184,8 @@
                 "cold_remaining_s": backend.cold_remaining,
             },
         }
+        if born:
+            body["born"] = born
         port = self.daemons[name].local_backend.registration_server.port
         url = f"http://{HOST}:{port}/heartbeats/{server or backend.server_id}"
         async with self.session.put(url, json=body) as answer:
--- a/test/test_registration.py
+++ b/test/test_registration.py
@@ -2,6 +2,8 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgspec import UNSET
+from wheatslip.servernotice import ServerStart
 from wheatslip.store.registration import (
     CLAIM_CONFIRM_SECONDS,
     MAX_RETIRED_IDS,
@@ -17,8 +19,10 @@
     return Registration("papers", ADDRESS)
 
 
-def heartbeat(sequence, state=ServerState.READY, pool="papers", address=ADDRESS, slots=12):
-    return Heartbeat(pool, address, slots, sequence, state)
+def heartbeat(
+    sequence, state=ServerState.READY, pool="papers", address=ADDRESS, slots=12, born=UNSET
+):
+    return Heartbeat(pool, address, slots, sequence, state, born=born)
 
 
 def test_the_first_heartbeat_registers():
@@ -112,6 +116,41 @@
     assert registration.current.leaving
 
 
+def test_a_server_started_again_under_its_id_is_registered_anew():
+    registration = new_registration()
+    registration.on_heartbeat("a", heartbeat(8, born=1000), 0.0)
+    assert registration.on_leaving("a")
+    assert not registration.on_heartbeat("a", heartbeat(9, born=1000), 1.0)
+    assert registration.on_heartbeat("a", heartbeat(1, born=2000), 2.0)
+    assert registration.current.start == ServerStart("a", 2000)
+    assert not registration.current.leaving
+    # A late heartbeat of the earlier start.
+    assert not registration.on_heartbeat(
+        "a", heartbeat(10, ServerState.LEAVING, born=1000), 3.0
+    )
+    assert not registration.current.leaving
+
+
+def test_a_server_that_deregistered_comes_back_only_in_a_later_start():
+    registration = new_registration()
+    registration.on_heartbeat("a", heartbeat(8, born=1000), 0.0)
+    registration.on_deregistration("a")
+    assert not registration.on_heartbeat("a", heartbeat(9, born=1000), 1.0)
+    assert registration.current.leaving
+    assert registration.on_heartbeat("a", heartbeat(1, born=2000), 2.0)
+    assert not registration.current.leaving
+
+
+def test_a_server_whose_responses_said_that_it_leaves_stays_away():
+    registration = new_registration()
+    registration.on_heartbeat("a", heartbeat(1), 0.0)
+    assert not registration.on_leaving("b")
+    assert registration.on_leaving("a") and not registration.on_leaving("a")
+    registration.on_heartbeat("a", heartbeat(2), 1.0)
+    registration.on_heartbeat("a", heartbeat(3, slots=4, born=1000), 2.0)
+    assert registration.current.leaving
+
+
 def test_the_number_of_retired_ids_is_bounded():
     registration = new_registration()
     for number in range(MAX_RETIRED_IDS + 50):
