Remember at the entries what a backend server announced

A server that had said it leaves got requests again once its daemon had restarted, until it said so in an answer, and went on getting them through a daemon that does not read the header: the gate alone knew, and a gate forgets. For the same reason a restarted gate did not know a limit before the first answer. Each entry now remembers both from the answers that it passed on (NoticeMemory), whatever the gate's daemon knows. Requests to a limited server carry what the entry knows, which the gate uses until that server answers. The health endpoint's responses are read as well, and those of another server (421, Instance-Id) no longer. Before: both new tests of a server that left fail (requests after the restart, and through the daemon that does not read the header); now they pass. Forms are unchanged: the fields of the list entry are absent where not known, and the header is sent only while there is something to say.

--- a/packages/wheatslip/wheatslip/chooser.py
+++ b/packages/wheatslip/wheatslip/chooser.py
@@ -18,7 +18,8 @@
 1. It excludes upstreams that were tried for this call or are leaving.
 2. It excludes upstreams in a pause after a failure. If all are paused, it picks any of them at
    random.
-3. It includes an upstream that joined recently in a growing share of the picks.
+3. It includes an upstream that joined recently in a growing share of the picks, and one that
+   names a limit in a share that depends on how often its gate refuses (`NoticeMemory`).
 4. It draws candidates at random: `candidates` from its own zone, a few from other zones.
 5. It picks the candidate with the lowest `cost`. Jitter breaks ties.
 
@@ -87,6 +88,8 @@
     def on_report(self, upstream: Upstream, report: LoadReport, now: float) -> None:
         """Records a load report that came with an answer from `upstream`."""
         upstream.on_report(report, now)
+        if upstream.notices.rate is not None:
+            return  # its reported limit is lowered
         load = (report.in_flight + report.queued) / max(1, report.limit)
         self._pool_load += POOL_LOAD_WEIGHT * (load - self._pool_load)
         previous_limit = self._pool_limit or report.limit
@@ -100,14 +103,14 @@
         If all eligible upstreams are in a pause after a failure, the pick is uniformly random:
         the failures may be false positives, and sending all requests to one would overload it.
         """
-        eligible = [u for u in upstreams if u.name not in tried and not u.leaving]
+        eligible = [u for u in upstreams if u.name not in tried and not u.is_leaving(now)]
         if not eligible:
             return None
         available = [u for u in eligible if u.paused_until <= now]
         if not available:
             return self.rng.choice(eligible)
-        warm_upstreams = [u for u in available if self._passes_warm_up(u, now)]
-        candidates = self._draw_candidates(warm_upstreams or available)
+        willing = [u for u in available if self._takes_part(u, now)]
+        candidates = self._draw_candidates(willing or available)
         if len(candidates) == 1:
             return candidates[0]
         service_times = (u.report.service for u in candidates if u.report is not None)
@@ -135,7 +138,8 @@
     def has_untried(self, upstreams: Sequence[Upstream], now: float, tried: Set[str]) -> bool:
         """Whether an upstream is left that was not tried, is not leaving and not paused."""
         return any(
-            u.name not in tried and not u.leaving and u.paused_until <= now for u in upstreams
+            u.name not in tried and not u.is_leaving(now) and u.paused_until <= now
+            for u in upstreams
         )
 
     def pick_shortest_wait(
@@ -146,13 +150,19 @@
         The refusals have just reported their load, so the reports are used without decay. An
         answer after `target` (monotonic seconds) costs an additional `miss_penalty`.
         """
-        eligible = [u for u in upstreams if not u.leaving and u.report is not None]
+        eligible = [u for u in upstreams if not u.is_leaving(now) and u.report is not None]
         if not eligible:
             return self.pick(upstreams, now)
         return min(eligible, key=lambda u: self._queue_cost(u, now, target) * self._jitter())
 
+    def _takes_part(self, upstream: Upstream, now: float) -> bool:
+        """Whether an upstream takes part in this pick."""
+        return self._passes_warm_up(upstream, now) and upstream.notices.takes_part(
+            now, self.rng
+        )
+
     def _passes_warm_up(self, upstream: Upstream, now: float) -> bool:
-        """Whether an upstream takes part in this pick; random while it is warming up."""
+        """Whether an upstream is warm enough for this pick; random while it is warming up."""
         if not upstream.joined or now >= upstream.joined + self.settings.warm_up:
             return True
         warm_up_progress = (now - upstream.joined) / self.settings.warm_up
@@ -196,9 +206,12 @@
     def _utilization(self, upstream: Upstream, now: float) -> float:
         """Estimated load relative to the limit, including this request."""
         report = upstream.report
-        # An upstream without a report gets the pool's mean limit: with a lower one it would
-        # seem more loaded than the others and get no requests at light load.
-        limit = float(max(1, report.limit)) if report else self._pool_limit or INITIAL_LIMIT
+        if report is None or upstream.notices.rate is not None:
+            # A lower limit than that of the others, such as the one that a limited server
+            # reports, would keep all requests away from it at light load.
+            limit = self._pool_limit or INITIAL_LIMIT
+        else:
+            limit = float(max(1, report.limit))
         own_load = OWN_WEIGHT * upstream.in_flight / limit + 1 / limit
         if report is None:
             return own_load + REPORT_WEIGHT * self._pool_load
--- a/packages/wheatslip/wheatslip/hop.py
+++ b/packages/wheatslip/wheatslip/hop.py
@@ -4,11 +4,13 @@
 zones. Times are sent as remaining seconds, so that the clocks of two daemons need not agree.
 """
 
+from math import inf
 from typing import TypeVar
 
 import msgspec
 
 from wheatslip.outcome import NotRun, Outcome, Reason, Unknown
+from wheatslip.servernotice import ServerNotice
 
 HOP_HEADER = b"wheatslip-hop"
 OUTCOME_HEADER = b"wheatslip-outcome"
@@ -17,6 +19,9 @@
 FINGERPRINT_HEADER = b"wheatslip-fingerprint"
 # Sent with a hop if a server ended during an earlier try: the request may end another one.
 SUSPECT_HEADER = b"wheatslip-suspect"
+# Sent with a response while the server has announced something, and with a hop while the entry
+# remembers a limit of the server: a `ServerNotice`.
+NOTICE_HEADER = b"wheatslip-notice"
 MAX_HEADER_VALUE_BYTES = 2048  # more than a daemon sends; longer values are not parsed
 
 
@@ -51,14 +56,15 @@
     slowness: float = 1.0  # ratio of the current service time to the mean
 
 
-_Message = TypeVar("_Message", Hop, LoadReport)
+_Message = TypeVar("_Message", Hop, LoadReport, ServerNotice)
 
 _encoder = msgspec.json.Encoder()
 _hop_decoder = msgspec.json.Decoder(Hop)
 _load_decoder = msgspec.json.Decoder(LoadReport)
+_notice_decoder = msgspec.json.Decoder(ServerNotice)
 
 
-def encode(message: Hop | LoadReport) -> bytes:
+def encode(message: Hop | LoadReport | ServerNotice) -> bytes:
     """Encodes a message as a header value."""
     return _encoder.encode(message)
 
@@ -73,6 +79,14 @@
     return _decode_message(_load_decoder, value)
 
 
+def decode_notice(value: bytes) -> ServerNotice | None:
+    """Decodes a header value; None if it is invalid."""
+    notice = _decode_message(_notice_decoder, value)
+    if notice is None or (notice.rate is not None and not 0 < notice.rate < inf):
+        return None
+    return notice
+
+
 def _decode_message(decoder: msgspec.json.Decoder[_Message], value: bytes) -> _Message | None:
     if len(value) > MAX_HEADER_VALUE_BYTES:
         return None
--- a/packages/wheatslip/wheatslip/store/instances.py
+++ b/packages/wheatslip/wheatslip/store/instances.py
@@ -3,8 +3,11 @@
 from enum import StrEnum
 
 import msgspec
+from msgspec import UNSET, UnsetType
 from result import Err, Ok, Result
 
+from wheatslip.servernotice import ServerStart
+
 INSTANCE_KIND = "instance"
 
 
@@ -18,7 +21,8 @@
 class Instance(msgspec.Struct, frozen=True):
     """A backend server and the daemon that runs beside it.
 
-    `incarnation` increases each time an instance is restarted under the same name.
+    `incarnation` increases each time an instance is restarted under the same name. `server` is
+    the id of the backend server, `server_born` its start in Unix milliseconds, if known.
     """
 
     name: str
@@ -30,6 +34,12 @@
     control_port: int = 0
     incarnation: int = 1
     state: InstanceState = InstanceState.LIVE
+    server: str | UnsetType = UNSET
+    server_born: int | UnsetType = UNSET
+
+    @property
+    def server_start(self) -> ServerStart:
+        return ServerStart(self.server or "", self.server_born or 0)
 
 
 def decode_instance(value: bytes | msgspec.Raw) -> Result[Instance, str]:
--- a/packages/wheatslip/wheatslip/upstream.py
+++ b/packages/wheatslip/wheatslip/upstream.py
@@ -3,11 +3,12 @@
 Does no I/O. Times are in seconds on one monotonic clock.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from math import exp
 from random import Random
 
 from wheatslip.hop import LoadReport
+from wheatslip.noticememory import NoticeMemory
 
 FIRST_PAUSE_SECONDS = 0.2  # doubles with each consecutive failure
 MAX_PAUSE_SECONDS = 5.0  # before jitter, which multiplies a pause by 0.5 to 1.5
@@ -40,11 +41,13 @@
     healthy_until: float = 0.0  # until then a good answer overrides `healthy`
     unreachable_since: float | None = None  # when its daemon stopped accepting connections
     listed_leaving: bool = False  # not overridden by load reports
+    notices: NoticeMemory = field(default_factory=NoticeMemory)
 
-    @property
-    def leaving(self) -> bool:
+    def is_leaving(self, now: float) -> bool:
         """Whether it accepts no new requests."""
-        return self.listed_leaving or (self.report is not None and self.report.leaving)
+        if self.listed_leaving or self.notices.is_leaving(now):
+            return True
+        return self.report is not None and self.report.leaving
 
     def on_sent(self) -> None:
         """A request is sent to it."""
--- a/packages/wheatslipd/wheatslipd/controllers/membership.py
+++ b/packages/wheatslipd/wheatslipd/controllers/membership.py
@@ -6,9 +6,11 @@
 """
 
 import asyncio
+from collections import OrderedDict
 from types import MappingProxyType
 
 from circuits import Component
+from wheatslip.noticememory import NoticeMemory
 from wheatslip.owners import OwnerHistory
 from wheatslip.store.instances import Instance, InstanceState
 from wheatslip.upstream import Upstream
@@ -22,6 +24,7 @@
 from wheatslipd.tls import PeerTls
 
 MAX_CONNECTIONS_PER_PEER = 256
+MAX_KEPT_NOTICES = 1000  # of removed peers; the oldest are forgotten
 LAPSE_GRACE_SECONDS = 2.0  # a running daemon writes its expired entry again within this time
 
 
@@ -42,6 +45,9 @@
         self._monotonic = shared.monotonic
         self._unix = shared.unix
         self._peers: dict[str, Peer] = {}
+        # What the servers of removed peers have announced, by name: a daemon that restarts is
+        # another peer, but its server may be the same.
+        self._kept_notices: OrderedDict[str, NoticeMemory] = OrderedDict()
         # Timers that end the grace period of a missing entry, by name.
         self._grace_timers: dict[str, asyncio.TimerHandle] = {}
         self._has_list = False
@@ -71,7 +77,7 @@
         if peer is None or name in self._grace_timers:
             return
         upstream = peer.upstream
-        if upstream.leaving or upstream.unreachable_since is not None:
+        if upstream.is_leaving(self._monotonic()) or upstream.unreachable_since is not None:
             self._remove(name)
             return
         logs.info("entry-missing", name=name, grace=LAPSE_GRACE_SECONDS)
@@ -102,6 +108,7 @@
             self._peers[instance.name] = self._new_peer(instance)
         else:
             peer.instance = instance
+            peer.upstream.notices.on_listed(instance.server_start)
         is_leaving = instance.state is InstanceState.LEAVING
         self._peers[instance.name].upstream.listed_leaving |= is_leaving
         if instance.name == self._name and not self._lists_itself:
@@ -125,7 +132,9 @@
     def _new_peer(self, instance: Instance) -> Peer:
         # A peer in the first list may have started before this daemon, so it counts as warm.
         joined = self._monotonic() if self._has_list else 0.0
-        upstream = Upstream(instance.name, instance.zone, joined=joined)
+        notices = self._kept_notices.pop(instance.name, None) or NoticeMemory()
+        notices.on_listed(instance.server_start)
+        upstream = Upstream(instance.name, instance.zone, joined=joined, notices=notices)
         connections = ConnectionPool(
             instance.address, instance.peer_port, MAX_CONNECTIONS_PER_PEER, self._tls.client
         )
@@ -136,6 +145,9 @@
         peer = self._peers.pop(name, None)
         if peer is not None:
             peer.connections.close()
+            self._kept_notices[name] = peer.upstream.notices
+            if len(self._kept_notices) > MAX_KEPT_NOTICES:
+                self._kept_notices.popitem(last=False)
 
     @staticmethod
     def _is_same_process(old: Instance, new: Instance) -> bool:
--- a/packages/wheatslipd/wheatslipd/entry/forward.py
+++ b/packages/wheatslipd/wheatslipd/entry/forward.py
@@ -14,15 +14,19 @@
 from wheatslip.hop import (
     HOP_HEADER,
     LOAD_HEADER,
+    NOTICE_HEADER,
     OUTCOME_HEADER,
     Hop,
     decode_load,
+    decode_notice,
     decode_refusal,
     encode,
 )
 from wheatslip.outcome import Answered, NotRun, Outcome, Reason, Unknown
 from wheatslip.quarantine import Quarantine
 from wheatslip.retryafter import NO_PEER_CONNECTION
+from wheatslip.servernotice import ServerNotice
+from wheatslip.upstream import Upstream
 
 from wheatslipd.chain import EntryRequest
 from wheatslipd.controllers.view import Peer, View
@@ -31,6 +35,7 @@
 from wheatslipd.http.body import BodyTruncated
 from wheatslipd.http.client import ClientConnection, Response
 from wheatslipd.http.messages import RequestHead, ResponseHead
+from wheatslipd.noticeheaders import read_notice
 from wheatslipd.settings import HeaderNames, LogLevel
 from wheatslipd.telemetry import logs
 from wheatslipd.telemetry.metrics import Metrics
@@ -263,6 +268,7 @@
             return Unknown(Reason.UNACKNOWLEDGED if unacknowledged else Reason.CONNECTION_LOST)
         self._apply_report(peer, response)
         refusal = self._refusal(response)
+        self._apply_notice(peer.upstream, response.head, refusal)
         if refusal is not None:
             if refusal.reason in _SERVER_FAILURE_REASONS:
                 peer.upstream.on_failure(self._clock(), self._rng)
@@ -317,6 +323,9 @@
         if names.caller:
             headers.append((names.caller, self._settings.caller))
         headers.append((HOP_HEADER, encode(self._hop(prepared.call, next_try))))
+        notice = next_try.upstream.notices.notice()
+        if notice is not None:
+            headers.append((NOTICE_HEADER, encode(notice)))
         is_whole = not prepared.has_more
         headers += prepared.guard.headers(
             original_head, prepared.body_prefix, is_whole=is_whole
@@ -358,6 +367,24 @@
             failed = response.head.status >= SERVER_ERROR
             peer.upstream.on_answer(now, failed=failed)
 
+    def _apply_notice(
+        self, upstream: Upstream, head: ResponseHead, refusal: NotRun | Unknown | None
+    ) -> None:
+        """Remember what the backend server announces, or what its gate knows of that.
+
+        The server's own headers count too: its daemon's version may not read them.
+        """
+        now = self._clock()
+        memory = upstream.notices
+        gate_notice = decode_notice(head.get(NOTICE_HEADER) or b"")
+        if refusal is not None:
+            if isinstance(refusal, NotRun):
+                memory.on_refusal(gate_notice, now)
+            return
+        start = gate_notice.start if gate_notice is not None else memory.start
+        previous = ServerNotice(start, memory.rate, memory.is_leaving(now))
+        memory.on_answer(read_notice(head, self._settings.names, previous), now)
+
     @staticmethod
     def _refusal(response: Response) -> NotRun | Unknown | None:
         """The peer's refusal; None if this is a response of the backend server."""
--- a/packages/wheatslipd/wheatslipd/gate/idleprobe.py
+++ b/packages/wheatslipd/wheatslipd/gate/idleprobe.py
@@ -69,5 +69,7 @@
         self._metrics.probe_seconds.add({}, self._clock() - started_at)
         if head is None:
             logs.warning("probe-failed", repeat_key="probe")
-        elif head.get(DRAINING_HEADER) == b"yes":
+            return
+        self._notices.on_health(head)
+        if head.get(DRAINING_HEADER) == b"yes":
             self._notices.mark_leaving("its health endpoint says so")
--- a/packages/wheatslipd/wheatslipd/gate/noticereader.py
+++ b/packages/wheatslipd/wheatslipd/gate/noticereader.py
@@ -1,24 +1,20 @@
-"""Reads what the local backend server announces in its responses.
+"""Reads what the local backend server announces in its responses, for its gate.
 
-Only responses of the registered start of the server count. A header with an invalid value is
-logged and has no effect.
+Only responses of the registered start of the server count.
 """
 
 from collections.abc import Callable
-from typing import TypeVar
 
-from result import Err, Result
-from wheatslip.servernotice import ServerStart, decode_leaving, decode_rate
+from wheatslip.servernotice import ServerNotice, ServerStart
 
 from wheatslipd.http.messages import ResponseHead
+from wheatslipd.noticeheaders import read_notice
 from wheatslipd.settings import HeaderNames
 from wheatslipd.telemetry import logs
 
-T = TypeVar("T")
-
 
 class NoticeReader:
-    """Reads the responses of one backend server."""
+    """The announcements of one backend server."""
 
     def __init__(
         self,
@@ -35,10 +31,14 @@
         self.start = ServerStart()  # the registered start
         self.rate: float | None = None  # requests per second that the server named last
         self.leaving = False
+        self._has_responded = False  # whether this start has responded to a request
+        self._names_rate_in_health = False
 
     def on_registered(self, start: ServerStart, *, leaving: bool) -> None:
         """Forget the announcements of another start once this one has registered."""
         if not start.may_equal(self.start):
+            self._has_responded = False
+            self._names_rate_in_health = False
             self._set_rate(None)
         self.start = start
         self.leaving = leaving
@@ -47,19 +47,55 @@
         """Read the response to a request. Without a rate in it, the earlier one ends."""
         if not self._is_from_registered(head):
             return
-        self._read_rate(head)
-        self._read_leaving(head)
+        self._has_responded = True
+        notice = read_notice(head, self._names, self._current())
+        self._set_rate(notice.rate)
+        if notice.leaving:
+            self.mark_leaving("its responses say so")
+
+    def on_health(self, head: ResponseHead) -> None:
+        """Read a response of the health endpoint.
+
+        Without a rate in it, the earlier one ends only if the endpoint has named one before:
+        the server may name it in the responses to requests alone.
+        """
+        if not self._is_from_registered(head):
+            return
+        notice = read_notice(head, self._names, self._current())
+        if notice.rate is not None or self._names_rate_in_health:
+            self._set_rate(notice.rate)
+        if self._names.limit and head.get(self._names.limit) is not None:
+            self._names_rate_in_health = True
+        if notice.leaving:
+            self.mark_leaving("its health endpoint says so")
+
+    def on_forwarded(self, notice: ServerNotice) -> None:
+        """Use the limit that an entry remembers, until this start of the server responds.
+
+        After a restart of this daemon, entries may know the limit earlier than the gate.
+        """
+        if not self._has_responded and notice.start.may_equal(self.start):
+            self._set_rate(notice.rate)
+
+    def mark_leaving(self, cause: str) -> None:
+        """Record that the server leaves; `cause` is logged."""
+        if self.leaving:
+            return
+        logs.info("server-leaving-said", server=self.start.server, cause=cause)
+        self.leaving = True
+        self._on_leaving()
+
+    def notice(self) -> ServerNotice | None:
+        """What entries should know; None if there is nothing."""
+        return self._current() if self.rate is not None or self.leaving else None
+
+    def _current(self) -> ServerNotice:
+        return ServerNotice(self.start, self.rate, self.leaving)
 
     def _is_from_registered(self, head: ResponseHead) -> bool:
         server = head.get(self._names.server) if self._names.server else None
         return server is None or server == self.start.server.encode()
 
-    def _read_rate(self, head: ResponseHead) -> None:
-        if not self._names.limit:
-            return
-        values = head.get_all(self._names.limit)
-        self._set_rate(self._accept(decode_rate(values), "limit", values, self.rate))
-
     def _set_rate(self, rate: float | None) -> None:
         if rate == self.rate:
             return
@@ -69,34 +105,3 @@
             logs.info("server-limit-named", server=self.start.server, rate=rate)
         self.rate = rate
         self._on_rate(rate)
-
-    def _read_leaving(self, head: ResponseHead) -> None:
-        if not self._names.leaving or self.leaving:
-            return
-        values = head.get_all(self._names.leaving)
-        if self._accept(decode_leaving(values), "leaving", values, False):
-            self.mark_leaving("its responses say so")
-
-    def mark_leaving(self, cause: str) -> None:
-        """Record that the server leaves; `cause` is logged."""
-        if self.leaving:
-            return
-        logs.info("server-leaving-said", server=self.start.server, cause=cause)
-        self.leaving = True
-        self._on_leaving()
-
-    def _accept(
-        self, decoded: Result[T, str], header: str, values: list[bytes], current: T
-    ) -> T:
-        """Return the decoded value, or log why it is invalid and return the current one."""
-        if not isinstance(decoded, Err):
-            return decoded.ok_value
-        logs.warning(
-            "server-notice-unreadable",
-            server=self.start.server,
-            header=header,
-            value=b",".join(values).decode("ascii", "backslashreplace"),
-            why=decoded.err_value,
-            repeat_key=header,
-        )
-        return current
--- a/packages/wheatslipd/wheatslipd/gate/peerport.py
+++ b/packages/wheatslipd/wheatslipd/gate/peerport.py
@@ -17,10 +17,12 @@
     FINGERPRINT_HEADER,
     HOP_HEADER,
     LOAD_HEADER,
+    NOTICE_HEADER,
     OUTCOME_HEADER,
     SUSPECT_HEADER,
     Hop,
     decode_hop,
+    decode_notice,
     encode,
 )
 from wheatslip.ledger import Claim, KeptAnswer, KeyState, key_time
@@ -136,7 +138,7 @@
         try:
             outcome = await self._process(exchange, trace)
             if not isinstance(outcome, Answered) and not exchange.started:
-                await send_refusal(exchange, outcome, self._load_header())
+                await send_refusal(exchange, outcome, self._report_headers())
         finally:
             self._metrics.admissions.inc({"outcome": describe(outcome)})
             trace.set("wheatslip.outcome", describe(outcome))
@@ -157,6 +159,9 @@
         refusal = await self._check_entry(hop, exchange)
         if refusal is not None:
             return refusal
+        notice = decode_notice(exchange.head.get(NOTICE_HEADER) or b"")
+        if notice is not None:
+            self._notices.on_forwarded(notice)
         if call.is_at_most_once:
             return await self._run_keyed(request)
         return await self._run(request, None)
@@ -205,8 +210,10 @@
     async def _replay_answer(self, exchange: Exchange, kept: KeptAnswer | None) -> Outcome:
         if kept is None:
             return Unknown(Reason.DUPLICATE)
-        headers = [h for h in kept.headers if h[0] != b"content-length"]
-        headers += [(OUTCOME_HEADER, b"answered"), *self._load_header()]
+        # What the server announced then no longer applies.
+        dropped_names = {b"content-length", self._names.limit, self._names.leaving}
+        headers = [header for header in kept.headers if header[0] not in dropped_names]
+        headers += [(OUTCOME_HEADER, b"answered"), *self._report_headers()]
         await exchange.respond(ResponseHead(kept.status, headers), kept.body)
         return Answered(kept.status)
 
@@ -296,14 +303,15 @@
         self, request: _ForwardedRequest, answer: BackendAnswer, kept: KeptAnswer | None
     ) -> Outcome:
         response = answer.response
-        self._update_load(response.head)
-        if self._reports_not_run(response.head, request.call):
-            if self._server and response.head.status == MISDIRECTED_STATUS:
-                self._gate.on_server_replaced()
-            else:
-                self._notices.on_response(response.head)
+        is_not_run = self._reports_not_run(response.head, request.call)
+        if is_not_run and self._server and response.head.status == MISDIRECTED_STATUS:
+            # Another server responds, so its load and announcements are not read.
+            self._gate.on_server_replaced()
             return SHED_BY_SERVER
+        self._update_load(response.head)
         self._notices.on_response(response.head)
+        if is_not_run:
+            return SHED_BY_SERVER
         headers = [
             (name, value)
             for name, value in response.head.forwarded()
@@ -311,7 +319,7 @@
         ]
         if kept is not None:
             kept.headers = list(headers)
-        headers += [(OUTCOME_HEADER, b"answered"), *self._load_header()]
+        headers += [(OUTCOME_HEADER, b"answered"), *self._report_headers()]
         request.exchange.start(ResponseHead(response.head.status, headers))
         try:
             await request.exchange.relay(response.body, kept.add if kept is not None else None)
@@ -355,8 +363,12 @@
             return 0
         return configuration.pools[service.pool].shed_status
 
-    def _load_header(self) -> Headers:
-        return [(LOAD_HEADER, encode(self._gate.load_report()))]
+    def _report_headers(self) -> Headers:
+        headers = [(LOAD_HEADER, encode(self._gate.load_report()))]
+        notice = self._notices.notice()
+        if notice is not None:
+            headers.append((NOTICE_HEADER, encode(notice)))
+        return headers
 
 
 def _fingerprint(exchange: Exchange, hop: Hop) -> str:
--- a/packages/wheatslipd/wheatslipd/gate/serverside.py
+++ b/packages/wheatslipd/wheatslipd/gate/serverside.py
@@ -68,6 +68,7 @@
         backend, gate, shared.bus, shared.metrics, shared.monotonic
     )
     notices = _build_notice_reader(settings, shared, gate)
+    speed_check.on_response = notices.on_health
     guard = SuspectGuard(shared.quarantine, shared.monotonic, shared.unix)
     ledger = KeyLedger(watching_since=shared.unix())
     keys = KeyGuard(settings.name, ledger, owners, shared.unix, lambda: cache.checked)
--- a/packages/wheatslipd/wheatslipd/gate/speedcheck.py
+++ b/packages/wheatslipd/wheatslipd/gate/speedcheck.py
@@ -13,6 +13,7 @@
 from wheatslipd.gate.backend import Backend
 from wheatslipd.gate.gate import Gate
 from wheatslipd.gate.health import ask_health, cold_remaining
+from wheatslipd.http.messages import ResponseHead
 from wheatslipd.settings import HeaderNames
 from wheatslipd.telemetry import logs
 from wheatslipd.telemetry.metrics import Metrics
@@ -43,6 +44,7 @@
         self._probe_task: asyncio.Task[bool] | None = None
         self._paused_until = float("-inf")
         self.has_path = asyncio.Event()
+        self.on_response: Callable[[ResponseHead], None] = lambda head: None
 
     def use_path(self, path: str) -> None:
         """Set the path of the health endpoint; with an empty path, the server is not probed."""
@@ -91,6 +93,7 @@
         if head is None:
             return False
         gate.on_answer()
+        self.on_response(head)
         remaining = cold_remaining(head, self._names.cold)
         if remaining is not None:
             gate.update_cold_state(remaining)
--- a/packages/wheatslipd/wheatslipd/registration/localbackend.py
+++ b/packages/wheatslipd/wheatslipd/registration/localbackend.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from msgspec import UnsetType
+from msgspec import UNSET, UnsetType
 from wheatslip.admission import ColdRate, cold_rate
 from wheatslip.config.bundle import Pool
 from wheatslip.servernotice import ServerStart
@@ -163,6 +163,8 @@
                 peer_port=ports.peer,
                 control_port=ports.control,
                 state=InstanceState.LEAVING if is_leaving else InstanceState.LIVE,
+                server=self._start.server or UNSET,
+                server_born=self._start.born or UNSET,
             )
         )
 
--- a/packages/wheatslipd/wheatslipd/registration/registrar.py
+++ b/packages/wheatslipd/wheatslipd/registration/registrar.py
@@ -9,6 +9,7 @@
 
 import msgspec
 from wheatslip.backendload import BackendLoad, decode_backend_load
+from wheatslip.servernotice import ServerNotice, ServerStart
 from wheatslip.store.registration import Heartbeat, RegisteredServer, Registration
 
 from wheatslipd.controllers.bus import Bus
@@ -18,6 +19,7 @@
 from wheatslipd.http.body import BodyTruncated
 from wheatslipd.http.exchange import Exchange
 from wheatslipd.http.messages import ResponseHead
+from wheatslipd.noticeheaders import read_notice
 from wheatslipd.settings import HeaderNames
 from wheatslipd.telemetry import logs
 
@@ -136,7 +138,8 @@
         if not server or (load is None and not self._registration.is_disputed):
             return
         slots = load.slots if load is not None else 0
-        is_healthy = answer.status == HEALTHY_STATUS
+        notice = read_notice(answer, self._names, ServerNotice(ServerStart(server)))
+        is_healthy = answer.status == HEALTHY_STATUS and not notice.leaving
         remaining = cold_remaining(answer, self._names.cold)
         warm_at = None if remaining is None else self._clock() + remaining
         self._fire_change(
--- a/test/test_named_limits.py
+++ b/test/test_named_limits.py
@@ -128,3 +128,39 @@
             assert backend.arrivals
 
     run(scenario)
+
+
+def test_server_that_left_got_requests_after_a_restart_of_its_daemon():
+    async def scenario():
+        async with limited_fleet("a", "b") as cluster:
+            leaving = cluster.backends["a"]
+            leaving.extra_headers = [(b"server-leaving", b"1")]
+            await send_steadily(cluster, 0.5, skip=("a",))
+            assert leaving.arrivals
+            await cluster.stop("a")
+            leaving.arrivals.clear()
+            leaving.extra_headers = []  # the daemon does not hear it again
+            await cluster.start("a")
+            await cluster.ready()
+            await cluster.send_heartbeat("a", 1)
+            await send_steadily(cluster, 1.0, skip=("a",))
+            assert leaving.arrivals == []
+
+    run(scenario)
+
+
+def test_server_that_left_got_requests_through_a_daemon_that_does_not_read_it():
+    async def scenario():
+        async with limited_fleet("b") as cluster:
+            cluster.extra_header_settings = ""
+            await cluster.add("a")
+            await cluster.ready()
+            leaving = cluster.backends["a"]
+            leaving.extra_headers = [(b"server-leaving", b"1")]
+            await send_steadily(cluster, 0.5, skip=("a",))
+            assert leaving.arrivals
+            leaving.arrivals.clear()
+            await send_steadily(cluster, 0.5, skip=("a",))
+            assert leaving.arrivals == []
+
+    run(scenario)
