Keep a limited server in use at light load

A server that names a limit got no request at all for 5 s at 90 requests a second over three servers, so it had no occasion to say that it needs no limit any more. Cause: an entry compares costs, and at light load the lowest one wins every time; a server that got fewer requests kept the high service time of its first ones, and its load report shows a lower limit.

--- a/packages/wheatslip/wheatslip/chooser.py
+++ b/packages/wheatslip/wheatslip/chooser.py
@@ -18,10 +18,11 @@
 1. It excludes upstreams that were tried for this call or are leaving.
 2. It excludes upstreams in a pause after a failure. If all are paused, it picks any of them at
    random.
-3. It includes an upstream that joined recently in a growing share of the picks, and one that
-   names a limit in a share that depends on how often its gate refuses (`NoticeMemory`).
-4. It draws candidates at random: `candidates` from its own zone, a few from other zones.
-5. It picks the candidate with the lowest `cost`. Jitter breaks ties.
+3. It draws an upstream that names a limit in a share of the picks that depends on how often
+   its gate refuses (`NoticeMemory`).
+4. It includes an upstream that joined recently in a growing share of the picks.
+5. It draws candidates at random: `candidates` from its own zone, a few from other zones.
+6. It picks the candidate with the lowest `cost`. Jitter breaks ties.
 
 `Chooser.cost` is the expected time until an answer plus penalties, in seconds: the current
 service time of the upstream, increased with its estimated utilization and doubled if only the
@@ -109,6 +110,9 @@
         available = [u for u in eligible if u.paused_until <= now]
         if not available:
             return self.rng.choice(eligible)
+        limited_pick = self._draw_limited(available, now)
+        if limited_pick is not None:
+            return limited_pick
         willing = [u for u in available if self._takes_part(u, now)]
         candidates = self._draw_candidates(willing or available)
         if len(candidates) == 1:
@@ -155,8 +159,26 @@
             return self.pick(upstreams, now)
         return min(eligible, key=lambda u: self._queue_cost(u, now, target) * self._jitter())
 
+    def _draw_limited(self, available: list[Upstream], now: float) -> Upstream | None:
+        """Draws an upstream that names a limit, by its share; None in the other cases.
+
+        It is not compared by cost: at light load any small difference in cost would keep all
+        requests away from it, and it could not tell that its limit has ended.
+        """
+        same_zone = [u for u in available if u.zone == self.zone]
+        eligible = same_zone or available
+        draw = self.rng.random() * len(eligible)
+        for upstream in eligible:
+            if upstream.notices.rate is not None:
+                draw -= upstream.notices.share(now)
+                if draw < 0:
+                    return upstream
+        return None
+
     def _takes_part(self, upstream: Upstream, now: float) -> bool:
-        """Whether an upstream takes part in this pick."""
+        """Whether an upstream takes part in the comparison by cost."""
+        if upstream.notices.rate is not None and upstream.zone == self.zone:
+            return False  # `_draw_limited` has not drawn it
         return self._passes_warm_up(upstream, now) and upstream.notices.takes_part(
             now, self.rng
         )
--- a/test/test_chooser.py
+++ b/test/test_chooser.py
@@ -4,6 +4,7 @@
 
 from wheatslip.chooser import Chooser, ChooserSettings, Upstream
 from wheatslip.hop import LoadReport
+from wheatslip.servernotice import ServerNotice
 
 
 def make_upstream(name, zone="one", **fields):
@@ -79,3 +80,17 @@
     chooser, upstreams = make_large_pool(far_penalty=0.0)
     picked = [chooser.pick(upstreams, 0.0) for _ in range(600)]
     assert {upstream.name for upstream in picked} == {upstream.name for upstream in upstreams}
+
+
+def test_limited_upstream_gets_its_share_although_it_seems_slower():
+    chooser = Chooser("one", Random(5))
+    upstreams = [Upstream(name, "one") for name in ("a", "b", "c", "d")]
+    for upstream in upstreams:
+        service = 0.04 if upstream.name == "a" else 0.01
+        chooser.on_report(upstream, LoadReport(0, 0, 8, service, 1), 0.0)
+    limited = upstreams[0].notices
+    limited.on_answer(ServerNotice(rate=4.0), 0.0)
+    limited.on_refusal(None, 0.0)
+    share = limited.share(0.0)
+    picks = [chooser.pick(upstreams, 1.0).name for _ in range(4000)]
+    assert abs(picks.count("a") / 4000 - share / 4) < 0.02
--- a/test/test_named_limits.py
+++ b/test/test_named_limits.py
@@ -4,6 +4,7 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
+from standins.plainbackend import PlainBackend
 from test.helper import run
 from test.routed_fleet import fleet
 
@@ -13,12 +14,18 @@
 RATE = 2.5  # requests per second that a server names
 ENOUGH_SECONDS = 5.0  # longer than a window
 SETTINGS = {"extra_header_settings": "limit = Server-Limit\nleaving = Server-Leaving"}
+SERVICE_SECONDS = 0.01
 SEND_RATE = 90  # requests per second, over all daemons
 
 
 @asynccontextmanager
 async def limited_fleet(*names, **options):
-    async with fleet(*names, **SETTINGS, **options) as cluster:
+    """Daemons that read the two headers, with equally fast servers."""
+
+    def make_backend(name):
+        return PlainBackend(f"i-{name}", service=SERVICE_SECONDS)
+
+    async with fleet(*names, make_backend=make_backend, **SETTINGS, **options) as cluster:
         yield cluster
 
 
