Let servers name limits in the soak

A fault limited-server, drawn apart from the others so that the schedules of earlier seeds stay: a server names one request a second for 9 s, whatever happens to its daemon meanwhile, and the checker counts the runs in any 4 s from 3 s after, of all callers. Test: a forged history with 12 runs where 11 are allowed. The check that an instance has one fault at a time leaves out the new fault, which is meant to overlap.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,7 +14,7 @@
 
 from soak.history import History, TimedRun, find_violations
 from soak.injector import SERVICE_TIME_SECONDS, SLOTS, FaultInjector
-from soak.schedule import Step, draw_schedule, mixed_version_schedule
+from soak.schedule import Fault, Step, draw_schedule, mixed_version_schedule
 from standins.caller import Caller, Reported
 from standins.cluster import Cluster, Plan
 from standins.operators import Operators
@@ -31,6 +31,7 @@
 SECONDS_PER_MINUTE = 60.0
 EXTRA_SETTINGS = (
     "[control]\nwatch = 1s\nwatch-check = 1s\nlist-watch = 1s\n[entry]\nwarm-up = 0s\n"
+    "[headers]\nlimit = server-limit\n"
 )
 
 
@@ -111,12 +112,19 @@
 async def _run_step(injector: FaultInjector, step: Step) -> None:
     await asyncio.sleep(step.at)
     # The restart that ends an earlier step on this target may take longer than scheduled.
-    async with injector.locks[step.where or step.fault]:
+    async with injector.locks[_lock_name(step)]:
         await injector.begin(step)
         await asyncio.sleep(step.seconds)
         await injector.end(step)
 
 
+def _lock_name(step: Step) -> str:
+    """Faults with the same name follow each other."""
+    if step.fault is Fault.LIMITED_SERVER:
+        return f"{step.fault} {step.where}"
+    return step.where or step.fault
+
+
 async def _record_versions(injector: FaultInjector) -> None:
     while True:
         await injector.record_versions()
@@ -173,7 +181,7 @@
         record = await injector.cluster.record(name)
         zone = member.plan.zone
         history.ran += [
-            TimedRun(run, zone, run.at - injector.started_at) for run in record.runs
+            TimedRun(run, zone, run.at - injector.started_at, name) for run in record.runs
         ]
         history.fatal_runs += [at - injector.started_at for at in record.fatal_runs]
         history.ends += [at - injector.started_at for at in record.ends]
--- a/soak/history.py
+++ b/soak/history.py
@@ -17,6 +17,12 @@
 # servers, and how many runs of it are allowed after that. Both are requirements of the users.
 MAX_HOLD_DELAY_SECONDS = 3.0
 MAX_RUNS_AFTER_HOLD = 3
+# How many requests a server that names a limit may get in any window: the named rate times a
+# tolerance, and a few more; counted from some time after it first named it. Also required.
+LIMIT_WINDOW_SECONDS = 4.0
+LIMIT_TOLERANCE = 1.5
+LIMIT_SLACK = 5
+LIMIT_DELAY_SECONDS = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,6 +46,16 @@
     restored_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class NamedLimit:
+    """A rate in requests per second that a backend server named from `since` to `until`."""
+
+    instance: str
+    rate: float
+    since: float
+    until: float
+
+
 @dataclass(frozen=True, slots=True)
 class PlannedStop:
     """A planned stop of a daemon, and the exit code."""
@@ -50,11 +66,12 @@
 
 @dataclass(frozen=True, slots=True)
 class TimedRun:
-    """One run of a request on a backend server, with its zone and start time."""
+    """One run of a request on a backend server, with its zone, start time and instance."""
 
     run: Run
     zone: str
     at: float
+    instance: str = ""
 
 
 @dataclass(slots=True)
@@ -66,6 +83,7 @@
     observations: list[Observation] = field(default_factory=list)
     drained_zones: list[DrainedZone] = field(default_factory=list)
     planned_stops: list[PlannedStop] = field(default_factory=list)
+    limits: list[NamedLimit] = field(default_factory=list)
     # Start times of the runs of the fatal request, and the times at which servers ended.
     fatal_runs: list[float] = field(default_factory=list)
     ends: list[float] = field(default_factory=list)
@@ -80,6 +98,7 @@
     violations += _version_regressions(history.observations)
     violations += _runs_in_drained_zones(history)
     violations += _late_fatal_runs(history)
+    violations += _runs_over_limits(history)
     violations += [
         f"{stop.instance} exited with code {stop.code} after a planned stop"
         for stop in history.planned_stops
@@ -120,6 +139,30 @@
     ]
 
 
+def _runs_over_limits(history: History) -> list[str]:
+    """More runs in a window than a named limit allows, whoever sent them."""
+    violations = []
+    for limit in history.limits:
+        begin = limit.since + LIMIT_DELAY_SECONDS
+        times = sorted(
+            ran.at
+            for ran in history.ran
+            if ran.instance == limit.instance and begin <= ran.at < limit.until
+        )
+        allowed = LIMIT_TOLERANCE * limit.rate * LIMIT_WINDOW_SECONDS + LIMIT_SLACK
+        most = max((_count_window(times, at) for at in times), default=0)
+        if most > allowed:
+            violations.append(
+                f"{limit.instance} ran {most} requests in {LIMIT_WINDOW_SECONDS:g} s, over the "
+                f"limit of {limit.rate:g} a second named at {limit.since:.2f} s"
+            )
+    return violations
+
+
+def _count_window(times: Sequence[float], begin: float) -> int:
+    return sum(begin <= at < begin + LIMIT_WINDOW_SECONDS for at in times)
+
+
 def _runs_in_drained_zones(history: History) -> list[str]:
     return [
         f"{ran.run.request_id} ran in zone {ran.zone} at {ran.at:.2f} s, emptied since "
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -8,9 +8,10 @@
 from dataclasses import dataclass, field, replace
 
 import aiohttp
+import msgspec
 from wheatslip.store.instances import InstanceState
 
-from soak.history import DrainedZone, History, Observation, PlannedStop
+from soak.history import DrainedZone, History, NamedLimit, Observation, PlannedStop
 from soak.schedule import Fault, Step
 from standins.backend import Behaviour
 from standins.cluster import Cluster, Member, Plan, eventually
@@ -20,6 +21,7 @@
 
 SLOTS = 4
 SERVICE_TIME_SECONDS = 0.02
+LIMIT_PER_SECOND = 1.0  # that a limited server names
 SLOW_FACTOR = 8.0  # by which a slow server multiplies its service time
 PLATFORM_DELAY_SECONDS = 0.5
 LOST_WRITE_ANSWERS = 3  # consecutive writes without an answer
@@ -63,6 +65,8 @@
         default_factory=lambda: defaultdict(asyncio.Lock)
     )
 
+    _behaviours: dict[str, Behaviour] = field(default_factory=dict)  # that differ or did
+
     @property
     def now(self) -> float:
         """Seconds since the start of the soak, by the clock with which servers record runs."""
@@ -92,9 +96,14 @@
                 assert member is not None
                 member.daemon.send(signal.SIGSTOP)
             case Fault.SLOW_SERVER:
-                await self._set_behaviour(step.where, slow=SLOW_FACTOR)
+                await self._change_behaviour(step.where, slow=SLOW_FACTOR)
             case Fault.FAILING_SERVER:
-                await self._set_behaviour(step.where, fail_fast=True)
+                await self._change_behaviour(step.where, fail_fast=True)
+            case Fault.LIMITED_SERVER:
+                await self._change_behaviour(step.where, limit=LIMIT_PER_SECOND)
+                self.history.limits.append(
+                    NamedLimit(step.where, LIMIT_PER_SECOND, self.now, self.now + step.seconds)
+                )
             case Fault.DRAIN:
                 assert member is not None
                 await self._try_once(lambda: self._list_instance(member, InstanceState.LEAVING))
@@ -122,7 +131,9 @@
                 assert member is not None
                 member.daemon.send(signal.SIGCONT)
             case Fault.SLOW_SERVER | Fault.FAILING_SERVER:
-                await self._set_behaviour(step.where)
+                await self._change_behaviour(step.where, slow=1.0, fail_fast=False)
+            case Fault.LIMITED_SERVER:
+                await self._change_behaviour(step.where, limit=0.0)
             case Fault.DRAIN:
                 assert member is not None
                 await self._stop_daemon(member)
@@ -181,10 +192,11 @@
         except (aiohttp.ClientError, TimeoutError):
             return None
 
-    async def _set_behaviour(
-        self, name: str, slow: float = 1.0, fail_fast: bool = False
-    ) -> None:
-        behaviour = Behaviour(SLOTS, SERVICE_TIME_SECONDS, slow=slow, fail_fast=fail_fast)
+    async def _change_behaviour(self, name: str, **changes: float) -> None:
+        """Change fields of the behaviour of a backend server."""
+        usual = Behaviour(SLOTS, SERVICE_TIME_SECONDS)
+        behaviour = msgspec.structs.replace(self._behaviours.get(name, usual), **changes)
+        self._behaviours[name] = behaviour
         await self.cluster.set_behaviour(name, behaviour)
 
     async def _stop_daemon(self, member: Member) -> None:
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -31,6 +31,7 @@
     LOST_WRITES = "lost-writes"  # the platform applies writes but does not answer them
     ROLLOUT = "rollout"  # the operators roll out the next bundle
     ZONE_DRAIN = "zone-drain"  # an operator drains a zone, and restores it at the end
+    LIMITED_SERVER = "limited-server"  # names a rate; its daemon may have other faults
     SILENCE = "silence"  # open connections between daemons and to the platform go silent
 
 
@@ -46,8 +47,10 @@
 )
 # Drawn from a separate random sequence, so that adding them did not change the other faults of
 # a seed.
-SEPARATELY_DRAWN_FAULTS = (Fault.SILENCE,)
+SEPARATELY_DRAWN_FAULTS = (Fault.SILENCE, Fault.LIMITED_SERVER)
 MEAN_SILENCE_INTERVAL_SECONDS = 20.0
+MEAN_LIMIT_INTERVAL_SECONDS = 6.0  # between the starts of two limits
+LIMIT_SECONDS = 9.0  # longer than the windows in which the requests are counted
 PLATFORM_FAULTS = frozenset({Fault.PLATFORM_DOWN, Fault.PLATFORM_SLOW, Fault.LOST_WRITES})
 
 
@@ -88,7 +91,8 @@
         if step is not None:
             steps.append(step)
         at += rng.expovariate(1 / MEAN_FAULT_INTERVAL_SECONDS)
-    return sorted([*steps, *_draw_silences(seed, seconds)], key=lambda step: step.at)
+    separate_steps = [*_draw_silences(seed, seconds), *_draw_limits(seed, seconds, instances)]
+    return sorted([*steps, *separate_steps], key=lambda step: step.at)
 
 
 def _draw_silences(seed: int, seconds: float) -> list[Step]:
@@ -101,6 +105,20 @@
     return steps
 
 
+def _draw_limits(seed: int, seconds: float, instances: Sequence[str]) -> list[Step]:
+    """Limits of servers; one server has one at a time, whatever happens to its daemon."""
+    rng = Random(f"soak limits {seed}")
+    steps: list[Step] = []
+    at = INITIAL_CALM_SECONDS
+    while at < seconds - FINAL_CALM_SECONDS - LIMIT_SECONDS:
+        limited = {step.where for step in steps if step.end > at}
+        free = [name for name in instances if name not in limited]
+        if len(free) > 1:
+            steps.append(Step(at, Fault.LIMITED_SERVER, rng.choice(free), LIMIT_SECONDS))
+        at += rng.expovariate(1 / MEAN_LIMIT_INTERVAL_SECONDS)
+    return steps
+
+
 def mixed_version_schedule(
     others: Sequence[str], own: Sequence[str], zones: Sequence[str]
 ) -> tuple[list[Step], list[Step]]:
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -11,19 +11,21 @@
 
 import msgspec
 from wheatslipd.http.exchange import Exchange
-from wheatslipd.http.messages import ResponseHead
+from wheatslipd.http.messages import Headers, ResponseHead
 from wheatslipd.http.server import Server
 
 from standins.ending import EndingServer
 
 HOST = "127.0.0.1"
 SERVICE_TIME_SEED = 1
+LIMIT_HEADER = b"server-limit"
 
 
 class Behaviour(msgspec.Struct):
     """How the stand-in handles requests.
 
-    `service` is the mean service time in seconds; `slow` multiplies it.
+    `service` is the mean service time in seconds; `slow` multiplies it. `limit` is the rate of
+    requests per second that it names in its answers; 0: none.
     """
 
     slots: int = 12
@@ -31,6 +33,7 @@
     sigma: float = 0.5  # of the logarithm of the service time
     slow: float = 1.0
     fail_fast: bool = False
+    limit: float = 0.0
 
 
 class Run(msgspec.Struct, frozen=True):
@@ -97,7 +100,7 @@
             size += len(chunk)
         if behaviour.fail_fast:
             self._record_run(exchange)
-            await exchange.respond(ResponseHead(500), b"failed")
+            await exchange.respond(ResponseHead(500, self._limit_headers()), b"failed")
             return
         async with self._slots:
             self._record_run(exchange)
@@ -115,9 +118,13 @@
         factor = self._rng.lognormvariate(-(behaviour.sigma**2) / 2, behaviour.sigma)
         return behaviour.service * behaviour.slow * factor
 
+    def _limit_headers(self) -> Headers:
+        limit = self._behaviour.limit
+        return [(LIMIT_HEADER, b"%g" % limit)] if limit else []
+
     async def _answer(self, exchange: Exchange, size: int) -> None:
         head = exchange.head
-        headers = [(b"content-type", b"text/plain")]
+        headers = [(b"content-type", b"text/plain"), *self._limit_headers()]
         request_id = head.get(b"x-request-id") or b""
         workspace = head.get(b"wheatslip-workspace") or b""
         parts = [self._name.encode(), workspace, request_id, b"%d" % size]
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -8,6 +8,7 @@
 from soak.history import (
     DrainedZone,
     History,
+    NamedLimit,
     Observation,
     PlannedStop,
     TimedRun,
@@ -34,8 +35,8 @@
     )
 
 
-def make_run(request_id="r", zone="one", at=1.0):
-    return TimedRun(Run(request_id, ""), zone, at)
+def make_run(request_id="r", zone="one", at=1.0, instance=""):
+    return TimedRun(Run(request_id, ""), zone, at, instance)
 
 
 def test_a_seed_determines_the_schedule():
@@ -61,7 +62,9 @@
     steps = draw_schedule(seed, 40.0, INSTANCES, ZONES)
     for step in steps:
         concurrent = [s for s in steps if s.at <= step.at < s.end]
-        places = [s.where for s in concurrent if s.where]
+        places = [
+            s.where for s in concurrent if s.where and s.fault is not Fault.LIMITED_SERVER
+        ]
         assert len(places) == len(set(places))
         assert len([place for place in places if place in INSTANCES]) < len(INSTANCES)
         assert step.at >= INITIAL_CALM_SECONDS and step.end <= 40.0 - FINAL_CALM_SECONDS + 1e-9
@@ -99,6 +102,7 @@
         ],
         drained_zones=[DrainedZone("one", 2.0, 3.0)],
         planned_stops=[PlannedStop("a", 0)],
+        limits=[NamedLimit("a", 1.0, 0.0, 20.0)],
         final_answered=3,
         final_sent=3,
     )
@@ -124,6 +128,11 @@
     ),
     "after a planned stop": History(planned_stops=[PlannedStop("a", 1)]),
     "servers had ended": History(ends=[1.0, 2.0, 3.0], fatal_runs=[1.0, 6.1, 6.2, 6.3, 6.4]),
+    "over the limit": History(
+        requests=[make_request(str(n)) for n in range(12)],
+        ran=[make_run(str(n), at=3.1 + n / 4, instance="a") for n in range(12)],
+        limits=[NamedLimit("a", 1.0, 0.0, 20.0)],
+    ),
     "in the calm end": History(final_answered=2, final_sent=3),
 }
 
