Give a start a new incarnation when its first write was lost

After a restart of a daemon whose first write of its list entry got no response, other daemons could take it for the earlier process: its incarnation did not rise, so they kept its leaving and its connections. Cause: an entry that was read back and equals the write that was sent counted as that write, also when nothing was known of the entry before it. It counts only if a list had shown what was there before.

--- a/packages/wheatslipd/wheatslipd/registration/publisher.py
+++ b/packages/wheatslipd/wheatslipd/registration/publisher.py
@@ -33,6 +33,9 @@
         self._incarnation = 1  # of this start; higher than in the entry of the previous start
         self._is_first = True  # until an entry of this or a previous start is read or written
         self._last_sent: Instance | None = None  # the entry in the last write
+        # Whether the entry of the previous start, or that there is none, was seen before the
+        # first write.
+        self._knows_previous = False
         self._changed = asyncio.Event()
         self._settled = asyncio.Event()  # set while the entry is up to date
         self._list_received = asyncio.Event()
@@ -64,6 +67,8 @@
         last write is ignored, and so is one that shows a write whose response is in flight.
         """
         self._list_received.set()
+        if self._last_sent is None:
+            self._knows_previous = True
         if listed == self._stored or (listed is not None and listed == self._last_sent):
             return
         if list_version is not None and list_version < self._version:
@@ -167,7 +172,8 @@
         self._version = version
         if not self._is_first or stored is None:
             return
-        # An entry that equals the last write is from this start; the response was lost.
-        if stored != self._last_sent:
+        # The response to the last write may be lost: an equal entry is from this start then,
+        # unless it may have been there before.
+        if stored != self._last_sent or not self._knows_previous:
             self._incarnation = stored.incarnation + 1
         self._is_first = False
--- a/test/test_publisher.py
+++ b/test/test_publisher.py
@@ -6,7 +6,9 @@
 from random import Random
 
 import msgspec
+from result import Err
 from wheatslip.store.instances import INSTANCE_KIND, Instance, InstanceState
+from wheatslip.store.objects import Unavailable
 from wheatslipd.registration.publisher import Publisher
 
 from fleet_adapter.store import FleetStore
@@ -91,6 +93,7 @@
 def test_a_write_without_a_response_is_read_back_instead_of_repeated():
     async def scenario():
         async with serve_store(lose_answers=1) as store, running_publisher(store) as publisher:
+            publisher.on_listed(None)  # the list shows no entry of a previous start
             publisher.publish(INSTANCE)
             await wait_until_settled(publisher)
             assert store.rev == 1 and stored_entry(store)["incarnation"] == 1
@@ -98,6 +101,27 @@
     run(scenario)
 
 
+def test_a_lost_first_write_is_not_taken_for_an_equal_entry_of_the_previous_start():
+    async def scenario():
+        async with serve_store() as store:
+            async with running_publisher(store) as publisher:
+                publisher.publish(INSTANCE)
+                await wait_until_settled(publisher)
+            async with running_publisher(store) as publisher:
+                put = publisher._store.put
+                failures = [Err(Unavailable("away"))]
+
+                async def put_after_a_failure(*args):
+                    return failures.pop() if failures else await put(*args)
+
+                publisher._store.put = put_after_a_failure
+                publisher.publish(INSTANCE)
+                await wait_until_settled(publisher)
+                assert stored_entry(store)["incarnation"] == 2
+
+    run(scenario)
+
+
 async def publish_once(store):
     """Leave the entry that the publisher of a previous start has written."""
     async with running_publisher(store) as publisher:
