Hold the retry budget in windows that begin at an earlier retry

Cause: each retry was checked against the window that ends with it only; in a window that begins at an earlier retry and reaches further, fewer requests count when traffic falls. A retry is now checked for each window that begins at a retry of the last ten seconds, with the requests that the rule counts for it (the window, the one before it, half a window before it).

--- a/packages/wheatslip/wheatslip/budget.py
+++ b/packages/wheatslip/wheatslip/budget.py
@@ -67,7 +67,8 @@
     """One daemon's part of a `FleetBudget` at one service.
 
     Daemons share no state. Each may use the share for its own requests and an equal part of the
-    reserve, so the sum stays within the limit even if a daemon is partitioned or restarted. A
+    reserve, so the sum stays within the limit even if a daemon is partitioned or restarted, as
+    long as the daemons' shares of the requests do not change much within a window. A
     restarted daemon does not know what it used before, so it gets no reserve during its first
     window.
     """
@@ -78,30 +79,60 @@
     _buckets: deque[_WindowBucket] = field(default_factory=deque)
     _now: float = float("-inf")
 
+    @property
+    def _bucket_seconds(self) -> float:
+        return self.bound.window / WINDOW_BUCKETS
+
     def advance(self, now: float) -> None:
-        """Moves the window to `now` and drops the buckets before it."""
+        """Moves the window to `now` and drops the buckets that no check needs any more."""
         self._now = now
-        bucket_seconds = self.bound.window / WINDOW_BUCKETS
-        if not self._buckets or now >= self._buckets[-1].since + bucket_seconds:
+        if not self._buckets or now >= self._buckets[-1].since + self._bucket_seconds:
             self._buckets.append(_WindowBucket(now))
-        while self._buckets[0].since < now - self.bound.window - bucket_seconds:
+        while self._buckets[0].since < now - 2 * self.bound.window - self._bucket_seconds:
             self._buckets.popleft()
 
     def on_request(self) -> None:
         self._buckets[-1].requests += 1
 
     def take(self) -> bool:
-        # A bucket that lies partly before the window counts with its retries but not with its
-        # requests, so that the error allows too few retries rather than too many.
+        # A bucket partly in a window counts with its retries but not with its requests,
+        # so that the error allows too few retries rather than too many.
         window_start = self._now - self.bound.window
         requests = sum(b.requests for b in self._buckets if b.since >= window_start)
-        retries = sum(bucket.retries for bucket in self._buckets)
-        max_retries = self.bound.share * requests + self._reserve()
-        if retries + 1 > max_retries:
+        retries = self._retries_since(window_start - self._bucket_seconds)
+        if retries + 1 > self._max_retries(requests):
+            return False
+        starts = [b.since for b in self._buckets if b.retries and b.since >= window_start]
+        if not all(self._fits_window(start) for start in starts):
             return False
         self._buckets[-1].retries += 1
         return True
 
+    def _fits_window(self, start: float) -> bool:
+        """Whether one more retry fits the windows that begin in the bucket at `start`.
+
+        The requests of such a window count, those of the window before it or those of the one
+        half a window before it, whichever are the most.
+        """
+        window = self.bound.window
+        first = start + self._bucket_seconds
+        requests = max(
+            self._requests_between(begin, begin + window - self._bucket_seconds)
+            for begin in (first, first - window / 2, first - window)
+        )
+        return self._retries_since(start) + 1 <= self._max_retries(requests)
+
+    def _retries_since(self, begin: float) -> int:
+        return sum(bucket.retries for bucket in self._buckets if bucket.since >= begin)
+
+    def _requests_between(self, begin: float, end: float) -> int:
+        """Requests of the buckets that lie completely in this time."""
+        last = end - self._bucket_seconds
+        return sum(b.requests for b in self._buckets if begin <= b.since <= last)
+
+    def _max_retries(self, requests: int) -> float:
+        return self.bound.share * requests + self._reserve()
+
     def _reserve(self) -> float:
         if self._buckets[-1].since < self.started + self.bound.window:
             return 0.0
--- a/test/test_budget.py
+++ b/test/test_budget.py
@@ -63,3 +63,19 @@
     assert budgets.of("w", "papers", 0.0).take()
     assert budgets.of("w", "rolls", 0.0).take()
     assert not budgets.of("other", "papers", 0.0).take()
+
+
+def test_fewer_requests_after_a_burst_of_retries_do_not_break_the_budget():
+    budgets = make_budgets(share=0.2, reserve=2.0)
+    for number in range(90):
+        budgets.of("w", "papers", number / 10).on_request()
+    taken_at = [9.0 + n / 100 for n in range(30) if budgets.of("w", "papers", 9.0).take()]
+    taken_at += [
+        now
+        for now in (9.5 + n / 10 for n in range(100))
+        if budgets.of("w", "papers", now).take()
+    ]
+    for start in taken_at:
+        retry_count = sum(start <= at < start + WINDOW_SECONDS for at in taken_at)
+        # All requests came between 0 and 9 s.
+        assert retry_count <= 0.2 * 90 + 2.0
