Name a limit in the soak with two versions

The mixed schedule now has a server beside a daemon of this checkout name a limit while half of the entries are of the other version. The header's setting goes to this checkout's daemons only: an older one refuses a key that it does not know.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -31,8 +31,8 @@
 SECONDS_PER_MINUTE = 60.0
 EXTRA_SETTINGS = (
     "[control]\nwatch = 1s\nwatch-check = 1s\nlist-watch = 1s\n[entry]\nwarm-up = 0s\n"
-    "[headers]\nlimit = server-limit\n"
 )
+OWN_SETTINGS = "[headers]\nlimit = server-limit\n"  # that another version may not know
 
 
 async def soak(
@@ -44,7 +44,7 @@
     does not depend on `seconds`.
     """
     plans = make_plans(other_version)
-    cluster = Cluster(folder, EXTRA_SETTINGS)
+    cluster = Cluster(folder, EXTRA_SETTINGS, OWN_SETTINGS)
     history = History()
     injector = FaultInjector(cluster, Operators(folder), history, credential_digest(SECRET))
     await cluster.open()
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -129,6 +129,7 @@
     restarts_begin, names = 26.0, [*others, *own]
     steps = [
         Step(2.0, Fault.ROLLOUT, "", 1.0),
+        Step(3.0, Fault.LIMITED_SERVER, own[-1], LIMIT_SECONDS),
         Step(6.0, Fault.ZONE_DRAIN, zones[0], 4.0),
         Step(13.0, Fault.DRAIN, others[0], 2.0),
         Step(16.0, Fault.DRAIN, own[0], 2.0),
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -145,6 +145,7 @@
 
     folder: Path
     extra_settings: str = ""
+    own_settings: str = ""  # of the daemons that run the code of this checkout
     loop: str = "asyncio"
     session: aiohttp.ClientSession = field(init=False)
     platform: StartedProcess = field(init=False)
@@ -328,7 +329,9 @@
             f"[peer]\nplain-text = yes\n"
             f"[backend]\nport = {backend_port}\n"
             f"[platform]\naddress = {self._linked_platform_address}\n"
-            f"[operators]\nkeyring = {self.folder}\n" + self.extra_settings
+            f"[operators]\nkeyring = {self.folder}\n"
+            + self.extra_settings
+            + (self.own_settings if plan.checkout is None else "")
         )
         return await start_process(
             f"daemon {plan.name}",
