Split what forwarder and peer port read into modules of their own

What a response of another daemon tells besides the answer (load, version, announcements, refusal) is entry/peerresponse, the forwarded request and its decoding gate/forwardedrequest.

--- a/packages/wheatslipd/wheatslipd/entry/forward.py
+++ b/packages/wheatslipd/wheatslipd/entry/forward.py
@@ -13,29 +13,22 @@
 from wheatslip.chooser import Chooser
 from wheatslip.hop import (
     HOP_HEADER,
-    LOAD_HEADER,
     NOTICE_HEADER,
     OUTCOME_HEADER,
     Hop,
-    decode_load,
-    decode_notice,
-    decode_refusal,
     encode,
 )
 from wheatslip.outcome import Answered, NotRun, Outcome, Reason, Unknown
 from wheatslip.quarantine import Quarantine
 from wheatslip.retryafter import NO_PEER_CONNECTION
-from wheatslip.servernotice import ServerNotice
-from wheatslip.upstream import Upstream
 
 from wheatslipd.chain import EntryRequest
 from wheatslipd.controllers.view import Peer, View
-from wheatslipd.entry.refusals import RETRY_AFTER_MS_HEADER
+from wheatslipd.entry.peerresponse import PeerResponseReader
 from wheatslipd.entry.sendguard import SendGuard
 from wheatslipd.http.body import BodyTruncated
 from wheatslipd.http.client import ClientConnection, Response
 from wheatslipd.http.messages import RequestHead, ResponseHead
-from wheatslipd.noticeheaders import read_notice
 from wheatslipd.settings import HeaderNames, LogLevel
 from wheatslipd.telemetry import logs
 from wheatslipd.telemetry.metrics import Metrics
@@ -111,7 +104,9 @@
         self._clock = clock
         self._unix = unix
         self._quarantine = policy.quarantine
-        self._on_newer_version = on_newer_version
+        self._responses = PeerResponseReader(
+            settings.names, policy.chooser, view, clock, on_newer_version
+        )
 
     async def __call__(self, request: EntryRequest) -> Outcome:
         """Send the request, with retries, within its deadline."""
@@ -266,9 +261,7 @@
             peer.upstream.on_failure(self._clock(), self._rng)
             unacknowledged = connection.request_unacknowledged
             return Unknown(Reason.UNACKNOWLEDGED if unacknowledged else Reason.CONNECTION_LOST)
-        self._apply_report(peer, response)
-        refusal = self._refusal(response)
-        self._apply_notice(peer.upstream, response.head, refusal)
+        refusal = self._responses.read(peer, response.head)
         if refusal is not None:
             if refusal.reason in _SERVER_FAILURE_REASONS:
                 peer.upstream.on_failure(self._clock(), self._rng)
@@ -353,47 +346,6 @@
             hold=_encode_bound(call.hold_until - now),
         )
 
-    def _apply_report(self, peer: Peer, response: Response) -> None:
-        """Apply the load, bundle version and server failure that a response reports."""
-        now = self._clock()
-        value = response.head.get(LOAD_HEADER)
-        report = decode_load(value) if value else None
-        if report is None:
-            return
-        self._chooser.on_report(peer.upstream, report, now)
-        if report.version > self._view.version:
-            self._on_newer_version(report.version, peer.instance.address)
-        if (response.head.get(OUTCOME_HEADER) or b"") == b"answered":
-            failed = response.head.status >= SERVER_ERROR
-            peer.upstream.on_answer(now, failed=failed)
-
-    def _apply_notice(
-        self, upstream: Upstream, head: ResponseHead, refusal: NotRun | Unknown | None
-    ) -> None:
-        """Remember what the backend server announces, or what its gate knows of that.
-
-        The server's own headers count too: its daemon's version may not read them.
-        """
-        now = self._clock()
-        memory = upstream.notices
-        gate_notice = decode_notice(head.get(NOTICE_HEADER) or b"")
-        if refusal is not None:
-            if isinstance(refusal, NotRun):
-                memory.on_refusal(gate_notice, now)
-            return
-        start = gate_notice.start if gate_notice is not None else memory.start
-        previous = ServerNotice(start, memory.rate, memory.is_leaving(now))
-        memory.on_answer(read_notice(head, self._settings.names, previous), now)
-
-    @staticmethod
-    def _refusal(response: Response) -> NotRun | Unknown | None:
-        """The peer's refusal; None if this is a response of the backend server."""
-        value = response.head.get(OUTCOME_HEADER)
-        if value is None:
-            return Unknown(Reason.CONNECTION_LOST)
-        wait = response.head.get(RETRY_AFTER_MS_HEADER) or b""
-        return decode_refusal(value, int(wait) / 1000 if wait.isdigit() else None)
-
     @staticmethod
     async def _relay(request: EntryRequest, response: Response, buffered: bytes) -> Outcome:
         """Stream the response to the caller; `buffered` is the start of its body."""
--- a/packages/wheatslipd/wheatslipd/gate/peerport.py
+++ b/packages/wheatslipd/wheatslipd/gate/peerport.py
@@ -11,10 +11,8 @@
 from wheatslip.admission import Ticket
 from wheatslip.attempts import SERVER_ERROR
 from wheatslip.backendload import decode_backend_load
-from wheatslip.call import UNLIMITED, Call, CallClass, RequestKind
-from wheatslip.fingerprint import HASHED_BODY_BYTES
+from wheatslip.call import UNLIMITED, Call
 from wheatslip.hop import (
-    FINGERPRINT_HEADER,
     HOP_HEADER,
     LOAD_HEADER,
     NOTICE_HEADER,
@@ -38,6 +36,11 @@
     configured_headers,
     wheatslip_headers,
 )
+from wheatslipd.gate.forwardedrequest import (
+    ForwardedRequest,
+    decode_call,
+    fingerprint_of_request,
+)
 from wheatslipd.gate.gate import Gate
 from wheatslipd.gate.keyguard import KeyGuard
 from wheatslipd.gate.noticereader import NoticeReader
@@ -45,7 +48,6 @@
 from wheatslipd.gate.suspects import SuspectGuard
 from wheatslipd.http.body import BodyTruncated
 from wheatslipd.http.exchange import Exchange
-from wheatslipd.http.identity import fingerprint_of
 from wheatslipd.http.messages import Headers, RequestHead, ResponseHead
 from wheatslipd.settings import HeaderNames
 from wheatslipd.telemetry.metrics import Metrics
@@ -59,21 +61,6 @@
 MISDIRECTED_STATUS = 421  # HTTP 421 Misdirected Request: the server is not the registered one
 
 
-@dataclass(slots=True, eq=False)
-class _ForwardedRequest:
-    """A forwarded request and what was decoded from it."""
-
-    exchange: Exchange
-    hop: Hop
-    call: Call
-    trace: HopTrace
-    fingerprint: str
-
-    def run(self) -> Run:
-        """The record of this request for the server-end detector."""
-        return Run(self.fingerprint, self.call.service, self.call.kind.name)
-
-
 @dataclass(frozen=True, slots=True)
 class BackendStages:
     """The stages that a request passes, in order, and the detector of server ends."""
@@ -149,13 +136,15 @@
         if hop is None or (hop.key and key_time(hop.key) is None):
             return NotRun(Reason.BAD_REQUEST)
         request_id = exchange.head.get(self._names.request_id) or b""
-        call = _decode_call(hop, self._clock(), request_id.decode("latin-1"))
+        call = decode_call(hop, self._clock(), request_id.decode("latin-1"))
         if not exchange.expects_continue:
             try:
                 await exchange.body.buffer_up_to(BUFFERED_BODY_BYTES)
             except BodyTruncated:
                 return Unknown(Reason.CANCELLED)
-        request = _ForwardedRequest(exchange, hop, call, trace, _fingerprint(exchange, hop))
+        request = ForwardedRequest(
+            exchange, hop, call, trace, fingerprint_of_request(exchange, hop)
+        )
         refusal = await self._check_entry(hop, exchange)
         if refusal is not None:
             return refusal
@@ -192,7 +181,7 @@
             return NotRun(Reason.NO_CONFIGURATION)
         return NotRun(Reason.VERSION_BEHIND)
 
-    async def _run_keyed(self, request: _ForwardedRequest) -> Outcome:
+    async def _run_keyed(self, request: ForwardedRequest) -> Outcome:
         call = request.call
         claim = self._keys.claim(call)
         if not isinstance(claim, Claim):
@@ -217,7 +206,7 @@
         await exchange.respond(ResponseHead(kept.status, headers), kept.body)
         return Answered(kept.status)
 
-    async def _run(self, request: _ForwardedRequest, kept: KeptAnswer | None) -> Outcome:
+    async def _run(self, request: ForwardedRequest, kept: KeptAnswer | None) -> Outcome:
         hop_max_wait = request.hop.max_wait
         max_wait = UNLIMITED if hop_max_wait is None else hop_max_wait
         was_suspected = request.exchange.head.get(SUSPECT_HEADER) is not None
@@ -232,7 +221,7 @@
             return await self._run_started(request, ticket, kept)
 
     async def _run_started(
-        self, request: _ForwardedRequest, ticket: Ticket, kept: KeptAnswer | None
+        self, request: ForwardedRequest, ticket: Ticket, kept: KeptAnswer | None
     ) -> Outcome:
         worked = False
         run = request.run()
@@ -283,7 +272,7 @@
         return outcome
 
     def _send(
-        self, request: _ForwardedRequest, remaining: float, run: Run
+        self, request: ForwardedRequest, remaining: float, run: Run
     ) -> Awaitable[BackendAnswer | NotRun | Unknown]:
         """Send the request to the backend server; `remaining` is the time left, in seconds."""
         call = request.call
@@ -300,7 +289,7 @@
         )
 
     async def _relay_answer(
-        self, request: _ForwardedRequest, answer: BackendAnswer, kept: KeptAnswer | None
+        self, request: ForwardedRequest, answer: BackendAnswer, kept: KeptAnswer | None
     ) -> Outcome:
         response = answer.response
         is_not_run = self._reports_not_run(response.head, request.call)
@@ -334,7 +323,7 @@
         """The registered id of the backend server, or empty."""
         return self._notices.start.server
 
-    def _backend_head(self, request: _ForwardedRequest) -> RequestHead:
+    def _backend_head(self, request: ForwardedRequest) -> RequestHead:
         call = request.call
         now = self._clock()
         if self._settings.by_routes:
@@ -369,34 +358,3 @@
         if notice is not None:
             headers.append((NOTICE_HEADER, encode(notice)))
         return headers
-
-
-def _fingerprint(exchange: Exchange, hop: Hop) -> str:
-    """The fingerprint that the entry sent, or else one of the head and the buffered body."""
-    head = exchange.head
-    received_fingerprint = head.get(FINGERPRINT_HEADER)
-    if received_fingerprint is not None:
-        return received_fingerprint.decode("ascii", "replace")
-    body = exchange.body.peek(HASHED_BODY_BYTES)
-    return fingerprint_of(head, hop.workspace, hop.service, body)
-
-
-def _decode_call(hop: Hop, now: float, request_id: str) -> Call:
-    """Build the call from a decoded hop; its remaining times count from `now`."""
-    call_class = CallClass.URGENT if hop.urgent else CallClass.NORMAL
-    return Call(
-        hop.workspace,
-        hop.service,
-        RequestKind(hop.kind, hop.repeatable, call_class),
-        now + hop.remaining,
-        hop.key,
-        hop.depth,
-        target=_time_after(now, hop.target),
-        hold_until=_time_after(now, hop.hold),
-        request_id=request_id,
-    )
-
-
-def _time_after(now: float, seconds: float | None) -> float:
-    """The time `seconds` after `now`; `UNLIMITED` if there is no bound."""
-    return UNLIMITED if seconds is None else now + seconds
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -173,6 +173,8 @@
         request = await caller.send(port, "papers", "view", once=False)
         history.final_sent += 1
         history.final_answered += request.reported is Reported.ANSWERED
+        if request.reported is not Reported.ANSWERED:
+            print(f"not answered in the calm end, by {member.plan.name}: {request}", flush=True)
 
 
 async def _collect_records(injector: FaultInjector, caller: Caller, history: History) -> None:
