--- a/packages/wheatslip/wheatslip/noticememory.py
+++ b/packages/wheatslip/wheatslip/noticememory.py
@@ -8,10 +8,10 @@
 refused: less often after a refusal, more often after a response.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from random import Random
 
-from wheatslip.servernotice import ServerNotice, ServerStart
+from wheatslip.servernotice import UNKNOWN_START, ServerNotice, ServerStart
 
 # A server that leaves ends within seconds. If its daemon does not say which start of the server
 # it is, this ends the memory of an earlier one.
@@ -27,7 +27,7 @@
 class NoticeMemory:
     """The announcements of one server. Times in seconds, monotonic."""
 
-    start: ServerStart = field(default_factory=ServerStart)  # that made them
+    start: ServerStart = UNKNOWN_START  # that made them
     rate: float | None = None  # requests per second; None: no limit
     _left_at: float | None = None  # when it said that it leaves; None: it did not
     _share: float = 1.0  # of the usual picks
--- a/packages/wheatslip/wheatslip/servernotice.py
+++ b/packages/wheatslip/wheatslip/servernotice.py
@@ -28,10 +28,13 @@
         return not self.born or not other.born or self.born == other.born
 
 
+UNKNOWN_START = ServerStart()
+
+
 class ServerNotice(msgspec.Struct, frozen=True, array_like=True):
     """The announcements of one start. `rate` is in requests per second; None: no limit."""
 
-    start: ServerStart = ServerStart()
+    start: ServerStart = UNKNOWN_START
     rate: float | None = None
     leaving: bool = False
 
--- a/packages/wheatslip/wheatslip/store/instances.py
+++ b/packages/wheatslip/wheatslip/store/instances.py
@@ -6,7 +6,7 @@
 from msgspec import UNSET, UnsetType
 from result import Err, Ok, Result
 
-from wheatslip.servernotice import ServerStart
+from wheatslip.servernotice import UNKNOWN_START, ServerStart
 
 INSTANCE_KIND = "instance"
 
@@ -39,7 +39,9 @@
 
     @property
     def server_start(self) -> ServerStart:
-        return ServerStart(self.server or "", self.server_born or 0)
+        if not self.server:
+            return UNKNOWN_START
+        return ServerStart(self.server, self.server_born or 0)
 
 
 def decode_instance(value: bytes | msgspec.Raw) -> Result[Instance, str]:
