Say how long an entry remembers that a server leaves

Pages and a comment said that an entry forgets after 60 s only where no start of the server is known; the code forgets after 60 s always (NoticeMemory.is_leaving).

--- a/packages/wheatslip/wheatslip/noticememory.py
+++ b/packages/wheatslip/wheatslip/noticememory.py
@@ -13,8 +13,7 @@
 
 from wheatslip.servernotice import UNKNOWN_START, ServerNotice, ServerStart
 
-# A server that leaves ends within seconds. If its daemon does not say which start of the server
-# it is, this ends the memory of an earlier one.
+# A server that leaves ends within seconds. This ends the memory where no later start is named.
 LEAVING_SECONDS = 60.0
 FIRST_SHARE = 0.5  # of the usual picks, for a server that has just named a limit
 MIN_SHARE = 0.05  # above 0, since a server tells only in responses that its limit has ended
