Add the types of workspace limits, ranks and credentials by routes

Fields, messages and settings that the parts of docs/design/workspace-limits.md agree on: more than one credential, priority, rate and burst of a workspace, open routes, the rank of a call and its header, the messages between an entry and the owner of a limit, and [quota], max-unconfirmed and two header names. Nothing reads them yet.

--- a/packages/wheatslip/wheatslip/call.py
+++ b/packages/wheatslip/wheatslip/call.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+import msgspec
+
 # Value of a duration or a time in seconds that is not limited.
 UNLIMITED = float("inf")
 
@@ -16,6 +18,19 @@
     URGENT = "urgent"
 
 
+class Rank(msgspec.Struct, frozen=True, order=True, array_like=True):
+    """Order in which requests are served when capacity is short; the lowest goes first.
+
+    The priority of the workspace goes before that of the route.
+    """
+
+    workspace_priority: int = 0
+    route_priority: int = 0
+
+
+COMMON_RANK = Rank()  # of all requests where the configuration holds no credentials
+
+
 @dataclass(frozen=True, slots=True)
 class RequestKind:
     """A kind of request that the configuration bundle defines for a service."""
@@ -42,6 +57,7 @@
     hold_until: float = UNLIMITED
     max_attempts: int = 5  # attempts that may reach a backend server
     request_id: str = ""  # the backend server repeats it in its response
+    rank: Rank = COMMON_RANK
 
     def remaining(self, now: float) -> float:
         """Seconds from `now` to the deadline; zero or negative after it."""
--- a/packages/wheatslip/wheatslip/config/bundle.py
+++ b/packages/wheatslip/wheatslip/config/bundle.py
@@ -24,14 +24,40 @@
 Count = Annotated[int, Meta(ge=0, le=1_000_000)]
 
 
+class RateLimit(msgspec.Struct, frozen=True):
+    """Requests per second, and requests above that which may come at once."""
+
+    rate: Rate
+    burst: Rate = 0.0
+
+
 class Workspace(msgspec.Struct, frozen=True):
-    """A customer that calls services. `share` is its weight when workspaces compete for
-    capacity. Its credential is stored as a hash.
+    """A customer that calls services.
+
+    `share` is its weight when workspaces compete for capacity. Credentials are stored as
+    hashes. All daemons together accept `rate` requests per second of it, and `burst` above
+    that; without a rate there is no limit. Unset fields are omitted from the canonical bytes,
+    so that bundles signed without them keep their digests.
     """
 
     name: str
-    credential_sha256: str
+    credential_sha256: str  # empty: it has no credential
     share: Share = 1.0
+    more_credentials_sha256: tuple[str, ...] | msgspec.UnsetType = msgspec.UNSET
+    priority: Count | msgspec.UnsetType = msgspec.UNSET  # 0 (also if unset) goes first
+    rate: Rate | msgspec.UnsetType = msgspec.UNSET
+    burst: Rate | msgspec.UnsetType = msgspec.UNSET
+
+    @property
+    def credentials(self) -> tuple[str, ...]:
+        """The hashes of all its credentials."""
+        first = (self.credential_sha256,) if self.credential_sha256 else ()
+        return first + (self.more_credentials_sha256 or ())
+
+    @property
+    def limit(self) -> RateLimit | None:
+        """Its limit over all daemons; None if there is none."""
+        return RateLimit(self.rate, self.burst or 0.0) if self.rate else None
 
 
 class Kind(msgspec.Struct, frozen=True):
@@ -104,7 +130,8 @@
     `timeout` and `target` are in seconds. `timeout` limits a request even if its own deadline
     is later. `target` is the response time after which a response has little value; 0 means the
     timeout. Requests with `priority` 0 go first; all other priorities are equal. `max_attempts`
-    is the maximum number of backend servers that a request is sent to.
+    is the maximum number of backend servers that a request is sent to. Requests of an `open`
+    route need no credential.
     """
 
     name: str
@@ -116,6 +143,7 @@
     target: Seconds = 0.0
     priority: int = 0
     max_attempts: int = 1
+    open: bool = False
 
 
 class Bundle(msgspec.Struct, frozen=True):
--- a/packages/wheatslip/wheatslip/hop.py
+++ b/packages/wheatslip/wheatslip/hop.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from wheatslip.call import Rank
 from wheatslip.outcome import NotRun, Outcome, Reason, Unknown
 from wheatslip.servernotice import ServerNotice
 
@@ -22,6 +23,8 @@
 # Sent with a response while the server has announced something, and with a hop while the entry
 # remembers a limit of the server: a `ServerNotice`.
 NOTICE_HEADER = b"wheatslip-notice"
+# Sent with a hop whose call does not have the common rank: a `Rank`.
+RANK_HEADER = b"wheatslip-rank"
 MAX_HEADER_VALUE_BYTES = 2048  # more than a daemon sends; longer values are not parsed
 
 
@@ -56,15 +59,16 @@
     slowness: float = 1.0  # ratio of the current service time to the mean
 
 
-_Message = TypeVar("_Message", Hop, LoadReport, ServerNotice)
+_Message = TypeVar("_Message", Hop, LoadReport, ServerNotice, Rank)
 
 _encoder = msgspec.json.Encoder()
 _hop_decoder = msgspec.json.Decoder(Hop)
 _load_decoder = msgspec.json.Decoder(LoadReport)
 _notice_decoder = msgspec.json.Decoder(ServerNotice)
+_rank_decoder = msgspec.json.Decoder(Rank)
 
 
-def encode(message: Hop | LoadReport | ServerNotice) -> bytes:
+def encode(message: Hop | LoadReport | ServerNotice | Rank) -> bytes:
     """Encodes a message as a header value."""
     return _encoder.encode(message)
 
@@ -87,6 +91,11 @@
     return notice
 
 
+def decode_rank(value: bytes) -> Rank | None:
+    """Decodes a header value; None if it is invalid."""
+    return _decode_message(_rank_decoder, value)
+
+
 def _decode_message(decoder: msgspec.json.Decoder[_Message], value: bytes) -> _Message | None:
     if len(value) > MAX_HEADER_VALUE_BYTES:
         return None
--- a/packages/wheatslip/wheatslip/outcome.py
+++ b/packages/wheatslip/wheatslip/outcome.py
@@ -18,6 +18,7 @@
     NO_UPSTREAM = "no-upstream"
     OVERLOADED = "overloaded"
     OVER_SHARE = "over-share"
+    OVER_LIMIT = "over-limit"  # above the rate limit of its workspace
     DEADLINE = "deadline"
     DRAINING = "draining"
     NOT_READY = "not-ready"
--- /dev/null
+++ b/packages/wheatslip/wheatslip/quota/messages.py
@@ -0,0 +1,30 @@
+"""Messages between an entry and the owner of a workspace's rate limit."""
+
+import msgspec
+
+
+class TokenRequest(msgspec.Struct, frozen=True):
+    """The entry `sender` asks for tokens of a workspace; one token is one request.
+
+    `rate` (per second) and `burst` are the workspace's limit in the bundle of `version`.
+    `failover` tells that all earlier candidates refused the connection, so they have ended.
+    """
+
+    sender: str
+    workspace: str
+    tokens: int
+    version: int
+    rate: float
+    burst: float
+    failover: bool = False
+
+
+class TokenGrant(msgspec.Struct, frozen=True):
+    """Response to a `TokenRequest`.
+
+    If fewer `tokens` were granted than requested, `retry_after` is the number of seconds until
+    the next one.
+    """
+
+    tokens: int
+    retry_after: float = 0.0
--- a/packages/wheatslipd/wheatslipd/entry/refusals.py
+++ b/packages/wheatslipd/wheatslipd/entry/refusals.py
@@ -15,6 +15,7 @@
     Reason.NO_SUCH_SERVICE: 404,
     Reason.NO_ROUTE: 404,
     Reason.OVER_SHARE: 429,
+    Reason.OVER_LIMIT: 429,
     Reason.DEADLINE: 504,
 }
 _UNKNOWN_STATUS = {
@@ -51,7 +52,8 @@
     headers: Headers = [(OUTCOME_HEADER, encode_outcome(outcome)), *(extra_headers or [])]
     status = status_of(outcome, by_routes=by_routes)
     if by_routes:
-        if status == DEFAULT_NOT_RUN_STATUS and isinstance(outcome, NotRun):
+        has_time = status == DEFAULT_NOT_RUN_STATUS or outcome.reason is Reason.OVER_LIMIT
+        if has_time and isinstance(outcome, NotRun):
             wait = outcome.retry_after or DEFAULT_RETRY_AFTER_SECONDS
             headers.append((b"retry-after", b"%.3f" % wait))
     elif isinstance(outcome, NotRun) and outcome.retry_after is not None:
--- a/packages/wheatslipd/wheatslipd/settings.py
+++ b/packages/wheatslipd/wheatslipd/settings.py
@@ -24,6 +24,7 @@
     parse_ip_and_port,
     parse_port,
 )
+from wheatslip.quota.settings import QuotaSettings
 
 from wheatslipd.feed.feedsettings import FeedSettings
 
@@ -84,11 +85,14 @@
     cold: bytes = b""
     limit: bytes = b""
     leaving: bytes = b""
+    credential: bytes = b""
+    workspace: bytes = b""
 
     @property
     def set_by_daemon(self) -> frozenset[bytes]:
         """Headers that only the daemon sets; a caller's value must never be forwarded."""
-        return frozenset({self.deadline, self.caller, self.instance} - {b""})
+        names = {self.deadline, self.caller, self.instance, self.workspace}
+        return frozenset(names - {b""})
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,6 +135,8 @@
     checks_per_second: float
     feed: FeedSettings
     stop_listening_after: float
+    quota: QuotaSettings
+    max_unconfirmed: float  # seconds; 0: no limit
 
     @property
     def lists_itself(self) -> bool:
@@ -222,6 +228,8 @@
         checks_per_second=backend.number("checks-per-second", 20.0, 1.0, 1e4),
         feed=_feed(control, sections["platform"]),
         stop_listening_after=daemon.duration("stop-listening-after", 0.0),
+        quota=_quota(sections["quota"]),
+        max_unconfirmed=entry.duration("max-unconfirmed", 0.0),
     )
 
 
@@ -274,6 +282,17 @@
         cold=name("cold"),
         limit=name("limit"),
         leaving=name("leaving"),
+        credential=name("credential"),
+        workspace=name("workspace"),
+    )
+
+
+def _quota(section: Section) -> QuotaSettings:
+    default = QuotaSettings()
+    return QuotaSettings(
+        window=section.duration("window", default.window),
+        overage=section.number("overage", default.overage, 0.01, 10.0),
+        slack=section.number("slack", default.slack, 0.0, 1e6),
     )
 
 
