Read credentials, limits and open routes from INI bundles

Cause: the bundle's fields for several credentials, priority, rate, burst and open routes could not be written in an INI file. Change: [workspace N] takes a list in credential-sha256, priority, rate and burst; [route N] takes open. A negative or non-finite value, a burst without a rate and a credential of two workspaces are problems. Values that mean the same as a missing key are left unset, so digests are kept.

--- a/packages/wheatslip/wheatslip/config/bundle.py
+++ b/packages/wheatslip/wheatslip/config/bundle.py
@@ -18,10 +18,12 @@
 
 # Checked when decoding: a value such as 1e308 per second can stop every daemon that applies it.
 Seconds = Annotated[float, Meta(ge=0.0, le=604_800.0)]  # at most a week
-Rate = Annotated[float, Meta(ge=0.0, le=1e6)]  # per second
+MAX_RATE = 1e6
+Rate = Annotated[float, Meta(ge=0.0, le=MAX_RATE)]  # per second
 Share = Annotated[float, Meta(ge=0.001, le=1000.0)]
 Weight = Annotated[float, Meta(ge=0.0, le=1e9)]
-Count = Annotated[int, Meta(ge=0, le=1_000_000)]
+MAX_COUNT = 1_000_000
+Count = Annotated[int, Meta(ge=0, le=MAX_COUNT)]
 
 
 class RateLimit(msgspec.Struct, frozen=True):
--- a/packages/wheatslip/wheatslip/config/bundleini.py
+++ b/packages/wheatslip/wheatslip/config/bundleini.py
@@ -10,6 +10,8 @@
 
 from wheatslip.config.bundle import (
     FORMAT,
+    MAX_COUNT,
+    MAX_RATE,
     Bundle,
     ColdStart,
     Kind,
@@ -106,12 +108,23 @@
         self._version = section.integer("version", 0, 1, MAX_VERSION, required=True)
 
     def _read_workspace(self, name: str, section: Section) -> None:
+        credentials = section.get(
+            "credential-sha256", (), _parse_sha256_list, "64 hex digits", required=True
+        )
+        rate = section.number("rate", 0.0, 0.0, MAX_RATE)
+        burst = section.number("burst", 0.0, 0.0, MAX_RATE)
+        if burst and not rate:
+            expected = "a burst only together with a rate above 0"
+            self._problems.add(section.name, "burst", f"{burst:g}", expected)
         self._workspaces[name] = Workspace(
             name=name,
-            credential_sha256=section.get(
-                "credential-sha256", "", _parse_sha256_hex, "64 hex digits", required=True
-            ),
+            credential_sha256=credentials[0] if credentials else "",
             share=section.number("share", _WORKSPACE_DEFAULTS.share, 0.001, 1000.0),
+            more_credentials_sha256=credentials[1:] or msgspec.UNSET,
+            # A value that means the same as a missing key is unset, so the digest is equal too.
+            priority=section.integer("priority", 0, 0, MAX_COUNT) or msgspec.UNSET,
+            rate=rate or msgspec.UNSET,
+            burst=burst or msgspec.UNSET,
         )
 
     def _read_service(self, name: str, section: Section) -> None:
@@ -176,9 +189,11 @@
             target=section.duration("target", _ROUTE_DEFAULTS.target),
             priority=section.integer("priority", _ROUTE_DEFAULTS.priority, 0, 1000),
             max_attempts=section.integer("max-attempts", _ROUTE_DEFAULTS.max_attempts, 1, 100),
+            open=section.flag("open", _ROUTE_DEFAULTS.open),
         )
 
     def _check_references(self) -> None:
+        self._check_credentials()
         route_names: dict[tuple[str, str], str] = {}  # by host and prefix
         for route in self._routes.values():
             title = f"route {route.name}"
@@ -200,6 +215,17 @@
             title = f"kind {service_name}/…"
             self._problems.add(title, "-", service_name, "a [service …] of this bundle")
 
+    def _check_credentials(self) -> None:
+        """Reports each credential that more than one workspace has."""
+        owners: dict[str, str] = {}  # workspace by credential
+        for workspace in self._workspaces.values():
+            for credential in workspace.credentials:
+                owner = owners.setdefault(credential, workspace.name)
+                if owner != workspace.name:
+                    title = f"workspace {workspace.name}"
+                    expected = f"credentials other than those of workspace {owner}"
+                    self._problems.add(title, "credential-sha256", credential, expected)
+
     def _check_workspaces(self, title: str, key: str, names: tuple[str, ...]) -> None:
         for name in names:
             if name not in self._workspaces:
@@ -226,6 +252,14 @@
     return split
 
 
+def _parse_sha256_list(text: str) -> tuple[str, ...]:
+    """Parses a comma-separated list of SHA-256 digests; a repeated one counts once."""
+    digests = tuple(dict.fromkeys(_parse_sha256_hex(part) for part in parse_names(text)))
+    if not digests:
+        raise ValueError(text)
+    return digests
+
+
 def _parse_sha256_hex(text: str) -> str:
     if len(text) != SHA256_HEX_LENGTH or set(text) - set("0123456789abcdef"):
         raise ValueError(text)
--- a/test/test_bundle.py
+++ b/test/test_bundle.py
@@ -5,7 +5,7 @@
 
 import pytest
 from result import Err, Ok
-from wheatslip.config.bundle import decode_bundle
+from wheatslip.config.bundle import RateLimit, decode_bundle
 from wheatslip.config.bundleini import parse_bundle
 from wheatslip.config.changes import Change, ChangeKind, changes_between
 from wheatslip.config.head import Head
@@ -168,3 +168,77 @@
             await unreachable.close()
 
     run(main)
+
+
+WORKSPACE_LIMITS = f"""
+[bundle]
+version = 1
+[workspace w]
+credential-sha256 = {"a" * 64}, {"b" * 64}
+priority = 2
+rate = 170
+burst = 40
+[workspace plain]
+credential-sha256 = {"c" * 64}
+[pool p]
+[service s]
+workspace = w
+pool = p
+[route r]
+host = h
+services = s
+open = yes
+"""
+
+
+def test_credentials_limits_and_open_routes_are_read():
+    read = parse_bundle(WORKSPACE_LIMITS, "b.ini").unwrap()
+    plain, workspace = read.workspaces
+    assert workspace.credentials == ("a" * 64, "b" * 64)
+    assert (workspace.priority, workspace.limit) == (2, RateLimit(170.0, 40.0))
+    assert (plain.credentials, plain.limit) == (("c" * 64,), None)
+    assert read.routes[0].open
+    assert decode_bundle(read.canonical()) == Ok(read)
+
+
+def test_a_bundle_without_the_new_keys_keeps_its_canonical_bytes():
+    """A changed digest would make daemons refuse the bundles that operators have signed."""
+    text = WORKSPACE_LIMITS.replace(f", {'b' * 64}", "").replace("open = yes", "open = no")
+    text = text.replace("priority = 2", "priority = 0").replace("rate = 170\nburst = 40\n", "")
+    canonical = parse_bundle(text, "b.ini").unwrap().canonical()
+    for name in (b"more_credentials", b"rate", b"burst", b"open", b'"priority":2'):
+        assert name not in canonical
+    expected = b'{"credential_sha256":"' + b"a" * 64 + b'","name":"w","share":1.0}'
+    assert expected in canonical
+
+
+@pytest.mark.parametrize(
+    ("line", "problem_text"),
+    [
+        ("rate = -1", "rate = '-1': expected a number from 0 to 1e+06"),
+        ("rate = nan", "rate = 'nan': expected a number from 0 to 1e+06"),
+        ("rate = inf", "rate = 'inf': expected a number from 0 to 1e+06"),
+        ("rate = fast", "rate = 'fast': expected a number from 0 to 1e+06"),
+        ("burst = -1", "burst = '-1': expected a number from 0 to 1e+06"),
+        ("burst = nan", "burst = 'nan': expected a number from 0 to 1e+06"),
+        ("burst = 5", "burst = '5': expected a burst only together with a rate above 0"),
+        ("rate = 0\nburst = 5", "expected a burst only together with a rate above 0"),
+        ("priority = -1", "priority = '-1': expected a whole number"),
+        ("priority = 0.5", "priority = '0.5': expected a whole number"),
+        (f"credential-sha256 = {'a' * 64}, x", "expected 64 hex digits"),
+        ("credential-sha256 = ,", "expected 64 hex digits"),
+        (
+            f"credential-sha256 = {'d' * 64}, {'c' * 64}",
+            "expected credentials other than those of workspace other",
+        ),
+    ],
+)
+def test_an_invalid_workspace_gives_a_clear_problem(line, problem_text):
+    credential = "" if line.startswith("credential") else f"credential-sha256 = {'a' * 64}\n"
+    text = (
+        f"[bundle]\nversion = 1\n[workspace other]\ncredential-sha256 = {'c' * 64}\n"
+        f"[workspace w]\n{credential}{line}\n"
+    )
+    problems = [str(problem) for problem in parse_bundle(text, "b.ini").unwrap_err()]
+    assert len(problems) == 1
+    assert problems[0].startswith("b.ini: [workspace w] ") and problem_text in problems[0]
