--- a/packages/wheatslip/wheatslip/config/bundleini.py
+++ b/packages/wheatslip/wheatslip/config/bundleini.py
@@ -108,7 +108,7 @@
         self._version = section.integer("version", 0, 1, MAX_VERSION, required=True)
 
     def _read_workspace(self, name: str, section: Section) -> None:
-        credentials = section.get(
+        credentials: tuple[str, ...] = section.get(
             "credential-sha256", (), _parse_sha256_list, "64 hex digits", required=True
         )
         rate = section.number("rate", 0.0, 0.0, MAX_RATE)
--- a/packages/wheatslipd/wheatslipd/controllers/view.py
+++ b/packages/wheatslipd/wheatslipd/controllers/view.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from msgspec import UNSET
 from wheatslip.config.bundle import Bundle, Pool, Service, Workspace
 from wheatslip.config.routes import RouteTable
 from wheatslip.config.zonedrains import ZoneDrains
@@ -27,14 +28,22 @@
 
 
 class Configuration:
-    """A bundle in force, indexed for lookups."""
+    """A bundle in force, indexed for lookups.
+
+    `requires_credentials` tells whether a request by routes needs a credential: any workspace
+    has a list of credentials, even if it is empty because the last one was removed.
+    """
 
     def __init__(self, bundle: Bundle):
         self.version = bundle.version
         self.services: dict[str, Service] = {s.name: s for s in bundle.services}
         self.pools: dict[str, Pool] = {p.name: p for p in bundle.pools}
         self.routes = RouteTable(bundle.routes)
-        self._by_credential = {w.credential_sha256: w for w in bundle.workspaces}
+        self._by_credential = {c: w for w in bundle.workspaces for c in w.credentials}
+        self.requires_credentials = any(
+            workspace.credential_sha256 or workspace.more_credentials_sha256 is not UNSET
+            for workspace in bundle.workspaces
+        )
 
     def workspace_of(self, credential_sha256: str) -> Workspace | None:
         return self._by_credential.get(credential_sha256)
