Count the age of the configuration's confirmation by monotonic clocks

Cause: Update.as_of and Feed.head_age are Unix times by a watcher's clock, so a daemon cannot tell from them for how long it may not have learned of a removed credential. Change: Update.confirmed names a version and the monotonic time, by the sender's clock, at which the platform had no newer one; the first update of a stream also has the sender's present time. The receiver converts it conservatively: the time may be too early by the opening of the stream, never too late, also after a freeze. At a watcher the time before the call counts. With max-unconfirmed the watchers confirm the head five times in it; a daemon that starts reads the head freshly, and a follower of a parent without the field asks the platform itself. as_of and head_age are unchanged.

--- a/packages/wheatslip/wheatslip/distribution/feedcache.py
+++ b/packages/wheatslip/wheatslip/distribution/feedcache.py
@@ -44,6 +44,13 @@
     drained: int = UNKNOWN_VERSION
 
 
+class Confirmation(msgspec.Struct, frozen=True, array_like=True):
+    """At `at` (seconds, monotonic) the platform had no newer head than that of `version`."""
+
+    version: int
+    at: float
+
+
 class Update(msgspec.Struct, frozen=True, omit_defaults=True):
     """The state that a follower does not have yet.
 
@@ -53,6 +60,11 @@
     version up to which no newer head than the sender's was written, or 0 if it was sent before.
     `heartbeat` is the longest time between two updates of the sender, in seconds; only the
     first update of a stream has it.
+
+    `confirmed` is the latest confirmation that the sender knows. Its time is on the monotonic
+    clock of the sender, whose present time is `clock`, in the first update of a stream; the
+    receiver converts it to its own clock. Unlike `as_of` it does not depend on wall clocks.
+    Daemons of the previous version send neither.
     """
 
     as_of: float
@@ -67,6 +79,8 @@
     ends: tuple[EndReport, ...] = ()  # end reports not yet sent on this stream
     head_at: int = 0
     heartbeat: float = 0.0
+    confirmed: Confirmation | None = None
+    clock: float | None = None
 
 
 class FeedCache:
@@ -74,6 +88,8 @@
 
     def __init__(self) -> None:
         self.as_of = 0.0
+        self.confirmation: Confirmation | None = None
+        self._earlier_confirmation: Confirmation | None = None  # the last of an older version
         self.checked = 0.0
         self.listed = 0  # version of the instance list
         self.instances: dict[str, Instance] = {}
@@ -93,6 +109,31 @@
         """Length of the signed bundle body; 0 if there is no bundle."""
         return len(self._signed.body) if self._signed is not None else 0
 
+    def confirm(self, confirmation: Confirmation) -> None:
+        """Records a confirmation, unless it is about a newer head than the cached one.
+
+        A newer head than a confirmed one was written after that confirmation, so it needs none
+        for the time until then.
+        """
+        version = self.head.version if self.head is not None else 0
+        if confirmation.version > version:
+            return
+        current = self.confirmation
+        at = confirmation.at if current is None else max(confirmation.at, current.at)
+        if current is not None and version > current.version:
+            self._earlier_confirmation = current
+        self.confirmation = Confirmation(version, at)
+
+    def confirmed_at(self, version: int) -> float | None:
+        """When the bundle `version` was last known to be the newest; None if it never was.
+
+        The bundle in force may be older than the cached one for a moment.
+        """
+        for confirmation in (self.confirmation, self._earlier_confirmation):
+            if confirmation is not None and version >= confirmation.version:
+                return confirmation.at
+        return None
+
     def apply_list(
         self, listed: int, changes: Iterable[ListChange], *, whole: bool
     ) -> list[ListChange]:
@@ -188,6 +229,7 @@
             whole,
             drains=drains,
             head_at=head_at,
+            confirmed=self.confirmation,
         )
         if self.head is None or cursor.bundle >= self.head.version:
             return update
--- a/packages/wheatslipd/wheatslipd/feed/access.py
+++ b/packages/wheatslipd/wheatslipd/feed/access.py
@@ -1,5 +1,6 @@
 """Access to the platform, shared by single reads and watches."""
 
+import time
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from random import Random
@@ -26,6 +27,7 @@
     cache_writer: CacheWriter
     settings: FeedSettings
     rng: Random
+    monotonic: Callable[[], float] = time.monotonic  # in seconds
 
     def backoff(self) -> Backoff:
         """Return the backoff between the attempts of one call."""
--- a/packages/wheatslipd/wheatslipd/feed/cachewriter.py
+++ b/packages/wheatslipd/wheatslipd/feed/cachewriter.py
@@ -13,7 +13,12 @@
 from wheatslip.config.head import Head
 from wheatslip.config.signedbundle import SignedBundle
 from wheatslip.config.zonedrains import ZoneDrain, ZoneDrains, decode_drain, with_changes
-from wheatslip.distribution.feedcache import FeedCache, ListChange, Update
+from wheatslip.distribution.feedcache import (
+    Confirmation,
+    FeedCache,
+    ListChange,
+    Update,
+)
 from wheatslip.quarantine import EndReport
 from wheatslip.store.instances import decode_instance
 from wheatslip.store.objects import Listing, StoredObject
@@ -75,6 +80,14 @@
         """Record that the platform confirmed the head just now."""
         self.cache.as_of = self._unix()
 
+    def confirm_bundle(self, asked_at: float) -> None:
+        """Record that the platform had no newer bundle than the cached one at `asked_at`.
+
+        That is the monotonic time before the call, because the response may have been under way
+        for long. A bundle that was refused here does not count: the cached one stays in force.
+        """
+        self.cache.confirm(Confirmation(self.version, asked_at))
+
     def advance_head_position(self, version: int) -> None:
         """Record that no newer head than the cached one was written up to `version` of the
         store.
@@ -131,6 +144,8 @@
             self._apply_head(update.head, update)
         if update.head is None or update.head.version <= self.version:
             self.advance_head_position(update.head_at)
+        if update.confirmed is not None:
+            self.cache.confirm(update.confirmed)
 
     def _apply_head(self, head: Head, update: Update) -> None:
         if update.signed is not None:
--- a/packages/wheatslipd/wheatslipd/feed/feed.py
+++ b/packages/wheatslipd/wheatslipd/feed/feed.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
@@ -45,12 +46,13 @@
 
 @dataclass(frozen=True, slots=True)
 class FeedDependencies:
-    """External dependencies of a feed: the platform, peer TLS, random numbers and the clock."""
+    """External dependencies of a feed: the platform, peer TLS, random numbers and clocks."""
 
     store: ObjectStore
     tls: PeerTls
     rng: Random
     unix: Callable[[], float]  # returns the Unix time in seconds
+    monotonic: Callable[[], float] = time.monotonic  # in seconds
 
 
 class Feed:
@@ -61,13 +63,14 @@
     ):
         """`verifier` decides what may be put in force; events are fired on `bus`."""
         name, tls, rng = daemon.name, dependencies.tls, dependencies.rng
+        monotonic = dependencies.monotonic
         self._name = name
         self.client = dependencies.store
         self._settings = daemon.settings
         self._rng = rng
         self._unix = dependencies.unix
         self.cache = FeedCache()
-        self.relay = RelayServer(self.cache, tls, self._apply_end_reports)
+        self.relay = RelayServer(self.cache, tls, self._apply_end_reports, monotonic)
         self._position = RelayPosition(name, daemon.zone, daemon.settings.watchers)
         self.cache_writer = CacheWriter(
             self.cache,
@@ -78,7 +81,9 @@
             dependencies.unix,
             self.handle_version_hint,
         )
-        access = PlatformAccess(dependencies.store, self.cache_writer, daemon.settings, rng)
+        access = PlatformAccess(
+            dependencies.store, self.cache_writer, daemon.settings, rng, monotonic
+        )
         self._reader = PlatformReader(name, access)
         self._follower = ParentFollower(self._position, access, self._reader, tls)
         self._end_reporter = EndReporter(name, self.cache, lambda: self.parent, tls)
@@ -86,7 +91,7 @@
         self.cache_writer.on_end_reports = self._end_reporter.wake
         self._follower.on_parent_changed = self._end_reporter.wake
         self.hint_handler = HintHandler(
-            name, self.relay, self.cache_writer, self._reader, tls, rng
+            name, self.relay, self.cache_writer, self._reader, tls, rng, monotonic
         )
         self._list_watch = ListWatch(access)
         self._state_watch = StateWatch(
--- a/packages/wheatslipd/wheatslipd/feed/hinthandler.py
+++ b/packages/wheatslipd/wheatslipd/feed/hinthandler.py
@@ -1,6 +1,8 @@
 """Handles hints: requests and responses carry the bundle version in force at the sender."""
 
 import asyncio
+import time
+from collections.abc import Callable
 from contextlib import aclosing, suppress
 from random import Random
 
@@ -32,8 +34,10 @@
         reader: PlatformReader,
         tls: PeerTls,
         rng: Random,
+        monotonic: Callable[[], float] = time.monotonic,
     ):
         self._name = name
+        self._monotonic = monotonic
         self._relay = relay
         self._cache_writer = cache_writer
         self._reader = reader
@@ -76,7 +80,8 @@
         instance = next(listed, assumed)
         logs.info("asking-daemon", address=address, hinted_version=self._version)
         cursor = self._cache_writer.cache.cursor(self._name)
-        async with aclosing(follow_parent(instance, cursor, self._tls)) as updates:
+        stream = follow_parent(instance, cursor, self._tls, self._monotonic)
+        async with aclosing(stream) as updates:
             async for update in updates:
                 self._cache_writer.apply_update(update, instance.name)
                 return
--- a/packages/wheatslipd/wheatslipd/feed/parentfollower.py
+++ b/packages/wheatslipd/wheatslipd/feed/parentfollower.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from contextlib import aclosing, suppress
+from math import inf
 
 from wheatslip.store.instances import Instance
 
@@ -64,7 +65,10 @@
         self._position = position
         self._cache_writer = access.cache_writer
         self._list_watch = access.settings.list_watch
+        self._confirm_interval = access.settings.confirm_interval
+        self._confirmed_at = -inf  # last own confirmation, on the loop's clock
         self._rng = access.rng
+        self._monotonic = access.monotonic
         self._reader = reader
         self._tls = tls
         self.parent = ""  # name of the current parent; empty if there is none
@@ -157,7 +161,8 @@
         cache = self._cache_writer.cache
         last_confirmed = cache.checked if needs_list else cache.as_of
         cursor = cache.cursor(self._position.name)
-        async with aclosing(follow_parent(parent, cursor, self._tls)) as updates:
+        stream = follow_parent(parent, cursor, self._tls, self._monotonic)
+        async with aclosing(stream) as updates:
             async for update in updates:
                 confirmed = update.checked if needs_list else update.as_of
                 had_new_data |= confirmed > last_confirmed or update.listed > cursor.listed
@@ -165,6 +170,8 @@
                 list_tracker.observe(update.checked, loop.time())
                 self._cache_writer.apply_update(update, parent.name)
                 now = loop.time()
+                if update.confirmed is None and not head_tracker.is_stale(now):
+                    await self._confirm_head(now)
                 if head_tracker.is_stale(now) or (needs_list and list_tracker.is_stale(now)):
                     logs.info(
                         "parent-stale",
@@ -173,3 +180,11 @@
                     )
                     break
         return had_new_data
+
+    async def _confirm_head(self, now: float) -> None:
+        """Ask the platform itself, because the parent sends no confirmations, as those of the
+        previous version do. Does nothing if no limit needs them.
+        """
+        if self._confirm_interval and now >= self._confirmed_at + self._confirm_interval:
+            self._confirmed_at = now
+            await self._reader.refresh_head()
--- a/packages/wheatslipd/wheatslipd/feed/reader.py
+++ b/packages/wheatslipd/wheatslipd/feed/reader.py
@@ -48,11 +48,14 @@
     async def read_all(self) -> bool:
         """Read the list, the head and the zone drains; stale answers are accepted.
 
+        If credentials are accepted only with a confirmed head, its read is not stale, so that
+        a daemon that starts or finds no parent accepts them at once.
+
         Returns whether the platform answered the read of the list.
         """
         answered, _, _ = await asyncio.gather(
             self.read_list(stale_ok=True),
-            self.read_head(stale_ok=True),
+            self.read_head(stale_ok=not self._access.settings.max_unconfirmed),
             self.read_drains(stale_ok=True),
         )
         return answered
@@ -99,11 +102,13 @@
         """
         if not self._cache_writer.cache.head_at:
             return await self._refresh_head_by_reading()
+        asked_at = self._access.monotonic()
         match await self._store.changes(HEAD_KIND, self._cache_writer.cache.head_at, 0.0):
             case Ok(listing):
                 for item in listing.items:
                     await self.fetch_newer_bundle(item)
                 self._cache_writer.confirm_head()
+                self._cache_writer.confirm_bundle(asked_at)
                 self._cache_writer.advance_head_position(listing.version)
                 return True
             case Err(TooOld()):
@@ -128,11 +133,14 @@
 
         Returns whether the platform answered the read of the head.
         """
+        asked_at = self._access.monotonic()
         match await self._store.get(HEAD_KIND, HEAD_NAME, stale_ok=stale_ok):
             case Ok(stored):
                 if stored is not None:
                     await self.fetch_newer_bundle(stored)
                     self._cache_writer.advance_head_position(stored.version)
+                if not stale_ok:
+                    self._cache_writer.confirm_bundle(asked_at)
                 return True
             case Err(unavailable):
                 log_unavailable(unavailable)
--- a/packages/wheatslipd/wheatslipd/feed/relay.py
+++ b/packages/wheatslipd/wheatslipd/feed/relay.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import time
 from collections.abc import AsyncGenerator, Callable
 from contextlib import suppress
 from typing import cast
@@ -17,7 +18,7 @@
 from grpclib.server import Server, Stream
 from result import Err, Ok
 from wheatslip.distribution.chunks import Chunk, Joiner, split_message
-from wheatslip.distribution.feedcache import Cursor, FeedCache, Update
+from wheatslip.distribution.feedcache import Confirmation, Cursor, FeedCache, Update
 from wheatslip.quarantine import EndReport
 from wheatslip.store.instances import Instance
 
@@ -59,8 +60,10 @@
         cache: FeedCache,
         tls: PeerTls,
         on_reports: ReportsCallback = lambda reports, sender: None,
+        monotonic: Callable[[], float] = time.monotonic,
     ):
         """`on_reports` is called with the end reports that a follower sends, and its name."""
+        self._monotonic = monotonic
         self._cache = cache
         self._tls = tls
         self._on_reports = on_reports
@@ -120,7 +123,9 @@
         self.followers += 1
         sent_reports_position = 0  # position of the last report sent on this stream
         sent_head_position = 0  # the last `head_at` sent on this stream
-        heartbeat = HEARTBEAT_SECONDS  # sent with the first update only
+        # Sent with the first update only.
+        heartbeat = HEARTBEAT_SECONDS
+        clock: float | None = self._monotonic()
         try:
             while not self._is_leaving:
                 changed = self._changed
@@ -129,9 +134,12 @@
                 )
                 sent_reports_position = self._cache.ends.position
                 changes = self._cache.since(cursor, sent_head_position)
-                update = msgspec.structs.replace(changes, ends=ends, heartbeat=heartbeat)
+                update = msgspec.structs.replace(
+                    changes, ends=ends, heartbeat=heartbeat, clock=clock
+                )
                 sent_head_position = max(sent_head_position, changes.head_at)
                 heartbeat = 0.0
+                clock = None
                 for chunk in split_message(msgspec.msgpack.encode(update)):
                     await stream.send_message(chunk)
                 cursor = _advance_cursor(cursor, update)
@@ -155,9 +163,15 @@
 
 
 async def follow_parent(
-    parent: Instance, cursor: Cursor, tls: PeerTls
+    parent: Instance,
+    cursor: Cursor,
+    tls: PeerTls,
+    monotonic: Callable[[], float] = time.monotonic,
 ) -> AsyncGenerator[Update, None]:
-    """Yield the updates of one parent until it fails, times out or sends an invalid message."""
+    """Yield the updates of one parent until it fails, times out or sends an invalid message.
+
+    The times of their confirmations are converted to the clock `monotonic` of this daemon.
+    """
     channel = Channel(parent.address, parent.control_port, codec=StructCodec(), ssl=tls.client)
     method: UnaryStreamMethod[Cursor, Chunk] = UnaryStreamMethod(
         channel, FOLLOW_METHOD, Cursor, Chunk
@@ -165,9 +179,11 @@
     joiner = Joiner()
     heartbeat = 0.0  # the parent's interval in seconds; 0 before the first update
     silence_timeout = SILENCE_TIMEOUT_SECONDS
+    parent_clock: float | None = None  # the parent's time, read after `asked_at`
     try:
         async with method.open() as stream:
             async with asyncio.timeout(SILENCE_TIMEOUT_SECONDS):
+                asked_at = monotonic()
                 await stream.send_message(cursor, end=True)
             while True:
                 async with asyncio.timeout(silence_timeout):
@@ -179,7 +195,9 @@
                         update = msgspec.msgpack.decode(message, type=Update)
                         heartbeat = heartbeat or update.heartbeat or DEFAULT_HEARTBEAT_SECONDS
                         silence_timeout = MISSED_HEARTBEATS * heartbeat
-                        yield update
+                        if update.clock is not None:
+                            parent_clock = update.clock
+                        yield _convert_confirmation(update, asked_at, parent_clock)
                     case Err(reason):
                         logs.warning("update-refused", parent=parent.name, why=reason)
                         return
@@ -196,6 +214,25 @@
         channel.close()
 
 
+def _convert_confirmation(
+    update: Update, asked_at: float, parent_clock: float | None
+) -> Update:
+    """Convert the time of the confirmation from the parent's clock to the own one.
+
+    The parent read `parent_clock` after `asked_at`, so the result may be too early by the time
+    that opening the stream took. It is never too late, even if an update was under way or in a
+    buffer for long, as while one of the daemons was frozen.
+    """
+    confirmed = update.confirmed
+    if confirmed is not None:
+        confirmed = (
+            None
+            if parent_clock is None
+            else Confirmation(confirmed.version, confirmed.at - parent_clock + asked_at)
+        )
+    return msgspec.structs.replace(update, confirmed=confirmed, clock=None)
+
+
 async def send_end_reports(parent: Instance, reports: EndReports, tls: PeerTls) -> bool:
     """Send end reports to a parent; return False if a retry is needed."""
     channel = Channel(parent.address, parent.control_port, codec=StructCodec(), ssl=tls.client)
--- a/packages/wheatslipd/wheatslipd/feed/watchcheck.py
+++ b/packages/wheatslipd/wheatslipd/feed/watchcheck.py
@@ -9,6 +9,7 @@
 HEAD_REFRESH_SECONDS = 4.0  # interval; a refresh costs more than a stale read of the head
 # Interval without a parent or stale reads; below 1 s, so that a check every 1 s can refresh.
 HEAD_REFRESH_WITHOUT_PARENT_SECONDS = 0.75
+REFRESH_PART_OF_INTERVAL = 0.9  # of the interval in which the head must be confirmed
 # Above it, no stale reads of the head: some platforms respond with the whole configuration.
 SMALL_BUNDLE_BYTES = 20_000
 
@@ -35,13 +36,15 @@
 
         The watches may receive nothing from then on.
         """
+        if self._access.settings.confirm_interval:
+            await self._call_platform()
         await self._call_until(answered=False)
         await self._call_until(answered=True)
 
     async def _call_until(self, *, answered: bool) -> None:
         """Call the platform until a call succeeds (`answered`) or fails."""
         backoff = self._access.backoff()
-        period = self._access.settings.watch_check
+        period = self._access.settings.check_interval
         while True:
             await asyncio.sleep(backoff.next() if answered else period)
             if await self._call_platform() == answered:
@@ -56,6 +59,10 @@
             if needs_frequent_refresh
             else HEAD_REFRESH_SECONDS
         )
+        if self._access.settings.confirm_interval:
+            # Below the interval of the checks, so that a check in each of them can refresh.
+            confirm_seconds = REFRESH_PART_OF_INTERVAL * self._access.settings.confirm_interval
+            refresh_seconds = min(refresh_seconds, confirm_seconds)
         if now >= self._refreshed_at + refresh_seconds:
             self._refreshed_at = now
             return await self._reader.refresh_head()
--- a/packages/wheatslipd/wheatslipd/feed/watching.py
+++ b/packages/wheatslipd/wheatslipd/feed/watching.py
@@ -84,7 +84,7 @@
         """Run until cancelled."""
         while True:
             jobs = [self._follow_head(), self._watch_drains()]
-            if self._access.settings.watch_check:
+            if self._access.settings.check_interval:
                 jobs.append(self._check.run())
             await run_until_first_completes(*jobs)
             logs.info("watches-made-anew")
--- a/packages/wheatslipd/wheatslipd/settings.py
+++ b/packages/wheatslipd/wheatslipd/settings.py
@@ -94,6 +94,13 @@
         names = {self.deadline, self.caller, self.instance, self.workspace}
         return frozenset(names - {b""})
 
+    @property
+    def identity(self) -> frozenset[bytes]:
+        """Headers with the caller's identity. A gate sets that of the workspace itself, since
+        an entry of the previous version forwards a caller's values of both.
+        """
+        return frozenset({self.credential, self.workspace} - {b""})
+
 
 @dataclass(frozen=True, slots=True)
 class Settings:
@@ -136,7 +143,13 @@
     feed: FeedSettings
     stop_listening_after: float
     quota: QuotaSettings
-    max_unconfirmed: float  # seconds; 0: no limit
+
+    @property
+    def max_unconfirmed(self) -> float:
+        """Seconds without a confirmation of the configuration in which credentials are
+        accepted; 0 for no limit.
+        """
+        return self.feed.max_unconfirmed
 
     @property
     def lists_itself(self) -> bool:
@@ -187,6 +200,7 @@
     source = sections["operators"].choice("source", _SIGNED, _choices(ConfigurationSource))
     control = sections["control"]
     entry = sections["entry"]
+    max_unconfirmed = entry.duration("max-unconfirmed", 0.0)
     return Settings(
         name=daemon.text("name", required=True),
         zone=daemon.text("zone", required=True),
@@ -226,14 +240,13 @@
         recovery_probe=backend.duration("recovery-probe", 0.1),
         check_price=backend.number("check-price", 0.05, 0.0, CHECKS_DISABLED_PRICE),
         checks_per_second=backend.number("checks-per-second", 20.0, 1.0, 1e4),
-        feed=_feed(control, sections["platform"]),
+        feed=_feed(control, sections["platform"], max_unconfirmed),
         stop_listening_after=daemon.duration("stop-listening-after", 0.0),
         quota=_quota(sections["quota"]),
-        max_unconfirmed=entry.duration("max-unconfirmed", 0.0),
     )
 
 
-def _feed(control: Section, platform: Section) -> FeedSettings:
+def _feed(control: Section, platform: Section, max_unconfirmed: float) -> FeedSettings:
     default = FeedSettings()
     return FeedSettings(
         watchers=control.integer("watchers", default.watchers, 1, 1000),
@@ -243,6 +256,7 @@
         list_pause=control.duration("list-pause", default.list_pause),
         retry_last=platform.duration("retry-last", default.retry_last),
         settle=control.duration("list-settle", default.settle),
+        max_unconfirmed=max_unconfirmed,
     )
 
 
