Identify workspaces by their credential on both interfaces

Cause: on the routes interface nobody was identified, and credentials that callers send were passed on to backend servers. Change: entry/identify finds the workspace for both interfaces in one filter. By routes the route is selected first, then the credential is checked (401 before anything is spent), then the call is built with workspace, class and rank. The entry drops the credential and workspace headers and sets the latter itself; the hop names the identified workspace, and entry and gate compute fingerprints by it. The gate drops both headers too and identifies requests of an entry of the previous version. With max-unconfirmed, requests with a credential get 503 unconfirmed while the configuration was confirmed too long ago (log events credentials-refused and -accepted, wheatslip_unconfirmed_refusals_total).

--- a/packages/wheatslip/wheatslip/hop.py
+++ b/packages/wheatslip/wheatslip/hop.py
@@ -31,7 +31,7 @@
 class Hop(msgspec.Struct, frozen=True, array_like=True):
     """Data that an entry sends with a forwarded request. Times are remaining seconds."""
 
-    workspace: str
+    workspace: str  # empty if nobody was identified
     service: str
     kind: str
     repeatable: bool
--- a/packages/wheatslip/wheatslip/outcome.py
+++ b/packages/wheatslip/wheatslip/outcome.py
@@ -31,6 +31,7 @@
     LEASE_LAPSED = "lease-lapsed"
     VERSION_BEHIND = "version-behind"
     NO_CONFIGURATION = "no-configuration"
+    UNCONFIRMED = "unconfirmed"  # the configuration is too old to accept credentials
     WRONG_POOL = "wrong-pool"
     CONNECTION_LOST = "connection-lost"
     UNACKNOWLEDGED = "unacknowledged"  # the peer acknowledged none of the bytes sent
--- a/packages/wheatslip/wheatslip/retryafter.py
+++ b/packages/wheatslip/wheatslip/retryafter.py
@@ -8,6 +8,8 @@
 |---|---|---|
 | `STOPPING` | draining, 1 | entry: its daemon is stopping |
 | `NOT_CONFIGURED` | no-configuration, 1 | entry: its daemon has no configuration yet |
+| `UNCONFIRMED` | unconfirmed, 1 | entry: the platform has not confirmed the \
+configuration for so long that no credential is accepted |
 | `NO_SUCH_SERVICE` | no-upstream, 0.1 | entry: the route's service is not configured |
 | `NO_SERVER` | no-upstream, 1 | entry: no server is eligible |
 | `NO_PEER_CONNECTION` | unreachable, 1 | entry: can't connect to the server's daemon |
@@ -52,6 +54,7 @@
 
 STOPPING = NotRun(Reason.DRAINING, 1.0)
 NOT_CONFIGURED = NotRun(Reason.NO_CONFIGURATION, 1.0)
+UNCONFIRMED = NotRun(Reason.UNCONFIRMED, 1.0)
 NO_SUCH_SERVICE = NotRun(Reason.NO_UPSTREAM, 0.1)
 NO_SERVER = NotRun(Reason.NO_UPSTREAM, 1.0)
 NO_PEER_CONNECTION = NotRun(Reason.UNREACHABLE, 1.0)
--- a/packages/wheatslipd/wheatslipd/chain.py
+++ b/packages/wheatslipd/wheatslipd/chain.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from wheatslip.call import Call
-from wheatslip.config.bundle import Service, Workspace
+from wheatslip.config.bundle import Route, Service, Workspace
 from wheatslip.outcome import Outcome
 
 from wheatslipd.controllers.view import Configuration
@@ -27,7 +27,8 @@
     arrived_at: float  # seconds, monotonic
     trace: HopTrace = field(default_factory=HopTrace)  # TraceFilter
     configuration: Configuration | None = None  # ReadyFilter; in force for this request
-    workspace: Workspace | None = None  # IdentifyFilter; None with the routes interface
+    route: Route | None = None  # SelectRouteFilter; None if there is no such route
+    workspace: Workspace | None = None  # IdentifyFilter; None if nobody was identified
     service: Service | None = None  # AuthoriseFilter or RouteFilter
     call: Call | None = None  # ClassifyFilter or RouteFilter
 
--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -16,6 +16,7 @@
 
 from wheatslipd.controllers.bundles import BundleController
 from wheatslipd.controllers.bus import Bus
+from wheatslipd.controllers.confirmation import ConfirmationLimit
 from wheatslipd.controllers.events import leaving
 from wheatslipd.controllers.lifecycle import Lifecycle
 from wheatslipd.controllers.membership import MembershipController
@@ -88,15 +89,18 @@
         # The components below read the configuration, zone drains and instances from the feed.
         self.feed = Feed(
             LocalDaemon(settings.name, settings.zone, settings.feed),
-            FeedDependencies(store, tls, rng, unix),
+            FeedDependencies(store, tls, rng, unix, monotonic),
             create_verifier(settings),
             self.bus,
         )
         # A request passes the entry of one daemon, then the server side of the same or another.
         cache = self.feed.cache
-        entry = build_entry(settings, shared, self._chooser, self._tracer, cache)
+        limit = ConfirmationLimit(settings.max_unconfirmed, cache, monotonic, metrics)
+        entry = build_entry(settings, shared, self._chooser, self._tracer, cache, limit)
         self.entry_server = Server(entry.handle)
-        self.server_side = build_server_side(settings, shared, self._tracer, owners, cache)
+        self.server_side = build_server_side(
+            settings, shared, self._tracer, owners, cache, limit
+        )
         self.peer_server = Server(self.server_side.peer_port.handle, tls.server)
         # The backend server registers here only if the platform does not list instances.
         self.local_backend = (
--- a/packages/wheatslipd/wheatslipd/entry/filters.py
+++ b/packages/wheatslipd/wheatslipd/entry/filters.py
@@ -5,14 +5,15 @@
 from contextlib import suppress
 from dataclasses import dataclass
 
-from wheatslip.call import Call, RequestKind
-from wheatslip.config.bundle import Service, credential_digest
+from wheatslip.call import Call, Rank, RequestKind
+from wheatslip.config.bundle import Service
 from wheatslip.ledger import key_time
 from wheatslip.outcome import Answered, NotRun, Outcome, Reason
 from wheatslip.retryafter import NOT_CONFIGURED, STOPPING
 
 from wheatslipd.chain import EntryRequest, Filter, Proceed
 from wheatslipd.controllers.view import View
+from wheatslipd.entry.identify import Identification
 from wheatslipd.http.messages import MILLISECONDS_PER_SECOND, RequestHead
 from wheatslipd.telemetry import logs
 from wheatslipd.telemetry.metrics import Metrics
@@ -25,7 +26,6 @@
 DEADLINE_HEADER = b"wheatslip-deadline-ms"
 DEPTH_HEADER = b"wheatslip-depth"
 MAX_DEPTH = 16  # nested calls; a longer chain is probably a loop
-BEARER_PREFIX = b"Bearer "
 # Safe methods of HTTP: their requests are repeatable unless the caller names a kind.
 SAFE_METHODS = frozenset({b"GET", b"HEAD", b"OPTIONS"})
 READ_KIND = RequestKind("read", repeatable=True)
@@ -105,18 +105,21 @@
                 await self.view.initialized.wait()
 
 
+@dataclass(slots=True)
 class IdentifyFilter:
-    """Authenticates the workspace by its bearer credential."""
+    """Identifies the workspace by the request's credential."""
+
+    identification: Identification
 
     async def __call__(self, request: EntryRequest, proceed: Proceed) -> Outcome:
+        """Set the workspace; refuse a request whose credential is missing or not valid."""
         assert request.configuration is not None
-        value = request.exchange.head.get(b"authorization") or b""
-        if not value.startswith(BEARER_PREFIX):
-            return NotRun(Reason.UNAUTHENTICATED)
-        credential = value[len(BEARER_PREFIX) :].decode("ascii", "replace").strip()
-        request.workspace = request.configuration.workspace_of(credential_digest(credential))
-        if request.workspace is None:
-            return NotRun(Reason.UNAUTHENTICATED)
+        identified = self.identification.identify(
+            request.exchange.head, request.configuration, request.route
+        )
+        if isinstance(identified, NotRun):
+            return identified
+        request.workspace = identified
         return await proceed(request)
 
 
@@ -161,6 +164,7 @@
             deadline=request.arrived_at + allowed_seconds,
             key=key,
             depth=depth,
+            rank=Rank(request.workspace.priority or 0),
         )
         return await proceed(request)
 
@@ -172,9 +176,11 @@
     return [TraceFilter(tracer), CountFilter(metrics, clock), ReadyFilter(view, clock)]
 
 
-def workspace_filters(clock: Callable[[], float]) -> list[Filter]:
+def workspace_filters(
+    identification: Identification, clock: Callable[[], float]
+) -> list[Filter]:
     """The filters of the workspace interface; the order matters."""
-    return [IdentifyFilter(), AuthoriseFilter(), ClassifyFilter(clock)]
+    return [IdentifyFilter(identification), AuthoriseFilter(), ClassifyFilter(clock)]
 
 
 def _may_call(workspace: str, service: Service) -> bool:
--- a/packages/wheatslipd/wheatslipd/entry/forward.py
+++ b/packages/wheatslipd/wheatslipd/entry/forward.py
@@ -53,7 +53,7 @@
     caller: bytes  # value of the `names.caller` header
     names: HeaderNames
     answer_hold: int = 0  # bytes of a response body buffered before its head is sent
-    by_routes: bool = False  # routes interface: requests have no workspace
+    by_routes: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -144,8 +144,8 @@
         assert request.configuration is not None
         pool = request.configuration.services[call.service].pool
         has_more = not body.exhausted
-        by_routes = self._settings.by_routes
-        guard = SendGuard(self._quarantine, self._unix, call, by_routes=by_routes)
+        workspace = request.workspace.name if request.workspace else ""
+        guard = SendGuard(self._quarantine, self._unix, workspace, call.service)
         return _PreparedRequest(
             request, call, pool, attempts, guard, deadline_timeout, body_prefix, has_more
         )
@@ -307,7 +307,7 @@
         """Build the request head for the peer, with the hop headers that its daemon reads."""
         names = self._settings.names
         original_head = prepared.request.exchange.head
-        dropped_names = _STRIPPED_HEADERS | names.set_by_daemon
+        dropped_names = _STRIPPED_HEADERS | names.set_by_daemon | names.identity
         headers = [
             (name, value)
             for name, value in original_head.forwarded()
@@ -315,7 +315,11 @@
         ]
         if names.caller:
             headers.append((names.caller, self._settings.caller))
-        headers.append((HOP_HEADER, encode(self._hop(prepared.call, next_try))))
+        workspace = prepared.request.workspace
+        if names.workspace and workspace is not None:
+            # A gate of the previous version passes it on.
+            headers.append((names.workspace, workspace.name.encode()))
+        headers.append((HOP_HEADER, encode(self._hop(prepared, next_try))))
         notice = next_try.upstream.notices.notice()
         if notice is not None:
             headers.append((NOTICE_HEADER, encode(notice)))
@@ -327,11 +331,13 @@
             headers.append((TRACEPARENT, prepared.request.trace.outgoing))
         return RequestHead(original_head.method, original_head.target, headers)
 
-    def _hop(self, call: Call, next_try: Try) -> Hop:
+    def _hop(self, prepared: _PreparedRequest, next_try: Try) -> Hop:
+        call = prepared.call
+        workspace = prepared.request.workspace
         now = self._clock()
         by_routes = self._settings.by_routes
         return Hop(
-            workspace="" if by_routes else call.workspace,
+            workspace=workspace.name if workspace is not None else "",
             service=call.service,
             kind=call.kind.name,
             repeatable=call.kind.repeatable,
--- a/packages/wheatslipd/wheatslipd/entry/sendguard.py
+++ b/packages/wheatslipd/wheatslipd/entry/sendguard.py
@@ -5,7 +5,6 @@
 
 from collections.abc import Callable
 
-from wheatslip.call import Call
 from wheatslip.hop import FINGERPRINT_HEADER, SUSPECT_HEADER
 from wheatslip.outcome import NotRun, Outcome, Reason, Unknown
 from wheatslip.quarantine import Quarantine
@@ -22,15 +21,16 @@
         self,
         quarantine: Quarantine,
         unix: Callable[[], float],
-        call: Call,
-        *,
-        by_routes: bool,
+        workspace: str,
+        service: str,
     ):
-        """`unix` is the wall clock, in seconds. With `by_routes`, workspaces are ignored."""
+        """`unix` is the wall clock, in seconds. `workspace` is the one in the hop, by which the
+        gate computes the same fingerprint: empty if nobody was identified.
+        """
         self._quarantine = quarantine
         self._unix = unix
-        self._workspace = "" if by_routes else call.workspace
-        self._service = call.service
+        self._workspace = workspace
+        self._service = service
         self.fingerprint = ""  # empty until it is computed
         self._is_suspect = False  # a server ended during an earlier try
 
--- a/packages/wheatslipd/wheatslipd/entry/wiring.py
+++ b/packages/wheatslipd/wheatslipd/entry/wiring.py
@@ -5,10 +5,12 @@
 from wheatslip.distribution.feedcache import FeedCache
 
 from wheatslipd.chain import build_chain
+from wheatslipd.controllers.confirmation import ConfirmationLimit
 from wheatslipd.entry.entry import Entry
 from wheatslipd.entry.filters import common_filters, workspace_filters
 from wheatslipd.entry.forward import Forwarder, ForwardSettings, RoutingPolicy
-from wheatslipd.entry.routefilter import RouteFilter
+from wheatslipd.entry.identify import BearerIdentification, HeaderIdentification
+from wheatslipd.entry.routefilter import route_filters
 from wheatslipd.settings import Interface, Settings
 from wheatslipd.shared import SharedState
 from wheatslipd.telemetry.tracing import HopTracer
@@ -20,6 +22,7 @@
     chooser: Chooser,
     tracer: HopTracer,
     cache: FeedCache,
+    confirmation_limit: ConfirmationLimit,
 ) -> Entry:
     """Build the entry; the retry budgets depend on the number of listed instances."""
     by_routes = settings.interface is Interface.ROUTES
@@ -47,7 +50,9 @@
     )
     filters = common_filters(shared.view, shared.metrics, tracer, clock)
     if by_routes:
-        filters.append(RouteFilter(settings.headers, clock, shared.rng))
+        names = settings.headers
+        by_header = HeaderIdentification(names.credential, confirmation_limit)
+        filters += route_filters(names, by_header, clock, shared.rng)
     else:
-        filters += workspace_filters(clock)
+        filters += workspace_filters(BearerIdentification(confirmation_limit), clock)
     return Entry(build_chain(filters, forwarder), clock, shared.view, by_routes=by_routes)
--- a/packages/wheatslipd/wheatslipd/gate/backendhead.py
+++ b/packages/wheatslipd/wheatslipd/gate/backendhead.py
@@ -16,11 +16,19 @@
 
 
 def build_backend_head(
-    received: RequestHead, own_headers: Headers, traceparent: bytes | None
+    received: RequestHead,
+    own_headers: Headers,
+    traceparent: bytes | None,
+    identity_names: frozenset[bytes] = frozenset(),
 ) -> RequestHead:
-    """Copy the head of the forwarded request, with `own_headers` and `traceparent` added."""
+    """Copy the head of the forwarded request, with `own_headers` and `traceparent` added.
+
+    Received headers with one of the `identity_names` are left out.
+    """
     headers = [
-        (name, value) for name, value in received.forwarded() if name not in REPLACED_HEADERS
+        (name, value)
+        for name, value in received.forwarded()
+        if name not in REPLACED_HEADERS and name not in identity_names
     ]
     headers += own_headers
     if traceparent is not None:
--- a/packages/wheatslipd/wheatslipd/gate/forwardedrequest.py
+++ b/packages/wheatslipd/wheatslipd/gate/forwardedrequest.py
@@ -1,12 +1,14 @@
 """A request that an entry has forwarded, and what is decoded from it."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from wheatslip.call import UNLIMITED, Call, CallClass, RequestKind
+from wheatslip.config.bundle import Route, Workspace
 from wheatslip.fingerprint import HASHED_BODY_BYTES
 from wheatslip.hop import FINGERPRINT_HEADER, Hop
 from wheatslip.runtracker import Run
 
+from wheatslipd.entry.identify import classify_identified
 from wheatslipd.http.exchange import Exchange
 from wheatslipd.http.identity import fingerprint_of
 from wheatslipd.telemetry.tracing import HopTrace
@@ -14,13 +16,17 @@
 
 @dataclass(slots=True, eq=False)
 class ForwardedRequest:
-    """A forwarded request and what was decoded from it."""
+    """A forwarded request and what was decoded from it.
+
+    `workspace` is empty if nobody was identified; the call may have another one then.
+    """
 
     exchange: Exchange
     hop: Hop
     call: Call
     trace: HopTrace
     fingerprint: str
+    workspace: str
 
     def run(self) -> Run:
         """The record of this request for the server-end detector."""
@@ -53,6 +59,13 @@
     )
 
 
+def identified_call(call: Call, workspace: Workspace, route: Route | None) -> Call:
+    """Return a call that an entry forwarded without a workspace, for an identified one."""
+    call_class, rank = classify_identified(workspace, route)
+    kind = replace(call.kind, call_class=call_class)
+    return replace(call, workspace=workspace.name, kind=kind, rank=rank)
+
+
 def _time_after(now: float, seconds: float | None) -> float:
     """The time `seconds` after `now`; `UNLIMITED` if there is no bound."""
     return UNLIMITED if seconds is None else now + seconds
--- a/packages/wheatslipd/wheatslipd/gate/peerport.py
+++ b/packages/wheatslipd/wheatslipd/gate/peerport.py
@@ -25,10 +25,11 @@
 )
 from wheatslip.ledger import Claim, KeptAnswer, KeyState, key_time
 from wheatslip.outcome import Answered, NotRun, Outcome, Reason, Unknown
-from wheatslip.retryafter import SHED_BY_SERVER
+from wheatslip.retryafter import NOT_CONFIGURED, SHED_BY_SERVER
 from wheatslip.runtracker import Run
 
 from wheatslipd.controllers.view import View
+from wheatslipd.entry.identify import HeaderIdentification
 from wheatslipd.entry.refusals import send_refusal
 from wheatslipd.gate.backend import Backend, BackendAnswer
 from wheatslipd.gate.backendhead import (
@@ -40,6 +41,7 @@
     ForwardedRequest,
     decode_call,
     fingerprint_of_request,
+    identified_call,
 )
 from wheatslipd.gate.gate import Gate
 from wheatslipd.gate.keyguard import KeyGuard
@@ -48,6 +50,7 @@
 from wheatslipd.gate.suspects import SuspectGuard
 from wheatslipd.http.body import BodyTruncated
 from wheatslipd.http.exchange import Exchange
+from wheatslipd.http.identity import host_of, path_of
 from wheatslipd.http.messages import Headers, RequestHead, ResponseHead
 from wheatslipd.settings import HeaderNames
 from wheatslipd.telemetry.metrics import Metrics
@@ -85,6 +88,7 @@
     pool: str
     names: HeaderNames
     by_routes: bool
+    identification: HeaderIdentification  # of requests from entries of the previous version
 
 
 class PeerPort:
@@ -136,14 +140,19 @@
         if hop is None or (hop.key and key_time(hop.key) is None):
             return NotRun(Reason.BAD_REQUEST)
         request_id = exchange.head.get(self._names.request_id) or b""
-        call = decode_call(hop, self._clock(), request_id.decode("latin-1"))
+        identified = self._identify(
+            hop, decode_call(hop, self._clock(), request_id.decode("latin-1")), exchange.head
+        )
+        if isinstance(identified, NotRun):
+            return identified
+        call, workspace = identified
         if not exchange.expects_continue:
             try:
                 await exchange.body.buffer_up_to(BUFFERED_BODY_BYTES)
             except BodyTruncated:
                 return Unknown(Reason.CANCELLED)
         request = ForwardedRequest(
-            exchange, hop, call, trace, fingerprint_of_request(exchange, hop)
+            exchange, hop, call, trace, fingerprint_of_request(exchange, hop), workspace
         )
         refusal = await self._check_entry(hop, exchange)
         if refusal is not None:
@@ -155,6 +164,29 @@
             return await self._run_keyed(request)
         return await self._run(request, None)
 
+    def _identify(self, hop: Hop, call: Call, head: RequestHead) -> tuple[Call, str] | NotRun:
+        """Return the call with the name of its workspace, or empty; or a refusal.
+
+        An entry of the previous version does not identify workspaces and forwards the
+        credential, which this daemon looks up then. Other entries never forward one.
+        """
+        name = self._names.credential
+        is_identified = bool(hop.workspace) or not self._settings.by_routes
+        if is_identified or not name or head.get(name) is None:
+            return call, hop.workspace
+        configuration = self._view.configuration
+        if configuration is None:
+            return NOT_CONFIGURED
+        route = configuration.routes.find(host_of(head) or "", path_of(head))
+        workspace = self._settings.identification.identify(head, configuration, route)
+        if workspace is None:
+            return call, ""
+        if isinstance(workspace, NotRun):
+            # The previous version does not know the other reason and would answer 502.
+            is_unconfirmed = workspace.reason is Reason.UNCONFIRMED
+            return NOT_CONFIGURED if is_unconfirmed else workspace
+        return identified_call(call, workspace, route), workspace.name
+
     async def _check_entry(self, hop: Hop, exchange: Exchange) -> NotRun | None:
         """Return a refusal if the entry used an outdated list or configuration."""
         if not self._settings.by_routes:
@@ -330,7 +362,14 @@
             own_headers = configured_headers(self._names, call, now, self._server)
         else:
             own_headers = wheatslip_headers(call, now)
-        return build_backend_head(request.exchange.head, own_headers, request.trace.outgoing)
+        if self._names.workspace and request.workspace:
+            own_headers.append((self._names.workspace, request.workspace.encode()))
+        return build_backend_head(
+            request.exchange.head,
+            own_headers,
+            request.trace.outgoing,
+            self._names.identity,
+        )
 
     def _update_load(self, head: ResponseHead) -> None:
         load = decode_backend_load(head.get(self._names.load) or b"")
--- a/packages/wheatslipd/wheatslipd/gate/serverside.py
+++ b/packages/wheatslipd/wheatslipd/gate/serverside.py
@@ -8,7 +8,9 @@
 from wheatslip.owners import OwnerHistory
 from wheatslip.slidinglimit import SlidingLimit
 
+from wheatslipd.controllers.confirmation import ConfirmationLimit
 from wheatslipd.controllers.events import backend_leaving
+from wheatslipd.entry.identify import HeaderIdentification
 from wheatslipd.gate.backend import Backend
 from wheatslipd.gate.gate import Gate, SpeedProbing
 from wheatslipd.gate.idleprobe import IdleProbe
@@ -45,6 +47,7 @@
     tracer: HopTracer,
     owners: OwnerHistory,
     cache: FeedCache,
+    confirmation_limit: ConfirmationLimit,
 ) -> ServerSide:
     """Build the parts without starting tasks.
 
@@ -76,7 +79,10 @@
         shared.view,
         BackendStages(keys, guard, gate, backend, end_detector, notices),
         PeerPortSettings(
-            settings.pool, settings.headers, settings.interface is Interface.ROUTES
+            settings.pool,
+            settings.headers,
+            settings.interface is Interface.ROUTES,
+            HeaderIdentification(settings.headers.credential, confirmation_limit),
         ),
         shared.metrics,
         tracer,
--- a/packages/wheatslipd/wheatslipd/http/identity.py
+++ b/packages/wheatslipd/wheatslipd/http/identity.py
@@ -16,11 +16,16 @@
     return host.partition(":")[0]
 
 
+def path_of(head: RequestHead) -> str:
+    """Return the path of a request's target, without the query."""
+    return head.target.partition(b"?")[0].decode("ascii", "replace")
+
+
 def fingerprint_of(head: RequestHead, workspace: str, service: str, body: bytes) -> str:
-    """Return the fingerprint of a request; `workspace` is empty with the routes interface.
+    """Return the fingerprint of a request; `workspace` is empty if nobody was identified.
 
-    With routes, the host selects the route and is part of the fingerprint. The host of a
-    workspace request is the daemon's address, which differs between repeats.
+    The host is part of the fingerprint then, since it selects the route. The host of a
+    request of the workspace interface is the daemon's address, which differs between repeats.
     """
     owner = workspace or (host_of(head) or "").lower()
     return request_fingerprint(owner, service, head.method, head.target, body)
--- a/packages/wheatslipd/wheatslipd/telemetry/metrics.py
+++ b/packages/wheatslipd/wheatslipd/telemetry/metrics.py
@@ -78,6 +78,10 @@
             "wheatslip_head_age_seconds",
             "Since the platform last confirmed the version in force",
         )
+        self.unconfirmed_refusals = counter(
+            "wheatslip_unconfirmed_refusals_total",
+            "Requests with a credential refused because the configuration was not confirmed",
+        )
         self.key_records = gauge("wheatslip_key_records", "Request keys remembered here")
         self.connections = gauge("wheatslip_connections", "Open connections, by port")
 
--- a/test/routed_fleet.py
+++ b/test/routed_fleet.py
@@ -34,6 +34,7 @@
 answer-hold = 65536
 warm-up = 0s
 max-bounces = 3
+{extra_entry_settings}
 [peer]
 plain-text = yes
 [control]
@@ -63,6 +64,8 @@
 retry-last = 100ms
 [operators]
 source = trusted
+[traces]
+{trace_settings}
 """
 
 
@@ -115,6 +118,11 @@
     zones: dict[str, str] = field(default_factory=dict)
     extra_backend_settings: str = ""  # more lines of the daemons' settings
     extra_header_settings: str = ""
+    extra_entry_settings: str = ""
+    trace_settings: str = ""
+    # Daemons that have no `extra_header_settings`.
+    without_extra_headers: frozenset[str] = frozenset()
+    clocks: dict[str, Callable[[], float]] = field(default_factory=dict)  # Unix time, by name
     make_backend: Callable[[str], PlainBackend] = lambda name: PlainBackend(f"i-{name}")
 
     async def add(self, name, backend=None):
@@ -135,11 +143,16 @@
             watch=self.watch,
             watch_check=self.watch_check,
             extra_backend_settings=self.extra_backend_settings,
-            extra_header_settings=self.extra_header_settings,
+            extra_header_settings=(
+                "" if name in self.without_extra_headers else self.extra_header_settings
+            ),
+            extra_entry_settings=self.extra_entry_settings,
+            trace_settings=self.trace_settings,
         )
         settings = parse_settings(text, name).unwrap()
         adapters = Adapters(FleetStore(store), decode_heartbeat)
-        await self.start_daemon(settings, seed=3, adapters=adapters)
+        clock = {"unix": self.clocks[name]} if name in self.clocks else {}
+        await self.start_daemon(settings, seed=3, adapters=adapters, **clock)
 
     async def prepare_daemon(self, daemon):
         """Put a link before the daemon's control port; the daemon lists the link's port."""
