--- a/packages/wheatslip/wheatslip/owners.py
+++ b/packages/wheatslip/wheatslip/owners.py
@@ -20,10 +20,11 @@
     """The member that owns `key`; None if there are no members."""
     if not members:
         return None
-    return max(members, key=lambda name: _weight(key, name))
+    return max(members, key=lambda name: rendezvous_weight(key, name))
 
 
-def _weight(key: str, member: str) -> bytes:
+def rendezvous_weight(key: str, member: str) -> bytes:
+    """The member with the highest weight comes first in the order of `key`."""
     return hashlib.blake2b(f"{key}\0{member}".encode(), digest_size=8).digest()
 
 
