--- /dev/null
+++ b/packages/wheatslip/wheatslip/quota/granter.py
@@ -0,0 +1,254 @@
+"""The owner's side of a workspace's rate limit: it grants tokens to entries.
+
+Beyond docs/design/workspace-limits.md, so that the bound holds in the worst case:
+
+- The parts of the margin include what a bucket holds (`_Part`).
+- A quarter of the slack is kept for the tokens that a restarted primary starts with. Those are
+  also at most half a second's refill, so that a restart loop does not multiply them.
+- Of the daemons that are not a candidate, only the next `OWN_BUCKETS` in rendezvous order have
+  a bucket of their own. A bucket holds at least one token, and one token at each daemon would
+  exceed the slack.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import StrEnum
+
+from wheatslip.quota.bucket import MIN_BURST, TokenBucket
+from wheatslip.quota.candidates import Candidates
+from wheatslip.quota.messages import TokenGrant, TokenRequest
+from wheatslip.quota.settings import QuotaSettings
+from wheatslip.quota.shortage import Shortage
+
+CANDIDATES = 3  # daemons that an entry asks, in this order
+OWN_BUCKETS = 3  # further daemons that may grant a few tokens to themselves
+NO_RANK = CANDIDATES + OWN_BUCKETS  # of all others; their buckets stay empty
+SETTLE_SECONDS = 3.0  # by then every entry has the list that made a daemon the primary
+SETTLING_SHARE = 0.5  # of the rate, until then
+FAILOVER_SHARE = 0.5  # of the rate, for a candidate after a primary that ended
+SECOND_SHARE, THIRD_SHARE, OWN_SHARE = 0.5, 0.25, 0.25  # of the margin
+RESTART_SLACK_SHARE = 0.25  # of the slack, for the first tokens of a restarted primary
+RESTART_SECONDS = 0.5  # of refill, at most, for the same
+HELD_SHARE = 0.25  # of a part of the margin: what its bucket holds
+FORGET_SECONDS = 60.0  # without a request; only a full bucket is forgotten
+MAX_WORKSPACES = 4096  # limits memory
+
+
+class Position(StrEnum):
+    """The place of this daemon in a workspace's rendezvous order."""
+
+    PRIMARY = "primary"
+    SECOND = "second"
+    THIRD = "third"
+    NONE = "none"
+
+
+_POSITIONS = (Position.PRIMARY, Position.SECOND, Position.THIRD)
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaStats:
+    """State of one workspace for the status page; `granted` and `refused` count tokens."""
+
+    workspace: str
+    rate: float
+    burst: float
+    granted: int
+    refused: int
+    position: Position
+
+
+@dataclass(frozen=True, slots=True)
+class _Part:
+    """Refill and size of a bucket that grants at most `tokens` in a window and a lifetime."""
+
+    rate: float
+    burst: float
+
+    @classmethod
+    def of(cls, tokens: float, seconds: float) -> "_Part":
+        if tokens < MIN_BURST:
+            return cls(0.0, MIN_BURST)
+        held = max(MIN_BURST, HELD_SHARE * tokens)
+        return cls((tokens - held) / seconds, held)
+
+
+@dataclass(slots=True)
+class _Quota:
+    """One workspace. `since` is when this daemon got its `rank` in the rendezvous order."""
+
+    version: int
+    rate: float
+    burst: float
+    rank: int
+    since: float
+    bucket: TokenBucket
+    shortage: Shortage
+    asked_at: float
+    failover_until: float = float("-inf")
+    granted: int = 0
+    refused: int = 0
+
+
+class Granter:
+    """Grants tokens for the workspaces of which this daemon is a candidate.
+
+    Times are in seconds, monotonic.
+    """
+
+    def __init__(self, name: str, settings: QuotaSettings):
+        self._name = name
+        self._settings = settings
+        self._candidates = Candidates(NO_RANK)
+        self._quotas: OrderedDict[str, _Quota] = OrderedDict()  # least recently asked first
+        self._members_since = float("inf")  # no list yet
+        self._evicted_at = float("-inf")  # last time a bucket was forgotten that was not full
+
+    def set_members(self, names: Iterable[str], now: float) -> None:
+        """Applies the list of daemons."""
+        members = frozenset(names)
+        if members == self._candidates.members:
+            return
+        self._candidates.set_members(members)
+        self._members_since = now
+        for workspace, quota in self._quotas.items():
+            rank = self._rank(workspace)
+            if rank != quota.rank:
+                self._advance(quota, now)
+                quota.rank = rank
+                quota.since = now
+                self._apply(quota, now)
+
+    def grant(self, request: TokenRequest, now: float) -> TokenGrant:
+        quota = self._quotas.get(request.workspace)
+        if quota is None:
+            quota = self._create(request, now)
+        self._quotas.move_to_end(request.workspace)
+        self._advance(quota, now)
+        quota.asked_at = now
+        if request.version > quota.version:
+            quota.version = request.version
+            quota.rate = request.rate
+            quota.burst = request.burst
+        if request.failover:
+            quota.failover_until = now + self._settings.token_lifetime
+        self._apply(quota, now)
+        if quota.rate <= 0:  # the newest version has no limit
+            quota.granted += request.tokens
+            return TokenGrant(request.tokens)
+        granted = quota.bucket.take(request.tokens, now)
+        refused = request.tokens - granted
+        quota.granted += granted
+        if refused <= 0:
+            return TokenGrant(granted)
+        quota.refused += refused
+        wait = quota.bucket.wait(now)
+        return TokenGrant(
+            granted, quota.shortage.retry_after(wait, refused, quota.bucket.rate, now)
+        )
+
+    def stats(self, now: float) -> tuple[QuotaStats, ...]:
+        self._forget(now)
+        return tuple(
+            QuotaStats(
+                workspace,
+                quota.rate,
+                quota.burst,
+                quota.granted,
+                quota.refused,
+                _position(quota.rank),
+            )
+            for workspace, quota in self._quotas.items()
+        )
+
+    def _create(self, request: TokenRequest, now: float) -> _Quota:
+        """Makes the bucket as if it had existed since the last change of the list."""
+        self._forget(now)
+        if len(self._quotas) >= MAX_WORKSPACES:
+            self._quotas.popitem(last=False)
+            self._evicted_at = now
+        since = min(now, self._members_since)
+        quota = _Quota(
+            request.version,
+            request.rate,
+            request.burst,
+            self._rank(request.workspace),
+            since,
+            TokenBucket(0.0, MIN_BURST, 0.0, since),
+            Shortage(),
+            now,
+        )
+        self._apply(quota, since)
+        if since > self._evicted_at:
+            quota.bucket.level = self._first_tokens(quota)
+        else:
+            quota.bucket.now = self._evicted_at
+        self._quotas[request.workspace] = quota
+        return quota
+
+    def _first_tokens(self, quota: _Quota) -> float:
+        if quota.rank != 0:
+            return 0.0
+        return min(
+            max(MIN_BURST, quota.burst),
+            RESTART_SLACK_SHARE * self._settings.slack,
+            max(1.0, RESTART_SECONDS * quota.rate),
+        )
+
+    def _rank(self, workspace: str) -> int:
+        order = self._candidates.of(workspace)
+        return order.index(self._name) if self._name in order else NO_RANK
+
+    def _advance(self, quota: _Quota, now: float) -> None:
+        """Refills until `now`, with the rates that changed in between."""
+        for time in sorted((quota.since + SETTLE_SECONDS, quota.failover_until)):
+            if quota.bucket.now < time <= now:
+                self._apply(quota, time)
+
+    def _apply(self, quota: _Quota, now: float) -> None:
+        part = self._part(quota, now)
+        quota.bucket.change(part.rate, part.burst, now)
+
+    def _part(self, quota: _Quota, now: float) -> _Part:
+        if quota.rank == 0:
+            is_settled = now >= quota.since + SETTLE_SECONDS
+            return _Part(quota.rate * (1.0 if is_settled else SETTLING_SHARE), quota.burst)
+        part = self._margin_part(quota)
+        if quota.rank < CANDIDATES and now < quota.failover_until:
+            return _Part(max(part.rate, FAILOVER_SHARE * quota.rate), part.burst)
+        return part
+
+    def _margin_part(self, quota: _Quota) -> _Part:
+        margin = self._margin(quota.rate, quota.burst)
+        seconds = self._settings.window + self._settings.token_lifetime
+        if quota.rank == 1:
+            return _Part.of(SECOND_SHARE * margin, seconds)
+        if quota.rank == 2:
+            return _Part.of(THIRD_SHARE * margin, seconds)
+        if quota.rank < NO_RANK:
+            return _Part.of(OWN_SHARE * margin / OWN_BUCKETS, seconds)
+        return _Part(0.0, MIN_BURST)
+
+    def _margin(self, rate: float, burst: float) -> float:
+        """Tokens of a window that the bound leaves beside those of the primary."""
+        settings = self._settings
+        bound = (rate * settings.window + burst) * (1 + settings.overage) + settings.slack
+        primary = rate * (settings.window + settings.token_lifetime) + max(MIN_BURST, burst)
+        return bound - primary - RESTART_SLACK_SHARE * settings.slack
+
+    def _forget(self, now: float) -> None:
+        """Forgets workspaces whose bucket is full; a new bucket would not hold more."""
+        while self._quotas:
+            workspace, quota = next(iter(self._quotas.items()))
+            if now - quota.asked_at < FORGET_SECONDS:
+                return
+            self._advance(quota, now)
+            self._apply(quota, now)
+            if not quota.bucket.is_full(now):
+                return
+            del self._quotas[workspace]
+
+
+def _position(rank: int) -> Position:
+    return _POSITIONS[rank] if rank < CANDIDATES else Position.NONE
