--- /dev/null
+++ b/packages/wheatslip/wheatslip/quota/holder.py
@@ -0,0 +1,144 @@
+"""The entry's side of a workspace's rate limit: the tokens that it holds, and when to ask.
+
+`TokenHolder.retry_after` tells a refused caller when to retry. It starts from the time in the
+last grant, which considers the refusals of all entries (`wheatslip.quota.shortage`), and adds
+the callers that this entry has refused since.
+"""
+
+import math
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field
+
+from wheatslip.quota.messages import TokenGrant
+from wheatslip.quota.settings import QuotaSettings
+from wheatslip.quota.shortage import MAX_RETRY_AFTER_SECONDS
+
+MAX_REFUSE_SECONDS = 0.25  # for which requests are refused without asking
+RATE_MEMORY_SECONDS = 2.0  # time constant of the rates of arrivals and of granted tokens
+MAX_WORKSPACES = 4096  # limits memory; the least recently used one is evicted
+
+
+@dataclass(frozen=True, slots=True)
+class Token:
+    """The right to send one request of a workspace before `expires` (seconds, monotonic)."""
+
+    workspace: str
+    expires: float
+
+
+@dataclass(slots=True)
+class _Held:
+    """State of one workspace. `expiries` are those of its tokens, in any order."""
+
+    expiries: deque[float] = field(default_factory=deque)
+    arrivals: float = 0.0  # decayed number
+    arrivals_at: float = float("-inf")
+    refuse_until: float = float("-inf")
+    retry_at: float = float("-inf")  # when the next token comes, by the last grant
+    refused: int = 0  # since the last grant
+    granted: float = 0.0  # decayed number of tokens
+    granted_at: float = float("-inf")
+    asked_at: float = float("-inf")  # of the last grant
+
+
+class TokenHolder:
+    """The tokens of one entry, by workspace. Times are in seconds, monotonic."""
+
+    def __init__(self, settings: QuotaSettings):
+        self._settings = settings
+        self._workspaces: OrderedDict[str, _Held] = OrderedDict()
+
+    def on_arrival(self, workspace: str, now: float) -> None:
+        """Records a request, whether it is served or not."""
+        held = self._of(workspace)
+        held.arrivals = _decayed(held.arrivals, now - held.arrivals_at) + 1.0
+        held.arrivals_at = now
+
+    def take(self, workspace: str, now: float) -> Token | None:
+        """Uses a token that has not expired; None if there is none."""
+        held = self._workspaces.get(workspace)
+        if held is None:
+            return None
+        while held.expiries:
+            expires = held.expiries.popleft()
+            if expires > now:
+                return Token(workspace, expires)
+        return None
+
+    def wanted(self, workspace: str, waiting: int, now: float) -> int:
+        """Tokens to ask for, if `waiting` requests have none.
+
+        Adds the arrivals expected within a token's lifetime, less one standard deviation,
+        because a token that expires unused is lost to the workspace.
+        """
+        held = self._of(workspace)
+        expected = (
+            _decayed(held.arrivals, now - held.arrivals_at)
+            / RATE_MEMORY_SECONDS
+            * self._settings.token_lifetime
+        )
+        live = sum(expires > now for expires in held.expiries)
+        ahead = max(0, math.floor(expected - math.sqrt(expected)))
+        return waiting + max(0, ahead - live)
+
+    def on_grant(
+        self, workspace: str, grant: TokenGrant, wanted: int, asked_at: float, now: float
+    ) -> None:
+        """Keeps the tokens of a grant of which `wanted` were asked for at `asked_at`.
+
+        They live from `asked_at`, so neither a slow answer nor a frozen process prolongs them.
+        A repeated answer, or one that a later answer has overtaken, is ignored.
+        """
+        held = self._of(workspace)
+        if asked_at <= held.asked_at:
+            return
+        held.asked_at = asked_at
+        held.granted = _decayed(held.granted, now - held.granted_at) + grant.tokens
+        held.granted_at = now
+        expires = asked_at + self._settings.token_lifetime
+        if expires > now:
+            held.expiries.extend([expires] * min(grant.tokens, wanted))
+        held.refused = 0
+        if grant.tokens < wanted:
+            held.retry_at = now + grant.retry_after
+            held.refuse_until = now + min(MAX_REFUSE_SECONDS, grant.retry_after)
+        else:
+            held.retry_at = held.refuse_until = float("-inf")
+
+    def refused_for(self, workspace: str, now: float) -> float:
+        """Seconds for which to refuse without asking; 0: ask."""
+        held = self._workspaces.get(workspace)
+        return 0.0 if held is None else max(0.0, held.refuse_until - now)
+
+    def retry_after(self, workspace: str, rate: float, now: float) -> float:
+        """Seconds after which a caller that is refused now should retry.
+
+        Each caller refused since the last grant puts the next one later by the time between
+        two tokens at this entry. An entry that got none lately assumes the workspace's `rate`.
+        """
+        held = self._of(workspace)
+        ahead = held.refused
+        held.refused += 1
+        granted = _decayed(held.granted, now - held.granted_at)
+        entry_rate = granted / RATE_MEMORY_SECONDS if granted >= 1.0 else rate
+        seconds = max(0.0, held.retry_at - now) + (ahead / entry_rate if rate > 0 else 0.0)
+        return min(MAX_RETRY_AFTER_SECONDS, seconds)
+
+    def give_back(self, token: Token, now: float) -> None:
+        """Returns the token of a request that did not run."""
+        if token.expires > now:
+            self._of(token.workspace).expiries.appendleft(token.expires)
+
+    def _of(self, workspace: str) -> _Held:
+        held = self._workspaces.get(workspace)
+        if held is None:
+            held = self._workspaces[workspace] = _Held()
+            if len(self._workspaces) > MAX_WORKSPACES:
+                self._workspaces.popitem(last=False)
+        else:
+            self._workspaces.move_to_end(workspace)
+        return held
+
+
+def _decayed(count: float, seconds: float) -> float:
+    return count * math.exp(-max(0.0, seconds) / RATE_MEMORY_SECONDS)
