--- a/packages/wheatslip/wheatslip/quota/holder.py
+++ b/packages/wheatslip/wheatslip/quota/holder.py
@@ -2,7 +2,8 @@
 
 `TokenHolder.retry_after` tells a refused caller when to retry. It starts from the time in the
 last grant, which considers the refusals of all entries (`wheatslip.quota.shortage`), and adds
-the callers that this entry has refused since.
+the callers that this entry has refused since. `TokenHolder.drop_tokens` keeps tokens of a
+higher limit from being used once a lower one is known.
 """
 
 import math
@@ -39,6 +40,7 @@
     granted: float = 0.0  # decayed number of tokens
     granted_at: float = float("-inf")
     asked_at: float = float("-inf")  # of the last grant
+    dropped_at: float = float("-inf")  # when tokens asked for before were dropped
 
 
 class TokenHolder:
@@ -90,7 +92,7 @@
         A repeated answer, or one that a later answer has overtaken, is ignored.
         """
         held = self._of(workspace)
-        if asked_at <= held.asked_at:
+        if asked_at <= held.asked_at or asked_at < held.dropped_at:
             return
         held.asked_at = asked_at
         held.granted = _decayed(held.granted, now - held.granted_at) + grant.tokens
@@ -126,8 +128,17 @@
 
     def give_back(self, token: Token, now: float) -> None:
         """Returns the token of a request that did not run."""
-        if token.expires > now:
-            self._of(token.workspace).expiries.appendleft(token.expires)
+        held = self._of(token.workspace)
+        asked_at = token.expires - self._settings.token_lifetime
+        if token.expires > now and asked_at >= held.dropped_at:
+            held.expiries.appendleft(token.expires)
+
+    def drop_tokens(self, workspace: str, now: float) -> None:
+        """Drops the tokens when the limit changes, also those of an ask in progress."""
+        held = self._of(workspace)
+        held.expiries.clear()
+        held.refuse_until = float("-inf")
+        held.dropped_at = now
 
     def _of(self, workspace: str) -> _Held:
         held = self._workspaces.get(workspace)
--- /dev/null
+++ b/test/quota_network.py
@@ -0,0 +1,278 @@
+"""A model network of daemons that limit one or more workspaces; no sockets, no real time.
+
+Each daemon is an entry and a possible candidate. `NetworkFaults` describes what happens to
+messages. The steps of an entry are those of docs/design/workspace-limits.md.
+"""
+
+import heapq
+import itertools
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+from wheatslip.quota.candidates import Candidates
+from wheatslip.quota.granter import CANDIDATES, Granter
+from wheatslip.quota.holder import TokenHolder
+from wheatslip.quota.messages import TokenRequest
+from wheatslip.quota.settings import QuotaSettings
+
+ASK_TIMEOUT = 0.1  # seconds
+UNREACHABLE_SECONDS = 1.0
+ROUNDING = 1e-6  # tokens
+
+
+@dataclass
+class Limit:
+    version: int
+    rate: float
+    burst: float
+
+
+@dataclass
+class NetworkFaults:
+    """Probabilities by message, and seconds one way."""
+
+    loss: float = 0.0
+    duplicates: float = 0.0
+    delay: float = 0.0015
+    max_delay: float = 0.0015
+
+
+@dataclass
+class Ask:
+    """A question of an entry about a workspace; `index` is the candidate asked now."""
+
+    workspace: str
+    order: tuple[str, ...]
+    wanted: int
+    index: int = -1
+    number: int = 0  # of the message; answers to earlier ones are ignored
+    asked_at: float = 0.0
+    refused: bool = True  # all earlier candidates refused the connection
+
+
+class Daemon:
+    """One process. A restart makes a new one with the same name."""
+
+    def __init__(self, network, name):
+        self.network = network
+        self.name = name
+        self.granter = network.granter_class(name, network.settings)
+        self.holder = network.holder_class(network.settings)
+        self.candidates = Candidates(CANDIDATES)
+        self.limits = {}
+        self.unreachable = {}  # candidate: (until, whether it refused the connection)
+        self.asks = {}
+        self.waiting = {}
+        self.is_dead = False
+        self.is_frozen = False
+        self.deferred = deque()  # what happens to a frozen process
+
+    def set_members(self, members):
+        self.candidates.set_members(members)
+        self.granter.set_members(members, self.network.now)
+
+    def set_limit(self, workspace, limit):
+        old = self.limits.get(workspace)
+        if old is not None and limit.version <= old.version:
+            return
+        self.limits[workspace] = limit
+        if old is not None:
+            self.holder.drop_tokens(workspace, self.network.now)
+
+    def request(self, workspace, count=1):
+        """`count` callers send a request."""
+        now = self.network.now
+        for _ in range(count):
+            self.holder.on_arrival(workspace, now)
+            if self.holder.take(workspace, now) is not None:
+                self.network.use(workspace)
+            elif self.holder.refused_for(workspace, now) > 0:
+                self.network.refuse(workspace)
+            else:
+                self.waiting[workspace] = self.waiting.get(workspace, 0) + 1
+        self.ask_if_needed(workspace)
+
+    def ask_if_needed(self, workspace):
+        waiting = self.waiting.get(workspace, 0)
+        if waiting and workspace not in self.asks and workspace in self.limits:
+            wanted = self.holder.wanted(workspace, waiting, self.network.now)
+            ask = Ask(workspace, self.candidates.of(workspace), wanted)
+            self.asks[workspace] = ask
+            self.ask_next(ask)
+
+    def ask_next(self, ask):
+        ask.index += 1
+        ask.number = self.network.next_number()
+        ask.asked_at = self.network.now
+        if ask.index >= len(ask.order):
+            grant = self.granter.grant(self.request_of(ask), self.network.now)
+            self.on_grant(ask, ask.number, grant)
+            return
+        name = ask.order[ask.index]
+        until, refused = self.unreachable.get(name, (0.0, False))
+        if self.network.now < until:
+            ask.refused = ask.refused and refused
+            self.ask_next(ask)
+        elif name == self.name:
+            grant = self.granter.grant(self.request_of(ask), self.network.now)
+            self.on_grant(ask, ask.number, grant)
+        else:
+            self.network.ask(self, name, ask, self.request_of(ask))
+
+    def request_of(self, ask):
+        limit = self.limits[ask.workspace]
+        return TokenRequest(
+            self.name,
+            ask.workspace,
+            ask.wanted,
+            limit.version,
+            limit.rate,
+            limit.burst,
+            ask.refused and 0 < ask.index < len(ask.order),
+        )
+
+    def on_failure(self, ask, number, *, refused):
+        if self.asks.get(ask.workspace) is not ask or ask.number != number:
+            return
+        name = ask.order[ask.index]
+        self.unreachable[name] = (self.network.now + UNREACHABLE_SECONDS, refused)
+        ask.refused = ask.refused and refused
+        self.ask_next(ask)
+
+    def on_grant(self, ask, number, grant):
+        if self.asks.get(ask.workspace) is not ask or ask.number != number:
+            return
+        workspace, now = ask.workspace, self.network.now
+        if self.network.repeats_answers:  # the client does not tell duplicates apart
+            self.holder.on_grant(workspace, grant, ask.wanted, ask.asked_at, now)
+        self.holder.on_grant(workspace, grant, ask.wanted, ask.asked_at, now)
+        del self.asks[workspace]
+        while self.waiting[workspace] and self.holder.take(workspace, now) is not None:
+            self.waiting[workspace] -= 1
+            self.network.use(workspace)
+        if self.waiting[workspace] and grant.tokens < ask.wanted:
+            self.network.refuse(workspace, self.waiting[workspace])
+            self.waiting[workspace] = 0
+        elif self.waiting[workspace]:
+            # Arrived during the ask, or the tokens expired on their way.
+            self.ask_if_needed(workspace)
+
+
+@dataclass
+class Network:
+    """The daemons, the messages between them, and the counts of used and refused requests."""
+
+    settings: QuotaSettings = field(default_factory=QuotaSettings)
+    granter_class: type = Granter
+    holder_class: type = TokenHolder
+    random: Random = field(default_factory=lambda: Random(1))
+    faults: NetworkFaults = field(default_factory=NetworkFaults)
+    repeats_answers: bool = False
+    now: float = 0.0
+
+    def __post_init__(self):
+        self.daemons = {}
+        self.group = frozenset()  # daemons on one side of a partition
+        self.uses = {}  # workspace: (time, count)
+        self.in_window = {}
+        self.used = {}
+        self.refused = {}
+        self.check_use: Callable | None = None
+        self._events = []
+        self._numbers = itertools.count()
+
+    def next_number(self):
+        return next(self._numbers)
+
+    def at(self, time, daemon, action):
+        """Runs `action` at `time`, later if `daemon` is frozen then, never if it is dead."""
+        heapq.heappush(self._events, (time, self.next_number(), daemon, action))
+
+    def run_until(self, end):
+        while self._events and self._events[0][0] <= end:
+            time, _, daemon, action = heapq.heappop(self._events)
+            self.now = time
+            if daemon is None:
+                action()
+            elif daemon.is_frozen:
+                daemon.deferred.append(action)
+            elif not daemon.is_dead:
+                action()
+        self.now = end
+
+    def start(self, name, members, limits):
+        daemon = self.daemons[name] = Daemon(self, name)
+        for workspace, limit in limits.items():
+            daemon.set_limit(workspace, limit)
+        daemon.set_members(members)
+        return daemon
+
+    def kill(self, name):
+        self.daemons[name].is_dead = True
+        self.daemons[name].is_frozen = False
+
+    def thaw(self, name):
+        daemon = self.daemons[name]
+        daemon.is_frozen = False
+        while daemon.deferred and not daemon.is_frozen and not daemon.is_dead:
+            daemon.deferred.popleft()()
+
+    def is_cut(self, one, other):
+        return (one in self.group) != (other in self.group)
+
+    def ask(self, sender, name, ask, request):
+        number = ask.number
+        self.at(
+            self.now + ASK_TIMEOUT,
+            sender,
+            lambda: sender.on_failure(ask, number, refused=False),
+        )
+
+        def arrive():
+            receiver = self.daemons.get(name)
+            if receiver is None or receiver.is_dead:
+                refuse = self._delivery(name, sender)
+                refuse(lambda: sender.on_failure(ask, number, refused=True))
+            elif receiver.is_frozen:
+                receiver.deferred.append(
+                    lambda: self._answer(receiver, sender, ask, number, request)
+                )
+            else:
+                self._answer(receiver, sender, ask, number, request)
+
+        self._send(sender.name, name, None, arrive)
+
+    def _answer(self, receiver, sender, ask, number, request):
+        grant = receiver.granter.grant(request, self.now)
+        deliver = self._delivery(receiver.name, sender)
+        deliver(lambda: sender.on_grant(ask, number, grant))
+
+    def _delivery(self, name, sender):
+        return lambda action: self._send(name, sender.name, sender, action)
+
+    def _send(self, source, target, process, action):
+        if self.is_cut(source, target):
+            return
+        copies = 1
+        if self.faults.loss and self.random.random() < self.faults.loss:
+            copies = 0
+        elif self.faults.duplicates and self.random.random() < self.faults.duplicates:
+            copies = 2
+        for _ in range(copies):
+            delay = self.random.uniform(self.faults.delay, self.faults.max_delay)
+            self.at(self.now + delay, process, action)
+
+    def use(self, workspace):
+        self.used[workspace] = self.used.get(workspace, 0) + 1
+        if self.check_use is None:
+            return
+        uses = self.uses.setdefault(workspace, deque())
+        uses.append(self.now)
+        while uses[0] <= self.now - self.settings.window:
+            uses.popleft()
+        self.check_use(workspace, len(uses))
+
+    def refuse(self, workspace, count=1):
+        self.refused[workspace] = self.refused.get(workspace, 0) + count
