--- a/packages/wheatslip/wheatslip/quota/granter.py
+++ b/packages/wheatslip/wheatslip/quota/granter.py
@@ -8,6 +8,9 @@
 - Of the daemons that are not a candidate, only the next `OWN_BUCKETS` in rendezvous order have
   a bucket of their own. A bucket holds at least one token, and one token at each daemon would
   exceed the slack.
+- With a `list_lease`, a daemon whose list was not confirmed for that long grants at the part of
+  the next position and takes over from nobody. Without one, a primary that is cut off from the
+  store still grants at the full rate after the others have removed it from the list.
 """
 
 from collections import OrderedDict
@@ -94,19 +97,24 @@
 class Granter:
     """Grants tokens for the workspaces of which this daemon is a candidate.
 
-    Times are in seconds, monotonic.
+    Times are in seconds, monotonic. `list_lease` is the time after which an unconfirmed list is
+    not relied on; it must be shorter than the time after which silent daemons are removed from
+    the list. By default the last list counts for ever.
     """
 
-    def __init__(self, name: str, settings: QuotaSettings):
+    def __init__(self, name: str, settings: QuotaSettings, list_lease: float = float("inf")):
         self._name = name
         self._settings = settings
+        self._list_lease = list_lease
+        self._lapses_at = float("inf")
         self._candidates = Candidates(NO_RANK)
         self._quotas: OrderedDict[str, _Quota] = OrderedDict()  # least recently asked first
         self._members_since = float("inf")  # no list yet
         self._evicted_at = float("-inf")  # last time a bucket was forgotten that was not full
 
     def set_members(self, names: Iterable[str], now: float) -> None:
-        """Applies the list of daemons."""
+        """Applies the list of daemons, which is thereby confirmed."""
+        self.confirm_members(now)
         members = frozenset(names)
         if members == self._candidates.members:
             return
@@ -120,6 +128,15 @@
                 quota.since = now
                 self._apply(quota, now)
 
+    def confirm_members(self, now: float) -> None:
+        """The store was reached and has this list. After a lapse, primaries settle again."""
+        if now >= self._lapses_at:
+            self._members_since = now
+            for quota in self._quotas.values():
+                self._advance(quota, now)
+                quota.since = now
+        self._lapses_at = now + self._list_lease
+
     def grant(self, request: TokenRequest, now: float) -> TokenGrant:
         quota = self._quotas.get(request.workspace)
         if quota is None:
@@ -157,7 +174,7 @@
                 quota.burst,
                 quota.granted,
                 quota.refused,
-                _position(quota.rank),
+                _position(self._effective_rank(quota, now)),
             )
             for workspace, quota in self._quotas.items()
         )
@@ -202,7 +219,7 @@
 
     def _advance(self, quota: _Quota, now: float) -> None:
         """Refills until `now`, with the rates that changed in between."""
-        for time in sorted((quota.since + SETTLE_SECONDS, quota.failover_until)):
+        for time in sorted((quota.since + SETTLE_SECONDS, quota.failover_until, self._lapses_at)):
             if quota.bucket.now < time <= now:
                 self._apply(quota, time)
 
@@ -211,22 +228,29 @@
         quota.bucket.change(part.rate, part.burst, now)
 
     def _part(self, quota: _Quota, now: float) -> _Part:
-        if quota.rank == 0:
+        rank = self._effective_rank(quota, now)
+        if rank == 0:
             is_settled = now >= quota.since + SETTLE_SECONDS
             return _Part(quota.rate * (1.0 if is_settled else SETTLING_SHARE), quota.burst)
-        part = self._margin_part(quota)
-        if quota.rank < CANDIDATES and now < quota.failover_until:
+        part = self._margin_part(quota, rank)
+        if rank < CANDIDATES and now < min(quota.failover_until, self._lapses_at):
             return _Part(max(part.rate, FAILOVER_SHARE * quota.rate), part.burst)
         return part
 
-    def _margin_part(self, quota: _Quota) -> _Part:
+    def _effective_rank(self, quota: _Quota, now: float) -> int:
+        """The rank, one later while the list is not confirmed; own buckets keep theirs."""
+        if now >= self._lapses_at and quota.rank < CANDIDATES:
+            return quota.rank + 1
+        return quota.rank
+
+    def _margin_part(self, quota: _Quota, rank: int) -> _Part:
         margin = self._margin(quota.rate, quota.burst)
         seconds = self._settings.window + self._settings.token_lifetime
-        if quota.rank == 1:
+        if rank == 1:
             return _Part.of(SECOND_SHARE * margin, seconds)
-        if quota.rank == 2:
+        if rank == 2:
             return _Part.of(THIRD_SHARE * margin, seconds)
-        if quota.rank < NO_RANK:
+        if rank < NO_RANK:
             return _Part.of(OWN_SHARE * margin / OWN_BUCKETS, seconds)
         return _Part(0.0, MIN_BURST)
 
--- a/packages/wheatslip/wheatslip/quota/holder.py
+++ b/packages/wheatslip/wheatslip/quota/holder.py
@@ -14,6 +14,7 @@
 from wheatslip.quota.settings import QuotaSettings
 from wheatslip.quota.shortage import MAX_RETRY_AFTER_SECONDS
 
+MAX_AHEAD = 1000  # tokens
 MAX_REFUSE_SECONDS = 0.25  # for which requests are refused without asking
 RATE_MEMORY_SECONDS = 2.0  # time constant of the rates of arrivals and of granted tokens
 MAX_WORKSPACES = 4096  # limits memory; the least recently used one is evicted
@@ -37,6 +38,8 @@
     refuse_until: float = float("-inf")
     retry_at: float = float("-inf")  # when the next token comes, by the last grant
     refused: int = 0  # since the last grant
+    waiting: int = 0  # at the last ask
+    max_ahead: int = 0  # tokens to ask for beside those
     granted: float = 0.0  # decayed number of tokens
     granted_at: float = float("-inf")
     asked_at: float = float("-inf")  # of the last grant
@@ -71,7 +74,9 @@
         """Tokens to ask for, if `waiting` requests have none.
 
         Adds the arrivals expected within a token's lifetime, less one standard deviation,
-        because a token that expires unused is lost to the workspace.
+        because a token that expires unused is lost to the workspace. The addition grows by one
+        token with each full grant and is halved by the others, because the owner may hold less
+        than one entry expects to use.
         """
         held = self._of(workspace)
         expected = (
@@ -80,7 +85,8 @@
             * self._settings.token_lifetime
         )
         live = sum(expires > now for expires in held.expiries)
-        ahead = max(0, math.floor(expected - math.sqrt(expected)))
+        ahead = min(held.max_ahead, max(0, math.floor(expected - math.sqrt(expected))))
+        held.waiting = waiting
         return waiting + max(0, ahead - live)
 
     def on_grant(
@@ -102,6 +108,10 @@
             held.expiries.extend([expires] * min(grant.tokens, wanted))
         held.refused = 0
         if grant.tokens < wanted:
+            held.max_ahead = max(0, grant.tokens - held.waiting) // 2
+        else:
+            held.max_ahead = min(held.max_ahead + 1, MAX_AHEAD)
+        if grant.tokens < min(wanted, held.waiting):
             held.retry_at = now + grant.retry_after
             held.refuse_until = now + min(MAX_REFUSE_SECONDS, grant.retry_after)
         else:
