Compute the candidates of a workspace in less time

Change: the hash of the key is computed once for all members (same weights), and four spare members are cached.

--- a/packages/wheatslip/wheatslip/owners.py
+++ b/packages/wheatslip/wheatslip/owners.py
@@ -6,7 +6,7 @@
 
 import hashlib
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass
 
 MAX_MEMBERSHIPS = 256  # an eviction makes ownership seem shorter, so that fewer old keys run
@@ -20,12 +20,16 @@
     """The member that owns `key`; None if there are no members."""
     if not members:
         return None
-    return max(members, key=lambda name: rendezvous_weight(key, name))
+    return max(zip(rendezvous_weights(key, members), members, strict=True))[1]
 
 
-def rendezvous_weight(key: str, member: str) -> bytes:
-    """The member with the highest weight comes first in the order of `key`."""
-    return hashlib.blake2b(f"{key}\0{member}".encode(), digest_size=8).digest()
+def rendezvous_weights(key: str, members: Iterable[str]) -> Iterator[bytes]:
+    """The weights of `members` in their order; the one with the highest weight owns `key`."""
+    key_hash = hashlib.blake2b(f"{key}\0".encode(), digest_size=8)
+    for member in members:
+        member_hash = key_hash.copy()
+        member_hash.update(member.encode())
+        yield member_hash.digest()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/wheatslip/wheatslip/quota/candidates.py
+++ b/packages/wheatslip/wheatslip/quota/candidates.py
@@ -5,10 +5,11 @@
 
 import heapq
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
-from wheatslip.owners import rendezvous_weight
+from wheatslip.owners import rendezvous_weights
 
+SPARE = 4  # more members that are cached, to replace those that leave the list
 MAX_CACHED_WORKSPACES = 4096  # limits memory; the least recently used one is evicted
 
 _Ranked = tuple[bytes, str]  # weight and name; names decide between equal weights
@@ -17,8 +18,8 @@
 class Candidates:
     """The first `count` listed daemons of each workspace.
 
-    Results are cached. An added member is only compared with the cached ones. A result is
-    computed again only if one of its members has left the list.
+    These and some spare ones are cached. An added member is only compared with the cached ones.
+    They are computed again only if too many of them have left the list.
     """
 
     def __init__(self, count: int):
@@ -35,14 +36,18 @@
         added = members - self._members
         removed = self._members - members
         self._members = members
+        before = len(members) - len(added) + len(removed)
         if len(added) > len(members) // 2:  # comparing costs as much as computing again
             self._cache.clear()
             return
         for workspace, ranked in list(self._cache.items()):
-            if any(name in removed for _, name in ranked):
+            has_all = len(ranked) == before
+            if removed and any(name in removed for _, name in ranked):
+                ranked[:] = [entry for entry in ranked if entry[1] not in removed]
+            if len(ranked) < self._count and not has_all:
                 del self._cache[workspace]
             elif added:
-                self._insert(workspace, ranked, added)
+                self._insert(workspace, ranked, added, has_all=has_all)
 
     def of(self, workspace: str) -> tuple[str, ...]:
         ranked = self._cache.get(workspace)
@@ -53,16 +58,19 @@
                 self._cache.popitem(last=False)
         else:
             self._cache.move_to_end(workspace)
-        return tuple(name for _, name in ranked)
+        return tuple(name for _, name in ranked[: self._count])
 
-    def _insert(self, workspace: str, ranked: list[_Ranked], added: Iterable[str]) -> None:
-        for name in added:
-            entry = (rendezvous_weight(workspace, name), name)
-            if len(ranked) < self._count or entry > ranked[-1]:
+    def _insert(
+        self, workspace: str, ranked: list[_Ranked], added: Collection[str], *, has_all: bool
+    ) -> None:
+        """Adds the members that come before the last cached one, or all if none is missing."""
+        last = None if has_all else ranked[-1]
+        for entry in zip(rendezvous_weights(workspace, added), added, strict=True):
+            if last is None or entry > last:
                 ranked.append(entry)
-                ranked.sort(reverse=True)
-                del ranked[self._count :]
+        ranked.sort(reverse=True)
+        del ranked[self._count + SPARE :]
 
-    def _first(self, workspace: str, members: Iterable[str]) -> list[_Ranked]:
-        weighted = ((rendezvous_weight(workspace, name), name) for name in members)
-        return heapq.nlargest(self._count, weighted)
+    def _first(self, workspace: str, members: Collection[str]) -> list[_Ranked]:
+        weighted = zip(rendezvous_weights(workspace, members), members, strict=True)
+        return heapq.nlargest(self._count + SPARE, weighted)
--- a/packages/wheatslip/wheatslip/quota/granter.py
+++ b/packages/wheatslip/wheatslip/quota/granter.py
@@ -219,7 +219,8 @@
 
     def _advance(self, quota: _Quota, now: float) -> None:
         """Refills until `now`, with the rates that changed in between."""
-        for time in sorted((quota.since + SETTLE_SECONDS, quota.failover_until, self._lapses_at)):
+        times = (quota.since + SETTLE_SECONDS, quota.failover_until, self._lapses_at)
+        for time in sorted(times):
             if quota.bucket.now < time <= now:
                 self._apply(quota, time)
 
--- a/test/test_quota_candidates.py
+++ b/test/test_quota_candidates.py
@@ -6,6 +6,8 @@
 from wheatslip.quota.candidates import MAX_CACHED_WORKSPACES, Candidates
 
 WORKSPACES = ("alpha", "beta", "gamma")
+# Changes of a list of 30: few members at once, so that the cached results are kept.
+changes = st.lists(st.sets(st.integers(0, 29), max_size=6), max_size=25)
 lists_of_members = st.lists(st.sets(st.sampled_from([f"d{n}" for n in range(12)])), max_size=12)
 
 
@@ -21,6 +23,22 @@
             assert candidates.of(workspace) == full.of(workspace)
 
 
+@given(changes)
+def test_small_changes_of_a_list_equal_the_full_computation(changes):
+    """Guards against spare members that hide one which was not compared."""
+    members = {f"d{n}" for n in range(30)}
+    candidates = Candidates(3)
+    candidates.set_members(members)
+    for change in changes:
+        for workspace in WORKSPACES:
+            candidates.of(workspace)  # cached before the change
+        members = members ^ {f"d{n}" for n in change}
+        candidates.set_members(members)
+        full = Candidates(3)
+        full.set_members(members)
+        assert [candidates.of(w) for w in WORKSPACES] == [full.of(w) for w in WORKSPACES]
+
+
 def test_a_long_list_is_updated_member_by_member():
     """The lists above are so short that many of their changes drop the cache."""
     members = [f"d{n}" for n in range(200)]
