Let the control port serve further services

Entries will ask owners of limits for tokens on the control port, whose grpclib server belongs to RelayServer. It takes services with their own method tables now, and Feed passes them on. Without any, nothing changes. test_relay, test_forms and test_slow_links build it as before.

--- a/packages/wheatslipd/wheatslipd/feed/feed.py
+++ b/packages/wheatslipd/wheatslipd/feed/feed.py
@@ -23,7 +23,7 @@
 from wheatslipd.feed.parentfollower import ParentFollower
 from wheatslipd.feed.position import RelayPosition
 from wheatslipd.feed.reader import PlatformReader
-from wheatslipd.feed.relay import HEARTBEAT_SECONDS, RelayServer
+from wheatslipd.feed.relay import HEARTBEAT_SECONDS, ControlService, RelayServer
 from wheatslipd.feed.tasks import run_until_first_completes
 from wheatslipd.feed.verifier import Verifier
 from wheatslipd.feed.watchcheck import HEAD_REFRESH_SECONDS
@@ -45,12 +45,15 @@
 
 @dataclass(frozen=True, slots=True)
 class FeedDependencies:
-    """External dependencies of a feed: the platform, peer TLS, random numbers and the clock."""
+    """External dependencies of a feed: the platform, peer TLS, random numbers, the clock, and
+    other services on its port.
+    """
 
     store: ObjectStore
     tls: PeerTls
     rng: Random
     unix: Callable[[], float]  # returns the Unix time in seconds
+    services: tuple[ControlService, ...] = ()  # that the control port offers too
 
 
 class Feed:
@@ -67,7 +70,9 @@
         self._rng = rng
         self._unix = dependencies.unix
         self.cache = FeedCache()
-        self.relay = RelayServer(self.cache, tls, self._apply_end_reports)
+        self.relay = RelayServer(
+            self.cache, tls, self._apply_end_reports, dependencies.services
+        )
         self._position = RelayPosition(name, daemon.zone, daemon.settings.watchers)
         self.cache_writer = CacheWriter(
             self.cache,
--- a/packages/wheatslipd/wheatslipd/feed/relay.py
+++ b/packages/wheatslipd/wheatslipd/feed/relay.py
@@ -6,9 +6,9 @@
 """
 
 import asyncio
-from collections.abc import AsyncGenerator, Callable
+from collections.abc import AsyncGenerator, Callable, Sequence
 from contextlib import suppress
-from typing import cast
+from typing import Protocol, cast
 
 import grpclib.const
 import msgspec
@@ -51,6 +51,14 @@
 ReportsCallback = Callable[[tuple[EndReport, ...], str], None]
 
 
+class ControlService(Protocol):
+    """Methods that the control port serves beside those of the relay."""
+
+    def __mapping__(self) -> dict[str, grpclib.const.Handler]:
+        """Return the handlers by method path; grpclib calls this."""
+        ...
+
+
 class RelayServer:
     """Serves updates to the followers of one daemon, and receives their end reports."""
 
@@ -59,21 +67,27 @@
         cache: FeedCache,
         tls: PeerTls,
         on_reports: ReportsCallback = lambda reports, sender: None,
+        services: Sequence[ControlService] = (),
     ):
-        """`on_reports` is called with the end reports that a follower sends, and its name."""
+        """`on_reports` is called with the end reports that a follower sends, and its name. The
+        server offers `services` too.
+        """
         self._cache = cache
         self._tls = tls
         self._on_reports = on_reports
         self._changed = asyncio.Event()
         self._is_leaving = False
         self._codec = StructCodec()
-        self._server = Server([self], codec=self._codec)
+        self._server = Server([self, *services], codec=self._codec)
         self.followers = 0
         self.port = 0
 
     @property
     def sent_bytes(self) -> int:
-        """Total bytes of the messages sent to followers, without transport overhead."""
+        """Total bytes of the messages sent on the control port, without transport overhead.
+
+        Almost all of them are updates to followers; the answers of `services` are some bytes.
+        """
         return self._codec.encoded_bytes
 
     def __mapping__(self) -> dict[str, grpclib.const.Handler]:
