Announce the published members as an event

Owners of limits follow the same list as requests, with the grace period of a lapsed entry: a list that flickers must not move a limit. MembershipController fires members_changed when it publishes.

--- a/packages/wheatslipd/wheatslipd/controllers/events.py
+++ b/packages/wheatslipd/wheatslipd/controllers/events.py
@@ -41,6 +41,15 @@
         super().__init__(instances, removed, whole)
 
 
+class members_changed(Event):
+    """The members that requests see were published, in any order; an entry that lapsed is still
+    among them during its grace period.
+    """
+
+    def __init__(self, members: tuple[Instance, ...]):
+        super().__init__(members)
+
+
 class zones_drained(Event):
     """A new set of zone drains arrived."""
 
--- a/packages/wheatslipd/wheatslipd/controllers/membership.py
+++ b/packages/wheatslipd/wheatslipd/controllers/membership.py
@@ -15,7 +15,7 @@
 from wheatslip.store.instances import Instance, InstanceState
 from wheatslip.upstream import Upstream
 
-from wheatslipd.controllers.events import leaving, rejoined
+from wheatslipd.controllers.events import leaving, members_changed, rejoined
 from wheatslipd.controllers.view import Membership, Peer
 from wheatslipd.http.pool import ConnectionPool
 from wheatslipd.settings import Settings
@@ -167,4 +167,5 @@
         self._view.update_initialized()
         members = [peer.instance.name for peer in frozen.get(self._pool, ())]
         self._owners.change(members, self._unix())
+        self.fire(members_changed(tuple(peer.instance for peer in self._peers.values())))
         logs.info("members", instances=len(self._peers), own_pool=len(members))
