--- a/packages/wheatslip/wheatslip/retryafter.py
+++ b/packages/wheatslip/wheatslip/retryafter.py
@@ -29,6 +29,8 @@
 | `NOT_KEY_OWNER` | not-key-owner, 1 | gate: another daemon owns the key |
 | `held_refusal(seconds)` | ends-servers, `seconds` | entry, gate: each backend server \
 that ran the request ended, so it is held back |
+| `over_limit_refusal(wait)` | over-limit, `wait` | entry: the workspace is above its rate \
+limit; the owner of the limit has the next token in `wait` seconds |
 | `SUSPECT_RUNS` | overloaded, 0.05 | gate: the request is suspected of ending \
 servers, and another such request runs here |
 
@@ -37,10 +39,10 @@
 `DEFAULT_RETRY_AFTER_SECONDS` with a 503 that has no time; callers with a workspace's credential
 get no `Retry-After` then.
 
-The times are fixed except for `overloaded_refusal` and `held_refusal`: 1 s if the daemon can't
-know when the cause ends, less if a probe or a heartbeat will soon tell, and the minimum if
-another server can take the request at once. A longer time keeps callers away from servers with
-free capacity; after a shorter one they are likely to be refused again.
+The times are fixed except for `overloaded_refusal`, `held_refusal` and `over_limit_refusal`:
+1 s if the daemon can't know when the cause ends, less if a probe or a heartbeat will soon tell,
+and the minimum if another server can take the request at once. A longer time keeps callers away
+from servers with free capacity; after a shorter one they are likely to be refused again.
 """
 
 from wheatslip.outcome import NotRun, Reason
@@ -80,3 +82,10 @@
 def held_refusal(seconds: float) -> NotRun:
     """Returns the refusal of a request that is held back for another `seconds`."""
     return NotRun(Reason.ENDS_SERVERS, max(MIN_RETRY_AFTER_SECONDS, seconds))
+
+
+def over_limit_refusal(wait: float) -> NotRun:
+    """Returns the refusal of a request above its workspace's limit, which has the next token
+    in `wait` seconds.
+    """
+    return NotRun(Reason.OVER_LIMIT, max(MIN_RETRY_AFTER_SECONDS, wait))
