--- /dev/null
+++ b/packages/wheatslipd/wheatslipd/quota/asker.py
@@ -0,0 +1,118 @@
+"""Asks the owners of a workspace's limit for tokens, one candidate after the other.
+
+An owner that did not answer is left out for a time, for all workspaces. If none of the
+candidates answers, this daemon grants the tokens itself, from its own small part of the limit.
+"""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+import msgspec
+from result import Err, Ok
+from wheatslip.quota.candidates import Candidates
+from wheatslip.quota.messages import TokenGrant, TokenRequest
+from wheatslip.store.instances import Instance
+
+from wheatslipd.quota.channels import AskFailure, OwnerChannels, is_same_process
+from wheatslipd.quota.service import QuotaService
+from wheatslipd.telemetry import logs
+
+UNREACHABLE_SECONDS = 1.0  # time for which an owner that did not answer is left out
+UNSUPPORTED_SECONDS = 30.0  # the same for one of a version that does not know the question
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The answer to one question.
+
+    `owner` is the daemon that gave it, `asked_at` when that one was asked (seconds, monotonic).
+    """
+
+    grant: TokenGrant
+    owner: str
+    asked_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Unreachable:
+    until: float  # seconds, monotonic
+    has_refused: bool  # the connection
+
+
+class OwnerAsker:
+    """Asks owners on behalf of one entry."""
+
+    def __init__(
+        self,
+        name: str,
+        service: QuotaService,
+        candidates: Candidates,
+        channels: OwnerChannels,
+        clock: Callable[[], float],
+    ):
+        """`name` and `service` are this daemon's; `clock` is monotonic, in seconds."""
+        self._name = name
+        self._service = service
+        self._candidates = candidates
+        self._channels = channels
+        self._clock = clock
+        self._instances: Mapping[str, Instance] = {}
+        self._unreachable: dict[str, _Unreachable] = {}
+
+    def set_instances(self, instances: Mapping[str, Instance]) -> None:
+        """Set the listed daemons by name; a restarted one counts as reachable."""
+        before, self._instances = self._instances, instances
+        for name in list(self._unreachable):
+            listed = instances.get(name)
+            if listed is None or not is_same_process(before[name], listed):
+                del self._unreachable[name]
+        self._channels.set_instances(instances)
+
+    async def ask(self, request: TokenRequest) -> Answer:
+        """Ask the candidates in their order, then this daemon."""
+        have_all_refused = True  # the earlier candidates; so none of them runs
+        for owner in self._candidates.of(request.workspace):
+            unreachable = self._unreachable_now(owner)
+            if unreachable is None:
+                asked_at = self._clock()
+                if owner == self._name:
+                    return self._ask_locally(request, failover=have_all_refused)
+                failover = have_all_refused and owner != self._primary(request.workspace)
+                question = msgspec.structs.replace(request, failover=failover)
+                match await self._channels.ask(owner, question):
+                    case Ok(grant):
+                        self._unreachable.pop(owner, None)
+                        return Answer(grant, owner, asked_at)
+                    case Err(failure):
+                        unreachable = self._leave_out(owner, failure)
+            have_all_refused &= unreachable.has_refused
+        return self._ask_locally(request, failover=False)
+
+    def _ask_locally(self, request: TokenRequest, *, failover: bool) -> Answer:
+        is_primary = self._primary(request.workspace) == self._name
+        question = msgspec.structs.replace(request, failover=failover and not is_primary)
+        return Answer(self._service.grant(question), self._name, self._clock())
+
+    def _primary(self, workspace: str) -> str:
+        return next(iter(self._candidates.of(workspace)), "")
+
+    def _unreachable_now(self, owner: str) -> _Unreachable | None:
+        unreachable = self._unreachable.get(owner)
+        if unreachable is None or unreachable.until <= self._clock():
+            return None
+        return unreachable
+
+    def _leave_out(self, owner: str, failure: AskFailure) -> _Unreachable:
+        is_unsupported = failure is AskFailure.UNSUPPORTED
+        seconds = UNSUPPORTED_SECONDS if is_unsupported else UNREACHABLE_SECONDS
+        unreachable = _Unreachable(self._clock() + seconds, failure is AskFailure.REFUSED)
+        if owner in self._instances:
+            self._unreachable[owner] = unreachable
+        logs.info(
+            "quota-owner-unreachable",
+            owner=owner,
+            why=failure.name.lower(),
+            left_out=seconds,
+            repeat_key=owner,
+        )
+        return unreachable
