--- /dev/null
+++ b/packages/wheatslipd/wheatslipd/controllers/quota.py
@@ -0,0 +1,51 @@
+"""Controller of the limits: tells the owners' side and the entry's side who is listed.
+
+Members that are listed as leaving are no candidates, so that their limits move before they end.
+"""
+
+from collections.abc import Callable
+
+from circuits import Component
+from wheatslip.config.bundle import Bundle, Workspace
+from wheatslip.quota.candidates import Candidates
+from wheatslip.quota.granter import Granter
+from wheatslip.store.instances import Instance, InstanceState
+
+from wheatslipd.quota.asker import OwnerAsker
+
+
+class QuotaController(Component):
+    """Owns the candidates, and the workspaces that have a limit."""
+
+    channel = "*"
+
+    def __init__(
+        self,
+        granter: Granter,
+        candidates: Candidates,
+        asker: OwnerAsker,
+        clock: Callable[[], float],
+    ):
+        """`clock` is monotonic, in seconds."""
+        super().__init__()
+        self._granter = granter
+        self._candidates = candidates
+        self._asker = asker
+        self._clock = clock
+        self.limited: tuple[Workspace, ...] = ()
+
+    def members_changed(self, members: tuple[Instance, ...]) -> None:
+        """Apply the published members."""
+        listed = {
+            member.name: member
+            for member in members
+            if member.state is not InstanceState.LEAVING
+        }
+        names = sorted(listed)
+        self._candidates.set_members(names)
+        self._granter.set_members(names, self._clock())
+        self._asker.set_instances(listed)
+
+    def bundle_in_force(self, bundle: Bundle) -> None:
+        """Note which workspaces have a limit. Each question carries the limit itself."""
+        self.limited = tuple(w for w in bundle.workspaces if w.limit is not None)
--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -27,6 +27,7 @@
 from wheatslipd.feed.verifier import create_verifier
 from wheatslipd.gate.serverside import build_server_side
 from wheatslipd.http.server import Server
+from wheatslipd.quota.wiring import build_quota
 from wheatslipd.registration.localbackend import ListedPorts, LocalBackend
 from wheatslipd.registration.registrar import HeartbeatDecoder, decode_heartbeat
 from wheatslipd.settings import Settings
@@ -85,16 +86,20 @@
         self._chooser = Chooser(settings.zone, rng, settings.chooser)
         self._tracer = HopTracer(settings.name, settings.trace_sample, settings.trace_file, rng)
 
+        self.quota = build_quota(settings, shared, tls)
+
         # The components below read the configuration, zone drains and instances from the feed.
         self.feed = Feed(
             LocalDaemon(settings.name, settings.zone, settings.feed),
-            FeedDependencies(store, tls, rng, unix),
+            FeedDependencies(store, tls, rng, unix, (self.quota.service,)),
             create_verifier(settings),
             self.bus,
         )
         # A request passes the entry of one daemon, then the server side of the same or another.
         cache = self.feed.cache
-        entry = build_entry(settings, shared, self._chooser, self._tracer, cache)
+        entry = build_entry(
+            settings, shared, self._chooser, self._tracer, cache, self.quota.client
+        )
         self.entry_server = Server(entry.handle)
         self.server_side = build_server_side(settings, shared, self._tracer, owners, cache)
         self.peer_server = Server(self.server_side.peer_port.handle, tls.server)
@@ -110,11 +115,18 @@
             self.quarantine,
             BundleController(self.view, metrics),
             MembershipController(settings, shared, owners, tls),
+            self.quota.controller,
             ZoneController(self.view, settings.zone, self.server_side.gate, metrics, unix),
             Lifecycle(settings, self.view, self.server_side, self.feed, self.local_backend),
         )
         self._report = StateReport(
-            settings, shared, self.entry_server, self.peer_server, self.server_side, self.feed
+            settings,
+            shared,
+            self.entry_server,
+            self.peer_server,
+            self.server_side,
+            self.feed,
+            self.quota.report,
         )
 
     async def run(self) -> int:
@@ -122,7 +134,10 @@
         self.bus.attach()
         await self._listen()
         loop = asyncio.get_running_loop()
-        tasks = [loop.create_task(self.feed.run())]
+        tasks = [
+            loop.create_task(self.quota.client.run()),
+            loop.create_task(self.feed.run()),
+        ]
         probe_tasks: list[asyncio.Task[None]] = []
         if self.local_backend is not None:
             tasks += self.local_backend.start()
@@ -140,6 +155,7 @@
         for task in (stop_requested, *tasks, *probe_tasks):
             task.cancel()
         await asyncio.gather(stop_requested, *tasks, *probe_tasks, return_exceptions=True)
+        self.quota.channels.close()
         await self.feed.relay.stop()
         await pages.stop()
         self._tracer.close()
--- a/packages/wheatslipd/wheatslipd/entry/wiring.py
+++ b/packages/wheatslipd/wheatslipd/entry/wiring.py
@@ -8,7 +8,9 @@
 from wheatslipd.entry.entry import Entry
 from wheatslipd.entry.filters import common_filters, workspace_filters
 from wheatslipd.entry.forward import Forwarder, ForwardSettings, RoutingPolicy
+from wheatslipd.entry.quotafilter import QuotaFilter
 from wheatslipd.entry.routefilter import RouteFilter
+from wheatslipd.quota.client import QuotaClient
 from wheatslipd.settings import Interface, Settings
 from wheatslipd.shared import SharedState
 from wheatslipd.telemetry.tracing import HopTracer
@@ -20,6 +22,7 @@
     chooser: Chooser,
     tracer: HopTracer,
     cache: FeedCache,
+    quota: QuotaClient,
 ) -> Entry:
     """Build the entry; the retry budgets depend on the number of listed instances."""
     by_routes = settings.interface is Interface.ROUTES
@@ -50,4 +53,5 @@
         filters.append(RouteFilter(settings.headers, clock, shared.rng))
     else:
         filters += workspace_filters(clock)
+    filters.append(QuotaFilter(quota, shared.metrics, clock))
     return Entry(build_chain(filters, forwarder), clock, shared.view, by_routes=by_routes)
--- /dev/null
+++ b/packages/wheatslipd/wheatslipd/quota/wiring.py
@@ -0,0 +1,44 @@
+"""Builds the parts of the limits of one daemon: as an entry, and as an owner."""
+
+from dataclasses import dataclass
+
+from wheatslip.quota.candidates import Candidates
+from wheatslip.quota.granter import CANDIDATES, Granter
+from wheatslip.quota.holder import TokenHolder
+
+from wheatslipd.controllers.quota import QuotaController
+from wheatslipd.quota.asker import OwnerAsker
+from wheatslipd.quota.channels import OwnerChannels
+from wheatslipd.quota.client import QuotaClient
+from wheatslipd.quota.report import QuotaReport
+from wheatslipd.quota.service import QuotaService
+from wheatslipd.settings import Settings
+from wheatslipd.shared import SharedState
+from wheatslipd.tls import PeerTls
+
+
+@dataclass(frozen=True, slots=True)
+class Quota:
+    """The parts of the limits of one daemon."""
+
+    service: QuotaService
+    candidates: Candidates
+    channels: OwnerChannels
+    client: QuotaClient
+    controller: QuotaController
+    report: QuotaReport
+
+
+def build_quota(settings: Settings, shared: SharedState, tls: PeerTls) -> Quota:
+    """Build the parts. The client's `run` must run while requests are accepted."""
+    clock = shared.monotonic
+    granter = Granter(settings.name, settings.quota)
+    candidates = Candidates(CANDIDATES)
+    service = QuotaService(settings.name, granter, candidates, clock)
+    channels = OwnerChannels(tls)
+    asker = OwnerAsker(settings.name, service, candidates, channels, clock)
+    holder = TokenHolder(settings.quota)
+    client = QuotaClient(settings.name, holder, asker, shared.metrics, clock)
+    controller = QuotaController(granter, candidates, asker, clock)
+    report = QuotaReport(controller, client, granter, clock)
+    return Quota(service, candidates, channels, client, controller, report)
--- a/packages/wheatslipd/wheatslipd/telemetry/metrics.py
+++ b/packages/wheatslipd/wheatslipd/telemetry/metrics.py
@@ -78,6 +78,18 @@
             "wheatslip_head_age_seconds",
             "Since the platform last confirmed the version in force",
         )
+        self.quota_requests = counter(
+            "wheatslip_quota_requests_total",
+            "Requests of workspaces with a limit, by workspace and outcome "
+            "(used, returned, refused, deadline)",
+        )
+        self.quota_ask_seconds = Histogram(
+            "wheatslip_quota_ask_seconds",
+            "Time of a question for tokens, until an owner of the limit has answered",
+            const_labels=labels,
+            registry=self.registry,
+            buckets=LATENCY_BUCKETS,
+        )
         self.key_records = gauge("wheatslip_key_records", "Request keys remembered here")
         self.connections = gauge("wheatslip_connections", "Open connections, by port")
 
--- a/packages/wheatslipd/wheatslipd/telemetry/pagesource.py
+++ b/packages/wheatslipd/wheatslipd/telemetry/pagesource.py
@@ -21,6 +21,18 @@
     held_for: float  # remaining seconds, if no other server ends
 
 
+class QuotaStatus(msgspec.Struct, frozen=True):
+    """A workspace with a limit: its use at this entry, and what this daemon granted of it."""
+
+    workspace: str
+    rate: float  # requests a second
+    burst: float
+    owner: str  # the daemon that answered this entry last; empty: none was asked yet
+    used: int  # requests of this entry that took a token
+    refused: int  # requests of this entry
+    granted: int  # tokens that this daemon granted, to its own entry too
+
+
 class Status(msgspec.Struct, frozen=True):
     """The JSON object of the status page."""
 
@@ -46,6 +58,8 @@
     relay_bytes: int
     held_requests: tuple[HeldRequest, ...]
     suspects: int  # requests that servers ran when they ended, including the held ones
+    # Only if there is a workspace with a limit.
+    quotas: tuple[QuotaStatus, ...] | msgspec.UnsetType = msgspec.UNSET
 
 
 @dataclass(slots=True)
--- a/packages/wheatslipd/wheatslipd/telemetry/statereport.py
+++ b/packages/wheatslipd/wheatslipd/telemetry/statereport.py
@@ -1,8 +1,11 @@
 """Builds the status and metrics pages from the daemon's current state."""
 
+import msgspec
+
 from wheatslipd.feed.feed import Feed
 from wheatslipd.gate.serverside import ServerSide
 from wheatslipd.http.server import Server
+from wheatslipd.quota.report import QuotaReport
 from wheatslipd.settings import Settings
 from wheatslipd.shared import SharedState
 from wheatslipd.telemetry.pagesource import HeldRequest, Status
@@ -19,6 +22,7 @@
         peer_server: Server,
         server_side: ServerSide,
         feed: Feed,
+        quotas: QuotaReport,
     ):
         self._settings = settings
         self._shared = shared
@@ -27,6 +31,7 @@
         self._peer_server = peer_server
         self._server_side = server_side
         self._feed = feed
+        self._quotas = quotas
 
     def status(self) -> Status:
         """Return the content of the status page."""
@@ -57,6 +62,7 @@
             relay_bytes=feed.relay.sent_bytes,
             held_requests=self._held_requests(),
             suspects=len(self._shared.quarantine),
+            quotas=self._quotas.read() or msgspec.UNSET,
         )
 
     def _held_requests(self) -> tuple[HeldRequest, ...]:
--- a/test/helper.py
+++ b/test/helper.py
@@ -146,6 +146,8 @@
     """
 
     folder: Path
+    extra_settings: str = ""  # more lines of the daemons' settings
+    daemon_options: dict[str, Any] = field(default_factory=dict)  # passed to `Daemon`
     nodes: dict[str, Node] = field(default_factory=dict)
     clock: ShiftedClock = field(default_factory=ShiftedClock)
     platform: PlatformStandIn = field(init=False)
@@ -194,10 +196,10 @@
             f"[peer]\nplain-text = yes\n"
             f"[backend]\nport = {backend.server.port}\n"
             f"[platform]\naddress = {self._address}\n"
-            f"[operators]\nkeyring = {self.folder}\n",
+            f"[operators]\nkeyring = {self.folder}\n" + self.extra_settings,
             name,
         ).unwrap()
-        daemon = await self.start_daemon(settings, unix=self.clock)
+        daemon = await self.start_daemon(settings, unix=self.clock, **self.daemon_options)
         instance = Instance(name, pool, zone, HOST, **ports_of(daemon))
         node = Node(instance, backend, daemon, self.tasks[name])
         self.nodes[name] = node
@@ -209,7 +211,9 @@
         has read the list.
         """
         stopped = self.nodes[name]
-        daemon = await self.start_daemon(stopped.daemon.settings, unix=self.clock)
+        daemon = await self.start_daemon(
+            stopped.daemon.settings, unix=self.clock, **self.daemon_options
+        )
         incarnation = stopped.instance.incarnation + 1
         instance = msgspec.structs.replace(
             stopped.instance, incarnation=incarnation, **ports_of(daemon)
--- /dev/null
+++ b/test/test_quota_path.py
@@ -0,0 +1,473 @@
+"""Limits of workspaces over several entries, with the faults of owners, inside one process."""
+
+import asyncio
+from contextlib import asynccontextmanager
+from math import inf
+
+import msgspec
+import pytest
+from wheatslip.distribution.feedcache import FeedCache
+from wheatslip.store.instances import InstanceState
+from wheatslipd.feed.relay import RelayServer
+from wheatslipd.quota import asker, channels
+from wheatslipd.tls import PeerTls
+
+from standins.caller import Reported
+from standins.cluster import HOST, eventually
+from standins.link import ThrottledLink
+from test.helper import run
+from test.quota_fleet import (
+    NAMES,
+    WINDOW_SECONDS,
+    allowed,
+    answered,
+    limited_bundle,
+    most_in_window,
+    quota_fleet,
+    refused,
+)
+
+
+@asynccontextmanager
+async def link_before(fleet, name):
+    """Put a link before a daemon's control port, and list its port."""
+    control_port = fleet.node(name).instance.control_port
+    link = ThrottledLink(HOST, control_port, inf)
+    await link.open()
+    try:
+        await fleet.relist(name, control_port=link.port)
+        yield link
+    finally:
+        await link.close()
+
+
+def record_questions(daemon):
+    """Return a list to which the daemon's questions are added, as it answers them."""
+    asked, grant = [], daemon.quota.service.grant
+
+    def record_and_grant(request):
+        asked.append(request)
+        return grant(request)
+
+    daemon.quota.service.grant = record_and_grant
+    return asked
+
+
+async def until(is_met):
+    async def check():
+        return is_met()
+
+    await eventually(check)
+
+
+def test_the_limit_holds_over_three_entries(tmp_path):
+    """Guards against a limit that each entry counts for itself, and against one that refuses
+    much of what the workspace may send.
+    """
+    rate, burst, factor = 30.0, 10.0, 5.0
+
+    async def scenario():
+        async with quota_fleet(tmp_path, rate, burst) as fleet:
+            fleet.settle()
+            count = int(factor * rate * 1.2 * WINDOW_SECONDS)
+            requests = await fleet.send_paced(NAMES, factor * rate, count)
+            times = fleet.run_times()
+            assert len(answered(requests)) + len(refused(requests)) == count
+            assert len(times) == len(answered(requests))
+            assert most_in_window(times) <= allowed(rate, burst)
+            assert most_in_window(times) >= 0.9 * rate * WINDOW_SECONDS
+            assert sum(fleet.use(name).used for name in NAMES) == len(times)
+            assert sum(fleet.use(name).refused for name in NAMES) == len(refused(requests))
+            assert fleet.logged("quota-exceeded", workspace="alpha")
+            primary = fleet.candidates()[0]
+            assert fleet.quota_status(primary).granted >= len(times)
+            assert {fleet.quota_status(name).owner for name in NAMES} == {primary}
+
+    run(scenario)
+
+
+def test_a_refusal_is_429_with_the_time_of_the_next_token(tmp_path):
+    """Guards against a Retry-After that is as short as the entry's pause between questions."""
+
+    async def scenario():
+        async with quota_fleet(tmp_path, 0.25, 0.0) as fleet:
+            fleet.settle()
+            url = f"http://{HOST}:{fleet.node('a').entry}/"
+            headers = {"authorization": "Bearer alpha-secret", "wheatslip-service": "papers"}
+            statuses = []
+            for _ in range(2):
+                async with fleet.installation.session.get(url, headers=headers) as response:
+                    statuses.append(response.status)
+                    retry_after_ms = response.headers.get("wheatslip-retry-after-ms")
+            assert statuses == [200, 429]
+            assert 2000 < int(retry_after_ms) <= 4000
+
+    run(scenario)
+
+
+def test_below_the_limit_nothing_is_refused_wherever_it_enters(tmp_path):
+    """Guards against a limit that is divided between entries: all requests enter at one of
+    them, then at another one.
+    """
+    rate, count = 50.0, 80
+
+    async def scenario():
+        async with quota_fleet(tmp_path, rate, 10.0) as fleet:
+            fleet.settle()
+            for name in NAMES:
+                requests = await fleet.send_paced((name,), 0.8 * rate, count)
+                assert len(answered(requests)) == count
+
+    run(scenario)
+
+
+def test_a_workspace_without_a_limit_asks_nobody(tmp_path):
+    async def scenario():
+        async with quota_fleet(tmp_path, 5.0, 5.0) as fleet:
+            caller = fleet.installation.caller("beta")
+            # Beta may not call papers, so a bundle that lets it is put in force.
+            proposal = limited_bundle(5.0, 5.0, version=2)
+            services = (msgspec.structs.replace(proposal.services[0], callers=("beta",)),)
+            await fleet.installation.release(
+                msgspec.structs.replace(proposal, services=services)
+            )
+            await fleet.installation.ready(version=2)
+            request = await caller.send(fleet.node("a").entry, "papers", "read", once=False)
+            assert request.reported is Reported.ANSWERED
+            quota = fleet.node("a").daemon.quota
+            assert not quota.channels.open_channels
+            assert quota.client.use_of("beta").used == 0
+
+    run(scenario)
+
+
+def test_requests_that_arrive_together_share_one_question(tmp_path):
+    """Guards against one question for each request of a burst."""
+
+    async def scenario():
+        async with quota_fleet(tmp_path, 100.0, 100.0) as fleet:
+            fleet.settle()
+            primary = fleet.candidates()[0]
+            entry = fleet.entry_beside(primary)
+            asked = record_questions(fleet.node(primary).daemon)
+            requests = await asyncio.gather(*(fleet.send(entry) for _ in range(20)))
+            assert len(answered(requests)) == 20
+            assert 1 <= len(asked) < 10
+            assert {question.sender for question in asked} == {entry}
+
+    run(scenario)
+
+
+def test_an_ended_primary_is_replaced_at_once_and_asked_again(tmp_path):
+    """Guards against a wait for a process that has ended, and against a second candidate that
+    takes it for a frozen one, which may still grant.
+    """
+
+    async def scenario():
+        async with quota_fleet(tmp_path, 50.0, 10.0) as fleet:
+            fleet.settle()
+            primary, second, entry = fleet.candidates()
+            control_port = fleet.node(primary).instance.control_port
+            asked = record_questions(fleet.node(second).daemon)
+            async with link_before(fleet, primary):
+                await fleet.send(entry)
+                assert fleet.use(entry).owner == primary
+            # The closed link breaks the open connection and refuses new ones.
+            fleet.monotonic.offset_seconds += 1.0  # tokens of the first answer expire
+            requests = await fleet.send_paced((entry,), 10.0, 10)
+            assert fleet.logged("quota-owner-unreachable", owner=primary, why="refused")
+            assert not fleet.logged("quota-owner-unreachable", why="silent")
+            assert fleet.use(entry).owner == second
+            assert asked and all(question.failover for question in asked)
+            assert len(answered(requests)) == len(requests)
+            assert requests[0].elapsed_seconds < channels.ASK_TIMEOUT_SECONDS
+
+            await fleet.relist(primary, control_port=control_port)
+            fleet.monotonic.offset_seconds += 0.5  # tokens of the second candidate expire
+            await fleet.send(entry)
+            assert fleet.use(entry).owner == primary
+
+    run(scenario)
+
+
+def test_a_primary_that_accepts_and_never_answers_costs_one_time_out(tmp_path):
+    """Guards against requests that each wait for a frozen owner, and against a second candidate
+    that takes over as if the first had ended.
+    """
+
+    async def scenario():
+        async with quota_fleet(tmp_path, 10.0, 10.0) as fleet:
+            fleet.settle()
+            primary, second, entry = fleet.candidates()
+            accepted = []
+
+            async def accept_only(reader, writer):
+                accepted.append(writer)
+
+            listener = await asyncio.start_server(accept_only, HOST, 0)
+            try:
+                port = listener.sockets[0].getsockname()[1]
+                await fleet.relist(primary, control_port=port)
+                asked = record_questions(fleet.node(second).daemon)
+                requests = [await fleet.send(entry) for _ in range(2)]
+                assert accepted
+                unreachable = fleet.logged(
+                    "quota-owner-unreachable", owner=primary, why="silent"
+                )
+                assert len(unreachable) == 1
+                assert asked and not any(question.failover for question in asked)
+                assert requests[0].elapsed_seconds >= channels.ASK_TIMEOUT_SECONDS
+                assert requests[1].elapsed_seconds < requests[0].elapsed_seconds
+                assert fleet.use(entry).owner in (second, entry)
+            finally:
+                listener.close()
+                for writer in accepted:
+                    writer.transport.abort()
+
+    run(scenario)
+
+
+def test_a_connection_that_fell_silent_costs_one_time_out(tmp_path):
+    """Guards against an entry that keeps a dead connection after its owner is back."""
+
+    async def scenario():
+        async with quota_fleet(tmp_path, 50.0, 10.0) as fleet:
+            fleet.settle()
+            primary, _, entry = fleet.candidates()
+            async with link_before(fleet, primary) as link:
+                await fleet.send(entry)
+                assert fleet.use(entry).owner == primary
+                assert primary in fleet.node(entry).daemon.quota.channels.open_channels
+                link.silence()
+                fleet.monotonic.offset_seconds += 0.5  # tokens of the first answer expire
+                await fleet.send(entry)
+                assert fleet.logged("quota-owner-unreachable", owner=primary, why="silent")
+                assert fleet.use(entry).owner != primary
+                fleet.monotonic.offset_seconds += asker.UNREACHABLE_SECONDS
+                await fleet.send(entry)
+                assert fleet.use(entry).owner == primary
+
+    run(scenario)
+
+
+def test_a_lost_answer_is_replaced_by_that_of_the_next_candidate(tmp_path):
+    """Guards against a request that is lost with the answer, after its tokens were granted."""
+
+    async def scenario():
+        async with quota_fleet(tmp_path, 20.0, 10.0) as fleet:
+            fleet.settle()
+            primary, _, entry = fleet.candidates()
+            async with link_before(fleet, primary) as link:
+                await fleet.send(entry)
+                granted = fleet.quota_status(primary).granted
+                link.bytes_per_second = 0.001
+                fleet.monotonic.offset_seconds += 0.5  # tokens of the first answer expire
+                request = await fleet.send(entry)
+                assert fleet.quota_status(primary).granted > granted
+                assert fleet.use(entry).owner != primary
+                assert request.reported is Reported.ANSWERED or refused([request])
+
+    run(scenario)
+
+
+def test_an_owner_of_the_previous_version_is_left_out_for_longer(tmp_path):
+    """Guards against a question to each older daemon every second during an update."""
+
+    async def scenario():
+        async with quota_fleet(tmp_path, 10.0, 10.0) as fleet:
+            fleet.settle()
+            primary, second, entry = fleet.candidates()
+            older = RelayServer(FeedCache(), PeerTls())
+            await older.listen(HOST, 0)
+            try:
+                await fleet.relist(primary, control_port=older.port)
+                for _ in range(3):
+                    await fleet.send(entry)
+                    fleet.monotonic.offset_seconds += 2 * asker.UNREACHABLE_SECONDS
+                found = fleet.logged("quota-owner-unreachable", owner=primary)
+                assert [event["why"] for event in found] == ["unsupported"]
+                assert fleet.use(entry).owner in (second, entry)
+                assert fleet.use(entry).used >= 1
+            finally:
+                await older.stop()
+
+    run(scenario)
+
+
+def test_the_limit_moves_when_its_primary_is_listed_as_leaving(tmp_path):
+    """Guards against entries that ask a daemon until it ends, and against a limit that is
+    granted twice while lists differ.
+    """
+    rate, burst = 20.0, 5.0
+
+    async def scenario():
+        async with quota_fleet(tmp_path, rate, burst) as fleet:
+            fleet.settle()
+            primary, second, entry = fleet.candidates()
+            load = asyncio.create_task(
+                fleet.send_paced((second, entry), 4 * rate, int(4 * rate * 6))
+            )
+            await until(lambda: fleet.use(entry).owner == primary)
+            node = fleet.node(primary)
+            await fleet.installation.list_instance(node, InstanceState.LEAVING)
+            await fleet.until_listed(
+                primary, lambda instance: instance.state is InstanceState.LEAVING
+            )
+            await until(lambda: fleet.use(entry).owner == second)
+            assert primary not in fleet.node(entry).daemon.quota.channels.open_channels
+            assert fleet.logged("quota-owner", workspace="alpha", daemon=second)
+            await load
+            assert most_in_window(fleet.run_times()) <= allowed(rate, burst)
+            assert fleet.use(entry).owner == second
+
+    run(scenario)
+
+
+def test_the_limit_holds_when_all_daemons_restart_at_once(tmp_path):
+    """Guards against owners that start with a full bucket: all have forgotten their grants."""
+    rate, burst = 20.0, 20.0
+
+    async def scenario():
+        async with quota_fleet(tmp_path, rate, burst) as fleet:
+            fleet.settle()
+            before = await fleet.send_paced(NAMES, 5 * rate, int(5 * rate * 2))
+            assert refused(before)
+            for name in NAMES:
+                await fleet.installation.stop(name)
+            for name in NAMES:
+                await fleet.installation.start_again(name)
+            await fleet.installation.ready()
+            served_before = len(fleet.run_times())
+            after = await fleet.send_paced(NAMES, 5 * rate, int(5 * rate * 4))
+            assert refused(after)
+            assert len(fleet.run_times()) > served_before
+            assert most_in_window(fleet.run_times()) <= allowed(rate, burst)
+
+    run(scenario)
+
+
+def test_a_lowered_limit_takes_effect_with_the_next_question(tmp_path):
+    """Guards against a bucket that keeps the tokens, or the rate, of the higher limit."""
+    rate, lower = 100.0, 4.0
+    count = 400
+
+    async def scenario():
+        async with quota_fleet(tmp_path, rate, 50.0) as fleet:
+            fleet.settle()
+            requests = await fleet.send_paced(NAMES, 50.0, 50)
+            assert len(answered(requests)) == 50
+            await fleet.installation.release(limited_bundle(lower, 1.0, version=2))
+            await fleet.installation.ready(version=2)
+            served_before = len(fleet.run_times())
+            await fleet.send_paced(NAMES, 100.0, count)
+            # Tokens of the higher limit may be used for a token's lifetime, 0.25 s.
+            served = len(fleet.run_times()) - served_before
+            assert served <= allowed(lower, 1.0, count / 100.0) + 0.25 * 50.0
+            status = fleet.quota_status("a")
+            assert (status.rate, status.burst) == (lower, 1.0)
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("leaves", ["before-the-answer", "with-the-answer"])
+def test_a_caller_that_leaves_while_waiting_leaks_no_token(tmp_path, leaves):
+    """Guards against a request that runs, or a token that is lost, once its caller has left."""
+
+    async def scenario():
+        async with quota_fleet(tmp_path, 10.0, 10.0) as fleet:
+            fleet.settle()
+            _, _, entry = fleet.candidates()
+            asked = asyncio.Event()
+            go_on = asyncio.Event()
+            entry_quota = fleet.node(entry).daemon.quota
+            ask = entry_quota.channels.ask
+
+            async def ask_later(owner, request):
+                asked.set()
+                await go_on.wait()
+                return await ask(owner, request)
+
+            entry_quota.channels.ask = ask_later
+            port = fleet.node(entry).entry
+            _, writer = await asyncio.open_connection(HOST, port)
+            writer.write(
+                b"GET / HTTP/1.1\r\nhost: x\r\nauthorization: Bearer alpha-secret\r\n"
+                b"wheatslip-service: papers\r\n\r\n"
+            )
+            await asked.wait()
+            use = fleet.use(entry)
+            assert len(use.waiting) == 1
+            if leaves == "before-the-answer":
+                writer.transport.abort()
+                await until(lambda: not use.waiting)
+                go_on.set()
+            else:
+                go_on.set()
+                writer.transport.abort()
+            await until(lambda: not use.is_asking)
+            server = fleet.node(entry).daemon.entry_server
+            await until(lambda: not server.open_connections)
+            assert not use.waiting
+            if leaves == "before-the-answer":
+                assert use.used == 0
+                assert not fleet.run_times()
+            before = use.used
+            assert (await fleet.send(entry)).reported is Reported.ANSWERED
+            assert use.used == before + 1
+
+    run(scenario)
+
+
+def test_a_request_does_not_wait_for_an_owner_beyond_its_deadline(tmp_path):
+    """Guards against a caller that waits for silent owners longer than it allowed."""
+
+    async def scenario():
+        async with quota_fleet(tmp_path, 10.0, 10.0) as fleet:
+            primary, _, entry = fleet.candidates()
+            async with link_before(fleet, primary) as link:
+                link.bytes_per_second = 0.001
+                request = await fleet.send(entry, deadline_ms=30)
+                assert request.reported is Reported.NOT_RUN
+                assert request.reason == "deadline"
+                assert request.elapsed_seconds < channels.ASK_TIMEOUT_SECONDS
+                use = fleet.use(entry)
+                assert not use.waiting
+                assert use.used == 0
+                assert link.bytes_to_target  # the question was under way
+
+    run(scenario)
+
+
+def test_a_request_that_was_not_run_returns_its_token(tmp_path):
+    """Guards against refusals elsewhere in the system that use up a workspace's limit."""
+
+    async def scenario():
+        async with quota_fleet(tmp_path, 1.0, 1.0) as fleet:
+            fleet.settle()
+            for node in fleet.installation.nodes.values():
+                await node.backend.server.stop(0.0)
+            request = await fleet.send("a")
+            assert request.reported is Reported.NOT_RUN, request
+            assert not refused([request])
+            assert fleet.use("a").used == 0
+
+    run(scenario)
+
+
+def test_an_idle_connection_to_an_owner_is_closed(tmp_path, monkeypatch):
+    """Guards against connections that grow with the number of owners ever asked."""
+    monkeypatch.setattr(channels, "IDLE_CLOSE_SECONDS", 0.05)
+
+    async def scenario():
+        async with quota_fleet(tmp_path, 10.0, 10.0) as fleet:
+            fleet.settle()
+            primary, _, entry = fleet.candidates()
+            opened = fleet.node(entry).daemon.quota.channels
+            await fleet.send(entry)
+            assert fleet.use(entry).owner == primary
+            await until(lambda: not opened.open_channels)
+            fleet.monotonic.offset_seconds += 0.5  # the tokens expire
+            await fleet.send(entry)
+            assert fleet.use(entry).owner == primary
+
+    run(scenario)
