--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -140,13 +140,15 @@
 class Cluster:
     """The processes of one installation. `folder` has the settings and keys.
 
-    Daemons connect to each other's control ports and to the platform through links.
+    Daemons connect to each other's control ports and to the platform through links, unless
+    `has_links` is False.
     """
 
     folder: Path
     extra_settings: str = ""
     own_settings: str = ""  # of the daemons that run the code of this checkout
     loop: str = "asyncio"
+    has_links: bool = True
     session: aiohttp.ClientSession = field(init=False)
     platform: StartedProcess = field(init=False)
     platform_address: str = field(init=False)
@@ -168,7 +170,9 @@
             link.silence()
 
     async def _open_link(self, port: int) -> int:
-        """Open a link to `port`; returns its own port."""
+        """Open a link to `port` and return its own port; without links, return `port`."""
+        if not self.has_links:
+            return port
         link = ThrottledLink(HOST, port, inf)
         await link.open()
         self._links.append(link)
@@ -314,7 +318,7 @@
     async def wait_for_ports(self, daemon: StartedProcess) -> tuple[int, int, int, int]:
         """Wait until a daemon listens; returns its entry, peer, control and pages ports.
 
-        The control port is that of a new link to the daemon.
+        The control port is that of a new link to the daemon, if there are links.
         """
         match = await daemon.wait_for(_DAEMON_PORTS_PATTERN)
         entry, peer, control, pages = (int(port) for port in match.groups())
