--- /dev/null
+++ b/test/test_quota_client.py
@@ -0,0 +1,164 @@
+"""The entry's side of a limit without a network: its tokens and its waiting requests."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+from wheatslip.config.bundle import RateLimit
+from wheatslip.quota.holder import TokenHolder
+from wheatslip.quota.messages import TokenGrant
+from wheatslip.quota.settings import QuotaSettings
+from wheatslipd.quota.asker import Answer
+from wheatslipd.quota.client import OverLimit, QuotaClient
+from wheatslipd.telemetry.metrics import Metrics
+
+from test.helper import run
+
+LIMIT = RateLimit(10.0, 5.0)
+
+
+class Clock:
+    """A clock that stands still, a little later at each reading."""
+
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        self.now += 1e-6
+        return self.now
+
+
+class AskerStandIn:
+    """Answers each question with the next of `grants`, once `may_answer` is set."""
+
+    def __init__(self, clock, *grants):
+        self._clock = clock
+        self._grants = list(grants)
+        self.may_answer = asyncio.Event()
+        self.questions = []
+
+    async def ask(self, request):
+        self.questions.append(request)
+        asked_at = self._clock()
+        await self.may_answer.wait()
+        return Answer(self._grants.pop(0), "owner", asked_at)
+
+
+@asynccontextmanager
+async def running_client(*grants):
+    clock = Clock()
+    asker = AskerStandIn(clock, *grants)
+    client = QuotaClient(
+        "entry", TokenHolder(QuotaSettings()), asker, Metrics("entry", "one"), clock
+    )
+    runner = asyncio.create_task(client.run())
+    await asyncio.sleep(0)
+    try:
+        yield client, asker
+    finally:
+        runner.cancel()
+        await asyncio.gather(runner, return_exceptions=True)
+
+
+async def until_asked(asker, count=1):
+    while len(asker.questions) < count:
+        await asyncio.sleep(0)
+
+
+def test_a_token_given_to_a_request_that_is_cancelled_at_once_serves_another():
+    """Guards against a token that is lost between the answer and a caller that leaves."""
+
+    async def scenario():
+        async with running_client(TokenGrant(1)) as (client, asker):
+            leaving = asyncio.create_task(client.take("alpha", LIMIT, 1))
+            await until_asked(asker)
+            use = client.use_of("alpha")
+            (waiting,) = use.waiting
+            take = client._holder.take
+
+            def take_and_cancel(workspace, now):
+                # The cancellation is scheduled before the task is resumed with the token.
+                asyncio.get_running_loop().call_soon(leaving.cancel)
+                return take(workspace, now)
+
+            client._holder.take = take_and_cancel
+            asker.may_answer.set()
+            await asyncio.gather(leaving, return_exceptions=True)
+            client._holder.take = take
+            assert leaving.cancelled()
+            assert not isinstance(waiting.result(), OverLimit)
+            assert use.used == 0
+            token = await client.take("alpha", LIMIT, 1)
+            assert token == waiting.result()
+            assert len(asker.questions) == 1
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("granted", [0, 2])
+def test_requests_without_a_token_are_refused_with_the_answer(granted):
+    """Guards against requests that wait on, or ask again, when the owner has no more tokens."""
+
+    async def scenario():
+        async with running_client(TokenGrant(granted, 3.0)) as (client, asker):
+            takes = [asyncio.create_task(client.take("alpha", LIMIT, 1)) for _ in range(4)]
+            await until_asked(asker)
+            asker.may_answer.set()
+            results = await asyncio.gather(*takes)
+            refusals = [result for result in results if isinstance(result, OverLimit)]
+            assert len(refusals) == 4 - granted
+            assert all(refusal.retry_after > 2.9 for refusal in refusals)
+            later = await client.take("alpha", LIMIT, 1)
+            assert isinstance(later, OverLimit)
+            assert len(asker.questions) == 1
+
+    run(scenario)
+
+
+def test_requests_that_come_after_the_question_share_the_next_one():
+    """Guards against a refusal of requests that the first question did not count."""
+
+    async def scenario():
+        async with running_client(TokenGrant(1), TokenGrant(50)) as (client, asker):
+            first = asyncio.create_task(client.take("alpha", LIMIT, 1))
+            await until_asked(asker)
+            others = [asyncio.create_task(client.take("alpha", LIMIT, 1)) for _ in range(9)]
+            await asyncio.sleep(0)
+            asker.may_answer.set()
+            results = await asyncio.gather(first, *others)
+            assert not any(isinstance(result, OverLimit) for result in results)
+            assert [question.tokens >= 9 for question in asker.questions] == [False, True]
+
+    run(scenario)
+
+
+def test_an_answer_whose_tokens_have_expired_does_not_keep_requests_waiting():
+    """Guards against a loop of questions without an end where each answer comes too late."""
+
+    async def scenario():
+        async with running_client(TokenGrant(1)) as (client, asker):
+            take = asyncio.create_task(client.take("alpha", LIMIT, 1))
+            await until_asked(asker)
+            asker._clock.now += 1.0
+            asker.may_answer.set()
+            assert isinstance(await take, OverLimit)
+            assert len(asker.questions) == 1
+
+    run(scenario)
+
+
+def test_a_question_names_the_newest_limit():
+    """Guards against the limit of an older bundle that a request before the change has."""
+
+    async def scenario():
+        async with running_client(*[TokenGrant(0, 0.0)] * 3) as (client, asker):
+            asker.may_answer.set()
+            for version, rate in ((1, 10.0), (3, 2.0), (2, 10.0)):
+                await client.take("alpha", RateLimit(rate), version)
+            assert [(q.version, q.rate) for q in asker.questions] == [
+                (1, 10.0),
+                (3, 2.0),
+                (3, 2.0),
+            ]
+
+    run(scenario)
