--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SETUP = $(VENV)/.installed
 PACKAGES = packages/wheatslip packages/wheatslipd packages/wheatslip-cli
 
-.PHONY: demo soak test lint format bench bench-fairness bench-memory bench-quarantine bench-quota bench-streams clean
+.PHONY: demo soak test lint format bench bench-fairness bench-memory bench-quarantine bench-quota-path bench-streams clean
 
 $(SETUP): requirements-dev.txt $(addsuffix /pyproject.toml,$(PACKAGES))
 	python3 -m venv $(VENV)
@@ -44,8 +44,8 @@
 bench-quarantine: $(SETUP)
 	$(PY) -m bench.quarantine
 
-bench-quota: $(SETUP)
-	$(PY) -m bench.quota
+bench-quota-path: $(SETUP)
+	$(PY) -m bench.quotapath
 
 bench-streams: $(SETUP)
 	$(PY) -m bench.streams
--- a/bench/quota.py
+++ b/bench/quotapath.py
@@ -227,7 +227,7 @@
         ),
         Figure("failed calls", "", [bench.failed], Bound(maximum=0.0)),
     ]
-    return report("quota", figures, record=options.record)
+    return report("quotapath", figures, record=options.record)
 
 
 if __name__ == "__main__":
