--- a/packages/wheatslipd/wheatslipd/entry/wiring.py
+++ b/packages/wheatslipd/wheatslipd/entry/wiring.py
@@ -10,7 +10,9 @@
 from wheatslipd.entry.filters import common_filters, workspace_filters
 from wheatslipd.entry.forward import Forwarder, ForwardSettings, RoutingPolicy
 from wheatslipd.entry.identify import BearerIdentification, HeaderIdentification
+from wheatslipd.entry.quotafilter import QuotaFilter
 from wheatslipd.entry.routefilter import route_filters
+from wheatslipd.quota.client import QuotaClient
 from wheatslipd.settings import Interface, Settings
 from wheatslipd.shared import SharedState
 from wheatslipd.telemetry.tracing import HopTracer
@@ -23,6 +25,7 @@
     tracer: HopTracer,
     cache: FeedCache,
     confirmation_limit: ConfirmationLimit,
+    quota: QuotaClient,
 ) -> Entry:
     """Build the entry; the retry budgets depend on the number of listed instances."""
     by_routes = settings.interface is Interface.ROUTES
@@ -55,4 +58,5 @@
         filters += route_filters(names, by_header, clock, shared.rng)
     else:
         filters += workspace_filters(BearerIdentification(confirmation_limit), clock)
+    filters.append(QuotaFilter(quota, shared.metrics, clock))
     return Entry(build_chain(filters, forwarder), clock, shared.view, by_routes=by_routes)
--- a/packages/wheatslipd/wheatslipd/feed/feed.py
+++ b/packages/wheatslipd/wheatslipd/feed/feed.py
@@ -24,7 +24,7 @@
 from wheatslipd.feed.parentfollower import ParentFollower
 from wheatslipd.feed.position import RelayPosition
 from wheatslipd.feed.reader import PlatformReader
-from wheatslipd.feed.relay import HEARTBEAT_SECONDS, RelayServer
+from wheatslipd.feed.relay import HEARTBEAT_SECONDS, ControlService, RelayServer
 from wheatslipd.feed.tasks import run_until_first_completes
 from wheatslipd.feed.verifier import Verifier
 from wheatslipd.feed.watchcheck import HEAD_REFRESH_SECONDS
@@ -46,13 +46,16 @@
 
 @dataclass(frozen=True, slots=True)
 class FeedDependencies:
-    """External dependencies of a feed: the platform, peer TLS, random numbers and clocks."""
+    """External dependencies of a feed: the platform, peer TLS, random numbers, clocks, and the
+    other services on its port.
+    """
 
     store: ObjectStore
     tls: PeerTls
     rng: Random
     unix: Callable[[], float]  # returns the Unix time in seconds
     monotonic: Callable[[], float] = time.monotonic  # in seconds
+    services: tuple[ControlService, ...] = ()  # that the control port offers too
 
 
 class Feed:
@@ -70,7 +73,9 @@
         self._rng = rng
         self._unix = dependencies.unix
         self.cache = FeedCache()
-        self.relay = RelayServer(self.cache, tls, self._apply_end_reports, monotonic)
+        self.relay = RelayServer(
+            self.cache, tls, self._apply_end_reports, monotonic, dependencies.services
+        )
         self._position = RelayPosition(name, daemon.zone, daemon.settings.watchers)
         self.cache_writer = CacheWriter(
             self.cache,
