--- a/packages/wheatslip-cli/wheatslip_cli/main.py
+++ b/packages/wheatslip-cli/wheatslip_cli/main.py
@@ -8,6 +8,7 @@
 from wheatslip_cli import __version__
 from wheatslip_cli.bundle_commands import BundleCommand
 from wheatslip_cli.key_commands import CredentialDigest, MakeKeys
+from wheatslip_cli.workspace_commands import WorkspaceCommand
 from wheatslip_cli.zone_commands import ZoneCommand
 
 
@@ -22,13 +23,16 @@
 class Wheatslip:
     """Operate the wheatslip load balancer."""
 
-    command: cappa.Subcommands[BundleCommand | ZoneCommand | MakeKeys | CredentialDigest]
+    command: cappa.Subcommands[
+        BundleCommand | ZoneCommand | WorkspaceCommand | MakeKeys | CredentialDigest
+    ]
 
 
 def main() -> None:
     parsed = cappa.parse(Wheatslip, version=__version__, completion=False)
     chosen = parsed.command
-    command = chosen.command if isinstance(chosen, BundleCommand | ZoneCommand) else chosen
+    groups = BundleCommand | ZoneCommand | WorkspaceCommand
+    command = chosen.command if isinstance(chosen, groups) else chosen
     sys.exit(int(command()))
 
 
--- a/test/test_forms.py
+++ b/test/test_forms.py
@@ -312,6 +312,8 @@
         "wheatslip bundle history -s FOLDER/b.ini",
         "wheatslip bundle history -s FOLDER/none.ini",
         "wheatslip zone list -s FOLDER/b.ini",
+        "wheatslip workspace list -s FOLDER/b.ini",
+        "wheatslip workspace show alpha -s FOLDER/b.ini",
         "wheatslip make-keys eve --folder FOLDER",
         "wheatslip make-keys eve --folder FOLDER",
         "wheatslipd",
