Record workspace and credential headers in stand-ins, and block links

The soak needs from outside what a backend server saw beside each request: the workspace's name, and whether a credential reached it. Callers of the routes interface send a credential in Key and a forged Tenant. A link can be blocked for open and new connections and counts what it withheld, so that a test can show that a fault struck. Each daemon has a link of its own to the platform. Connections to the control port of a daemon that has ended are refused, as without a link; they were accepted and closed.

--- a/standins/backend.py
+++ b/standins/backend.py
@@ -19,6 +19,9 @@
 HOST = "127.0.0.1"
 SERVICE_TIME_SEED = 1
 LIMIT_HEADER = b"server-limit"
+# Of the routes and of the workspace interface; by routes the soak's settings name them so.
+WORKSPACE_HEADERS = (b"tenant", b"wheatslip-workspace")
+CREDENTIAL_HEADERS = (b"key", b"authorization")
 
 
 class Behaviour(msgspec.Struct):
@@ -37,11 +40,16 @@
 
 
 class Run(msgspec.Struct, frozen=True):
-    """One run of a request: the caller's request id and key, and its start in unix seconds."""
+    """One run of a request: the caller's request id and key, and its start in unix seconds.
+
+    `workspace` and `credential` are the values of those headers, joined if there are several.
+    """
 
     request_id: str
     key: str
     at: float = 0.0
+    workspace: str = ""
+    credential: str = ""
 
 
 class Record(msgspec.Struct):
@@ -110,7 +118,9 @@
     def _record_run(self, exchange: Exchange) -> None:
         names = (b"x-request-id", b"wheatslip-key")
         request_id, key = ((exchange.head.get(name) or b"").decode() for name in names)
-        self.runs.append(Run(request_id, key, time.time()))
+        workspace = _values(exchange, WORKSPACE_HEADERS)
+        credential = _values(exchange, CREDENTIAL_HEADERS)
+        self.runs.append(Run(request_id, key, time.time(), workspace, credential))
 
     def _service_time(self, behaviour: Behaviour) -> float:
         if not behaviour.service:
@@ -126,12 +136,17 @@
         head = exchange.head
         headers = [(b"content-type", b"text/plain"), *self._limit_headers()]
         request_id = head.get(b"x-request-id") or b""
-        workspace = head.get(b"wheatslip-workspace") or b""
+        workspace = _values(exchange, WORKSPACE_HEADERS).encode()
         parts = [self._name.encode(), workspace, request_id, b"%d" % size]
         body = b" ".join(parts) + b"\n"
         await exchange.respond(ResponseHead(200, headers), body)
 
 
+def _values(exchange: Exchange, names: tuple[bytes, ...]) -> str:
+    values = [value for name, value in exchange.head.headers if name in names]
+    return b", ".join(values).decode("latin-1")
+
+
 async def _main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--name", default="backend")
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -10,6 +10,8 @@
 
 from standins.cluster import HOST
 
+ROUTES_HOST = "papers.example"  # of all routes
+
 
 class Reported(Enum):
     """The outcome of a request as its answer reports it."""
@@ -24,7 +26,8 @@
     """One request and its reported outcome.
 
     `once`: it must not run twice. `unexpected_answer` has the first 200 characters of an answer
-    that does not match the request.
+    that does not match the request. `entry` is the instance that it was sent to, `sent_at` is
+    in unix seconds.
     """
 
     request_id: str
@@ -35,6 +38,9 @@
     reason: str = ""
     unexpected_answer: str = ""
     elapsed_seconds: float = 0.0
+    credential: str = ""
+    entry: str = ""
+    sent_at: float = 0.0
 
 
 def make_key(rng: Random, now: float) -> str:
@@ -46,13 +52,18 @@
 
 @dataclass(slots=True)
 class Caller:
-    """Sends the requests of one workspace and keeps them."""
+    """Sends the requests of one workspace and keeps them.
+
+    `by_routes`: to the routes interface, with the credential in the header `Key`, or without
+    one if it is empty, and with a `Tenant` header that the entry must not pass on.
+    """
 
     session: aiohttp.ClientSession
     workspace: str
     credential: str
     rng: Random
     requests: list[Request] = field(default_factory=list)
+    by_routes: bool = False
 
     async def send(
         self,
@@ -64,22 +75,29 @@
         key: str = "",
         deadline_ms: int = 5000,
         body: bytes = b"",
+        entry: str = "",
     ) -> Request:
         """Send one request; returns it with its outcome."""
         request_id = f"{self.workspace}-{self.rng.getrandbits(64):016x}"
-        request = Request(request_id, self.workspace, service, once)
+        request = Request(request_id, self.workspace, service, once, entry=entry)
+        request.credential, request.sent_at = self.credential, time.time()
         self.requests.append(request)
-        headers = {
-            "authorization": f"Bearer {self.credential}",
-            "wheatslip-service": service,
-            "wheatslip-kind": kind,
-            "wheatslip-deadline-ms": str(deadline_ms),
-            "x-request-id": request_id,
-        }
+        headers = {"x-request-id": request_id}
+        if self.by_routes:
+            headers |= {"host": ROUTES_HOST, "tenant": "forged"}
+            headers |= {"key": self.credential} if self.credential else {}
+        else:
+            headers |= {
+                "authorization": f"Bearer {self.credential}",
+                "wheatslip-service": service,
+                "wheatslip-kind": kind,
+                "wheatslip-deadline-ms": str(deadline_ms),
+            }
         if key:
             headers["wheatslip-key"] = key
         method = "POST" if once or body else "GET"
-        url = f"http://{HOST}:{entry_port}/{service}/{kind}"
+        path = f"/{service}/{kind}/" if self.by_routes else f"/{service}/{kind}"
+        url = f"http://{HOST}:{entry_port}{path}"
         started_at = time.perf_counter()
         try:
             timeout = aiohttp.ClientTimeout(total=deadline_ms / 1000 + 5)
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -152,7 +152,9 @@
     platform_address: str = field(init=False)
     members: dict[str, Member] = field(default_factory=dict)
     _links: list[ThrottledLink] = field(default_factory=list)
-    _linked_platform_address: str = field(init=False)
+    # By instance: the links to its present daemon's control port, and from it to the platform.
+    _control_links: dict[str, ThrottledLink] = field(default_factory=dict)
+    _platform_links: dict[str, ThrottledLink] = field(default_factory=dict)
 
     async def open(self) -> None:
         """Start the stand-in for the platform."""
@@ -160,19 +162,39 @@
         self.platform = await start_process("platform", "standins.platform")
         port = (await self.platform.wait_for(_LISTENING_PATTERN)).group(1)
         self.platform_address = f"{HOST}:{port}"
-        self._linked_platform_address = f"{HOST}:{await self._open_link(int(port))}"
 
     def silence_connections(self) -> None:
         """Stop forwarding on the open connections between daemons and to the platform."""
         for link in self._links:
             link.silence()
 
-    async def _open_link(self, port: int) -> int:
-        """Open a link to `port`; returns its own port."""
+    def withheld_count(self, name: str = "") -> int:
+        """What silenced and blocked connections did not forward, in chunks; of one instance if
+        it is named.
+        """
+        links = [self._control_links[name], self._platform_links[name]] if name else self._links
+        return sum(link.withheld_count for link in links)
+
+    def block(self, name: str) -> None:
+        """Cut an instance's daemon off the platform, and others off its control port."""
+        self._control_links[name].block()
+        self._platform_links[name].block()
+
+    def unblock(self, name: str) -> None:
+        """End what `block` did."""
+        self._control_links[name].unblock()
+        self._platform_links[name].unblock()
+
+    async def refuse_control_connections(self, name: str) -> None:
+        """Make connections to the control port of a daemon that has ended be refused."""
+        await self._control_links[name].close()
+
+    async def _open_link(self, port: int) -> ThrottledLink:
+        """Open a link to `port`."""
         link = ThrottledLink(HOST, port, inf)
         await link.open()
         self._links.append(link)
-        return link.port
+        return link
 
     async def close(self) -> list[int]:
         """Stop everything; returns the daemons' exit codes."""
@@ -199,7 +221,8 @@
         """
         await member.daemon.process.wait()
         member.daemon = await self.start_daemon(member.plan, member.backend_port)
-        entry, peer, control, member.pages_port = await self.wait_for_ports(member.daemon)
+        ports = await self.wait_for_ports(member.plan.name, member.daemon)
+        entry, peer, control, member.pages_port = ports
         member.instance = msgspec.structs.replace(
             member.instance,
             entry_port=entry,
@@ -307,28 +330,35 @@
         )
         backend_port = int((await backend.wait_for(_LISTENING_PATTERN)).group(1))
         daemon = await self.start_daemon(plan, backend_port)
-        *ports, pages_port = await self.wait_for_ports(daemon)
+        *ports, pages_port = await self.wait_for_ports(plan.name, daemon)
         instance = Instance(plan.name, plan.pool, plan.zone, HOST, *ports)
         return Member(plan, backend, backend_port, daemon, instance, pages_port)
 
-    async def wait_for_ports(self, daemon: StartedProcess) -> tuple[int, int, int, int]:
+    async def wait_for_ports(
+        self, name: str, daemon: StartedProcess
+    ) -> tuple[int, int, int, int]:
         """Wait until a daemon listens; returns its entry, peer, control and pages ports.
 
         The control port is that of a new link to the daemon.
         """
         match = await daemon.wait_for(_DAEMON_PORTS_PATTERN)
         entry, peer, control, pages = (int(port) for port in match.groups())
-        return entry, peer, await self._open_link(control), pages
+        link = self._control_links[name] = await self._open_link(control)
+        return entry, peer, link.port, pages
 
     async def start_daemon(self, plan: Plan, backend_port: int) -> StartedProcess:
         """Start the daemon beside a backend server."""
+        if plan.name not in self._platform_links:
+            port = int(self.platform_address.rpartition(":")[2])
+            self._platform_links[plan.name] = await self._open_link(port)
+        platform_port = self._platform_links[plan.name].port
         path = self.folder / f"{plan.name}.ini"
         path.write_text(
             f"[daemon]\nname = {plan.name}\nzone = {plan.zone}\npool = {plan.pool}\n"
             f"loop = {self.loop}\n"
             f"[peer]\nplain-text = yes\n"
             f"[backend]\nport = {backend_port}\n"
-            f"[platform]\naddress = {self._linked_platform_address}\n"
+            f"[platform]\naddress = {HOST}:{platform_port}\n"
             f"[operators]\nkeyring = {self.folder}\n"
             + self.extra_settings
             + (self.own_settings if plan.checkout is None else "")
--- a/standins/link.py
+++ b/standins/link.py
@@ -22,6 +22,8 @@
     bytes_from_target: int = 0  # bytes from `target`
     bytes_to_target: int = 0  # bytes to `target`
     chunk_count: int = 0  # chunks in both directions
+    withheld_count: int = 0  # chunks that a silenced or blocked connection did not forward
+    is_blocked: bool = False  # new connections are accepted and say nothing
     _server: asyncio.Server | None = None
     _rate_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
@@ -32,6 +34,15 @@
         self._silenced.set()
         self._silenced = asyncio.Event()
 
+    def block(self) -> None:
+        """Stop forwarding on open and new connections, until `unblock`."""
+        self.is_blocked = True
+        self.silence()
+
+    def unblock(self) -> None:
+        """Let new connections work; those from before stay silent."""
+        self.is_blocked = False
+
     async def open(self) -> None:
         """Listen on a free port, set as `port`."""
         self._server = await asyncio.start_server(self._forward, self.host, 0)
@@ -53,6 +64,10 @@
         self._tasks.add(task)
         # `close` cancels this task; asyncio logs an error if a cancellation leaves the handler.
         try:
+            if self.is_blocked:
+                await self._withhold(client_reader)
+                client_writer.transport.abort()
+                return
             target_reader, target_writer = await asyncio.open_connection(self.host, self.target)
             directions = [
                 asyncio.create_task(self._forward_to_target(client_reader, target_writer)),
@@ -71,6 +86,12 @@
         finally:
             self._tasks.discard(task)
 
+    async def _withhold(self, reader: asyncio.StreamReader) -> None:
+        """Read and drop what the client sends until it closes the connection."""
+        with suppress(ConnectionError):
+            while await reader.read(CHUNK_BYTES):
+                self.withheld_count += 1
+
     async def _forward_to_target(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -95,6 +116,7 @@
         with suppress(ConnectionError):
             while chunk := await reader.read(CHUNK_BYTES):
                 if silenced.is_set():
+                    self.withheld_count += 1
                     break
                 self.chunk_count += 1
                 yield chunk
--- a/standins/operators.py
+++ b/standins/operators.py
@@ -34,13 +34,24 @@
 
     async def release(self, version: int, text: str) -> None:
         """Propose a bundle, sign it as both operators and roll it out."""
-        path = self.folder / f"bundle-{version}.ini"
+        await self.prepare_release(version, text)
+        await self.roll_out(version)
+
+    async def prepare_release(self, version: int, text: str) -> None:
+        """Propose a bundle and sign it as both operators."""
+        path = self._bundle_path(version)
         path.write_text(text)
         first, second = OPERATOR_NAMES
         await self._run_bundle_command("propose", path, first)
         await self._run_bundle_command("sign", path, first)
         await self._run_bundle_command("sign", path, second)
-        await self._run_bundle_command("rollout", path, second)
+
+    async def roll_out(self, version: int) -> None:
+        """Roll out a bundle that is proposed and signed."""
+        await self._run_bundle_command("rollout", self._bundle_path(version), OPERATOR_NAMES[1])
+
+    def _bundle_path(self, version: int) -> Path:
+        return self.folder / f"bundle-{version}.ini"
 
     async def drain_zone(self, zone: str) -> None:
         """Drain a zone; needs only one operator."""
