Add credentials and limits of workspaces to the soak

The promises on workspaces were not tested with real processes under faults. `--routes` runs the daemons with the routes interface, adds a workspace below its limit, one far above it, requests without and with an unknown credential, partitions, a limit lowered during a partition of its primary, and a credential removed while control connections are silent. The checks use what backend servers saw. Faults that had no effect are reported as violations.

test/test_soak.py: 12 forged histories that break a promise, 8 that keep it, 2 untested limits, 30 schedules.

--- a/Makefile
+++ b/Makefile
@@ -15,10 +15,12 @@
 	$(PY) -m demo.demo
 
 # The same seed plays the same faults again, if a guarantee was violated.
+# SOAK=--routes: credentials and limits of workspaces.
 SEED ?= 1
 MINUTES ?= 1
+SOAK ?=
 soak: $(SETUP)
-	$(PY) -m soak --seed $(SEED) --minutes $(MINUTES)
+	$(PY) -m soak --seed $(SEED) --minutes $(MINUTES) $(SOAK)
 
 test: $(SETUP)
 	$(PY) -m pytest
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,61 +1,117 @@
 """Runs one soak: `python -m soak --seed 7 --minutes 1`; exit code 0 if all guarantees held.
 
-With `--other-version PATH`, half of the daemons run the code of another checkout.
+With `--other-version PATH`, half of the daemons run the code of another checkout. With
+`--routes`, the daemons have the routes interface, and workspaces have credentials and limits.
 """
 
 import argparse
 import asyncio
 import sys
 import tempfile
+from collections import Counter
 from pathlib import Path
 from random import Random
 
-from wheatslip.config.bundle import credential_digest
-
+from wheatslip.owners import owner
+
+from soak.configuration import (
+    FATAL_KIND,
+    HOT,
+    MODERATE,
+    OPEN_KIND,
+    SECRET,
+    SPARE_SECRET,
+    WORKSPACE,
+    RoutedConfiguration,
+    WorkspaceConfiguration,
+)
 from soak.history import History, TimedRun, find_violations
 from soak.injector import SERVICE_TIME_SECONDS, SLOTS, FaultInjector
-from soak.schedule import Fault, Step, draw_schedule, mixed_version_schedule
+from soak.schedule import (
+    Fault,
+    Step,
+    draw_routes_steps,
+    draw_schedule,
+    mixed_version_schedule,
+)
 from standins.caller import Caller, Reported
 from standins.cluster import Cluster, Plan
 from standins.operators import Operators
 
-WORKSPACE = "alpha"
-SECRET = "alpha-secret"
 ZONES = ("one", "two")
 INSTANCES = 6
 CALLS_PER_SECOND = 40.0
 STATUS_INTERVAL_SECONDS = 0.2  # between two readings of all status pages
 FATAL_INTERVAL_SECONDS = 0.5  # between two fatal requests
-FATAL_KIND = "fatal"  # of the request that ends each server that runs it
 FINAL_REQUESTS = 50  # sent after all faults; all of them must be answered
 SECONDS_PER_MINUTE = 60.0
 EXTRA_SETTINGS = (
     "[control]\nwatch = 1s\nwatch-check = 1s\nlist-watch = 1s\n[entry]\nwarm-up = 0s\n"
 )
 OWN_SETTINGS = "[headers]\nlimit = server-limit\n"  # that another version may not know
+ROUTES_SETTINGS = (
+    "[headers]\nlimit = server-limit\nrequest-id = x-request-id\ncredential = key\n"
+    "workspace = tenant\n"
+)
+# Requests per second of each workspace, credential and kind beside the usual traffic, with the
+# routes interface: a workspace below its limit, one far above it, calls without a credential
+# on an open route, and a credential that no configuration holds.
+ROUTED_TRAFFIC = (
+    (MODERATE, "beta-secret", "view", 1.5),
+    (MODERATE, SPARE_SECRET, "view", 1.5),
+    (HOT, "gamma-secret", "view", 40.0),
+    ("", "", OPEN_KIND, 2.0),
+    ("", "never-held", "view", 1.0),
+)
 
 
 async def soak(
-    folder: Path, seed: int, seconds: float, other_version: Path | None = None
+    folder: Path,
+    seed: int,
+    seconds: float,
+    other_version: Path | None = None,
+    *,
+    by_routes: bool = False,
 ) -> History:
     """Run the schedule of a seed and return what was observed.
 
     With the checkout of another version, run the fixed schedule for two versions; its length
     does not depend on `seconds`.
     """
-    plans = make_plans(other_version)
-    cluster = Cluster(folder, EXTRA_SETTINGS, OWN_SETTINGS)
+    configuration = RoutedConfiguration() if by_routes else WorkspaceConfiguration()
+    plans = make_plans(other_version, configuration.fatal_target)
+    interface = "interface = routes\n" if by_routes else ""
+    own_settings = ROUTES_SETTINGS if by_routes else OWN_SETTINGS
+    cluster = Cluster(folder, EXTRA_SETTINGS + interface, own_settings)
     history = History()
-    injector = FaultInjector(cluster, Operators(folder), history, credential_digest(SECRET))
+    if isinstance(configuration, RoutedConfiguration):
+        history.credentials = configuration.holders
+    injector = FaultInjector(cluster, Operators(folder), history, configuration)
     await cluster.open()
     try:
         await injector.prepare(plans)
-        caller = Caller(cluster.session, WORKSPACE, SECRET, Random(f"calls {seed}"))
+        caller = Caller(
+            cluster.session, WORKSPACE, SECRET, Random(f"calls {seed}"), by_routes=by_routes
+        )
         version_recorder = asyncio.create_task(_record_versions(injector))
         schedule_done = asyncio.Event()
         sender = asyncio.create_task(_send_traffic(caller, cluster, seconds, schedule_done))
-        fatal_sender = asyncio.create_task(_send_fatal_requests(cluster, seed, plans))
+        routed_callers, routed_senders = [], []
+        for workspace, credential, kind, rate in ROUTED_TRAFFIC if by_routes else ():
+            rng = Random(f"calls {credential} {seed}")
+            one = Caller(cluster.session, workspace, credential, rng, by_routes=True)
+            sending = _send_routed_traffic(one, cluster, kind, rate, schedule_done)
+            routed_callers.append(one)
+            routed_senders.append(asyncio.create_task(sending))
+        fatal_sender = asyncio.create_task(
+            _send_fatal_requests(cluster, seed, plans, by_routes=by_routes)
+        )
         steps, updates = _make_schedule(plans, seed, seconds)
+        if by_routes:
+            names = [plan.name for plan in plans]
+            hot_owner = owner(HOT, names)
+            assert hot_owner is not None
+            steps += draw_routes_steps(seed, seconds, names, hot_owner)
         await _run_steps(injector, steps)
         if updates:
             await injector.wait_until_recovered()
@@ -63,12 +119,12 @@
             injector.use_this_checkout()
             await _run_steps(injector, updates)
         schedule_done.set()
-        await sender
+        await asyncio.gather(sender, *routed_senders)
         await injector.wait_until_recovered()
         version_recorder.cancel()
         fatal_sender.cancel()
         await _send_final_requests(caller, cluster, history)
-        await _collect_records(injector, caller, history)
+        await _collect_records(injector, [caller, *routed_callers], history)
     finally:
         codes = await cluster.close()
     if any(codes):
@@ -76,7 +132,9 @@
     return history
 
 
-def make_plans(other_version: Path | None = None) -> list[Plan]:
+def make_plans(
+    other_version: Path | None = None, fatal_target: str = f"/papers/{FATAL_KIND}"
+) -> list[Plan]:
     """The instances. With another version's checkout, half of the daemons of each zone run its
     code.
     """
@@ -86,7 +144,7 @@
         is_other = (number // len(ZONES) + zone) % 2 == 0
         checkout = other_version if is_other else None
         # The other version may not support the detection of fatal requests.
-        fatal = f"/papers/{FATAL_KIND}" if other_version is None else ""
+        fatal = fatal_target if other_version is None else ""
         name = f"papers-{number + 1}"
         plans.append(
             Plan(name, "papers", ZONES[zone], SLOTS, SERVICE_TIME_SECONDS, checkout, fatal)
@@ -145,20 +203,41 @@
         member = caller.rng.choice(list(cluster.members.values()))
         once = caller.rng.random() < 0.5
         kind = "submit" if once else "view"
-        port = member.instance.entry_port
-        tasks.add(
-            asyncio.create_task(
-                caller.send(port, "papers", kind, once=once, deadline_ms=2000, body=b"a" * once)
-            )
+        send = caller.send(
+            member.instance.entry_port,
+            "papers",
+            kind,
+            once=once,
+            deadline_ms=2000,
+            body=b"a" * once,
+            entry=member.plan.name,
         )
+        tasks.add(asyncio.create_task(send))
     await asyncio.gather(*tasks)
 
 
-async def _send_fatal_requests(cluster: Cluster, seed: int, plans: list[Plan]) -> None:
+async def _send_routed_traffic(
+    caller: Caller, cluster: Cluster, kind: str, rate: float, schedule_done: asyncio.Event
+) -> None:
+    """Send Poisson traffic of one kind to all entries until the schedule is done."""
+    tasks = set()
+    while not schedule_done.is_set():
+        await asyncio.sleep(caller.rng.expovariate(rate))
+        member = caller.rng.choice(list(cluster.members.values()))
+        port, name = member.instance.entry_port, member.plan.name
+        send = caller.send(port, "papers", kind, once=False, deadline_ms=2000, entry=name)
+        tasks.add(asyncio.create_task(send))
+    await asyncio.gather(*tasks)
+
+
+async def _send_fatal_requests(
+    cluster: Cluster, seed: int, plans: list[Plan], *, by_routes: bool
+) -> None:
     """Send the fatal request to random entries until cancelled. It uses its own caller, whose
     requests are not checked, because no answer to this request is guaranteed.
     """
-    caller = Caller(cluster.session, WORKSPACE, SECRET, Random(f"fatal {seed}"))
+    rng = Random(f"fatal {seed}")
+    caller = Caller(cluster.session, WORKSPACE, SECRET, rng, by_routes=by_routes)
     while any(plan.fatal for plan in plans):
         await asyncio.sleep(FATAL_INTERVAL_SECONDS)
         member = caller.rng.choice(list(cluster.members.values()))
@@ -177,8 +256,12 @@
             print(f"not answered in the calm end, by {member.plan.name}: {request}", flush=True)
 
 
-async def _collect_records(injector: FaultInjector, caller: Caller, history: History) -> None:
-    history.requests = caller.requests
+async def _collect_records(
+    injector: FaultInjector, callers: list[Caller], history: History
+) -> None:
+    for request in (request for caller in callers for request in caller.requests):
+        request.sent_at -= injector.started_at
+        history.requests.append(request)
     for name, member in injector.cluster.members.items():
         record = await injector.cluster.record(name)
         zone = member.plan.zone
@@ -189,6 +272,15 @@
         history.ends += [at - injector.started_at for at in record.ends]
 
 
+def _print_workspaces(history: History) -> None:
+    """Print what became of the requests of each workspace."""
+    for workspace in (WORKSPACE, MODERATE, HOT, ""):
+        own = [request for request in history.requests if request.workspace == workspace]
+        reasons = Counter(request.reason or request.reported.value for request in own)
+        counts = ", ".join(f"{count} {reason}" for reason, count in reasons.most_common())
+        print(f"{workspace or 'no workspace'}: {len(own)} requests ({counts})")
+
+
 def main() -> int:
     """Run the soak that the command line asks for. Returns the exit code."""
     parser = argparse.ArgumentParser(prog="soak", description=__doc__)
@@ -200,12 +292,27 @@
         metavar="PATH",
         help="root of another checkout; half of the daemons run its code",
     )
+    parser.add_argument(
+        "--routes",
+        action="store_true",
+        help="the routes interface, with credentials and limits of workspaces",
+    )
     options = parser.parse_args()
+    if options.other_version and options.routes:
+        parser.error("--other-version and --routes cannot be used together")
     if options.other_version and not (options.other_version / "packages/wheatslipd").is_dir():
         parser.error(f"{options.other_version} is not the root of a checkout")
     with tempfile.TemporaryDirectory() as folder:
         seconds = options.minutes * SECONDS_PER_MINUTE
-        history = asyncio.run(soak(Path(folder), options.seed, seconds, options.other_version))
+        history = asyncio.run(
+            soak(
+                Path(folder),
+                options.seed,
+                seconds,
+                options.other_version,
+                by_routes=options.routes,
+            )
+        )
     outcomes = [request.reported for request in history.requests]
     counts = ", ".join(f"{outcomes.count(kind)} {kind.value}" for kind in Reported)
     print(
@@ -213,6 +320,8 @@
         f"{len(history.observations)} observations, {len(history.drained_zones)} zone drains, "
         f"{len(history.planned_stops)} planned stops, {len(history.ends)} ends of servers"
     )
+    if options.routes:
+        _print_workspaces(history)
     violations = find_violations(history)
     for violation in violations:
         print(f"VIOLATED: {violation}")
--- a/soak/history.py
+++ b/soak/history.py
@@ -6,9 +6,22 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from math import inf
 
 from wheatslip.quarantine import HOLD_AFTER_ENDS
 
+from soak.workspaces import (
+    OBSERVATION_DELAY_SECONDS,
+    ArrivedRequest,
+    Outage,
+    RemovedCredential,
+    WorkspaceLimit,
+    effective_at,
+    refused_credentials,
+    runs_over_workspace_limits,
+    runs_with_removed_credentials,
+    wrong_workspaces,
+)
 from standins.backend import Run
 from standins.caller import Request
 from standins.verdict import judge
@@ -90,6 +103,32 @@
     # Requests sent while no fault was active.
     final_answered: int = 0
     final_sent: int = 0
+    # With the routes interface: the workspace of each credential that a configuration held.
+    credentials: dict[str, str] = field(default_factory=dict)
+    removals: list[RemovedCredential] = field(default_factory=list)
+    workspace_limits: list[WorkspaceLimit] = field(default_factory=list)
+    outages: list[Outage] = field(default_factory=list)
+    unstruck: list[str] = field(default_factory=list)  # faults without an effect
+
+    def arrived(self) -> list[ArrivedRequest]:
+        """The requests that ran, each with its first start at a backend server."""
+        first_starts: dict[str, float] = {}
+        for ran in self.ran:
+            request_id = ran.run.request_id
+            first_starts[request_id] = min(ran.at, first_starts.get(request_id, inf))
+        return [
+            ArrivedRequest(request, first_starts[request.request_id])
+            for request in self.requests
+            if request.request_id in first_starts
+        ]
+
+    def known_at(self, version: int) -> float:
+        """When all daemons had a version at the latest; infinite if one never had it."""
+        times: dict[str, float] = {}
+        for one in self.observations:
+            at = one.at if one.version >= version else inf
+            times[one.instance] = min(at, times.get(one.instance, inf))
+        return max(times.values(), default=inf) + OBSERVATION_DELAY_SECONDS
 
 
 def find_violations(history: History) -> list[str]:
@@ -99,6 +138,9 @@
     violations += _runs_in_drained_zones(history)
     violations += _late_fatal_runs(history)
     violations += _runs_over_limits(history)
+    if history.credentials:
+        violations += _broken_workspace_promises(history)
+        violations += _unstruck_faults(history)
     violations += [
         f"{stop.instance} exited with code {stop.code} after a planned stop"
         for stop in history.planned_stops
@@ -159,6 +201,53 @@
     return violations
 
 
+def _broken_workspace_promises(history: History) -> list[str]:
+    requests = {request.request_id: request for request in history.requests}
+    runs = [(requests.get(ran.run.request_id), ran.run) for ran in history.ran]
+    known = [(request, run.workspace) for request, run in runs if request is not None]
+    arrived = history.arrived()
+    known_at = {
+        limit.version: history.known_at(limit.version) for limit in history.workspace_limits
+    }
+    return [
+        *wrong_workspaces(known, history.credentials),
+        *(
+            f"a backend server got the credential of {run.request_id}"
+            for _, run in runs
+            if run.credential
+        ),
+        *runs_with_removed_credentials(arrived, history.removals, history.outages),
+        *refused_credentials(history.requests, history.credentials, history.removals),
+        *runs_over_workspace_limits(arrived, history.workspace_limits, known_at),
+    ]
+
+
+def _unstruck_faults(history: History) -> list[str]:
+    """Faults and traffic that did not put the promises to the test."""
+    ran_ids = {ran.run.request_id for ran in history.ran}
+    unstruck = list(history.unstruck)
+    for removed in history.removals:
+        own = [one for one in history.requests if one.credential == removed.credential]
+        if not any(one.request_id in ran_ids for one in own):
+            unstruck.append("removal of a credential that no request had run with")
+        if not any(
+            one.sent_at > effective_at(removed, one.entry, history.outages) for one in own
+        ):
+            unstruck.append("removal of a credential that no request used later")
+    if history.workspace_limits:
+        lowered = min(history.workspace_limits, key=lambda limit: limit.rate)
+        refused_at = [
+            one.sent_at
+            for one in history.requests
+            if one.workspace == lowered.workspace and one.reason == "over-limit"
+        ]
+        if not any(at < lowered.since for at in refused_at):
+            unstruck.append(f"limit of {lowered.workspace} before it was lowered")
+        if not any(at > history.known_at(lowered.version) for at in refused_at):
+            unstruck.append(f"lowered limit of {lowered.workspace}")
+    return [f"fault without effect: {fault}" for fault in unstruck]
+
+
 def _count_window(times: Sequence[float], begin: float) -> int:
     return sum(begin <= at < begin + LIMIT_WINDOW_SECONDS for at in times)
 
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -9,10 +9,19 @@
 
 import aiohttp
 import msgspec
+from wheatslip.config.bundleini import parse_bundle
 from wheatslip.store.instances import InstanceState
 
+from soak.configuration import (
+    HOT,
+    LOWERED_LIMIT,
+    SPARE_SECRET,
+    Configuration,
+    RoutedConfiguration,
+)
 from soak.history import DrainedZone, History, NamedLimit, Observation, PlannedStop
 from soak.schedule import Fault, Step
+from soak.workspaces import Outage, RemovedCredential, WorkspaceLimit
 from standins.backend import Behaviour
 from standins.cluster import Cluster, Member, Plan, eventually
 from standins.operators import CommandFailed, Operators
@@ -28,25 +37,24 @@
 STATUS_TIMEOUT_SECONDS = 0.5
 RECOVERY_TIMEOUT_SECONDS = 60.0  # for the recovery after the last fault
 
-BUNDLE = """
-[bundle]
-version = {version}
-[workspace alpha]
-credential-sha256 = {digest}
-[pool papers]
-slots = 4
-[service papers]
-workspace = alpha
-pool = papers
-[kind papers/view]
-repeatable = yes
-[kind papers/submit]
-repeatable = no
-[kind papers/fatal]
-repeatable = yes
-[kind papers/extra-{version}]
-repeatable = yes
-"""
+# Faults in which a daemon does not run or does not reach the platform, or no daemon does.
+OUTAGE_FAULTS = frozenset(
+    {
+        Fault.KILL,
+        Fault.STOP,
+        Fault.FREEZE,
+        Fault.DRAIN,
+        Fault.PLATFORM_DOWN,
+        Fault.PARTITION,
+        Fault.LOWER_LIMIT,
+    }
+)
+# Faults during which some connection must have withheld bytes, else they did not strike.
+WITHHOLDING_FAULTS = frozenset({Fault.LOWER_LIMIT, Fault.REMOVE_CREDENTIAL})
+
+
+def _do_nothing() -> None:
+    pass
 
 
 @dataclass(slots=True)
@@ -56,7 +64,7 @@
     cluster: Cluster
     operators: Operators
     history: History
-    credential_digest: str
+    configuration: Configuration
     started_at: float = field(default_factory=time.time)  # unix seconds
     version: int = 0  # of the last bundle rolled out
     restarts: dict[str, int] = field(default_factory=dict)  # of each daemon
@@ -66,6 +74,10 @@
     )
 
     _behaviours: dict[str, Behaviour] = field(default_factory=dict)  # that differ or did
+    _texts: dict[int, str] = field(default_factory=dict)  # of bundles, by version
+    _release_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+    _withheld_before: dict[Step, int] = field(default_factory=dict)
+    _began_at: dict[Step, float] = field(default_factory=dict)
 
     @property
     def now(self) -> float:
@@ -84,11 +96,15 @@
     async def begin(self, step: Step) -> None:
         """Start the fault of a step."""
         self._print(f"{step.fault} {step.where} for {step.seconds:.1f} s")
+        self._began_at[step] = self.now
+        if step.fault in WITHHOLDING_FAULTS:
+            self._withheld_before[step] = self.cluster.withheld_count(step.where)
         member = self.cluster.members.get(step.where)
         match step.fault:
             case Fault.KILL:
                 assert member is not None
                 member.daemon.send(signal.SIGKILL)
+                await self.cluster.refuse_control_connections(step.where)
             case Fault.STOP:
                 assert member is not None
                 await self._stop_daemon(member)
@@ -119,6 +135,18 @@
                 await self._drain_zone(step)
             case Fault.SILENCE:
                 self.cluster.silence_connections()
+            case Fault.PARTITION:
+                self.cluster.block(step.where)
+            case Fault.LOWER_LIMIT:
+                self.cluster.block(step.where)
+                self._routed.limits[HOT] = LOWERED_LIMIT
+                await self._retry_until_done(self._release_bundle)
+            case Fault.REMOVE_CREDENTIAL:
+                self._routed.remove(SPARE_SECRET)
+                await self._retry_until_done(
+                    lambda: self._release_bundle(self.cluster.silence_connections)
+                )
+                self.history.removals.append(RemovedCredential(SPARE_SECRET, self.now))
 
     async def end(self, step: Step) -> None:
         """End the fault of a step."""
@@ -142,6 +170,23 @@
                 await self.cluster.set_faults(Faults())
             case Fault.ZONE_DRAIN:
                 await self._restore_zone(step.where)
+            case Fault.PARTITION | Fault.LOWER_LIMIT:
+                self.cluster.unblock(step.where)
+        self._record_strike(step)
+
+    def _record_strike(self, step: Step) -> None:
+        """Record the outage of a step, and whether connections were silent because of it."""
+        if step.fault in OUTAGE_FAULTS:
+            outage = Outage(step.where, self._began_at[step], self.now)
+            self.history.outages.append(outage)
+        before = self._withheld_before.get(step)
+        if before is not None and before == self.cluster.withheld_count(step.where):
+            self.history.unstruck.append(f"{step.fault} at {step.at:.1f} s")
+
+    @property
+    def _routed(self) -> RoutedConfiguration:
+        assert isinstance(self.configuration, RoutedConfiguration)
+        return self.configuration
 
     def use_this_checkout(self) -> None:
         """Make all daemons run the code of this checkout from their next start."""
@@ -201,6 +246,7 @@
 
     async def _stop_daemon(self, member: Member) -> None:
         code = await member.daemon.end()
+        await self.cluster.refuse_control_connections(member.plan.name)
         self.history.planned_stops.append(PlannedStop(member.plan.name, code))
 
     async def _restart_daemon(self, member: Member) -> None:
@@ -214,12 +260,36 @@
         await self.cluster.read_listed_version(member)
         await self.cluster.list_instance(member, state)
 
-    async def _release_bundle(self) -> None:
-        version = self.version + 1
-        await self.operators.release(
-            version, BUNDLE.format(version=version, digest=self.credential_digest)
-        )
-        self.version = version
+    async def _release_bundle(self, before_rollout: Callable[[], None] = _do_nothing) -> None:
+        """Release the configuration as it is now.
+
+        A release that failed may have taken effect, so the next one begins with the same text.
+        """
+        async with self._release_lock:
+            is_current = False
+            while not is_current:
+                version = self.version + 1
+                text = self._texts.setdefault(version, self.configuration.text(version))
+                await self.operators.prepare_release(version, text)
+                before_rollout()
+                self._record_limits(version, text)
+                await self.operators.roll_out(version)
+                self.version = version
+                is_current = text == self.configuration.text(version)
+
+    def _record_limits(self, version: int, text: str) -> None:
+        """Record the limits of a version that is about to be rolled out."""
+        if not isinstance(self.configuration, RoutedConfiguration):
+            return
+        limits = self.history.workspace_limits
+        for workspace in parse_bundle(text, "soak").unwrap().workspaces:
+            if workspace.limit is None or any(
+                limit.workspace == workspace.name and limit.version == version
+                for limit in limits
+            ):
+                continue
+            rate, burst = workspace.limit.rate, workspace.limit.burst
+            limits.append(WorkspaceLimit(workspace.name, rate, burst, version, self.now))
 
     async def _drain_zone(self, step: Step) -> None:
         """Drain a zone. The drain is recorded only if all daemons report it in time."""
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -33,6 +33,10 @@
     ZONE_DRAIN = "zone-drain"  # an operator drains a zone, and restores it at the end
     LIMITED_SERVER = "limited-server"  # names a rate; its daemon may have other faults
     SILENCE = "silence"  # open connections between daemons and to the platform go silent
+    # With the routes interface only:
+    PARTITION = "partition"  # a daemon's control port and its way to the platform say nothing
+    LOWER_LIMIT = "lower-limit"  # during a partition of the daemon that grants its tokens
+    REMOVE_CREDENTIAL = "remove-credential"  # just after a silence
 
 
 INSTANCE_FAULTS = frozenset(
@@ -45,12 +49,14 @@
         Fault.DRAIN,
     }
 )
+ROUTES_FAULTS = frozenset({Fault.PARTITION, Fault.LOWER_LIMIT, Fault.REMOVE_CREDENTIAL})
 # Drawn from a separate random sequence, so that adding them did not change the other faults of
 # a seed.
-SEPARATELY_DRAWN_FAULTS = (Fault.SILENCE, Fault.LIMITED_SERVER)
+SEPARATELY_DRAWN_FAULTS = ROUTES_FAULTS | {Fault.SILENCE, Fault.LIMITED_SERVER}
 MEAN_SILENCE_INTERVAL_SECONDS = 20.0
 MEAN_LIMIT_INTERVAL_SECONDS = 6.0  # between the starts of two limits
 LIMIT_SECONDS = 9.0  # longer than the windows in which the requests are counted
+MEAN_PARTITION_INTERVAL_SECONDS = 12.0
 PLATFORM_FAULTS = frozenset({Fault.PLATFORM_DOWN, Fault.PLATFORM_SLOW, Fault.LOST_WRITES})
 
 
@@ -119,6 +125,30 @@
     return steps
 
 
+def draw_routes_steps(
+    seed: int, seconds: float, instances: Sequence[str], owner: str
+) -> list[Step]:
+    """The additional steps of a soak with the routes interface. `owner` is the instance that
+    grants the tokens of the hot workspace.
+
+    The limit is lowered once, early enough that the lower one is used for some windows, and a
+    credential is removed once.
+    """
+    rng = Random(f"soak routes {seed}")
+    lowered_at = INITIAL_CALM_SECONDS + rng.uniform(3.0, 5.0)
+    removed_at = rng.uniform(0.5, 0.6) * seconds
+    steps = [
+        Step(lowered_at, Fault.LOWER_LIMIT, owner, rng.uniform(1.0, 3.0)),
+        Step(removed_at, Fault.REMOVE_CREDENTIAL, "", 1.0),
+    ]
+    at = lowered_at + rng.expovariate(1 / MEAN_PARTITION_INTERVAL_SECONDS)
+    while at < seconds - FINAL_CALM_SECONDS - MAX_FAULT_SECONDS:
+        duration = rng.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
+        steps.append(Step(at, Fault.PARTITION, rng.choice(list(instances)), duration))
+        at += duration + rng.expovariate(1 / MEAN_PARTITION_INTERVAL_SECONDS)
+    return steps
+
+
 def mixed_version_schedule(
     others: Sequence[str], own: Sequence[str], zones: Sequence[str]
 ) -> tuple[list[Step], list[Step]]:
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -18,9 +18,11 @@
     FINAL_CALM_SECONDS,
     INITIAL_CALM_SECONDS,
     Fault,
+    draw_routes_steps,
     draw_schedule,
     mixed_version_schedule,
 )
+from soak.workspaces import Outage, RemovedCredential, WorkspaceLimit
 from standins.backend import Run
 from standins.caller import Reported, Request
 from standins.cluster import python_path
@@ -45,7 +47,14 @@
 
 
 def test_every_fault_occurs_and_faults_overlap():
-    steps = [step for seed in range(20) for step in draw_schedule(seed, 60.0, INSTANCES, ZONES)]
+    steps = [
+        step
+        for seed in range(20)
+        for step in (
+            *draw_schedule(seed, 60.0, INSTANCES, ZONES),
+            *draw_routes_steps(seed, 60.0, INSTANCES, "a"),
+        )
+    ]
     assert {step.fault for step in steps} == set(Fault)
     schedule = draw_schedule(1, 60.0, INSTANCES, ZONES)
     overlaps = sum(
@@ -57,6 +66,17 @@
     assert overlaps >= len(schedule) / 3
 
 
+@pytest.mark.parametrize("seed", range(30))
+def test_with_routes_a_limit_is_lowered_and_a_credential_removed_in_time(seed):
+    """Later, no window would be left in which the change can be seen to count."""
+    steps = draw_routes_steps(seed, 40.0, INSTANCES, "b")
+    assert steps == draw_routes_steps(seed, 40.0, INSTANCES, "b")
+    (lowered,) = (step for step in steps if step.fault is Fault.LOWER_LIMIT)
+    (removed,) = (step for step in steps if step.fault is Fault.REMOVE_CREDENTIAL)
+    assert lowered.where == "b" and lowered.end < removed.at < 30.0
+    assert all(step.end <= 40.0 - FINAL_CALM_SECONDS for step in steps)
+
+
 @pytest.mark.parametrize("seed", range(30))
 def test_a_schedule_spares_one_instance_and_ends_without_faults(seed):
     steps = draw_schedule(seed, 40.0, INSTANCES, ZONES)
@@ -109,6 +129,130 @@
     assert find_violations(history) == []
 
 
+def routed_request(request_id, sent_at=0.0, credential="beta-secret", **fields):
+    request = Request(
+        request_id, "beta", "papers", False, Reported.ANSWERED, credential=credential
+    )
+    request.sent_at, request.entry = sent_at, "a"
+    for name, value in fields.items():
+        setattr(request, name, value)
+    return request
+
+
+def routed_run(request_id, at=0.1, workspace="beta", credential=""):
+    return TimedRun(Run(request_id, "", 0.0, workspace, credential), "one", at)
+
+
+def routed_history(requests, ran, **fields):
+    """A history of the routes interface, with a limit that is lowered between 20 and 22 s."""
+    lowered_refusals = [
+        routed_request(f"refused-{at}", at, reported=Reported.NOT_RUN, reason="over-limit")
+        for at in (1.0, 40.0)
+    ]
+    return History(
+        requests=[*requests, *lowered_refusals],
+        ran=list(ran),
+        observations=[Observation(21.0, "a", 0, 2), Observation(21.5, "b", 0, 2)],
+        credentials={"beta-secret": "beta", "gamma-secret": "gamma", "spare": "beta"},
+        workspace_limits=[
+            WorkspaceLimit("beta", 2.0, 2.0, 1, 0.0),
+            WorkspaceLimit("beta", 0.4, 0.0, 2, 20.0),
+        ],
+        **fields,
+    )
+
+
+def burst(count, begin, seconds=4.0, arrives_after=0.1):
+    """`count` requests of a workspace within a window, and their runs."""
+    times = [begin + seconds * n / count for n in range(count)]
+    requests = [routed_request(f"{begin}-{n}", at) for n, at in enumerate(times)]
+    runs = [
+        routed_run(request.request_id, request.sent_at + arrives_after) for request in requests
+    ]
+    return requests, runs
+
+
+def with_removal(*sent, outages=()):
+    """Requests that ran with a credential whose removal was acknowledged after 10 s."""
+    requests = [routed_request(f"r{at}", at, "spare") for at in sent]
+    late = routed_request("unanswered", 60.0, "spare", reported=Reported.NOT_RUN)
+    runs = [routed_run(request.request_id, request.sent_at + 0.1) for request in requests]
+    removals = [RemovedCredential("spare", 10.0)]
+    return routed_history([*requests, late], runs, removals=removals, outages=list(outages))
+
+
+# The bound of the first limit in 5 s is (2 x 5 + 2) x 1.1 + 20, of the lower one 2 x 1.1 + 20.
+ALLOWED, ALLOWED_LOWERED = 33, 22
+
+KEPT_WORKSPACE_PROMISES = {
+    "at the bound": routed_history(*burst(ALLOWED, 1.0)),
+    "at the lower bound": routed_history(*burst(ALLOWED_LOWERED, 30.0)),
+    # All daemons had the lower limit at 22 s, so it counts in windows from 27 s on.
+    "a lower limit is not yet enforced": routed_history(*burst(ALLOWED, 26.0, 2.0)),
+    "sent before the window": routed_history(*burst(60, 1.0, 4.0, arrives_after=6.0)),
+    "an open route": routed_history(
+        [routed_request("r", credential="")], [routed_run("r", workspace="")]
+    ),
+    "within the delay": with_removal(9.0, 12.4),
+    "at a daemon that does not reach the store": with_removal(
+        9.0, 16.0, outages=[Outage("a", 12.0, 14.0)]
+    ),
+    "while the store is down": with_removal(9.0, 16.0, outages=[Outage("", 12.0, 14.0)]),
+}
+
+
+@pytest.mark.parametrize("case", KEPT_WORKSPACE_PROMISES)
+def test_a_history_that_keeps_the_workspaces_promises_is_accepted(case):
+    """A checker that is stricter than the promise would report failures that are none."""
+    assert find_violations(KEPT_WORKSPACE_PROMISES[case]) == []
+
+
+WORKSPACE_BREACHES = {
+    "over its limit, which allows 33.2": routed_history(*burst(ALLOWED + 1, 1.0)),
+    "over its limit, which allows 22.2": routed_history(*burst(ALLOWED_LOWERED + 1, 28.0)),
+    "its credential is of 'beta'": routed_history(
+        [routed_request("r")], [routed_run("r", workspace="gamma")]
+    ),
+    "ran as workspace 'forged'": routed_history(
+        [routed_request("r", credential="")], [routed_run("r", workspace="forged")]
+    ),
+    "a credential that no configuration held": routed_history(
+        [routed_request("r", credential="never-held")], [routed_run("r")]
+    ),
+    "got the credential of r": routed_history(
+        [routed_request("r")], [routed_run("r", credential="beta-secret")]
+    ),
+    "sent to a 2.60 s after": with_removal(9.0, 12.6),
+    "that daemon reached the platform again": with_removal(
+        9.0, 16.6, outages=[Outage("a", 12.0, 14.0), Outage("b", 14.0, 18.0)]
+    ),
+    "although its credential is held": routed_history(
+        [routed_request("r", reported=Reported.NOT_RUN, reason="unauthenticated")], []
+    ),
+    "no request had run with": with_removal(),
+    "no request used later": routed_history(
+        [routed_request("r", 9.0, "spare")],
+        [routed_run("r", 9.1)],
+        removals=[RemovedCredential("spare", 10.0)],
+    ),
+    "silence at 3 s": routed_history([], [], unstruck=["silence at 3 s"]),
+}
+
+
+@pytest.mark.parametrize("promise", WORKSPACE_BREACHES)
+def test_a_history_that_breaks_a_workspaces_promise_is_detected(promise):
+    breaches = find_violations(WORKSPACE_BREACHES[promise])
+    assert len(breaches) == 1 and promise in breaches[0]
+
+
+@pytest.mark.parametrize("refused_at", [1.0, 40.0])
+def test_a_limit_that_refused_nothing_was_not_put_to_the_test(refused_at):
+    history = routed_history([], [])
+    history.requests = [one for one in history.requests if one.sent_at != refused_at]
+    (breach,) = find_violations(history)
+    assert breach.startswith("fault without effect") and "limit of beta" in breach
+
+
 BREACHES = {
     "ran twice": History(requests=[make_request()], ran=[make_run(), make_run()]),
     "ran though told not": History(
