Count a daemon without quotas as answered where no limit is in force

The status page leaves out quotas where the configuration has no limit, and the commands named such daemons as not answering. They are named only if the bundle in force has a limit, as they do not know of it or run an older version.

--- a/packages/wheatslip-cli/wheatslip_cli/daemonquotas.py
+++ b/packages/wheatslip-cli/wheatslip_cli/daemonquotas.py
@@ -37,12 +37,12 @@
 
 
 class _StatusPage(msgspec.Struct, frozen=True):
-    """The part of the status page that is read here. A daemon of a version before has no
-    `quotas`, and fails to decode.
+    """The part of the status page that is read here. A daemon has no `quotas` if it knows of no
+    workspace with a limit, or is of a version before.
     """
 
     name: str
-    quotas: tuple[_WorkspaceQuota, ...]
+    quotas: tuple[_WorkspaceQuota, ...] | None = None
 
 
 @dataclass(slots=True)
@@ -62,19 +62,23 @@
     return sum(figures, start=QuotaFigures())
 
 
-async def read_quotas(pages: Sequence[str]) -> DaemonQuotas:
-    """Reads the status pages at the addresses `IP:PORT`, at the same time."""
+async def read_quotas(pages: Sequence[str], *, has_limits: bool) -> DaemonQuotas:
+    """Reads the status pages at the addresses `IP:PORT`, at the same time.
+
+    If the bundle in force has limits, a daemon without `quotas` counts as not answered: it does
+    not know of them.
+    """
     result = DaemonQuotas()
     timeout = aiohttp.ClientTimeout(total=PAGE_TIMEOUT_SECONDS)
     async with aiohttp.ClientSession(timeout=timeout) as session:
         answers = await asyncio.gather(*(_read_page(session, page) for page in pages))
     for page, answer in zip(pages, answers, strict=True):
-        if answer is None:
+        if answer is None or (answer.quotas is None and has_limits):
             result.not_answered.append(page)
             continue
         result.by_daemon[answer.name] = {
             quota.workspace: QuotaFigures(quota.used, quota.refused, quota.granted)
-            for quota in answer.quotas
+            for quota in answer.quotas or ()
         }
     return result
 
--- a/packages/wheatslip-cli/wheatslip_cli/workspace_commands.py
+++ b/packages/wheatslip-cli/wheatslip_cli/workspace_commands.py
@@ -151,7 +151,10 @@
                 error = f"the platform has no bundle of version {current.version} in force"
                 return print_errors(ExitCode.REFUSED, error)
             rows = [_row(one, in_force, bundles) for one in in_force.workspaces]
-        quotas = await read_quotas(addresses) if addresses else None
+        quotas = None
+        if addresses:
+            has_limits = any(row.rate for row in rows)
+            quotas = await read_quotas(addresses, has_limits=has_limits)
         code = show(rows, quotas)
         if quotas is not None and quotas.not_answered:
             missing = ", ".join(quotas.not_answered)
