--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -44,6 +44,7 @@
 STATUS_INTERVAL_SECONDS = 0.2  # between two readings of all status pages
 FATAL_INTERVAL_SECONDS = 0.5  # between two fatal requests
 FINAL_REQUESTS = 50  # sent after all faults; all of them must be answered
+PRINTED_VIOLATIONS = 20
 SECONDS_PER_MINUTE = 60.0
 EXTRA_SETTINGS = (
     "[control]\nwatch = 1s\nwatch-check = 1s\nlist-watch = 1s\n[entry]\nwarm-up = 0s\n"
@@ -323,11 +324,13 @@
     if options.routes:
         _print_workspaces(history)
     violations = find_violations(history)
-    for violation in violations:
+    for violation in violations[:PRINTED_VIOLATIONS]:
         print(f"VIOLATED: {violation}")
         for request in history.requests:
             if request.request_id in violation:
                 print(f"  {request}")
+    if len(violations) > PRINTED_VIOLATIONS:
+        print(f"and {len(violations) - PRINTED_VIOLATIONS} more violations")
     if not violations:
         print("all guarantees held")
     return 1 if violations else 0
