--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -140,13 +140,15 @@
 class Cluster:
     """The processes of one installation. `folder` has the settings and keys.
 
-    Daemons connect to each other's control ports and to the platform through links.
+    Daemons connect to each other's control ports and to the platform through links, unless
+    `has_links` is False.
     """
 
     folder: Path
     extra_settings: str = ""
     own_settings: str = ""  # of the daemons that run the code of this checkout
     loop: str = "asyncio"
+    has_links: bool = True
     session: aiohttp.ClientSession = field(init=False)
     platform: StartedProcess = field(init=False)
     platform_address: str = field(init=False)
@@ -339,19 +341,22 @@
     ) -> tuple[int, int, int, int]:
         """Wait until a daemon listens; returns its entry, peer, control and pages ports.
 
-        The control port is that of a new link to the daemon.
+        The control port is that of a new link to the daemon, if there are links.
         """
         match = await daemon.wait_for(_DAEMON_PORTS_PATTERN)
         entry, peer, control, pages = (int(port) for port in match.groups())
-        link = self._control_links[name] = await self._open_link(control)
-        return entry, peer, link.port, pages
+        if self.has_links:
+            self._control_links[name] = await self._open_link(control)
+            control = self._control_links[name].port
+        return entry, peer, control, pages
 
     async def start_daemon(self, plan: Plan, backend_port: int) -> StartedProcess:
         """Start the daemon beside a backend server."""
-        if plan.name not in self._platform_links:
-            port = int(self.platform_address.rpartition(":")[2])
-            self._platform_links[plan.name] = await self._open_link(port)
-        platform_port = self._platform_links[plan.name].port
+        platform_port = int(self.platform_address.rpartition(":")[2])
+        if self.has_links:
+            if plan.name not in self._platform_links:
+                self._platform_links[plan.name] = await self._open_link(platform_port)
+            platform_port = self._platform_links[plan.name].port
         path = self.folder / f"{plan.name}.ini"
         path.write_text(
             f"[daemon]\nname = {plan.name}\nzone = {plan.zone}\npool = {plan.pool}\n"
