--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -16,6 +16,7 @@
 
 from wheatslipd.controllers.bundles import BundleController
 from wheatslipd.controllers.bus import Bus
+from wheatslipd.controllers.confirmation import ConfirmationLimit
 from wheatslipd.controllers.events import leaving
 from wheatslipd.controllers.lifecycle import Lifecycle
 from wheatslipd.controllers.membership import MembershipController
@@ -91,17 +92,20 @@
         # The components below read the configuration, zone drains and instances from the feed.
         self.feed = Feed(
             LocalDaemon(settings.name, settings.zone, settings.feed),
-            FeedDependencies(store, tls, rng, unix, (self.quota.service,)),
+            FeedDependencies(store, tls, rng, unix, monotonic, (self.quota.service,)),
             create_verifier(settings),
             self.bus,
         )
         # A request passes the entry of one daemon, then the server side of the same or another.
         cache = self.feed.cache
+        limit = ConfirmationLimit(settings.max_unconfirmed, cache, monotonic, metrics)
         entry = build_entry(
-            settings, shared, self._chooser, self._tracer, cache, self.quota.client
+            settings, shared, self._chooser, self._tracer, cache, limit, self.quota.client
         )
         self.entry_server = Server(entry.handle)
-        self.server_side = build_server_side(settings, shared, self._tracer, owners, cache)
+        self.server_side = build_server_side(
+            settings, shared, self._tracer, owners, cache, limit
+        )
         self.peer_server = Server(self.server_side.peer_port.handle, tls.server)
         # The backend server registers here only if the platform does not list instances.
         self.local_backend = (
--- a/packages/wheatslipd/wheatslipd/entry/wiring.py
+++ b/packages/wheatslipd/wheatslipd/entry/wiring.py
@@ -5,11 +5,13 @@
 from wheatslip.distribution.feedcache import FeedCache
 
 from wheatslipd.chain import build_chain
+from wheatslipd.controllers.confirmation import ConfirmationLimit
 from wheatslipd.entry.entry import Entry
 from wheatslipd.entry.filters import common_filters, workspace_filters
 from wheatslipd.entry.forward import Forwarder, ForwardSettings, RoutingPolicy
+from wheatslipd.entry.identify import BearerIdentification, HeaderIdentification
 from wheatslipd.entry.quotafilter import QuotaFilter
-from wheatslipd.entry.routefilter import RouteFilter
+from wheatslipd.entry.routefilter import route_filters
 from wheatslipd.quota.client import QuotaClient
 from wheatslipd.settings import Interface, Settings
 from wheatslipd.shared import SharedState
@@ -22,6 +24,7 @@
     chooser: Chooser,
     tracer: HopTracer,
     cache: FeedCache,
+    confirmation_limit: ConfirmationLimit,
     quota: QuotaClient,
 ) -> Entry:
     """Build the entry; the retry budgets depend on the number of listed instances."""
@@ -50,8 +53,10 @@
     )
     filters = common_filters(shared.view, shared.metrics, tracer, clock)
     if by_routes:
-        filters.append(RouteFilter(settings.headers, clock, shared.rng))
+        names = settings.headers
+        by_header = HeaderIdentification(names.credential, confirmation_limit)
+        filters += route_filters(names, by_header, clock, shared.rng)
     else:
-        filters += workspace_filters(clock)
+        filters += workspace_filters(BearerIdentification(confirmation_limit), clock)
     filters.append(QuotaFilter(quota, shared.metrics, clock))
     return Entry(build_chain(filters, forwarder), clock, shared.view, by_routes=by_routes)
--- a/packages/wheatslipd/wheatslipd/feed/feed.py
+++ b/packages/wheatslipd/wheatslipd/feed/feed.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
@@ -45,7 +46,7 @@
 
 @dataclass(frozen=True, slots=True)
 class FeedDependencies:
-    """External dependencies of a feed: the platform, peer TLS, random numbers, the clock, and
+    """External dependencies of a feed: the platform, peer TLS, random numbers, clocks, and
     other services on its port.
     """
 
@@ -53,6 +54,7 @@
     tls: PeerTls
     rng: Random
     unix: Callable[[], float]  # returns the Unix time in seconds
+    monotonic: Callable[[], float] = time.monotonic  # in seconds
     services: tuple[ControlService, ...] = ()  # that the control port offers too
 
 
@@ -64,6 +66,7 @@
     ):
         """`verifier` decides what may be put in force; events are fired on `bus`."""
         name, tls, rng = daemon.name, dependencies.tls, dependencies.rng
+        monotonic = dependencies.monotonic
         self._name = name
         self.client = dependencies.store
         self._settings = daemon.settings
@@ -71,7 +74,7 @@
         self._unix = dependencies.unix
         self.cache = FeedCache()
         self.relay = RelayServer(
-            self.cache, tls, self._apply_end_reports, dependencies.services
+            self.cache, tls, self._apply_end_reports, monotonic, dependencies.services
         )
         self._position = RelayPosition(name, daemon.zone, daemon.settings.watchers)
         self.cache_writer = CacheWriter(
@@ -83,7 +86,9 @@
             dependencies.unix,
             self.handle_version_hint,
         )
-        access = PlatformAccess(dependencies.store, self.cache_writer, daemon.settings, rng)
+        access = PlatformAccess(
+            dependencies.store, self.cache_writer, daemon.settings, rng, monotonic
+        )
         self._reader = PlatformReader(name, access)
         self._follower = ParentFollower(self._position, access, self._reader, tls)
         self._end_reporter = EndReporter(name, self.cache, lambda: self.parent, tls)
@@ -91,7 +96,7 @@
         self.cache_writer.on_end_reports = self._end_reporter.wake
         self._follower.on_parent_changed = self._end_reporter.wake
         self.hint_handler = HintHandler(
-            name, self.relay, self.cache_writer, self._reader, tls, rng
+            name, self.relay, self.cache_writer, self._reader, tls, rng, monotonic
         )
         self._list_watch = ListWatch(access)
         self._state_watch = StateWatch(
--- a/packages/wheatslipd/wheatslipd/telemetry/metrics.py
+++ b/packages/wheatslipd/wheatslipd/telemetry/metrics.py
@@ -78,6 +78,10 @@
             "wheatslip_head_age_seconds",
             "Since the platform last confirmed the version in force",
         )
+        self.unconfirmed_refusals = counter(
+            "wheatslip_unconfirmed_refusals_total",
+            "Requests with a credential refused because the configuration was not confirmed",
+        )
         self.quota_requests = counter(
             "wheatslip_quota_requests_total",
             "Requests of workspaces with a limit, by workspace and outcome "
