--- a/packages/wheatslipd/wheatslipd/feed/feed.py
+++ b/packages/wheatslipd/wheatslipd/feed/feed.py
@@ -46,7 +46,7 @@
 
 @dataclass(frozen=True, slots=True)
 class FeedDependencies:
-    """External dependencies of a feed: the platform, peer TLS, random numbers, clocks, and
+    """External dependencies of a feed: the platform, peer TLS, random numbers, clocks, and the
     other services on its port.
     """
 
