Order the queue of a gate by rank

Cause: a queue ordered only by workspace shares serves urgent kinds less often than others when capacity is short (docs/design/workspace-limits.md, "In which order"). Change: FairQueue has one fair queue per rank. The first rank that waits goes first; one in ten of the starts is for the ranks behind it, by smooth weighted round robin, the n-th of them with weight 1/n. The expected wait of a rank counts what waits before it, and how rare its starts were while it waited, as requests of ranks before it still arrive. The credit of urgent items may exceed two in a row, since a share of three quarters needs three. The next workspace comes from a heap instead of a scan.

--- a/packages/wheatslip/wheatslip/admission/admission.py
+++ b/packages/wheatslip/wheatslip/admission/admission.py
@@ -26,8 +26,8 @@
 
 There is capacity if a slot is free and both `ColdStartLimiter`, for a cold server, and
 `NamedLimit`, for one that names its limit, allow a start.
-Waiting requests start by the shares of their workspaces and by urgency; those that will miss
-their target start last.
+Waiting requests start by urgency, by rank and by the shares of their workspaces; those that
+will miss their target start last in their rank.
 """
 
 from dataclasses import dataclass, field
@@ -44,7 +44,7 @@
 )
 from wheatslip.admission.ticket import AdmissionSettings, RefusedTicket, Ticket
 from wheatslip.admission.timing import ServiceTiming
-from wheatslip.call import UNLIMITED, Call, CallClass
+from wheatslip.call import UNLIMITED, Call
 from wheatslip.limit import ConcurrencyLimit
 from wheatslip.outcome import NotRun, Reason
 from wheatslip.retryafter import overloaded_refusal
@@ -105,14 +105,13 @@
         return gain_of_probing(self.timing, call, now)
 
     def expected_wait(self, call: Call, now: float) -> float:
-        """Estimates the seconds until a call that arrives now would start, considering the
-        share of its workspace.
+        """Estimates the seconds until a call that arrives now would start, considering its
+        rank and the share of its workspace.
         """
         has_slot = self.in_flight < self.limit.value
         if has_slot and not self.queued:
             return self._rate_wait(0, now)
-        urgent = call.call_class is CallClass.URGENT
-        ahead = self._queue.count_ahead(call.workspace, urgent=urgent)
+        ahead = self._queue.count_ahead(call)
         slot_wait = (ahead + 1) / self.limit.value * self.timing.current_service_time(now)
         return max(slot_wait, self._rate_wait(ahead, now))
 
--- a/packages/wheatslip/wheatslip/admission/ticket.py
+++ b/packages/wheatslip/wheatslip/admission/ticket.py
@@ -6,6 +6,8 @@
 from wheatslip.outcome import NotRun
 
 DEFAULT_URGENT_SHARE = 0.25  # largest part of urgent starts while other requests wait
+# The same where calls have ranks: urgent calls are part of requests that run already.
+RANKED_URGENT_SHARE = 0.75
 
 
 @dataclass(slots=True, eq=False)
