Refuse the last rank first at a gate

Cause: a full queue made place only within a workspace's fair share, and a request of a lower rank waited until its latest start although requests before it had already taken its chance. Change: a full queue refuses the last waiting rank for one before it, there the workspace with the largest backlog relative to its share; never the other way round. A request that is queued also refuses the last waiting one of a rank behind it, if that would now miss its target. One request is looked at per arrival, because each arrival delays others by one start. The refusal is "overloaded" with the expected wait, not "over-share" (429): the workspace may be below its share. Where calls have ranks (AdmissionSettings.has_ranks), urgent calls take a place in a full queue too.

--- a/packages/wheatslip/wheatslip/admission/admission.py
+++ b/packages/wheatslip/wheatslip/admission/admission.py
@@ -21,7 +21,8 @@
 | the wait for other requests would make it miss its target | refused | `_misses_target` |
 | it may not be held | starts if its response would not be much too late, else refused | \
 `_start_late_if_worthwhile` |
-| the queue is full, and no other workspace has a larger backlog | refused | `_enqueue` |
+| the queue is full, no request of a rank behind waits, and no other workspace of its rank \
+has a larger backlog | refused | `_enqueue` |
 | otherwise | waits until it starts or its latest start has passed | `admit`, `expire` |
 
 There is capacity if a slot is free and both `ColdStartLimiter`, for a cold server, and
@@ -44,7 +45,7 @@
 )
 from wheatslip.admission.ticket import AdmissionSettings, RefusedTicket, Ticket
 from wheatslip.admission.timing import ServiceTiming
-from wheatslip.call import UNLIMITED, Call
+from wheatslip.call import UNLIMITED, Call, CallClass
 from wheatslip.limit import ConcurrencyLimit
 from wheatslip.outcome import NotRun, Reason
 from wheatslip.retryafter import overloaded_refusal
@@ -62,6 +63,7 @@
     named_limit: NamedLimit = field(init=False, default_factory=NamedLimit)
     _queue: GateQueue = field(init=False)
     _running: set[Ticket] = field(init=False, default_factory=set)
+    _displaced: list[RefusedTicket] = field(init=False, default_factory=list)
     # Whether requests found no capacity or waited since the last recorded service time.
     _was_full: bool = field(init=False, default=False)
 
@@ -111,9 +113,7 @@
         has_slot = self.in_flight < self.limit.value
         if has_slot and not self.queued:
             return self._rate_wait(0, now)
-        ahead = self._queue.count_ahead(call)
-        slot_wait = (ahead + 1) / self.limit.value * self.timing.current_service_time(now)
-        return max(slot_wait, self._rate_wait(ahead, now))
+        return self._wait_behind(self._queue.count_ahead(call), now)
 
     def paced_start_wait(self, now: float) -> float | None:
         """Returns the seconds until a waiting request may start if it waits only because of a
@@ -157,7 +157,7 @@
         if call.hold_until <= now:
             may_run = self._start_late_if_worthwhile(ticket, now)
         else:
-            may_run = self._enqueue(ticket)
+            may_run = self._enqueue(ticket, now)
         return ticket if may_run else self._refusal(wait, max_wait, now)
 
     def limit_rate(self, rate: float | None, now: float) -> list[RefusedTicket]:
@@ -242,9 +242,18 @@
         return self._refusal(self.expected_wait(call, now), UNLIMITED, now)
 
     def take_evicted(self) -> list[Ticket]:
-        """Returns the tickets evicted from a full queue since the last call."""
+        """Returns the tickets evicted from a full queue since the last call, each for a request
+        of the same rank.
+        """
         return self._queue.take_evicted()
 
+    def take_displaced(self) -> list[RefusedTicket]:
+        """Returns the waiting tickets refused since the last call for requests of ranks before
+        their own.
+        """
+        displaced_tickets, self._displaced = self._displaced, []
+        return displaced_tickets
+
     def _start_if_possible(self, ticket: Ticket, now: float) -> bool:
         """Starts a new ticket unless it must wait; returns whether it was started."""
         has_capacity = self._has_capacity(now)
@@ -258,6 +267,11 @@
         self._was_full = self._was_full or not has_capacity
         return False
 
+    def _wait_behind(self, ahead: int, now: float) -> float:
+        """Estimates the seconds until a request starts that has `ahead` others before it."""
+        slot_wait = (ahead + 1) / self.limit.value * self.timing.current_service_time(now)
+        return max(slot_wait, self._rate_wait(ahead, now))
+
     def _rate_wait(self, ahead: int, now: float) -> float:
         """Seconds until the rate limits let a request with `ahead` others before it start."""
         return max(self.cold.wait(ahead, now), self.named_limit.wait(ahead, now))
@@ -315,14 +329,41 @@
         self._queue.push(ticket)
         return True
 
-    def _enqueue(self, ticket: Ticket) -> bool:
+    def _enqueue(self, ticket: Ticket, now: float) -> bool:
         """Adds a ticket to the queue; returns False if the queue is full."""
-        is_full = len(self._queue) >= self.settings.queue
-        if is_full and not self._queue.evict_for(ticket):
-            return False
+        if len(self._queue) >= self.settings.queue:
+            last_behind = self._last_behind(ticket.call)
+            if last_behind is not None:
+                self._displace(last_behind, now)
+            elif not self._queue.evict_for(ticket):
+                return False
         self._queue.push(ticket)
+        self._displace_if_useless(ticket.call, now)
         return True
 
+    def _displace_if_useless(self, call: Call, now: float) -> None:
+        """Refuses the last ticket of the last rank if `call`, which goes before it, makes its
+        wait useless. Looks at one ticket only, because each call delays others by one start.
+        """
+        ticket = self._last_behind(call)
+        if ticket is None:
+            return
+        wait = self._wait_behind(self._queue.count_before_last(), now)
+        if self._is_wait_useless(ticket, wait, now):
+            self._displace(ticket, now)
+
+    def _last_behind(self, call: Call) -> Ticket | None:
+        """The ticket to refuse first for `call`, if one of a rank behind it waits."""
+        if call.call_class is CallClass.URGENT and not self.settings.has_ranks:
+            return None
+        return self._queue.last_behind(call)
+
+    def _displace(self, ticket: Ticket, now: float) -> None:
+        """Refuses a waiting ticket because of requests of ranks before its own."""
+        self._queue.remove(ticket)
+        refusal = self._refusal(self.expected_wait(ticket.call, now), ticket.max_wait, now)
+        self._displaced.append(RefusedTicket(ticket, refusal))
+
     def _has_capacity(self, now: float) -> bool:
         """Whether a slot is free and the rate limits, if any, allow a start."""
         return self.in_flight < self.limit.value and self._rate_wait(0, now) <= 0
--- a/packages/wheatslip/wheatslip/admission/ticket.py
+++ b/packages/wheatslip/wheatslip/admission/ticket.py
@@ -33,8 +33,13 @@
 
 @dataclass(frozen=True, slots=True)
 class AdmissionSettings:
-    """Settings of one gate. If `slots` is 0, the concurrency limit is adaptive."""
+    """Settings of one gate. If `slots` is 0, the concurrency limit is adaptive.
+
+    With `has_ranks`, the configuration gives calls ranks, and urgent calls go before all ranks
+    also when the queue is full.
+    """
 
     slots: int = 0
     queue: int = 64
     urgent_share: float = DEFAULT_URGENT_SHARE
+    has_ranks: bool = False
--- a/packages/wheatslip/wheatslip/retryafter.py
+++ b/packages/wheatslip/wheatslip/retryafter.py
@@ -21,6 +21,8 @@
 or 0 if the server is slow and the sender can try others |
 | `FASTER_ELSEWHERE` | overloaded, 0.05 | gate: the server became slow while \
 the request was queued |
+| `overloaded_refusal(wait)` | overloaded, `wait` | gate: displaced from the \
+queue by requests of ranks before its own |
 | `EVICTED` | over-share, 0.5 | gate: evicted from a full queue by another \
 workspace's request |
 | `NO_CONNECTION` | unreachable, 1 | gate: can't connect to the server |
--- a/packages/wheatslipd/wheatslipd/gate/gate.py
+++ b/packages/wheatslipd/wheatslipd/gate/gate.py
@@ -322,6 +322,8 @@
     def _refuse_evicted(self) -> None:
         for ticket in self.admission.take_evicted():
             self._end_wait(ticket, EVICTED)
+        for refused in self.admission.take_displaced():
+            self._end_wait(refused.ticket, refused.refusal)
 
     def _end_wait(self, ticket: Ticket, refusal: NotRun | None) -> None:
         """Wake the task that waits for a ticket, if any; without `refusal` it has started."""
