Send the rank of a call beside the hop

The entry adds wheatslip-rank only if the rank is not the common one, so other hops keep their bytes; an older gate ignores the header. A gate takes a missing or invalid rank, also one with a negative number, as the common one. Callers and backend servers never see it: headers with the prefix wheatslip- are not passed on. Evidence: test_rank_wire.py through two ports of a daemon; it fails if the header is always sent.

--- a/packages/wheatslip/wheatslip/hop.py
+++ b/packages/wheatslip/wheatslip/hop.py
@@ -93,7 +93,12 @@
 
 def decode_rank(value: bytes) -> Rank | None:
     """Decodes a header value; None if it is invalid."""
-    return _decode_message(_rank_decoder, value)
+    rank = _decode_message(_rank_decoder, value)
+    return (
+        rank
+        if rank is not None and min(rank.workspace_priority, rank.route_priority) >= 0
+        else None
+    )
 
 
 def _decode_message(decoder: msgspec.json.Decoder[_Message], value: bytes) -> _Message | None:
--- a/packages/wheatslipd/wheatslipd/entry/forward.py
+++ b/packages/wheatslipd/wheatslipd/entry/forward.py
@@ -9,12 +9,13 @@
 
 from wheatslip.attempts import ANSWER_DISCARDED, SERVER_ERROR, AnswerDiscarded, Attempts, Try
 from wheatslip.budget import RetryBudgets
-from wheatslip.call import UNLIMITED, Call, CallClass
+from wheatslip.call import COMMON_RANK, UNLIMITED, Call, CallClass
 from wheatslip.chooser import Chooser
 from wheatslip.hop import (
     HOP_HEADER,
     NOTICE_HEADER,
     OUTCOME_HEADER,
+    RANK_HEADER,
     Hop,
     encode,
 )
@@ -316,6 +317,8 @@
         if names.caller:
             headers.append((names.caller, self._settings.caller))
         headers.append((HOP_HEADER, encode(self._hop(prepared.call, next_try))))
+        if prepared.call.rank != COMMON_RANK:
+            headers.append((RANK_HEADER, encode(prepared.call.rank)))
         notice = next_try.upstream.notices.notice()
         if notice is not None:
             headers.append((NOTICE_HEADER, encode(notice)))
--- a/packages/wheatslipd/wheatslipd/gate/forwardedrequest.py
+++ b/packages/wheatslipd/wheatslipd/gate/forwardedrequest.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from wheatslip.call import UNLIMITED, Call, CallClass, RequestKind
+from wheatslip.call import COMMON_RANK, UNLIMITED, Call, CallClass, Rank, RequestKind
 from wheatslip.fingerprint import HASHED_BODY_BYTES
 from wheatslip.hop import FINGERPRINT_HEADER, Hop
 from wheatslip.runtracker import Run
@@ -37,7 +37,7 @@
     return fingerprint_of(head, hop.workspace, hop.service, body)
 
 
-def decode_call(hop: Hop, now: float, request_id: str) -> Call:
+def decode_call(hop: Hop, now: float, request_id: str, rank: Rank = COMMON_RANK) -> Call:
     """Build the call from a decoded hop; its remaining times count from `now`."""
     call_class = CallClass.URGENT if hop.urgent else CallClass.NORMAL
     return Call(
@@ -50,6 +50,7 @@
         target=_time_after(now, hop.target),
         hold_until=_time_after(now, hop.hold),
         request_id=request_id,
+        rank=rank,
     )
 
 
--- a/packages/wheatslipd/wheatslipd/gate/peerport.py
+++ b/packages/wheatslipd/wheatslipd/gate/peerport.py
@@ -11,16 +11,18 @@
 from wheatslip.admission import Ticket
 from wheatslip.attempts import SERVER_ERROR
 from wheatslip.backendload import decode_backend_load
-from wheatslip.call import UNLIMITED, Call
+from wheatslip.call import COMMON_RANK, UNLIMITED, Call
 from wheatslip.hop import (
     HOP_HEADER,
     LOAD_HEADER,
     NOTICE_HEADER,
     OUTCOME_HEADER,
+    RANK_HEADER,
     SUSPECT_HEADER,
     Hop,
     decode_hop,
     decode_notice,
+    decode_rank,
     encode,
 )
 from wheatslip.ledger import Claim, KeptAnswer, KeyState, key_time
@@ -136,7 +138,9 @@
         if hop is None or (hop.key and key_time(hop.key) is None):
             return NotRun(Reason.BAD_REQUEST)
         request_id = exchange.head.get(self._names.request_id) or b""
-        call = decode_call(hop, self._clock(), request_id.decode("latin-1"))
+        # An entry sends no rank if it is the common one, or if its version has no ranks.
+        rank = decode_rank(exchange.head.get(RANK_HEADER) or b"") or COMMON_RANK
+        call = decode_call(hop, self._clock(), request_id.decode("latin-1"), rank)
         if not exchange.expects_continue:
             try:
                 await exchange.body.buffer_up_to(BUFFERED_BODY_BYTES)
--- /dev/null
+++ b/test/test_rank_wire.py
@@ -0,0 +1,62 @@
+"""The rank of a call from its entry to a gate."""
+
+import dataclasses
+
+import pytest
+from wheatslip.call import COMMON_RANK, Rank
+from wheatslip.hop import RANK_HEADER, Hop, decode_rank, encode
+from wheatslipd.entry.routefilter import RouteFilter
+from wheatslipd.gate import peerport
+from wheatslipd.gate.forwardedrequest import decode_call
+
+from test.helper import run
+from test.routed_fleet import fleet
+
+
+def test_a_rank_is_decoded_from_the_hop_and_an_invalid_one_is_ignored():
+    assert decode_rank(encode(Rank(2, 3))) == Rank(2, 3)
+    for invalid in (b"", b"[", b"[-1,0]", b"[0,-1]", b'["a",0]', b"[0.5,0]", b"{}"):
+        assert decode_rank(invalid) is None, invalid
+    hop = Hop("alpha", "papers", "read", repeatable=True, remaining=1.0, version=1, entry="a")
+    assert decode_call(hop, 0.0, "").rank == COMMON_RANK
+    assert decode_call(hop, 0.0, "", Rank(2, 3)).rank == Rank(2, 3)
+
+
+@pytest.mark.parametrize(
+    ("rank", "header"), [(Rank(2, 3), b"[2,3]"), (Rank(0, 1), b"[0,1]"), (COMMON_RANK, None)]
+)
+def test_a_gate_gets_the_rank_of_a_call_and_no_header_for_the_common_one(
+    monkeypatch, rank, header
+):
+    """Without ranks, the bytes on the hop stay as they were; callers can't set a rank."""
+    received = []
+    build_call, decode = RouteFilter._build_call, peerport.decode_call
+
+    def build_ranked_call(*arguments):
+        return dataclasses.replace(build_call(*arguments), rank=rank)
+
+    def decode_recorded_call(*arguments):
+        call = decode(*arguments)
+        received.append(call.rank)
+        return call
+
+    async def process(self, exchange, trace):
+        headers.append(exchange.head.get(RANK_HEADER))
+        return await process_request(self, exchange, trace)
+
+    headers = []
+    process_request = peerport.PeerPort._process
+    monkeypatch.setattr(RouteFilter, "_build_call", build_ranked_call)
+    monkeypatch.setattr(peerport, "decode_call", decode_recorded_call)
+    monkeypatch.setattr(peerport.PeerPort, "_process", process)
+
+    async def scenario():
+        async with fleet("a") as installation:
+            sent = {"wheatslip-rank": "[7,7]"}
+            status, _, _ = await installation.send_request("a", **sent)
+            assert status == 200
+            (request,) = installation.backends["a"].received
+            assert not [name for name in request.headers if name.startswith("wheatslip-")]
+
+    run(scenario)
+    assert headers == [header] and received == [rank]
