Give urgent calls three quarters of the starts where calls have ranks

Cause: with credentials, urgent calls are those that backend servers make, and the work of the request that made them is already spent. Change: the bundle in force sets AdmissionSettings.urgent_share and has_ranks of the gate where callers by routes need credentials: some workspace has a credential or a list of them, even if that is empty. Elsewhere the settings are as before.

--- a/packages/wheatslipd/wheatslipd/controllers/lifecycle.py
+++ b/packages/wheatslipd/wheatslipd/controllers/lifecycle.py
@@ -1,7 +1,8 @@
 """Controller of draining, a bundle's limits, the local backend server and version hints."""
 
 from circuits import Component
-from wheatslip.admission import AdmissionSettings
+from msgspec import UNSET
+from wheatslip.admission import RANKED_URGENT_SHARE, AdmissionSettings
 from wheatslip.config.bundle import Bundle
 from wheatslip.store.instances import Instance
 from wheatslip.store.registration import RegisteredServer
@@ -10,7 +11,7 @@
 from wheatslipd.feed.feed import Feed
 from wheatslipd.gate.serverside import ServerSide
 from wheatslipd.registration.localbackend import LocalBackend
-from wheatslipd.settings import Settings
+from wheatslipd.settings import Interface, Settings
 from wheatslipd.telemetry import logs
 
 
@@ -66,11 +67,20 @@
             return
         admission = self._gate.admission
         slots = self._local_backend.apply_pool(pool) if self._local_backend else pool.slots
-        admission.resize(AdmissionSettings(slots=slots, queue=pool.queue))
+        admission.resize(
+            _admission_settings(slots, pool.queue, has_ranks=self._has_ranks(bundle))
+        )
         admission.set_shares({w.name: w.share for w in bundle.workspaces})
         self._server_side.backend.set_connection_limit(pool.connections)
         self._server_side.idle_probe.budget.per_second = pool.probes_per_second
 
+    def _has_ranks(self, bundle: Bundle) -> bool:
+        """Whether callers by routes need a credential, so that entries give calls ranks."""
+        return self._settings.interface is Interface.ROUTES and any(
+            w.credential_sha256 or w.more_credentials_sha256 is not UNSET
+            for w in bundle.workspaces
+        )
+
     def backend_registered(self, registered: RegisteredServer) -> None:
         """Apply the registration of the local backend server, and publish it."""
         assert self._local_backend is not None
@@ -94,3 +104,9 @@
         """Fetch `version` from the daemon at `address` if it is newer than the one in force."""
         if version > self._view.version:
             self._feed.handle_version_hint(version, address)
+
+
+def _admission_settings(slots: int, queue: int, *, has_ranks: bool) -> AdmissionSettings:
+    if not has_ranks:
+        return AdmissionSettings(slots, queue)
+    return AdmissionSettings(slots, queue, RANKED_URGENT_SHARE, has_ranks=True)
--- a/test/test_rank_wire.py
+++ b/test/test_rank_wire.py
@@ -1,17 +1,25 @@
-"""The rank of a call from its entry to a gate."""
+"""The rank of a call from its entry to a gate, and a gate's settings where calls have ranks."""
 
 import dataclasses
+from types import SimpleNamespace
 
 import pytest
+from wheatslip.admission import RANKED_URGENT_SHARE, Admission, AdmissionSettings
 from wheatslip.call import COMMON_RANK, Rank
+from wheatslip.config.bundle import Bundle, Pool, Workspace
 from wheatslip.hop import RANK_HEADER, Hop, decode_rank, encode
+from wheatslipd.controllers.lifecycle import Lifecycle
+from wheatslipd.controllers.view import View
 from wheatslipd.entry.routefilter import RouteFilter
 from wheatslipd.gate import peerport
 from wheatslipd.gate.forwardedrequest import decode_call
+from wheatslipd.settings import Interface
 
 from test.helper import run
 from test.routed_fleet import fleet
 
+RANKED = AdmissionSettings(4, 16, RANKED_URGENT_SHARE, has_ranks=True)
+
 
 def test_a_rank_is_decoded_from_the_hop_and_an_invalid_one_is_ignored():
     assert decode_rank(encode(Rank(2, 3))) == Rank(2, 3)
@@ -60,3 +68,30 @@
 
     run(scenario)
     assert headers == [header] and received == [rank]
+
+
+def settings_of_gate(interface, *workspaces):
+    """The settings of a gate after a bundle with these workspaces."""
+    admission = Admission(AdmissionSettings())
+    server_side = SimpleNamespace(
+        gate=SimpleNamespace(admission=admission),
+        backend=SimpleNamespace(set_connection_limit=lambda limit: None),
+        idle_probe=SimpleNamespace(budget=SimpleNamespace(per_second=0.0)),
+    )
+    settings = SimpleNamespace(pool="papers", interface=interface)
+    lifecycle = Lifecycle(settings, View(), server_side, None, None)
+    pool = Pool("papers", slots=4, queue=16)
+    lifecycle.bundle_in_force(Bundle(2, workspaces=workspaces, pools=(pool,)))
+    return admission.settings
+
+
+def test_calls_have_ranks_where_callers_by_routes_need_credentials():
+    """Elsewhere urgent calls keep their quarter of the starts."""
+    usual = AdmissionSettings(4, 16)
+    with_credential, without = Workspace("alpha", "digest"), Workspace("alpha", "")
+    all_removed = Workspace("alpha", "", more_credentials_sha256=())
+    assert settings_of_gate(Interface.ROUTES, without, with_credential) == RANKED
+    assert settings_of_gate(Interface.ROUTES, all_removed) == RANKED
+    assert settings_of_gate(Interface.ROUTES, without) == usual
+    assert settings_of_gate(Interface.ROUTES) == usual
+    assert settings_of_gate(Interface.WORKSPACE, with_credential) == usual
