Count starts and refusals by priority of the route

wheatslip_priority_admissions_total has values only where calls have ranks. Priorities above 9 share a label, because peers may send any number.

--- a/packages/wheatslipd/wheatslipd/gate/peerport.py
+++ b/packages/wheatslipd/wheatslipd/gate/peerport.py
@@ -11,7 +11,7 @@
 from wheatslip.admission import Ticket
 from wheatslip.attempts import SERVER_ERROR
 from wheatslip.backendload import decode_backend_load
-from wheatslip.call import COMMON_RANK, UNLIMITED, Call
+from wheatslip.call import COMMON_RANK, UNLIMITED, Call, CallClass
 from wheatslip.hop import (
     HOP_HEADER,
     LOAD_HEADER,
@@ -52,7 +52,7 @@
 from wheatslipd.http.exchange import Exchange
 from wheatslipd.http.messages import Headers, RequestHead, ResponseHead
 from wheatslipd.settings import HeaderNames
-from wheatslipd.telemetry.metrics import Metrics
+from wheatslipd.telemetry.metrics import Metrics, priority_label
 from wheatslipd.telemetry.outcometext import describe
 from wheatslipd.telemetry.tracing import TRACEPARENT, HopTrace, HopTracer
 
@@ -220,10 +220,21 @@
             if refusal is not None:
                 return refusal
             ticket = await self._gate.start_call(request.call, max_wait)
+            if self._gate.admission.settings.has_ranks:
+                self._count_by_priority(request.call, ticket)
             if isinstance(ticket, NotRun):
                 return ticket
             return await self._run_started(request, ticket, kept)
 
+    def _count_by_priority(self, call: Call, ticket: Ticket | NotRun) -> None:
+        is_urgent = call.call_class is CallClass.URGENT
+        self._metrics.priority_admissions.inc(
+            {
+                "priority": "urgent" if is_urgent else priority_label(call.rank.route_priority),
+                "outcome": describe(ticket) if isinstance(ticket, NotRun) else "started",
+            }
+        )
+
     async def _run_started(
         self, request: ForwardedRequest, ticket: Ticket, kept: KeptAnswer | None
     ) -> Outcome:
--- a/packages/wheatslipd/wheatslipd/telemetry/metrics.py
+++ b/packages/wheatslipd/wheatslipd/telemetry/metrics.py
@@ -5,6 +5,12 @@
 
 # Upper bounds of the histogram buckets, in seconds.
 LATENCY_BUCKETS = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0]
+MAX_PRIORITY_LABEL = 9  # larger priorities share a label, because peers may send any number
+
+
+def priority_label(priority: int) -> str:
+    """The label of a route priority."""
+    return str(priority) if priority <= MAX_PRIORITY_LABEL else f">{MAX_PRIORITY_LABEL}"
 
 
 class Metrics:
@@ -37,6 +43,10 @@
         self.admissions = counter(
             "wheatslip_admissions_total", "Requests at the local gate, by outcome and reason"
         )
+        self.priority_admissions = counter(  # has values only where calls have ranks
+            "wheatslip_priority_admissions_total",
+            "Starts and refusals at the local gate, by priority of the route and outcome",
+        )
         self.server_ends = counter(
             "wheatslip_server_ends_total",
             "Ends of the local backend server while it ran requests",
--- a/test/test_rank_wire.py
+++ b/test/test_rank_wire.py
@@ -70,6 +70,27 @@
     assert headers == [header] and received == [rank]
 
 
+def test_starts_and_refusals_are_counted_by_priority_only_where_calls_have_ranks():
+    async def scenario():
+        async with fleet("a") as installation:
+            daemon = installation.daemons["a"]
+            metrics = daemon.server_side.peer_port._metrics
+            await installation.send_request("a")
+            assert counted_by_priority(metrics) == []
+            daemon.server_side.gate.admission.resize(RANKED)
+            await installation.send_request("a")
+            (line,) = counted_by_priority(metrics)
+            assert 'outcome="started"' in line and 'priority="' in line
+            assert line.endswith(" 1")
+
+    run(scenario)
+
+
+def counted_by_priority(metrics):
+    lines = metrics.render().decode().splitlines()
+    return [line for line in lines if line.startswith("wheatslip_priority_admissions_total{")]
+
+
 def settings_of_gate(interface, *workspaces):
     """The settings of a gate after a bundle with these workspaces."""
     admission = Admission(AdmissionSettings())
