--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SETUP = $(VENV)/.installed
 PACKAGES = packages/wheatslip packages/wheatslipd packages/wheatslip-cli
 
-.PHONY: demo soak test lint format bench bench-fairness bench-memory bench-quarantine bench-streams clean
+.PHONY: demo soak test lint format bench bench-fairness bench-memory bench-quarantine bench-ranks bench-streams clean
 
 $(SETUP): requirements-dev.txt $(addsuffix /pyproject.toml,$(PACKAGES))
 	python3 -m venv $(VENV)
@@ -44,6 +44,9 @@
 bench-quarantine: $(SETUP)
 	$(PY) -m bench.quarantine
 
+bench-ranks: $(SETUP)
+	$(PY) -m bench.ranks
+
 bench-streams: $(SETUP)
 	$(PY) -m bench.streams
 
