--- a/packages/wheatslip/wheatslip/admission/ticket.py
+++ b/packages/wheatslip/wheatslip/admission/ticket.py
@@ -6,6 +6,8 @@
 from wheatslip.outcome import NotRun
 
 DEFAULT_URGENT_SHARE = 0.25  # largest part of urgent starts while other requests wait
+# The same where calls have ranks: urgent calls are part of requests that run already.
+RANKED_URGENT_SHARE = 0.75
 
 
 @dataclass(slots=True, eq=False)
@@ -31,8 +33,13 @@
 
 @dataclass(frozen=True, slots=True)
 class AdmissionSettings:
-    """Settings of one gate. If `slots` is 0, the concurrency limit is adaptive."""
+    """Settings of one gate. If `slots` is 0, the concurrency limit is adaptive.
+
+    With `has_ranks`, the configuration gives calls ranks, and urgent calls go before all ranks
+    also when the queue is full.
+    """
 
     slots: int = 0
     queue: int = 64
     urgent_share: float = DEFAULT_URGENT_SHARE
+    has_ranks: bool = False
