Run the traffic of workspaces to the end of a soak, and test it

The traffic of workspaces ended with the schedule, up to six seconds before the usual traffic, so in a soak of 30 s a removed credential was hardly used after its removal counted.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -101,7 +101,7 @@
         for workspace, credential, kind, rate in ROUTED_TRAFFIC if by_routes else ():
             rng = Random(f"calls {credential} {seed}")
             one = Caller(cluster.session, workspace, credential, rng, by_routes=True)
-            sending = _send_routed_traffic(one, cluster, kind, rate, schedule_done)
+            sending = _send_routed_traffic(one, cluster, kind, rate, seconds, schedule_done)
             routed_callers.append(one)
             routed_senders.append(asyncio.create_task(sending))
         fatal_sender = asyncio.create_task(
@@ -218,11 +218,18 @@
 
 
 async def _send_routed_traffic(
-    caller: Caller, cluster: Cluster, kind: str, rate: float, schedule_done: asyncio.Event
+    caller: Caller,
+    cluster: Cluster,
+    kind: str,
+    rate: float,
+    seconds: float,
+    schedule_done: asyncio.Event,
 ) -> None:
-    """Send Poisson traffic of one kind to all entries until the schedule is done."""
+    """Send Poisson traffic of one kind to all entries, as long as `_send_traffic`."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + seconds
     tasks = set()
-    while not schedule_done.is_set():
+    while loop.time() < end or not schedule_done.is_set():
         await asyncio.sleep(caller.rng.expovariate(rate))
         member = caller.rng.choice(list(cluster.members.values()))
         port, name = member.instance.entry_port, member.plan.name
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -287,6 +287,13 @@
     assert len(breaches) == 1 and promise in breaches[0]
 
 
+def test_a_short_soak_with_routes_breaks_no_promise(tmp_path):
+    """Real daemons under faults: a workspace above its limit, a credential that is removed."""
+    history = asyncio.run(soak(tmp_path, 3, 30.0, by_routes=True))
+    assert find_violations(history) == []
+    assert history.removals and len(history.workspace_limits) >= 4
+
+
 @pytest.mark.parametrize("seed", [3, 11])
 def test_a_short_soak_breaks_no_promise(seed, tmp_path):
     history = asyncio.run(soak(tmp_path, seed, 20.0))
