--- a/packages/wheatslipd/wheatslipd/gate/peerport.py
+++ b/packages/wheatslipd/wheatslipd/gate/peerport.py
@@ -11,16 +11,18 @@
 from wheatslip.admission import Ticket
 from wheatslip.attempts import SERVER_ERROR
 from wheatslip.backendload import decode_backend_load
-from wheatslip.call import UNLIMITED, Call
+from wheatslip.call import COMMON_RANK, UNLIMITED, Call, CallClass
 from wheatslip.hop import (
     HOP_HEADER,
     LOAD_HEADER,
     NOTICE_HEADER,
     OUTCOME_HEADER,
+    RANK_HEADER,
     SUSPECT_HEADER,
     Hop,
     decode_hop,
     decode_notice,
+    decode_rank,
     encode,
 )
 from wheatslip.ledger import Claim, KeptAnswer, KeyState, key_time
@@ -53,7 +55,7 @@
 from wheatslipd.http.identity import host_of, path_of
 from wheatslipd.http.messages import Headers, RequestHead, ResponseHead
 from wheatslipd.settings import HeaderNames
-from wheatslipd.telemetry.metrics import Metrics
+from wheatslipd.telemetry.metrics import Metrics, priority_label
 from wheatslipd.telemetry.outcometext import describe
 from wheatslipd.telemetry.tracing import TRACEPARENT, HopTrace, HopTracer
 
@@ -140,9 +142,10 @@
         if hop is None or (hop.key and key_time(hop.key) is None):
             return NotRun(Reason.BAD_REQUEST)
         request_id = exchange.head.get(self._names.request_id) or b""
-        identified = self._identify(
-            hop, decode_call(hop, self._clock(), request_id.decode("latin-1")), exchange.head
-        )
+        # An entry sends no rank if it is the common one, or if its version has no ranks.
+        rank = decode_rank(exchange.head.get(RANK_HEADER) or b"") or COMMON_RANK
+        sent_call = decode_call(hop, self._clock(), request_id.decode("latin-1"), rank)
+        identified = self._identify(hop, sent_call, exchange.head)
         if isinstance(identified, NotRun):
             return identified
         call, workspace = identified
@@ -248,10 +251,21 @@
             if refusal is not None:
                 return refusal
             ticket = await self._gate.start_call(request.call, max_wait)
+            if self._gate.admission.settings.has_ranks:
+                self._count_by_priority(request.call, ticket)
             if isinstance(ticket, NotRun):
                 return ticket
             return await self._run_started(request, ticket, kept)
 
+    def _count_by_priority(self, call: Call, ticket: Ticket | NotRun) -> None:
+        is_urgent = call.call_class is CallClass.URGENT
+        self._metrics.priority_admissions.inc(
+            {
+                "priority": "urgent" if is_urgent else priority_label(call.rank.route_priority),
+                "outcome": describe(ticket) if isinstance(ticket, NotRun) else "started",
+            }
+        )
+
     async def _run_started(
         self, request: ForwardedRequest, ticket: Ticket, kept: KeptAnswer | None
     ) -> Outcome:
