Keep the opening of a stream and a slow platform out of confirmations

Cause: found on reading: the time before connecting counted against the age of each confirmation of a stream, and a follower that asks the platform itself read no updates meanwhile, without end if the store answers the head but not the bundle. Change: the stream is connected before the time is taken; the own question ends after its interval. Evidence: test_unconfirmed, test_slow_links, test_silent_sources and test_relay pass.

--- a/packages/wheatslipd/wheatslipd/feed/parentfollower.py
+++ b/packages/wheatslipd/wheatslipd/feed/parentfollower.py
@@ -187,4 +187,7 @@
         """
         if self._confirm_interval and now >= self._confirmed_at + self._confirm_interval:
             self._confirmed_at = now
-            await self._reader.refresh_head()
+            with suppress(TimeoutError):
+                # Updates of the parent must not wait until the platform answers.
+                async with asyncio.timeout(self._confirm_interval):
+                    await self._reader.refresh_head()
--- a/packages/wheatslipd/wheatslipd/feed/relay.py
+++ b/packages/wheatslipd/wheatslipd/feed/relay.py
@@ -183,6 +183,7 @@
     try:
         async with method.open() as stream:
             async with asyncio.timeout(SILENCE_TIMEOUT_SECONDS):
+                await stream.send_request()  # connects, so that `asked_at` does not include it
                 asked_at = monotonic()
                 await stream.send_message(cursor, end=True)
             while True:
