Test the workspace header on the workspace interface and older entries without confirmation

Cause: two ways of a credential had no test: the workspace interface with [headers] workspace, and an older entry whose gate has no confirmed configuration.

--- a/test/helper.py
+++ b/test/helper.py
@@ -179,10 +179,12 @@
         pool: str = "papers",
         zone: str = "one",
         prepare_backend: Callable[[BackendStandIn], object] = lambda backend: None,
+        extra_settings: str = "",
     ) -> Node:
         """Start a backend server and its daemon, and list the instance.
 
-        `prepare_backend` is called with the server before it listens.
+        `prepare_backend` is called with the server before it listens. `extra_settings` are more
+        sections of the daemon's settings.
         """
         behaviour = behaviour or Behaviour(slots=4, service=0.001)
         backend = BackendStandIn(name, behaviour, Random(SEED))
@@ -194,7 +196,7 @@
             f"[peer]\nplain-text = yes\n"
             f"[backend]\nport = {backend.server.port}\n"
             f"[platform]\naddress = {self._address}\n"
-            f"[operators]\nkeyring = {self.folder}\n",
+            f"[operators]\nkeyring = {self.folder}\n{extra_settings}",
             name,
         ).unwrap()
         daemon = await self.start_daemon(settings, unix=self.clock)
--- a/test/test_identity.py
+++ b/test/test_identity.py
@@ -11,6 +11,7 @@
 from eliot import add_destinations, remove_destination
 from wheatslip.attempts import Attempts
 from wheatslip.call import COMMON_RANK, CallClass, Rank
+from wheatslip.config.bundle import credential_digest
 from wheatslip.hop import HOP_HEADER, decode_hop
 from wheatslip.quarantine import Quarantine
 from wheatslipd.entry import forward, sendguard
@@ -20,7 +21,7 @@
 
 from standins.cluster import HOST, eventually
 from standins.plainbackend import ServerFault
-from test.helper import run
+from test.helper import BUNDLE, Installation, bundle, run
 from test.routed_fleet import configuration, fleet
 
 IDENTITY_HEADERS = "credential = Key\nworkspace = Tenant"
@@ -385,3 +386,46 @@
     run(scenario)
     (call,) = calls
     assert (call.workspace, call.call_class, call.rank) == expected
+
+
+def test_on_the_workspace_interface_the_entry_sets_the_workspace_header(tmp_path):
+    """Guards against a credential or a forged name that reaches a backend server there."""
+    heads = []
+
+    def record_heads(backend):
+        handle = backend.server._handler
+
+        async def recorded(exchange):
+            heads.append(exchange.head)
+            await handle(exchange)
+
+        backend.server._handler = recorded
+
+    async def scenario():
+        async with Installation(tmp_path) as installation:
+            node = await installation.add(
+                "papers-1",
+                prepare_backend=record_heads,
+                extra_settings=f"[headers]\n{IDENTITY_HEADERS}\n",
+            )
+            digests = [credential_digest(credential) for credential in ("alpha-secret", KEY)]
+            text = BUNDLE.replace(digests[0], ", ".join(digests))
+            await installation.release(bundle(text))
+            await installation.ready()
+            url = f"http://{HOST}:{node.entry}/x"
+            for credential, expected in (("alpha-secret", 200), (KEY, 200), (OTHER_KEY, 401)):
+                headers = {
+                    "Authorization": f"Bearer {credential}",
+                    "Wheatslip-Service": "papers",
+                    "Key": "other",
+                    "Tenant": "forged",
+                    "X-Request": credential[:5],
+                }
+                async with installation.session.get(url, headers=headers) as answer:
+                    assert answer.status == expected
+
+    run(scenario)
+    requests = [dict(head.headers) for head in heads if head.get(b"x-request")]
+    assert [request[b"tenant"] for request in requests] == [b"alpha", b"alpha"]
+    assert [r[b"wheatslip-workspace"] for r in requests] == [b"alpha", b"alpha"]
+    assert not [r for r in requests if b"key" in r or b"authorization" in r]
--- a/test/test_unconfirmed.py
+++ b/test/test_unconfirmed.py
@@ -21,6 +21,7 @@
 
 from fleet_standins.store import Fault
 from standins.cluster import HOST, eventually
+from standins.plainbackend import ServerFault
 from test.helper import run
 from test.test_identity import KEY, NEW_KEY, events, guarded_fleet, tenants_configuration
 
@@ -167,6 +168,35 @@
     run(scenario)
 
 
+def test_a_gate_accepts_no_credential_of_an_older_entry_without_a_confirmation():
+    """Guards against a removed credential by way of an entry that knows no limit.
+
+    The answer must be one that the previous version passes on as not run.
+    """
+
+    async def scenario():
+        options = OPTIONS | {"without_extra_headers": frozenset("a")}
+        async with guarded_fleet("a", "b", **options) as cluster:
+            cluster.backends["a"].fault = ServerFault.SHED  # all requests go on to b
+            await eventually_status(cluster, "a", 200)
+            silent_since = time.monotonic()
+            cluster.store.fault = Fault.SILENT
+            await asyncio.sleep(max(0.0, silent_since + LIMIT_SECONDS - time.monotonic()))
+            before = len(cluster.backends["b"].received)
+            assert await status_of(cluster, "a") == 503
+            assert len(cluster.backends["b"].received) == before
+            assert await status_of(cluster, "a", "/open/1", None) == 200
+
+    run(scenario)
+
+
+async def eventually_status(cluster, name, status):
+    async def has_status():
+        return await status_of(cluster, name) == status
+
+    await eventually(has_status)
+
+
 def cache_with_bundle(version=1):
     cache = FeedCache()
     store_bundle(cache, version)
