Keep slots of a backend server free for short requests

A request whose work makes calls fails with them, and its own work is then lost.

Requests that take at most half of a server's mean time may use short-slot-share of the slots. Long ones still leave them free. The setting is 0 (off) by default.

--- a/packages/wheatslip/wheatslip/admission/__init__.py
+++ b/packages/wheatslip/wheatslip/admission/__init__.py
@@ -15,9 +15,15 @@
 from wheatslip.admission.closures import ClosedBy
 from wheatslip.admission.coldstart import ColdRate, ColdStartLimiter, cold_rate
 from wheatslip.admission.slowserver import NEEDLESS_REFUSAL_COST
-from wheatslip.admission.ticket import RANKED_URGENT_SHARE, AdmissionSettings, Ticket
+from wheatslip.admission.ticket import (
+    DEFAULT_URGENT_SHARE,
+    RANKED_URGENT_SHARE,
+    AdmissionSettings,
+    Ticket,
+)
 
 __all__ = [
+    "DEFAULT_URGENT_SHARE",
     "NEEDLESS_REFUSAL_COST",
     "RANKED_URGENT_SHARE",
     "Admission",
--- a/packages/wheatslip/wheatslip/admission/admission.py
+++ b/packages/wheatslip/wheatslip/admission/admission.py
@@ -16,6 +16,7 @@
 | the server is slow, and the sender can try others | refused | `should_try_elsewhere` |
 | there is capacity, the queue is empty, and it need not wait for the end of a slow period \
 | starts | `_start_if_possible` |
+| it is short, and one of the slots for short requests only is free | starts | `_start_short` |
 | the expected wait is longer than the sender accepts | refused | `arrive` |
 | it would miss its deadline after the wait | refused | `is_too_late` |
 | the wait for other requests would make it miss its target | refused | `_misses_target` |
@@ -149,7 +150,7 @@
         if should_try_elsewhere(self.timing, call, max_wait, now):
             return overloaded_refusal(0.0)
         ticket = Ticket(call, now, max_wait=max_wait)
-        if self._start_if_possible(ticket, now):
+        if self._start_if_possible(ticket, now) or self._start_short(ticket, now):
             return ticket
         wait = self.expected_wait(call, now)
         if self._is_wait_useless(ticket, wait, now):
@@ -272,6 +273,18 @@
         slot_wait = (ahead + 1) / self.limit.value * self.timing.current_service_time(now)
         return max(slot_wait, self._rate_wait(ahead, now))
 
+    def _start_short(self, ticket: Ticket, now: float) -> bool:
+        """Starts a short request in a slot that other requests may not use; returns whether it
+        was started.
+        """
+        has_slot = self.in_flight < self.settings.short_slots
+        if not has_slot or self._rate_wait(0, now) > 0 or not self.timing.is_short(ticket.call):
+            return False
+        if should_wait_out_slow_period(self.timing, ticket.call, now):
+            return False
+        self._start_ticket(ticket, now)
+        return True
+
     def _rate_wait(self, ahead: int, now: float) -> float:
         """Seconds until the rate limits let a request with `ahead` others before it start."""
         return max(self.cold.wait(ahead, now), self.named_limit.wait(ahead, now))
--- a/packages/wheatslip/wheatslip/admission/ticket.py
+++ b/packages/wheatslip/wheatslip/admission/ticket.py
@@ -35,6 +35,8 @@
 class AdmissionSettings:
     """Settings of one gate. If `slots` is 0, the concurrency limit is adaptive.
 
+    Short requests may use `short_slots`, all others only `slots`, so that a long request does
+    not make the calls of other servers wait (0: all use `slots`).
     With `has_ranks`, the configuration gives calls ranks, and urgent calls go before all ranks
     also when the queue is full.
     """
@@ -43,3 +45,4 @@
     queue: int = 64
     urgent_share: float = DEFAULT_URGENT_SHARE
     has_ranks: bool = False
+    short_slots: int = 0
--- a/packages/wheatslip/wheatslip/admission/timing.py
+++ b/packages/wheatslip/wheatslip/admission/timing.py
@@ -38,6 +38,8 @@
 
 SAME_SLOWNESS_RATIO = 1.3  # largest ratio of two values that count as the same speed
 UNSEEN_KIND_SHARE = 0.3  # of the time to the target: service time of a kind without samples
+# Largest service time of a short request, as a part of the server's mean.
+SHORT_REQUEST_SHARE = 0.5
 STALL_AGE_FACTOR = 2  # mean age of running requests, in mean service times; normally up to 1
 
 # Largest parts of the remaining time that a request may take after its latest start.
@@ -133,6 +135,13 @@
             return UNSEEN_KIND_SHARE * max(0.0, call.target - now)
         return self.usual_service_time(now)
 
+    def is_short(self, call: Call) -> bool:
+        """Whether calls of this kind take much less time than the server's mean request."""
+        mean_time = self._times.mean(call.kind.name)
+        if mean_time is None:
+            return False
+        return mean_time <= SHORT_REQUEST_SHARE * self.limit.service_time
+
     def base_call_time(self, call: Call, now: float) -> float:
         """Estimated service time of a call in seconds outside slow periods."""
         return self.usual_call_time(call, now) * self.speed.base_slowness
--- a/packages/wheatslipd/wheatslipd/controllers/lifecycle.py
+++ b/packages/wheatslipd/wheatslipd/controllers/lifecycle.py
@@ -1,8 +1,10 @@
 """Controller of draining, a bundle's limits, the local backend server and version hints."""
 
+import dataclasses
+
 from circuits import Component
 from msgspec import UNSET
-from wheatslip.admission import RANKED_URGENT_SHARE, AdmissionSettings
+from wheatslip.admission import DEFAULT_URGENT_SHARE, RANKED_URGENT_SHARE
 from wheatslip.config.bundle import Bundle
 from wheatslip.store.instances import Instance
 from wheatslip.store.registration import RegisteredServer
@@ -67,8 +69,15 @@
             return
         admission = self._gate.admission
         slots = self._local_backend.apply_pool(pool) if self._local_backend else pool.slots
+        has_ranks = self._has_ranks(bundle)
         admission.resize(
-            _admission_settings(slots, pool.queue, has_ranks=self._has_ranks(bundle))
+            dataclasses.replace(
+                admission.settings,
+                slots=slots,
+                queue=pool.queue,
+                urgent_share=RANKED_URGENT_SHARE if has_ranks else DEFAULT_URGENT_SHARE,
+                has_ranks=has_ranks,
+            )
         )
         admission.set_shares({w.name: w.share for w in bundle.workspaces})
         self._server_side.backend.set_connection_limit(pool.connections)
@@ -104,9 +113,3 @@
         """Fetch `version` from the daemon at `address` if it is newer than the one in force."""
         if version > self._view.version:
             self._feed.handle_version_hint(version, address)
-
-
-def _admission_settings(slots: int, queue: int, *, has_ranks: bool) -> AdmissionSettings:
-    if not has_ranks:
-        return AdmissionSettings(slots, queue)
-    return AdmissionSettings(slots, queue, RANKED_URGENT_SHARE, has_ranks=True)
--- a/packages/wheatslipd/wheatslipd/registration/localbackend.py
+++ b/packages/wheatslipd/wheatslipd/registration/localbackend.py
@@ -130,8 +130,11 @@
             self._reset_for_new_server(registered)
         self._start = registered.start
         self._slots = max(1, int(registered.slots * self._settings.slot_share))
+        short_slots = int(registered.slots * self._settings.short_slot_share)
         admission = self._gate.admission
-        admission.resize(dataclasses.replace(admission.settings, slots=self._slots))
+        admission.resize(
+            dataclasses.replace(admission.settings, slots=self._slots, short_slots=short_slots)
+        )
 
     def _reset_for_new_server(self, registered: RegisteredServer) -> None:
         if self._settings.headers.load:
--- a/packages/wheatslipd/wheatslipd/settings.py
+++ b/packages/wheatslipd/wheatslipd/settings.py
@@ -128,6 +128,7 @@
     fleet_budget: FleetBudget | None
     registration_port: int | None  # None: the platform lists the instances
     slot_share: float
+    short_slot_share: float  # 0: short requests have no slots of their own
     cold_overage: float
     cold_slack: float
     recovery_probe: float
@@ -221,6 +222,7 @@
         fleet_budget=_fleet_budget(sections["retries"]),
         registration_port=_registration_port(sections["registration"]),
         slot_share=backend.number("slot-share", 1.0, 0.1, 1.0),
+        short_slot_share=backend.number("short-slot-share", 0.0, 0.0, 1.0),
         cold_overage=backend.number("cold-overage", 1.0, 0.1, 1000.0),
         cold_slack=backend.number("cold-slack", 0.0, 0.0, 1e6),
         recovery_probe=backend.duration("recovery-probe", 0.1),
