--- a/test/helper.py
+++ b/test/helper.py
@@ -198,8 +198,7 @@
             f"[peer]\nplain-text = yes\n"
             f"[backend]\nport = {backend.server.port}\n"
             f"[platform]\naddress = {self._address}\n"
-            f"[operators]
-keyring = {self.folder}
+            f"[operators]\nkeyring = {self.folder}\n{self.extra_settings}{extra_settings}",
 {self.extra_settings}{extra_settings}",
             name,
         ).unwrap()
