--- a/test/helper.py
+++ b/test/helper.py
@@ -199,7 +199,6 @@
             f"[backend]\nport = {backend.server.port}\n"
             f"[platform]\naddress = {self._address}\n"
             f"[operators]\nkeyring = {self.folder}\n{self.extra_settings}{extra_settings}",
-{self.extra_settings}{extra_settings}",
             name,
         ).unwrap()
         daemon = await self.start_daemon(settings, unix=self.clock, **self.daemon_options)
