Decide in one place whether callers need credentials

The gate took ranks for in use where workspaces of an INI bundle have credentials but no header for them is configured, so urgent calls would have had three quarters of the starts in a deployment that identifies nobody.

--- a/packages/wheatslip/wheatslip/config/bundle.py
+++ b/packages/wheatslip/wheatslip/config/bundle.py
@@ -131,7 +131,8 @@
 
     `timeout` and `target` are in seconds. `timeout` limits a request even if its own deadline
     is later. `target` is the response time after which a response has little value; 0 means the
-    timeout. Requests with `priority` 0 go first; all other priorities are equal. `max_attempts`
+    timeout. Requests with `priority` 0 go first; all other priorities are equal, except where
+    callers need credentials (`Rank`). `max_attempts`
     is the maximum number of backend servers that a request is sent to. Requests of an `open`
     route need no credential.
     """
@@ -158,6 +159,17 @@
     format: int = FORMAT
     routes: tuple[Route, ...] = ()
 
+    @property
+    def requires_credentials(self) -> bool:
+        """Whether any workspace has a list of credentials, even if it is empty because the last
+        one was removed.
+        """
+        return any(
+            workspace.credential_sha256
+            or workspace.more_credentials_sha256 is not msgspec.UNSET
+            for workspace in self.workspaces
+        )
+
     def canonical(self) -> bytes:
         """Returns the bytes that are hashed and signed: JSON with sorted keys."""
         return msgspec.json.encode(self, order="sorted")
--- a/packages/wheatslipd/wheatslipd/controllers/lifecycle.py
+++ b/packages/wheatslipd/wheatslipd/controllers/lifecycle.py
@@ -3,7 +3,6 @@
 import dataclasses
 
 from circuits import Component
-from msgspec import UNSET
 from wheatslip.admission import DEFAULT_URGENT_SHARE, RANKED_URGENT_SHARE
 from wheatslip.config.bundle import Bundle
 from wheatslip.store.instances import Instance
@@ -85,10 +84,10 @@
 
     def _has_ranks(self, bundle: Bundle) -> bool:
         """Whether callers by routes need a credential, so that entries give calls ranks."""
-        return self._settings.interface is Interface.ROUTES and any(
-            w.credential_sha256 or w.more_credentials_sha256 is not UNSET
-            for w in bundle.workspaces
+        is_identified = self._settings.interface is Interface.ROUTES and bool(
+            self._settings.headers.credential
         )
+        return is_identified and bundle.requires_credentials
 
     def backend_registered(self, registered: RegisteredServer) -> None:
         """Apply the registration of the local backend server, and publish it."""
--- a/packages/wheatslipd/wheatslipd/controllers/view.py
+++ b/packages/wheatslipd/wheatslipd/controllers/view.py
@@ -8,7 +8,6 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from msgspec import UNSET
 from wheatslip.config.bundle import Bundle, Pool, Service, Workspace
 from wheatslip.config.routes import RouteTable
 from wheatslip.config.zonedrains import ZoneDrains
@@ -28,11 +27,7 @@
 
 
 class Configuration:
-    """A bundle in force, indexed for lookups.
-
-    `requires_credentials` tells whether a request by routes needs a credential: any workspace
-    has a list of credentials, even if it is empty because the last one was removed.
-    """
+    """A bundle in force, indexed for lookups."""
 
     def __init__(self, bundle: Bundle):
         self.version = bundle.version
@@ -40,10 +35,7 @@
         self.pools: dict[str, Pool] = {p.name: p for p in bundle.pools}
         self.routes = RouteTable(bundle.routes)
         self._by_credential = {c: w for w in bundle.workspaces for c in w.credentials}
-        self.requires_credentials = any(
-            workspace.credential_sha256 or workspace.more_credentials_sha256 is not UNSET
-            for workspace in bundle.workspaces
-        )
+        self.requires_credentials = bundle.requires_credentials
 
     def workspace_of(self, credential_sha256: str) -> Workspace | None:
         return self._by_credential.get(credential_sha256)
--- a/test/test_rank_wire.py
+++ b/test/test_rank_wire.py
@@ -13,7 +13,7 @@
 from wheatslipd.entry.routefilter import RouteFilter
 from wheatslipd.gate import peerport
 from wheatslipd.gate.forwardedrequest import decode_call
-from wheatslipd.settings import Interface
+from wheatslipd.settings import HeaderNames, Interface
 
 from test.helper import run
 from test.routed_fleet import fleet
@@ -91,7 +91,7 @@
     return [line for line in lines if line.startswith("wheatslip_priority_admissions_total{")]
 
 
-def settings_of_gate(interface, *workspaces):
+def settings_of_gate(interface, *workspaces, credential=b"key"):
     """The settings of a gate after a bundle with these workspaces."""
     admission = Admission(AdmissionSettings())
     server_side = SimpleNamespace(
@@ -99,7 +99,8 @@
         backend=SimpleNamespace(set_connection_limit=lambda limit: None),
         idle_probe=SimpleNamespace(budget=SimpleNamespace(per_second=0.0)),
     )
-    settings = SimpleNamespace(pool="papers", interface=interface)
+    headers = HeaderNames(credential=credential)
+    settings = SimpleNamespace(pool="papers", interface=interface, headers=headers)
     lifecycle = Lifecycle(settings, View(), server_side, None, None)
     pool = Pool("papers", slots=4, queue=16)
     lifecycle.bundle_in_force(Bundle(2, workspaces=workspaces, pools=(pool,)))
@@ -115,4 +116,5 @@
     assert settings_of_gate(Interface.ROUTES, all_removed) == RANKED
     assert settings_of_gate(Interface.ROUTES, without) == usual
     assert settings_of_gate(Interface.ROUTES) == usual
+    assert settings_of_gate(Interface.ROUTES, with_credential, credential=b"") == usual
     assert settings_of_gate(Interface.WORKSPACE, with_credential) == usual
