--- a/test/test_quota_replay.py
+++ b/test/test_quota_replay.py
@@ -13,6 +13,7 @@
 WORKSPACES = 84
 LARGEST_RATE = 110.0  # requests a second
 DEMAND_SHARE = 0.62  # of the limit
+MIN_BURST = 10.0  # with 5, chance alone refuses 1 in 100 Poisson arrivals at this share
 HOT_FACTOR = 7.0  # times the usual demand
 SECONDS = 30.0
 SETTLED = 15.0  # seconds after the start; the buckets start with few tokens and half rate
@@ -27,7 +28,7 @@
 
 def limit_of(number, burst_seconds):
     rate = demand(number) / DEMAND_SHARE
-    return Limit(1, rate, max(10.0, burst_seconds * rate))
+    return Limit(1, rate, max(MIN_BURST, burst_seconds * rate))
 
 
 class Replay:
@@ -102,7 +103,7 @@
     """
     used, refused = Replay(entry_of, burst_seconds=burst_seconds).run()
     assert refused_share(used, refused) < maximum
-    assert refused_share(used, refused, "w0") < maximum
+    assert max(refused_share(used, refused, workspace) for workspace in used) < maximum
 
 
 @pytest.mark.parametrize("burst_seconds", [0.0, 1.0])
