--- a/packages/wheatslip/wheatslip/admission/slowserver.py
+++ b/packages/wheatslip/wheatslip/admission/slowserver.py
@@ -20,8 +20,11 @@
 from wheatslip.admission.timing import ServiceTiming
 from wheatslip.call import UNLIMITED, Call
 
-MAX_SHARE_OF_TARGET = 0.9  # of the time left to it; below 1 for the error of the estimate
-# Of a refusal by a server that is fast again; the value of a response within its target is 1.
+# Of the time left to it; below 1 for the error of the estimate. A lower share needlessly sends
+# calls to other servers, which costs a try.
+MAX_SHARE_OF_TARGET = 0.9
+# Of a refusal by a server that is fast again, which costs a try at another server or a wait for
+# a probe; the value of a response within its target is 1.
 NEEDLESS_REFUSAL_COST = 0.1
 
 
--- a/packages/wheatslip/wheatslip/admission/ticket.py
+++ b/packages/wheatslip/wheatslip/admission/ticket.py
@@ -5,6 +5,7 @@
 from wheatslip.call import UNLIMITED, Call
 from wheatslip.outcome import NotRun
 
+# A larger share starves the other requests, a smaller one makes urgent requests wait.
 DEFAULT_URGENT_SHARE = 0.25  # largest part of urgent starts while other requests wait
 # The same where calls have ranks: urgent calls are part of requests that run already.
 RANKED_URGENT_SHARE = 0.75
--- a/packages/wheatslip/wheatslip/admission/timing.py
+++ b/packages/wheatslip/wheatslip/admission/timing.py
@@ -36,16 +36,22 @@
 from wheatslip.servicetimes import ServiceTimes
 from wheatslip.speed import SLOW_THRESHOLD, USUAL_SLOWNESS, SpeedModel
 
+# With a lower ratio few service times are used, with a higher one the usual time includes some
+# from slow periods.
 SAME_SLOWNESS_RATIO = 1.3  # largest ratio of two values that count as the same speed
+# A lower share lets such a request wait too long, a higher one refuses it needlessly.
 UNSEEN_KIND_SHARE = 0.3  # of the time to the target: service time of a kind without samples
 # Largest service time of a short request, as a part of the server's mean.
 SHORT_REQUEST_SHARE = 0.5
 STALL_AGE_FACTOR = 2  # mean age of running requests, in mean service times; normally up to 1
 
-# Largest parts of the remaining time that a request may take after its latest start.
+# Largest parts of the remaining time that a request may take after its latest start. Larger
+# ones take slots from requests in time, smaller ones refuse requests whose late response still
+# has value.
 LATE_START_TARGET_SHARE = 1.5  # of the time to the target
 LATE_START_DEADLINE_SHARE = 0.4  # of the time to the deadline
-# If half of the slots are free: the request delays no others. Below 1 for estimate errors.
+# If half of the slots are free: the request delays no others. Below 1 for estimate errors. The
+# refusal of a nested request would fail the request that made it.
 LATE_START_DEADLINE_SHARE_IDLE = 0.8
 
 
--- a/packages/wheatslip/wheatslip/attempts.py
+++ b/packages/wheatslip/wheatslip/attempts.py
@@ -46,7 +46,9 @@
 from wheatslip.retryafter import NO_SERVER
 from wheatslip.upstream import Upstream
 
-MAX_TRIES = 6  # per call, including those that `Call.max_attempts` does not count
+# Per call. `Call.max_attempts` does not count tries that no backend server receives, since they
+# cost only messages.
+MAX_TRIES = 6
 SERVER_ERROR = 500  # lowest HTTP status that is a failure of the backend server
 
 
--- a/packages/wheatslip/wheatslip/budget.py
+++ b/packages/wheatslip/wheatslip/budget.py
@@ -11,10 +11,14 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-RETRY_SHARE = 0.1  # tokens added per request, i.e. retries allowed per request
+# Tokens added per request, i.e. retries allowed per request. A lower share lets single failures
+# reach callers, a higher one adds load to servers that fail because of load.
+RETRY_SHARE = 0.1
 INITIAL_TOKENS = 3.0  # allows retries before the first tokens are earned
 MAX_TOKENS = 20.0  # limits a burst of retries
-WINDOW_BUCKETS = 20  # time resolution of a sliding window
+# Time resolution of a sliding window. More buckets use more memory; with fewer ones requests
+# leave the window in larger steps, so fewer retries are allowed.
+WINDOW_BUCKETS = 20
 
 
 class Budget(Protocol):
--- a/packages/wheatslip/wheatslip/callerwait.py
+++ b/packages/wheatslip/wheatslip/callerwait.py
@@ -8,7 +8,9 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-# The longest deadline of a route is taken from the current and the previous window.
+# The longest deadline of a route is taken from the current and the previous window. A shorter
+# window loses it in a pause between first attempts; a longer one overestimates waits for longer
+# after callers have begun to send shorter deadlines.
 DEADLINE_WINDOW_SECONDS = 10.0
 MAX_ROUTES = 10_000  # limits memory; the oldest route is evicted
 # Of the longest deadline, for a first attempt; below 1, since writing a request takes time.
--- a/packages/wheatslip/wheatslip/chooser.py
+++ b/packages/wheatslip/wheatslip/chooser.py
@@ -45,16 +45,21 @@
 
 __all__ = ["Chooser", "ChooserSettings", "Upstream"]
 
+# The load at a server changes completely in about one service time.
 REPORT_DECAY_SERVICE_TIMES = 4.0  # in which the weight of a load report decays to 1/e
 OWN_WEIGHT = 2.0  # of this entry's requests in flight, in the utilization of a server
 REPORT_WEIGHT = 0.5  # of the reported load in the utilization; a high one causes herding
-POOL_LOAD_WEIGHT = 0.05  # weight of one report in the mean load and mean limit of a pool
+# Of one report in the mean load and mean limit of a pool: about the last 20 reports count.
+POOL_LOAD_WEIGHT = 0.05
 MIN_SERVICE_SECONDS = 1e-6  # avoids a division by zero
 EQUAL_SERVICE_RATIO = 1.5  # service times up to this ratio count as equal, to ignore noise
 # Of the picks, for a new upstream; above 0, since without requests it sends no reports.
 MIN_WARM_UP_SHARE = 0.05
+# A longer decay avoids servers that are fast again, a shorter one returns to slow ones.
 SLOWNESS_DECAY_SECONDS = 0.05  # time in which a reported slowness decays to 1/e
-COST_JITTER = 0.02  # largest random increase of a cost, relative to the cost
+# Largest random increase of a cost, relative to it: above rounding errors, below relevant
+# differences.
+COST_JITTER = 0.02
 MIN_OTHER_ZONE_CANDIDATES = 2  # so that an overloaded zone detects free capacity elsewhere
 FULL_WAIT_SERVICE_TIMES = 1.0  # expected wait at a server at its limit
 WAIT_EXPONENT = 2  # of the utilization, in the wait at a server below its limit
--- a/packages/wheatslip/wheatslip/distribution/chunks.py
+++ b/packages/wheatslip/wheatslip/distribution/chunks.py
@@ -10,9 +10,9 @@
 import msgspec
 from result import Err, Ok, Result
 
-CHUNK_BYTES = 32 * 1024
+CHUNK_BYTES = 32 * 1024  # takes 0.05 s on a link of 650 kB/s
 COMPRESS_FROM_BYTES = 1024  # shorter messages are sent uncompressed
-ZLIB_LEVEL = 1  # the fastest level
+ZLIB_LEVEL = 1  # the fastest level; higher ones save little for the time that they take
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024  # after decompression; longer messages are rejected
 
 
--- a/packages/wheatslip/wheatslip/fingerprint.py
+++ b/packages/wheatslip/wheatslip/fingerprint.py
@@ -11,7 +11,9 @@
 
 # Of the beginning of a body; an entry buffers as much before a backend server gets the request.
 HASHED_BODY_BYTES = 64 * 1024
-DIGEST_BYTES = 9  # finding a second request with a given fingerprint takes about 2**72 tries
+# Finding a second request with a given fingerprint takes about 2**72 tries. Every daemon gets
+# the fingerprints in each end report, so a longer digest costs traffic.
+DIGEST_BYTES = 9
 _SEPARATOR = b"\0"  # cannot occur in a header or a request line
 
 
--- a/packages/wheatslip/wheatslip/idlelimit.py
+++ b/packages/wheatslip/wheatslip/idlelimit.py
@@ -8,7 +8,9 @@
 
 from dataclasses import dataclass
 
-IDLE_FRACTION = 0.5  # part of the idle time before a reset that is still allowed
+# Part of the idle time before a reset that is still allowed. With more the next connection may
+# be reset too, with less connections are opened needlessly.
+IDLE_FRACTION = 0.5
 # Time after the last such reset until the limit is dropped: the server may have been replaced.
 LIMIT_VALID_SECONDS = 10.0
 MIN_IDLE_SECONDS = 0.05  # a reset after a shorter idle time has another cause
--- a/packages/wheatslip/wheatslip/ledger.py
+++ b/packages/wheatslip/wheatslip/ledger.py
@@ -16,7 +16,8 @@
 # Limits for the answers kept for re-sends; a re-send without a kept answer gets "unknown".
 MAX_ANSWER_BYTES = 16 * 1024
 MAX_TOTAL_ANSWER_BYTES = 16 * 1024 * 1024
-# Largest difference to a caller's clock; with a larger one a re-sent key may run twice.
+# Largest difference to a caller's clock; with a larger one a re-sent key may run twice. The
+# larger it is, the more keys that were created around a start are not run.
 CALLER_CLOCK_SKEW_SECONDS = 2.0
 UUID7_VERSION = 7  # RFC 9562
 UUID7_TIME_SHIFT = 80  # bits below the time in milliseconds
--- a/packages/wheatslip/wheatslip/limit.py
+++ b/packages/wheatslip/wheatslip/limit.py
@@ -8,15 +8,19 @@
 from dataclasses import dataclass
 
 # Limits of concurrent requests.
-INITIAL_LIMIT = 8
+INITIAL_LIMIT = 8  # a higher one overloads a small server, a lower one leaves a large one idle
 MIN_LIMIT = 2  # avoids serial execution after the server was slow for some time
-MAX_LIMIT = 1000
+MAX_LIMIT = 1000  # a higher limit would protect nothing
 SERVICE_TIME_WEIGHT = 0.1  # of one response in the moving average
-# Ratios of a window's mean service time to the baseline at which the limit changes.
+# Ratios of a window's mean service time to the baseline at which the limit changes. If they are
+# closer to each other, the limit oscillates; if further apart, it does not adapt.
 GROW_BELOW_RATIO = 1.25
 SHRINK_ABOVE_RATIO = 1.6
+# A lower factor gives up slots for one bad window, a higher one prolongs an overload.
 SHRINK_FACTOR = 0.9  # applied to the limit once per window
-BASELINE_WEIGHT = 0.02  # of a slower window; low, since a short overload is not the baseline
+# Of a slower window; above 0, so that a lasting slowdown becomes the baseline, but low, since a
+# short overload is not the baseline.
+BASELINE_WEIGHT = 0.02
 INITIAL_SERVICE_TIME_SECONDS = 0.005  # assumed before the first response
 
 
--- a/packages/wheatslip/wheatslip/owners.py
+++ b/packages/wheatslip/wheatslip/owners.py
@@ -11,8 +11,10 @@
 
 MAX_MEMBERSHIPS = 256  # an eviction makes ownership seem shorter, so that fewer old keys run
 # After the last check of an owner's list: two watches without changes, a margin for the relays.
+# A shorter lease expires without a fault, a longer one delays keys whose owner is lost.
 OWNER_LEASE_SECONDS = 10.0
 # Largest clock difference allowed for; with a larger one two owners may act at the same time.
+# The larger it is, the later a new owner acts.
 DAEMON_CLOCK_SKEW_SECONDS = 2.0
 
 
--- a/packages/wheatslip/wheatslip/quarantine.py
+++ b/packages/wheatslip/wheatslip/quarantine.py
@@ -26,6 +26,7 @@
 
 SERVER_ENDS_KIND = "server-ends"  # kind of the platform objects that store reports
 # Above 2: a harmless request may run beside the same harmful one twice before reports arrive.
+# Not higher, since each harmful request ends that many servers.
 HOLD_AFTER_ENDS = 3
 REPORT_TTL_SECONDS = 300.0  # also the longest hold without new ends
 MAX_REPORTED_REQUESTS = 64  # requests reported for one end, the latest ones: about 1.3 kB
--- a/packages/wheatslip/wheatslip/runtracker.py
+++ b/packages/wheatslip/wheatslip/runtracker.py
@@ -9,11 +9,15 @@
 from dataclasses import dataclass
 
 # Times for which an unanswered request may be a suspect.
-CONNECTION_LOST_SECONDS = 0.5  # the end of a server is detected after its connections are lost
+# The connections of a process that ends are lost within milliseconds, but its end is detected
+# with a new connection, which may take some time.
+CONNECTION_LOST_SECONDS = 0.5
 CALLER_LEFT_SECONDS = 1.0  # the server may still run the request
 
+# The longer it is, the later a request is detected that starts to end servers.
 ANSWER_VALID_SECONDS = 30.0  # an answer exempts its request this long, at the next end only
 # Answers of about 150 bytes, and as many ended unanswered runs; the oldest are evicted.
+# Enough for the valid answers of a server with 30 answers per second.
 MAX_ANSWERS = 1024
 
 
--- a/packages/wheatslip/wheatslip/speed.py
+++ b/packages/wheatslip/wheatslip/speed.py
@@ -22,13 +22,19 @@
 from dataclasses import dataclass, field
 from math import exp
 
+# A lower threshold would treat ordinary noise as slowness, a higher one would send requests to
+# servers that are better avoided.
 SLOW_THRESHOLD = 1.3  # slowness from which a server counts as slow
 USUAL_SLOWNESS = 1.0
-BASE_WINDOW_SECONDS = 1.0  # the base is its lowest slowness; longer than a slow period
+# The base is the lowest slowness in it. It is longer than a slow period, which would become the
+# base otherwise; the longer it is, the longer a server that has warmed up counts as slow.
+BASE_WINDOW_SECONDS = 1.0
 # Reports must span this time to raise the base, since the first may come from a slow period.
 BASE_MIN_SPAN_SECONDS = 0.2
 MAX_REPORT_GAP_SECONDS = 0.25  # a whole period may lie in a longer gap, which is not used
-MAX_OBSERVED_SECONDS = 20.0  # per state; above it the statistics are halved
+# Per state; above it the statistics are halved. With less the probabilities are noisy, with
+# more they adapt late.
+MAX_OBSERVED_SECONDS = 20.0
 SLOW_FACTOR_WEIGHT = 0.1  # weight of one report in the moving average
 
 # Initial estimates for a server with few reports, and the observation time that they count as.
--- a/packages/wheatslip/wheatslip/upstream.py
+++ b/packages/wheatslip/wheatslip/upstream.py
@@ -10,6 +10,7 @@
 from wheatslip.hop import LoadReport
 from wheatslip.noticememory import NoticeMemory
 
+# Shorter pauses send requests to a lost server, longer ones leave a recovered server idle.
 FIRST_PAUSE_SECONDS = 0.2  # doubles with each consecutive failure
 MAX_PAUSE_SECONDS = 5.0  # before jitter, which multiplies a pause by 0.5 to 1.5
 # Time without a connection; longer than a restart or a short network failure.
--- a/packages/wheatslipd/wheatslipd/controllers/bus.py
+++ b/packages/wheatslipd/wheatslipd/controllers/bus.py
@@ -1,7 +1,8 @@
 """The event bus: circuits' event queue, flushed from the asyncio event loop.
 
-The event loop of circuits is not used. Firing an event schedules a flush in asyncio's loop, and
-the events that handlers fire are flushed in the same iteration.
+The event loop of circuits is not used, because it would poll beside asyncio's. Firing an event
+schedules a flush in asyncio's loop, and the events that handlers fire are flushed in the same
+iteration.
 """
 
 import asyncio
--- a/packages/wheatslipd/wheatslipd/entry/forward.py
+++ b/packages/wheatslipd/wheatslipd/entry/forward.py
@@ -37,8 +37,10 @@
 from wheatslipd.telemetry.tracing import TRACEPARENT
 
 WIRE_TIME_DECIMALS = 3  # of times in seconds in the hop header
-REPLAY_LIMIT_BYTES = 64 * 1024  # largest body that is buffered; a larger one is sent only once
-CONNECT_TIMEOUT_SECONDS = 0.25
+# Largest body that is buffered; a larger one is sent only once. Each request in progress may
+# buffer as much.
+REPLAY_LIMIT_BYTES = 64 * 1024
+CONNECT_TIMEOUT_SECONDS = 0.25  # a request waits as long for a lost machine
 # Reasons of refusals for which the backend server counts as failed.
 _SERVER_FAILURE_REASONS = frozenset(
     {Reason.UNREACHABLE, Reason.CONNECTION_LOST, Reason.SERVER_ENDED}
--- a/packages/wheatslipd/wheatslipd/feed/relay.py
+++ b/packages/wheatslipd/wheatslipd/feed/relay.py
@@ -29,7 +29,9 @@
 FOLLOW_METHOD = "/wheatslip.Relay/FollowInPieces"
 REPORT_METHOD = "/wheatslip.Relay/ReportEnds"
 HEARTBEAT_SECONDS = 0.5  # longest time between two updates of a stream
-MISSED_HEARTBEATS = 2.5  # heartbeat intervals without a chunk after which a parent has failed
+# Heartbeat intervals without a chunk after which a parent has failed: two, and half of one for
+# delays.
+MISSED_HEARTBEATS = 2.5
 SILENCE_TIMEOUT_SECONDS = MISSED_HEARTBEATS * HEARTBEAT_SECONDS
 # Heartbeat interval of a parent of the previous version, which does not send its own.
 DEFAULT_HEARTBEAT_SECONDS = 2.0
--- a/packages/wheatslipd/wheatslipd/feed/watchcheck.py
+++ b/packages/wheatslipd/wheatslipd/feed/watchcheck.py
@@ -6,11 +6,14 @@
 from wheatslipd.feed.access import PlatformAccess
 from wheatslipd.feed.reader import PlatformReader
 
-HEAD_REFRESH_SECONDS = 4.0  # interval; a refresh costs more than a stale read of the head
+# Interval; a refresh costs more than a stale read of the head. In between, a parent or stale
+# reads bring what a silent watch misses.
+HEAD_REFRESH_SECONDS = 4.0
 # Interval without a parent or stale reads; below 1 s, so that a check every 1 s can refresh.
 HEAD_REFRESH_WITHOUT_PARENT_SECONDS = 0.75
 REFRESH_PART_OF_INTERVAL = 0.9  # of the interval in which the head must be confirmed
-# Above it, no stale reads of the head: some platforms respond with the whole configuration.
+# Above it, no stale reads of the head: some platforms respond with the whole configuration, and
+# one of 700 kB takes about a second on a slow link.
 SMALL_BUNDLE_BYTES = 20_000
 
 
--- a/packages/wheatslipd/wheatslipd/feed/watching.py
+++ b/packages/wheatslipd/wheatslipd/feed/watching.py
@@ -15,6 +15,7 @@
 from wheatslipd.telemetry import logs
 
 # Longer backoff of the drains watch, which the watch of the head restarts on recovery anyway.
+# Each attempt costs a call.
 DRAINS_BACKOFF_FACTOR = 5.0
 
 
--- a/packages/wheatslipd/wheatslipd/gate/gate.py
+++ b/packages/wheatslipd/wheatslipd/gate/gate.py
@@ -25,6 +25,8 @@
 from wheatslipd.settings import LogLevel
 from wheatslipd.telemetry import logs
 
+# With 1, a single broken connection would close the gate; with more, requests that may not run
+# twice are lost on a server that is gone.
 LOST_AFTER_FAILURES = 2  # consecutive connection failures after which the server counts as lost
 
 
@@ -112,7 +114,7 @@
         """Close the gate after a response that shows that another server is listening.
 
         It opens when a heartbeat has identified that server, which rejects all requests until
-        then.
+        then. The retry of each would be charged to the retry budget.
         """
         if not self.is_closed_by(ClosedBy.SERVER_UNKNOWN):
             logs.info("backend-replaced", in_flight=self.admission.in_flight)
--- a/packages/wheatslipd/wheatslipd/gate/idleprobe.py
+++ b/packages/wheatslipd/wheatslipd/gate/idleprobe.py
@@ -15,7 +15,7 @@
 from wheatslipd.telemetry.metrics import Metrics
 
 DRAINING_HEADER = b"x-draining"
-PROBE_TIMEOUT_SECONDS = 1.0
+PROBE_TIMEOUT_SECONDS = 1.0  # a longer one would only delay the next probe
 
 
 @dataclass(slots=True)
--- a/packages/wheatslipd/wheatslipd/gate/peerport.py
+++ b/packages/wheatslipd/wheatslipd/gate/peerport.py
@@ -59,9 +59,12 @@
 from wheatslipd.telemetry.outcometext import describe
 from wheatslipd.telemetry.tracing import TRACEPARENT, HopTrace, HopTracer
 
+# A shorter wait refuses requests while a change is distributed, a longer one only delays their
+# next try.
 CATCH_UP_TIMEOUT_SECONDS = 0.5  # longest wait for the configuration version of the entry
 CATCH_UP_POLL_SECONDS = 0.02
-# Buffered before a request takes a slot, so that a slow upload does not hold a slot.
+# Buffered before a request takes a slot, so that a slow upload does not hold a slot. A larger
+# buffer would use memory for each request; this is as much as an entry buffers.
 BUFFERED_BODY_BYTES = 64 * 1024
 MISDIRECTED_STATUS = 421  # HTTP 421 Misdirected Request: the server is not the registered one
 
--- a/packages/wheatslipd/wheatslipd/gate/recoveryprobe.py
+++ b/packages/wheatslipd/wheatslipd/gate/recoveryprobe.py
@@ -12,7 +12,9 @@
 from wheatslipd.gate.gate import Gate
 from wheatslipd.gate.speedcheck import SpeedCheck
 
-LOST_INTERVAL_SECONDS = 0.2  # between probes of a lost server
+# Between probes of a lost server. A shorter interval loads a failing server, a longer one
+# leaves a recovered server without requests.
+LOST_INTERVAL_SECONDS = 0.2
 
 
 class RecoveryProbe:
--- a/packages/wheatslipd/wheatslipd/gate/serverend.py
+++ b/packages/wheatslipd/wheatslipd/gate/serverend.py
@@ -17,7 +17,9 @@
 from wheatslipd.telemetry import logs
 from wheatslipd.telemetry.metrics import Metrics
 
-CHECK_INTERVAL_SECONDS = 0.05  # minimum time between two checks, each of which connects
+# Minimum time between two checks, each of which connects. A shorter one adds connections to a
+# server that resets many; a longer one delays the requests that wait for the check.
+CHECK_INTERVAL_SECONDS = 0.05
 DISCONNECT_SECONDS = 0.01  # time within which all connections of an ended process break
 MAX_LOGGED_FINGERPRINTS = 16  # in the log line of one end
 
--- a/packages/wheatslipd/wheatslipd/gate/speedcheck.py
+++ b/packages/wheatslipd/wheatslipd/gate/speedcheck.py
@@ -18,9 +18,15 @@
 from wheatslipd.telemetry import logs
 from wheatslipd.telemetry.metrics import Metrics
 
+# The endpoint responds in a few milliseconds unless the server has a problem. With a longer
+# timeout one lost response delays the next probe.
 PROBE_TIMEOUT_SECONDS = 0.2
-REQUEST_WAIT_SECONDS = 0.02  # longest wait of a request for a probe, which continues after it
-UNANSWERED_PAUSE_SECONDS = 0.5  # requests start without a probe after an unanswered one
+# Longest wait of a request for a probe, which continues after it. A shorter wait misses the
+# response, a longer one costs more than the slow start that the probe may avoid.
+REQUEST_WAIT_SECONDS = 0.02
+# Requests start without a probe after an unanswered one. A shorter pause delays more requests
+# in vain, a longer one starts more of them by old reports.
+UNANSWERED_PAUSE_SECONDS = 0.5
 
 
 class SpeedCheck:
--- a/packages/wheatslipd/wheatslipd/gate/suspects.py
+++ b/packages/wheatslipd/wheatslipd/gate/suspects.py
@@ -13,7 +13,9 @@
 from wheatslip.quarantine import Quarantine, Standing
 from wheatslip.retryafter import SUSPECT_RUNS, held_refusal
 
-MAX_SUSPECT_WAIT_SECONDS = 1.0  # for the running suspect, which may hang
+# For the running suspect, which may hang and delay all others; long enough that harmless
+# suspects can still be answered.
+MAX_SUSPECT_WAIT_SECONDS = 1.0
 
 
 class SuspectGuard:
--- a/packages/wheatslipd/wheatslipd/http/client.py
+++ b/packages/wheatslipd/wheatslipd/http/client.py
@@ -17,7 +17,9 @@
 )
 
 FIRST_FINAL_STATUS = 200  # lower HTTP statuses are interim responses
-ACK_TIMEOUT_MS = 400  # for sent bytes; must outlast a few lost packets
+# For sent bytes. It must outlast a few lost packets, which would otherwise end a connection
+# whose request may have run; with a longer one requests wait longer for a lost machine.
+ACK_TIMEOUT_MS = 400
 KEEPALIVE_SECONDS = 1  # before the first probe and between probes; the system's minimum
 KEEPALIVE_PROBES = 2  # unanswered probes after which the connection is closed
 
--- a/packages/wheatslipd/wheatslipd/registration/publisher.py
+++ b/packages/wheatslipd/wheatslipd/registration/publisher.py
@@ -16,7 +16,9 @@
 
 from wheatslipd.telemetry import logs
 
-MAX_RETRY_SECONDS = 1.0  # longest backoff; must be below `membership.LAPSE_GRACE_SECONDS`
+# Longest backoff; must be below `membership.LAPSE_GRACE_SECONDS`, after which other daemons
+# drop a daemon whose entry is missing.
+MAX_RETRY_SECONDS = 1.0
 # The first write waits this long for the list, which saves a restarted daemon two calls.
 LIST_TIMEOUT_SECONDS = 0.3
 
