Drop the tokens of an older limit when a newer one is known

The holder can drop them (drop_tokens). An answer to a question with the older limit is not shared either; the waiting requests are asked for again. The test has an answer under way at the change.

--- a/packages/wheatslipd/wheatslipd/quota/client.py
+++ b/packages/wheatslipd/wheatslipd/quota/client.py
@@ -76,9 +76,11 @@
         `limit` is the workspace's in the bundle of `version`.
         """
         use = self._uses.setdefault(workspace, WorkspaceUse())
-        if version >= use.version:
-            use.version, use.limit = version, limit
         now = self._clock()
+        if version > use.version:
+            if limit != use.limit:
+                self._holder.drop_tokens(workspace, now)
+            use.version, use.limit = version, limit
         self._holder.on_arrival(workspace, now)
         result = self._try_take(workspace, use, now)
         if result is None:
@@ -129,8 +131,10 @@
         """Ask until no request waits."""
         try:
             while use.waiting:
+                limit = use.limit
                 await self._ask_once(workspace, use)
-                self._share_answer(workspace, use)
+                if use.limit == limit:  # else the answer is for an older limit
+                    self._share_answer(workspace, use)
         finally:
             use.is_asking = False
 
--- a/test/test_quota_client.py
+++ b/test/test_quota_client.py
@@ -162,3 +162,22 @@
             ]
 
     run(scenario)
+
+
+def test_an_answer_for_an_older_limit_is_asked_for_again():
+    """Guards against tokens of a higher limit that are used after a lower one is in force, and
+    against requests that are refused because their answer came too late for it.
+    """
+
+    async def scenario():
+        async with running_client(TokenGrant(5), TokenGrant(2)) as (client, asker):
+            first = asyncio.create_task(client.take("alpha", LIMIT, 1))
+            await until_asked(asker)
+            second = asyncio.create_task(client.take("alpha", RateLimit(1.0), 2))
+            await asyncio.sleep(0)
+            asker.may_answer.set()
+            results = await asyncio.gather(first, second)
+            assert not any(isinstance(result, OverLimit) for result in results)
+            assert [(q.version, q.rate) for q in asker.questions] == [(1, 10.0), (2, 1.0)]
+
+    run(scenario)
