--- a/bench/quotapath.py
+++ b/bench/quotapath.py
@@ -19,7 +19,7 @@
 from wheatslip.config.bundle import credential_digest
 from wheatslip.distribution.feedcache import FeedCache
 from wheatslip.quota.candidates import Candidates
-from wheatslip.quota.granter import CANDIDATES, Granter
+from wheatslip.quota.granter import Granter
 from wheatslip.quota.messages import TokenRequest
 from wheatslip.quota.settings import QuotaSettings
 from wheatslip.store.instances import Instance
@@ -153,10 +153,8 @@
     """Bytes of a question and its answer on an open connection, with headers."""
     loop = asyncio.get_running_loop()
     granter = Granter("owner", QuotaSettings())
-    candidates = Candidates(CANDIDATES)
-    candidates.set_members(["owner"])
     granter.set_members(["owner"], loop.time())
-    service = QuotaService("owner", granter, candidates, loop.time)
+    service = QuotaService("owner", granter, loop.time)
     server = RelayServer(FeedCache(), PeerTls(), services=[service])
     await server.listen(HOST, 0)
     link = ThrottledLink(HOST, server.port, inf)
--- a/packages/wheatslipd/wheatslipd/controllers/quota.py
+++ b/packages/wheatslipd/wheatslipd/controllers/quota.py
@@ -7,7 +7,6 @@
 
 from circuits import Component
 from wheatslip.config.bundle import Bundle, Workspace
-from wheatslip.quota.candidates import Candidates
 from wheatslip.quota.granter import Granter
 from wheatslip.store.instances import Instance, InstanceState
 
@@ -15,21 +14,19 @@
 
 
 class QuotaController(Component):
-    """Owns the candidates, and the workspaces that have a limit."""
+    """Knows the workspaces that have a limit."""
 
     channel = "*"
 
     def __init__(
         self,
         granter: Granter,
-        candidates: Candidates,
         asker: OwnerAsker,
         clock: Callable[[], float],
     ):
         """`clock` is monotonic, in seconds."""
         super().__init__()
         self._granter = granter
-        self._candidates = candidates
         self._asker = asker
         self._clock = clock
         self.limited: tuple[Workspace, ...] = ()
@@ -41,9 +38,7 @@
             for member in members
             if member.state is not InstanceState.LEAVING
         }
-        names = sorted(listed)
-        self._candidates.set_members(names)
-        self._granter.set_members(names, self._clock())
+        self._granter.set_members(listed, self._clock())
         self._asker.set_instances(listed)
 
     def bundle_in_force(self, bundle: Bundle) -> None:
--- a/packages/wheatslipd/wheatslipd/quota/asker.py
+++ b/packages/wheatslipd/wheatslipd/quota/asker.py
@@ -9,7 +9,6 @@
 
 import msgspec
 from result import Err, Ok
-from wheatslip.quota.candidates import Candidates
 from wheatslip.quota.messages import TokenGrant, TokenRequest
 from wheatslip.store.instances import Instance
 
@@ -46,14 +45,16 @@
         self,
         name: str,
         service: QuotaService,
-        candidates: Candidates,
+        candidates_of: Callable[[str], tuple[str, ...]],
         channels: OwnerChannels,
         clock: Callable[[], float],
     ):
-        """`name` and `service` are this daemon's; `clock` is monotonic, in seconds."""
+        """`name` and `service` are this daemon's. `candidates_of` returns the daemons to ask for
+        a workspace, in this order; `clock` is monotonic, in seconds.
+        """
         self._name = name
         self._service = service
-        self._candidates = candidates
+        self._candidates_of = candidates_of
         self._channels = channels
         self._clock = clock
         self._instances: Mapping[str, Instance] = {}
@@ -71,7 +72,7 @@
     async def ask(self, request: TokenRequest) -> Answer:
         """Ask the candidates in their order, then this daemon."""
         have_all_refused = True  # the earlier candidates; so none of them runs
-        for owner in self._candidates.of(request.workspace):
+        for owner in self._candidates_of(request.workspace):
             unreachable = self._unreachable_now(owner)
             if unreachable is None:
                 asked_at = self._clock()
@@ -94,7 +95,7 @@
         return Answer(self._service.grant(question), self._name, self._clock())
 
     def _primary(self, workspace: str) -> str:
-        return next(iter(self._candidates.of(workspace)), "")
+        return next(iter(self._candidates_of(workspace)), "")
 
     def _unreachable_now(self, owner: str) -> _Unreachable | None:
         unreachable = self._unreachable.get(owner)
--- a/packages/wheatslipd/wheatslipd/quota/service.py
+++ b/packages/wheatslipd/wheatslipd/quota/service.py
@@ -7,7 +7,6 @@
 
 import grpclib.const
 from grpclib.server import Stream
-from wheatslip.quota.candidates import Candidates
 from wheatslip.quota.granter import Granter
 from wheatslip.quota.messages import TokenGrant, TokenRequest
 
@@ -23,13 +22,11 @@
         self,
         name: str,
         granter: Granter,
-        candidates: Candidates,
         clock: Callable[[], float],
     ):
         """`name` is this daemon's; `clock` is monotonic, in seconds."""
         self._name = name
         self._granter = granter
-        self._candidates = candidates
         self._clock = clock
         # Workspaces whose requests this daemon has received as their primary.
         self._primary_of: set[str] = set()
@@ -55,7 +52,7 @@
 
     def _log_primary(self, workspace: str) -> None:
         """Log the first request for a workspace since this daemon became its primary."""
-        is_primary = next(iter(self._candidates.of(workspace)), "") == self._name
+        is_primary = next(iter(self._granter.candidates_of(workspace)), "") == self._name
         if is_primary and workspace not in self._primary_of:
             self._primary_of.add(workspace)
             logs.info("quota-owner", workspace=workspace, daemon=self._name)
--- a/packages/wheatslipd/wheatslipd/quota/wiring.py
+++ b/packages/wheatslipd/wheatslipd/quota/wiring.py
@@ -2,8 +2,7 @@
 
 from dataclasses import dataclass
 
-from wheatslip.quota.candidates import Candidates
-from wheatslip.quota.granter import CANDIDATES, Granter
+from wheatslip.quota.granter import Granter
 from wheatslip.quota.holder import TokenHolder
 
 from wheatslipd.controllers.quota import QuotaController
@@ -22,7 +21,7 @@
     """The parts of the limits of one daemon."""
 
     service: QuotaService
-    candidates: Candidates
+    granter: Granter
     channels: OwnerChannels
     client: QuotaClient
     controller: QuotaController
@@ -33,12 +32,11 @@
     """Build the parts. The client's `run` must run while requests are accepted."""
     clock = shared.monotonic
     granter = Granter(settings.name, settings.quota)
-    candidates = Candidates(CANDIDATES)
-    service = QuotaService(settings.name, granter, candidates, clock)
+    service = QuotaService(settings.name, granter, clock)
     channels = OwnerChannels(tls)
-    asker = OwnerAsker(settings.name, service, candidates, channels, clock)
+    asker = OwnerAsker(settings.name, service, granter.candidates_of, channels, clock)
     holder = TokenHolder(settings.quota)
     client = QuotaClient(settings.name, holder, asker, shared.metrics, clock)
-    controller = QuotaController(granter, candidates, asker, clock)
+    controller = QuotaController(granter, asker, clock)
     report = QuotaReport(controller, client, granter, clock)
-    return Quota(service, candidates, channels, client, controller, report)
+    return Quota(service, granter, channels, client, controller, report)
--- a/test/quota_fleet.py
+++ b/test/quota_fleet.py
@@ -67,7 +67,7 @@
 
     def candidates(self) -> tuple[str, ...]:
         """The owners of alpha's limit in their order, as the first daemon knows them."""
-        return tuple(self.node(NAMES[0]).daemon.quota.candidates.of("alpha"))
+        return tuple(self.node(NAMES[0]).daemon.quota.granter.candidates_of("alpha"))
 
     def entry_beside(self, *owners: str) -> str:
         """A daemon that is none of `owners`."""
--- a/test/test_quota_asker.py
+++ b/test/test_quota_asker.py
@@ -72,7 +72,9 @@
         self.service = ServiceStandIn()
         candidates = Candidates(CANDIDATES)
         candidates.set_members(NAMES)
-        self.asker = OwnerAsker(name, self.service, candidates, self.channels, lambda: self.now)
+        self.asker = OwnerAsker(
+            name, self.service, candidates.of, self.channels, lambda: self.now
+        )
         self.asker.set_instances(instances())
 
     async def ask(self, workspace="alpha"):
