--- a/packages/wheatslipd/wheatslipd/quota/asker.py
+++ b/packages/wheatslipd/wheatslipd/quota/asker.py
@@ -49,8 +49,8 @@
         channels: OwnerChannels,
         clock: Callable[[], float],
     ):
-        """`name` and `service` are this daemon's. `candidates_of` returns the daemons to ask for
-        a workspace, in this order; `clock` is monotonic, in seconds.
+        """`name` and `service` are this daemon's. `candidates_of` returns the daemons to ask
+        for a workspace, in this order; `clock` is monotonic, in seconds.
         """
         self._name = name
         self._service = service
