Answer a request without an id on a connection that had one

A request that carries no request id waited until its deadline (504) if its connection to the backend server had carried a request with one before: the id that responses are matched with was set for each request that has one and never cleared, so the response without it was skipped as one to an earlier request. The id is now set or cleared for each request.

--- a/packages/wheatslipd/wheatslipd/gate/backend.py
+++ b/packages/wheatslipd/wheatslipd/gate/backend.py
@@ -60,8 +60,7 @@
         if connection is None:
             return NO_CONNECTION
         on_connected()
-        if echo is not None:
-            connection.expect_echo(*echo)
+        connection.expect_echo(echo)
         try:
             await self._send_request(connection, head, body)
             return BackendAnswer(await connection.response(), connection)
--- a/packages/wheatslipd/wheatslipd/http/client.py
+++ b/packages/wheatslipd/wheatslipd/http/client.py
@@ -72,12 +72,13 @@
             and (self._body is None or self._body.exhausted)
         )
 
-    def expect_echo(self, name: bytes, value: bytes) -> None:
-        """Skip responses whose header `name` is present with a value other than `value`.
+    def expect_echo(self, echo: tuple[bytes, bytes] | None) -> None:
+        """Skip responses to the next request whose header is present with another value.
 
-        Such a response answers an earlier request a second time.
+        Such a response answers an earlier request a second time. `echo` is the name and the
+        value of the header; None: accept any response.
         """
-        self._echo = (name, value)
+        self._echo = echo
 
     async def start(self, head: RequestHead) -> None:
         """Send the head of a request; `write` and `finish` send its body."""
--- a/test/test_http.py
+++ b/test/test_http.py
@@ -301,7 +301,7 @@
         pool = ConnectionPool(HOST, server.sockets[0].getsockname()[1], 4)
         for number in (1, 2, 3):
             connection = await pool.acquire(1.0)
-            connection.expect_echo(b"request-id", b"%d" % number)
+            connection.expect_echo((b"request-id", b"%d" % number))
             await connection.start_with_body(RequestHead(b"GET", b"/"), b"")
             response = await connection.response()
             assert await response.body.read_up_to(100) == b"answer %d" % number
@@ -313,6 +313,28 @@
     run(scenario)
 
 
+def test_a_request_without_an_id_is_answered_on_a_connection_that_had_one():
+    """Guards against a wait for the id of the request before it."""
+
+    async def scenario():
+        server, port = await start_raw_server(
+            b"HTTP/1.1 200 OK\r\nRequest-Id: \r\nContent-Length: 2\r\n\r\nok"
+        )
+        pool = ConnectionPool(HOST, port, 4)
+        connection = await pool.acquire(1.0)
+        connection.expect_echo((b"request-id", b"7"))
+        connection.expect_echo(None)
+        async with asyncio.timeout(1.0):
+            await connection.start_with_body(RequestHead(b"GET", b"/"), b"")
+            response = await connection.response()
+        assert response.head.status == 200
+        pool.release(connection)
+        pool.close()
+        server.close()
+
+    run(scenario)
+
+
 def test_buffering_a_body_waits_for_it_without_consuming_it():
     async def scenario():
         body = Body(lambda: None, lambda: None)
