--- a/test/test_http.py
+++ b/test/test_http.py
@@ -7,6 +7,7 @@
 import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
+from wheatslipd.gate.backend import Backend
 from wheatslipd.http.body import HIGH_WATER_BYTES, Body, BodyTruncated
 from wheatslipd.http.messages import RequestHead, ResponseHead
 from wheatslipd.http.pool import ConnectionPool
@@ -317,19 +318,25 @@
     """Guards against a wait for the id of the request before it."""
 
     async def scenario():
-        server, port = await start_raw_server(
-            b"HTTP/1.1 200 OK\r\nRequest-Id: \r\nContent-Length: 2\r\n\r\nok"
-        )
-        pool = ConnectionPool(HOST, port, 4)
-        connection = await pool.acquire(1.0)
-        connection.expect_echo((b"request-id", b"7"))
-        connection.expect_echo(None)
-        async with asyncio.timeout(1.0):
-            await connection.start_with_body(RequestHead(b"GET", b"/"), b"")
-            response = await connection.response()
-        assert response.head.status == 200
-        pool.release(connection)
-        pool.close()
+        async def serve(reader, writer):
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                request_id = b"7" if b"request-id: 7" in head else b""
+                writer.write(
+                    b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n"
+                    % request_id
+                )
+
+        server = await asyncio.start_server(serve, HOST, 0)
+        backend = Backend(HOST, server.sockets[0].getsockname()[1], 1, 1.0)
+        for echo in ((b"request-id", b"7"), None):
+            body = Body(lambda: None, lambda: None)
+            body.finish()
+            head = RequestHead(b"GET", b"/", [echo] if echo else [])
+            async with asyncio.timeout(1.0):
+                answer = await backend.send(head, body, echo, 0.0, lambda: None)
+            assert answer.response.head.status == 200
+            backend.release(answer)
+        backend.close()
         server.close()
 
     run(scenario)
