--- a/packages/wheatslip/wheatslip/quota/candidates.py
+++ b/packages/wheatslip/wheatslip/quota/candidates.py
@@ -9,10 +9,10 @@
 
 from wheatslip.owners import rendezvous_weights
 
-SPARE = 4  # more members that are cached, to replace those that leave the list
+SPARE_MEMBERS = 4  # cached beyond the first ones, to replace those that leave the list
 MAX_CACHED_WORKSPACES = 4096  # limits memory; the least recently used one is evicted
 
-_Ranked = tuple[bytes, str]  # weight and name; names decide between equal weights
+_Weighted = tuple[bytes, str]  # weight and name; names decide between equal weights
 
 
 class Candidates:
@@ -25,7 +25,7 @@
     def __init__(self, count: int):
         self._count = count
         self._members: frozenset[str] = frozenset()
-        self._cache: OrderedDict[str, list[_Ranked]] = OrderedDict()
+        self._cache: OrderedDict[str, list[_Weighted]] = OrderedDict()
 
     @property
     def members(self) -> frozenset[str]:
@@ -36,41 +36,41 @@
         added = members - self._members
         removed = self._members - members
         self._members = members
-        before = len(members) - len(added) + len(removed)
+        former_count = len(members) - len(added) + len(removed)
         if len(added) > len(members) // 2:  # comparing costs as much as computing again
             self._cache.clear()
             return
-        for workspace, ranked in list(self._cache.items()):
-            has_all = len(ranked) == before
-            if removed and any(name in removed for _, name in ranked):
-                ranked[:] = [entry for entry in ranked if entry[1] not in removed]
-            if len(ranked) < self._count and not has_all:
+        for workspace, first in list(self._cache.items()):
+            has_all = len(first) == former_count
+            if removed and any(name in removed for _, name in first):
+                first[:] = [entry for entry in first if entry[1] not in removed]
+            if len(first) < self._count and not has_all:
                 del self._cache[workspace]
             elif added:
-                self._insert(workspace, ranked, added, has_all=has_all)
+                self._insert(workspace, first, added, has_all=has_all)
 
     def of(self, workspace: str) -> tuple[str, ...]:
-        ranked = self._cache.get(workspace)
-        if ranked is None:
-            ranked = self._first(workspace, self._members)
-            self._cache[workspace] = ranked
+        first = self._cache.get(workspace)
+        if first is None:
+            first = self._first(workspace, self._members)
+            self._cache[workspace] = first
             if len(self._cache) > MAX_CACHED_WORKSPACES:
                 self._cache.popitem(last=False)
         else:
             self._cache.move_to_end(workspace)
-        return tuple(name for _, name in ranked[: self._count])
+        return tuple(name for _, name in first[: self._count])
 
     def _insert(
-        self, workspace: str, ranked: list[_Ranked], added: Collection[str], *, has_all: bool
+        self, workspace: str, first: list[_Weighted], added: Collection[str], *, has_all: bool
     ) -> None:
         """Adds the members that come before the last cached one, or all if none is missing."""
-        last = None if has_all else ranked[-1]
+        last = None if has_all else first[-1]
         for entry in zip(rendezvous_weights(workspace, added), added, strict=True):
             if last is None or entry > last:
-                ranked.append(entry)
-        ranked.sort(reverse=True)
-        del ranked[self._count + SPARE :]
+                first.append(entry)
+        first.sort(reverse=True)
+        del first[self._count + SPARE_MEMBERS :]
 
-    def _first(self, workspace: str, members: Collection[str]) -> list[_Ranked]:
-        weighted = zip(rendezvous_weights(workspace, members), members, strict=True)
-        return heapq.nlargest(self._count + SPARE, weighted)
+    def _first(self, workspace: str, members: Collection[str]) -> list[_Weighted]:
+        entries = zip(rendezvous_weights(workspace, members), members, strict=True)
+        return heapq.nlargest(self._count + SPARE_MEMBERS, entries)
--- a/packages/wheatslip/wheatslip/quota/granter.py
+++ b/packages/wheatslip/wheatslip/quota/granter.py
@@ -30,7 +30,8 @@
 
 CANDIDATES = 3  # daemons that an entry asks, in this order
 OWN_BUCKETS = 2  # further daemons that may grant a few tokens to themselves
-NO_RANK = CANDIDATES + OWN_BUCKETS  # of all others; their buckets stay empty
+GRANTING_DAEMONS = CANDIDATES + OWN_BUCKETS  # the others' buckets stay empty
+NO_POSITION = GRANTING_DAEMONS  # of all others in the rendezvous order
 SETTLE_SECONDS = 3.0  # by then every entry has the list that made a daemon the primary
 SETTLING_SHARE = 0.5  # of the rate, until then
 FAILOVER_SHARE = 0.5  # of the rate, for a candidate after a primary that ended
@@ -44,7 +45,7 @@
 
 
 class Position(StrEnum):
-    """The place of this daemon in a workspace's rendezvous order."""
+    """Name of this daemon's position in a workspace's rendezvous order."""
 
     PRIMARY = "primary"
     SECOND = "second"
@@ -52,7 +53,7 @@
     NONE = "none"
 
 
-_POSITIONS = (Position.PRIMARY, Position.SECOND, Position.THIRD)
+_CANDIDATE_POSITIONS = (Position.PRIMARY, Position.SECOND, Position.THIRD)
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,12 +85,16 @@
 
 @dataclass(slots=True)
 class _Quota:
-    """One workspace. `since` is when this daemon got its `rank` in the rendezvous order."""
+    """One workspace.
+
+    `position` is this daemon's index in the rendezvous order, 0 for the primary. `since` is
+    when it got there, or when the list was confirmed after a lapse.
+    """
 
     version: int
     rate: float
     burst: float
-    rank: int
+    position: int
     since: float
     bucket: TokenBucket
     retries: RetrySchedule
@@ -112,7 +117,7 @@
         self._settings = settings
         self._list_lease = list_lease
         self._lapses_at = float("inf")
-        self._candidates = Candidates(NO_RANK)
+        self._candidates = Candidates(GRANTING_DAEMONS)
         self._quotas: OrderedDict[str, _Quota] = OrderedDict()  # least recently asked first
         self._members_since = float("inf")  # no list yet
         self._evicted_at = float("-inf")  # last time a bucket was forgotten that was not full
@@ -126,10 +131,10 @@
         self._candidates.set_members(members)
         self._members_since = now
         for workspace, quota in self._quotas.items():
-            rank = self._rank(workspace)
-            if rank != quota.rank:
+            position = self._position_of(workspace)
+            if position != quota.position:
                 self._advance(quota, now)
-                quota.rank = rank
+                quota.position = position
                 quota.since = now
                 self._apply(quota, now)
 
@@ -183,7 +188,7 @@
                 quota.burst,
                 quota.granted,
                 quota.refused,
-                _position(self._effective_rank(quota, now)),
+                _name_position(self._effective_position(quota, now)),
             )
             for workspace, quota in self._quotas.items()
         )
@@ -199,7 +204,7 @@
             request.version,
             request.rate,
             request.burst,
-            self._rank(request.workspace),
+            self._position_of(request.workspace),
             since,
             TokenBucket(0.0, MIN_BURST, 0.0, since),
             RetrySchedule(),
@@ -214,7 +219,7 @@
         return quota
 
     def _first_tokens(self, quota: _Quota) -> float:
-        if quota.rank != 0:
+        if quota.position != 0:
             return 0.0
         return min(
             self._held(quota.burst),
@@ -222,9 +227,9 @@
             max(1.0, RESTART_SECONDS * quota.rate),
         )
 
-    def _rank(self, workspace: str) -> int:
+    def _position_of(self, workspace: str) -> int:
         order = self._candidates.of(workspace)
-        return order.index(self._name) if self._name in order else NO_RANK
+        return order.index(self._name) if self._name in order else NO_POSITION
 
     def _advance(self, quota: _Quota, now: float) -> None:
         """Refills until `now`, with the rates that changed in between."""
@@ -238,30 +243,30 @@
         quota.bucket.change(part.rate, part.burst, now)
 
     def _part(self, quota: _Quota, now: float) -> _Part:
-        rank = self._effective_rank(quota, now)
-        if rank == 0:
+        position = self._effective_position(quota, now)
+        if position == 0:
             is_settled = now >= quota.since + SETTLE_SECONDS
             share = 1.0 if is_settled else SETTLING_SHARE
             return _Part(share * quota.rate, self._held(quota.burst))
-        part = self._margin_part(quota, rank)
-        if rank < CANDIDATES and now < min(quota.failover_until, self._lapses_at):
+        part = self._margin_part(quota, position)
+        if position < CANDIDATES and now < min(quota.failover_until, self._lapses_at):
             return _Part(max(part.rate, FAILOVER_SHARE * quota.rate), part.burst)
         return part
 
-    def _effective_rank(self, quota: _Quota, now: float) -> int:
-        """The rank, one later while the list is not confirmed; own buckets keep theirs."""
-        if now >= self._lapses_at and quota.rank < CANDIDATES:
-            return quota.rank + 1
-        return quota.rank
+    def _effective_position(self, quota: _Quota, now: float) -> int:
+        """The position, one later while the list is not confirmed; own buckets keep theirs."""
+        if now >= self._lapses_at and quota.position < CANDIDATES:
+            return quota.position + 1
+        return quota.position
 
-    def _margin_part(self, quota: _Quota, rank: int) -> _Part:
+    def _margin_part(self, quota: _Quota, position: int) -> _Part:
         margin = self._margin(quota.rate, quota.burst)
         seconds = self._settings.window + self._settings.token_lifetime
-        if rank == 1:
+        if position == 1:
             return _Part.of(SECOND_SHARE * margin, seconds)
-        if rank == 2:
+        if position == 2:
             return _Part.of(THIRD_SHARE * margin, seconds)
-        if rank < NO_RANK:
+        if position < GRANTING_DAEMONS:
             return _Part.of(OWN_SHARE * margin / OWN_BUCKETS, seconds)
         return _Part(0.0, MIN_BURST)
 
@@ -289,5 +294,5 @@
             del self._quotas[workspace]
 
 
-def _position(rank: int) -> Position:
-    return _POSITIONS[rank] if rank < CANDIDATES else Position.NONE
+def _name_position(position: int) -> Position:
+    return _CANDIDATE_POSITIONS[position] if position < CANDIDATES else Position.NONE
--- a/test/test_quota_model.py
+++ b/test/test_quota_model.py
@@ -288,8 +288,8 @@
 class FullRateEverywhere(Granter):
     """Every candidate grants as the primary does."""
 
-    def _rank(self, workspace):
-        return min(0, super()._rank(workspace))
+    def _position_of(self, workspace):
+        return min(0, super()._position_of(workspace))
 
 
 class NoSettling(Granter):
