--- a/packages/wheatslipd/wheatslipd/entry/routefilter.py
+++ b/packages/wheatslipd/wheatslipd/entry/routefilter.py
@@ -3,7 +3,6 @@
 The route is selected first, because it tells whether the request needs a credential.
 """
 
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from math import isfinite
 from random import Random
@@ -44,7 +43,6 @@
 
     names: HeaderNames
     identification: HeaderIdentification
-    clock: Callable[[], float]
     rng: Random
     caller_wait: CallerWait = field(default_factory=CallerWait)
 
@@ -115,12 +113,11 @@
 def route_filters(
     names: HeaderNames,
     identification: HeaderIdentification,
-    clock: Callable[[], float],
     rng: Random,
 ) -> list[Filter]:
     """The filters of the routes interface; the order matters."""
     return [
         SelectRouteFilter(),
         IdentifyFilter(identification),
-        RouteFilter(names, identification, clock, rng),
+        RouteFilter(names, identification, rng),
     ]
--- a/packages/wheatslipd/wheatslipd/entry/wiring.py
+++ b/packages/wheatslipd/wheatslipd/entry/wiring.py
@@ -55,7 +55,7 @@
     if by_routes:
         names = settings.headers
         by_header = HeaderIdentification(names.credential, confirmation_limit)
-        filters += route_filters(names, by_header, clock, shared.rng)
+        filters += route_filters(names, by_header, shared.rng)
     else:
         filters += workspace_filters(BearerIdentification(confirmation_limit), clock)
     filters.append(QuotaFilter(quota, shared.metrics, clock))
