--- a/packages/wheatslipd/wheatslipd/controllers/quota.py
+++ b/packages/wheatslipd/wheatslipd/controllers/quota.py
@@ -42,5 +42,5 @@
         self._asker.set_instances(listed)
 
     def bundle_in_force(self, bundle: Bundle) -> None:
-        """Note which workspaces have a limit. Each question carries the limit itself."""
+        """Note which workspaces have a limit. Each ask carries the limit itself."""
         self.limited = tuple(w for w in bundle.workspaces if w.limit is not None)
--- a/packages/wheatslipd/wheatslipd/quota/client.py
+++ b/packages/wheatslipd/wheatslipd/quota/client.py
@@ -1,6 +1,6 @@
 """Gives tokens to the requests of one entry, and asks for more when there are none.
 
-At most one question per workspace is in progress. The requests that arrive meanwhile wait and
+At most one ask per workspace is in progress. The requests that arrive meanwhile wait and
 share its answer.
 """
 
@@ -62,7 +62,7 @@
         self._tasks: asyncio.TaskGroup | None = None  # None while `run` does not run
 
     async def run(self) -> None:
-        """Own the questions in progress, until cancelled."""
+        """Own the asks in progress, until cancelled."""
         async with asyncio.TaskGroup() as self._tasks:
             await asyncio.Event().wait()
 
@@ -153,7 +153,7 @@
     def _share_answer(self, workspace: str, use: WorkspaceUse) -> None:
         """Give a token to each waiting request, in order of arrival, or refuse it.
 
-        Requests that came after the question wait for the next one, if all that it asked for
+        Requests that came after the ask wait for the next one, if all that it asked for
         was granted.
         """
         now = self._clock()
