--- a/packages/wheatslipd/wheatslipd/quota/asker.py
+++ b/packages/wheatslipd/wheatslipd/quota/asker.py
@@ -12,17 +12,17 @@
 from wheatslip.quota.messages import TokenGrant, TokenRequest
 from wheatslip.store.instances import Instance
 
-from wheatslipd.quota.channels import AskFailure, OwnerChannels, is_same_process
+from wheatslipd.quota.channels import AskFailure, OwnerChannels, ended_processes
 from wheatslipd.quota.service import QuotaService
 from wheatslipd.telemetry import logs
 
 UNREACHABLE_SECONDS = 1.0  # time for which an owner that did not answer is left out
-UNSUPPORTED_SECONDS = 30.0  # the same for one of a version that does not know the question
+UNSUPPORTED_SECONDS = 30.0  # the same for one of a version that does not know the call
 
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """The answer to one question.
+    """The answer to one ask.
 
     `owner` is the daemon that gave it, `asked_at` when that one was asked (seconds, monotonic).
     """
@@ -63,10 +63,8 @@
     def set_instances(self, instances: Mapping[str, Instance]) -> None:
         """Set the listed daemons by name; a restarted one counts as reachable."""
         before, self._instances = self._instances, instances
-        for name in list(self._unreachable):
-            listed = instances.get(name)
-            if listed is None or not is_same_process(before[name], listed):
-                del self._unreachable[name]
+        for name in ended_processes(self._unreachable, before, instances):
+            del self._unreachable[name]
         self._channels.set_instances(instances)
 
     async def ask(self, request: TokenRequest) -> Answer:
@@ -75,24 +73,22 @@
         for owner in self._candidates_of(request.workspace):
             unreachable = self._unreachable_now(owner)
             if unreachable is None:
-                asked_at = self._clock()
-                if owner == self._name:
-                    return self._ask_locally(request, failover=have_all_refused)
                 failover = have_all_refused and owner != self._primary(request.workspace)
-                question = msgspec.structs.replace(request, failover=failover)
-                match await self._channels.ask(owner, question):
+                owner_request = msgspec.structs.replace(request, failover=failover)
+                if owner == self._name:
+                    return self._ask_locally(owner_request)
+                asked_at = self._clock()
+                match await self._channels.ask(owner, owner_request):
                     case Ok(grant):
                         self._unreachable.pop(owner, None)
                         return Answer(grant, owner, asked_at)
                     case Err(failure):
                         unreachable = self._leave_out(owner, failure)
             have_all_refused &= unreachable.has_refused
-        return self._ask_locally(request, failover=False)
+        return self._ask_locally(msgspec.structs.replace(request, failover=False))
 
-    def _ask_locally(self, request: TokenRequest, *, failover: bool) -> Answer:
-        is_primary = self._primary(request.workspace) == self._name
-        question = msgspec.structs.replace(request, failover=failover and not is_primary)
-        return Answer(self._service.grant(question), self._name, self._clock())
+    def _ask_locally(self, request: TokenRequest) -> Answer:
+        return Answer(self._service.grant(request), self._name, self._clock())
 
     def _primary(self, workspace: str) -> str:
         return next(iter(self._candidates_of(workspace)), "")
--- a/packages/wheatslipd/wheatslipd/quota/channels.py
+++ b/packages/wheatslipd/wheatslipd/quota/channels.py
@@ -1,11 +1,11 @@
-"""Connections of one entry to the owners of limits, and one question over them.
+"""Connections of one entry to the owners of limits, and one ask over them.
 
-A connection stays open for later questions. It is closed after a time without questions, after
-a question that was not answered in time, and when its daemon is no longer listed.
+A connection stays open for later asks. It is closed after a time without asks, after an
+ask that was not answered in time, and when its daemon is no longer listed.
 """
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from enum import Enum, auto
 
@@ -24,11 +24,11 @@
 ASK_TIMEOUT_SECONDS = 0.1  # for the connection and the answer together
 # grpclib reports the answer of a server without the method as UNKNOWN.
 UNSUPPORTED_STATUSES = frozenset({Status.UNIMPLEMENTED, Status.UNKNOWN})
-IDLE_CLOSE_SECONDS = 60.0  # time without questions after which a connection is closed
+IDLE_CLOSE_SECONDS = 60.0  # time without asks after which a connection is closed
 
 
 class AskFailure(Enum):
-    """Why an owner has not answered a question."""
+    """Why an owner has not answered an ask."""
 
     REFUSED = auto()  # it refused the connection, so no process listens there
     SILENT = auto()  # no answer in time, or the connection broke; its process may run
@@ -61,10 +61,8 @@
     def set_instances(self, instances: Mapping[str, Instance]) -> None:
         """Set the listed daemons by name; close the channels to all others."""
         before, self._instances = self._instances, instances
-        for name in list(self._channels):
-            listed = instances.get(name)
-            if listed is None or not is_same_process(before[name], listed):
-                self._close(name)
+        for name in ended_processes(self._channels, before, instances):
+            self._close(name)
 
     async def ask(self, owner: str, request: TokenRequest) -> Result[TokenGrant, AskFailure]:
         """Ask a listed owner, for at most `ASK_TIMEOUT_SECONDS`."""
@@ -143,7 +141,20 @@
         return Err(AskFailure.SILENT)
 
 
-def is_same_process(old: Instance, new: Instance) -> bool:
+def ended_processes(
+    names: Iterable[str], before: Mapping[str, Instance], listed: Mapping[str, Instance]
+) -> list[str]:
+    """Those of `names` that are no longer listed, or with another process or control port than
+    in the list `before`, which has all of them.
+    """
+    return [
+        name
+        for name in names
+        if name not in listed or not _is_same_process(before[name], listed[name])
+    ]
+
+
+def _is_same_process(old: Instance, new: Instance) -> bool:
     """Whether two list entries of a name are of the same process and control port."""
     return (old.incarnation, old.address, old.control_port) == (
         new.incarnation,
