--- a/packages/wheatslip/wheatslip/quota/holder.py
+++ b/packages/wheatslip/wheatslip/quota/holder.py
@@ -14,7 +14,7 @@
 from wheatslip.quota.retryschedule import RetrySchedule
 from wheatslip.quota.settings import QuotaSettings
 
-MAX_AHEAD = 1000  # tokens
+MAX_AHEAD = 1000  # tokens that are asked for beside those for waiting requests
 MAX_REFUSE_SECONDS = 0.25  # for which requests are refused without asking
 RATE_MEMORY_SECONDS = 2.0  # time constant of the rates of arrivals and of shortage
 MAX_WORKSPACES = 4096  # limits memory; the least recently used one is evicted
@@ -33,17 +33,17 @@
     """State of one workspace. `expiries` are those of its tokens, in any order."""
 
     expiries: deque[float] = field(default_factory=deque)
-    arrivals: float = 0.0  # decayed number
+    arrivals: float = 0.0  # decayed number of requests
     arrivals_at: float = float("-inf")
     refuse_until: float = float("-inf")
     retry_at: float = float("-inf")  # when the next token comes, by the last grant
     retries: RetrySchedule = field(default_factory=RetrySchedule)  # of callers refused here
-    told: float = 0.0  # seconds, by the last grant that refused somebody
+    granted_wait: float = 0.0  # `retry_after` of the last grant that refused somebody
     waiting: int = 0  # at the last ask
     max_ahead: int = 0  # tokens to ask for beside those
-    lacking: float = 0.0  # decayed number of tokens that were not granted
-    lacking_at: float = float("-inf")
-    asked_at: float = float("-inf")  # of the last grant
+    shortage: float = 0.0  # decayed number of tokens that were not granted
+    shortage_at: float = float("-inf")
+    asked_at: float = float("-inf")  # when the last grant was asked for
     dropped_at: float = float("-inf")  # when tokens asked for before were dropped
 
 
@@ -110,10 +110,10 @@
         else:
             held.max_ahead = min(held.max_ahead + 1, MAX_AHEAD)
         if grant.tokens < min(wanted, held.waiting):
-            held.lacking = _decayed(held.lacking, now - held.lacking_at)
-            held.lacking += wanted - grant.tokens
-            held.lacking_at = now
-            held.told = grant.retry_after
+            held.shortage = _decayed(held.shortage, now - held.shortage_at)
+            held.shortage += wanted - grant.tokens
+            held.shortage_at = now
+            held.granted_wait = grant.retry_after
             held.retry_at = now + grant.retry_after
             held.refuse_until = now + min(MAX_REFUSE_SECONDS, grant.retry_after)
         else:
@@ -127,13 +127,13 @@
     def retry_after(self, workspace: str, rate: float, now: float) -> float:
         """Seconds after which a caller that is refused now should retry.
 
-        Each refused caller puts the next one later. If the owner told a longer time than this
+        Each refused caller puts the next one later. If the owner's time is longer than this
         entry's own asks account for, other entries ask as well and refuse as many callers as
         this one. `rate` is the workspace's limit.
         """
         held = self._of(workspace)
-        lacking = max(1.0, _decayed(held.lacking, now - held.lacking_at))
-        entries = max(1.0, held.told * rate / lacking)
+        shortage = max(1.0, _decayed(held.shortage, now - held.shortage_at))
+        entries = max(1.0, held.granted_wait * rate / shortage)
         return held.retries.retry_after(max(0.0, held.retry_at - now), 1, rate / entries, now)
 
     def give_back(self, token: Token, now: float) -> None:
