--- a/packages/wheatslip/wheatslip/fairqueue.py
+++ b/packages/wheatslip/wheatslip/fairqueue.py
@@ -47,7 +47,7 @@
     def __init__(self, share: Callable[[str], float]):
         self._share = share  # weight of a workspace by its name
         self.size = 0
-        self.credit = 0.0  # for the turns of the ranks behind the first one
+        self.credit = 0.0  # in the round robin between the ranks behind the first one
         # Recent part of this rank's items among those of ranks up to this one, while it waits.
         self.turn_share = 1.0
         self._queues: dict[str, _WorkspaceQueue[T]] = {}
@@ -311,8 +311,10 @@
 
     def _next_rank(self) -> Rank:
         """Returns the rank of the next item that is not urgent."""
-        if len(self._waiting_ranks) == 1 or self._first_rank_run < FIRST_RANK_RUN:
-            self._first_rank_run += len(self._waiting_ranks) > 1
+        if len(self._waiting_ranks) == 1:
+            return self._waiting_ranks[0]
+        if self._first_rank_run < FIRST_RANK_RUN:
+            self._first_rank_run += 1
             return self._waiting_ranks[0]
         self._first_rank_run = 0
         # Smooth weighted round robin between the ranks behind; the n-th has weight 1 / n.
