--- a/packages/wheatslip/wheatslip/config/bundle.py
+++ b/packages/wheatslip/wheatslip/config/bundle.py
@@ -132,9 +132,8 @@
     `timeout` and `target` are in seconds. `timeout` limits a request even if its own deadline
     is later. `target` is the response time after which a response has little value; 0 means the
     timeout. Requests with `priority` 0 go first; all other priorities are equal, except where
-    callers need credentials (`Rank`). `max_attempts`
-    is the maximum number of backend servers that a request is sent to. Requests of an `open`
-    route need no credential.
+    callers need credentials (`Rank`). `max_attempts` is the maximum number of backend servers
+    that a request is sent to. Requests of an `open` route need no credential.
     """
 
     name: str
--- a/packages/wheatslip/wheatslip/config/bundleini.py
+++ b/packages/wheatslip/wheatslip/config/bundleini.py
@@ -217,13 +217,13 @@
 
     def _check_credentials(self) -> None:
         """Reports each credential that more than one workspace has."""
-        owners: dict[str, str] = {}  # workspace by credential
+        holders: dict[str, str] = {}  # workspace by credential
         for workspace in self._workspaces.values():
             for credential in workspace.credentials:
-                owner = owners.setdefault(credential, workspace.name)
-                if owner != workspace.name:
+                holder = holders.setdefault(credential, workspace.name)
+                if holder != workspace.name:
                     title = f"workspace {workspace.name}"
-                    expected = f"credentials other than those of workspace {owner}"
+                    expected = f"credentials other than those of workspace {holder}"
                     self._problems.add(title, "credential-sha256", credential, expected)
 
     def _check_workspaces(self, title: str, key: str, names: tuple[str, ...]) -> None:
