--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,6 +9,8 @@
 import sys
 import tempfile
 from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
 from pathlib import Path
 from random import Random
 
@@ -43,8 +45,9 @@
 CALLS_PER_SECOND = 40.0
 STATUS_INTERVAL_SECONDS = 0.2  # between two readings of all status pages
 FATAL_INTERVAL_SECONDS = 0.5  # between two fatal requests
+ONCE_KIND = "submit"  # of requests that must not be repeated
 FINAL_REQUESTS = 50  # sent after all faults; all of them must be answered
-PRINTED_VIOLATIONS = 20
+PRINTED_VIOLATIONS = 20  # more of the same cause would hide the other lines
 SECONDS_PER_MINUTE = 60.0
 EXTRA_SETTINGS = (
     "[control]\nwatch = 1s\nwatch-check = 1s\nlist-watch = 1s\n[entry]\nwarm-up = 0s\n"
@@ -96,14 +99,13 @@
         )
         version_recorder = asyncio.create_task(_record_versions(injector))
         schedule_done = asyncio.Event()
-        sender = asyncio.create_task(_send_traffic(caller, cluster, seconds, schedule_done))
-        routed_callers, routed_senders = [], []
-        for workspace, credential, kind, rate in ROUTED_TRAFFIC if by_routes else ():
-            rng = Random(f"calls {credential} {seed}")
-            one = Caller(cluster.session, workspace, credential, rng, by_routes=True)
-            sending = _send_routed_traffic(one, cluster, kind, rate, seconds, schedule_done)
-            routed_callers.append(one)
-            routed_senders.append(asyncio.create_task(sending))
+        traffic = [_Traffic(caller, CALLS_PER_SECOND, _draw_usual_kind)]
+        if by_routes:
+            traffic += _routed_traffic(cluster, seed)
+        senders = [
+            asyncio.create_task(_send_traffic(one, cluster, seconds, schedule_done))
+            for one in traffic
+        ]
         fatal_sender = asyncio.create_task(
             _send_fatal_requests(cluster, seed, plans, by_routes=by_routes)
         )
@@ -120,12 +122,12 @@
             injector.use_this_checkout()
             await _run_steps(injector, updates)
         schedule_done.set()
-        await asyncio.gather(sender, *routed_senders)
+        await asyncio.gather(*senders)
         await injector.wait_until_recovered()
         version_recorder.cancel()
         fatal_sender.cancel()
         await _send_final_requests(caller, cluster, history)
-        await _collect_records(injector, [caller, *routed_callers], history)
+        await _collect_records(injector, [one.caller for one in traffic], history)
     finally:
         codes = await cluster.close()
     if any(codes):
@@ -190,20 +192,50 @@
         await asyncio.sleep(STATUS_INTERVAL_SECONDS)
 
 
+@dataclass(frozen=True, slots=True)
+class _Traffic:
+    """Poisson traffic of one caller with `rate` requests per second.
+
+    `draw_kind` returns the kind of the next request, by the caller's random numbers.
+    """
+
+    caller: Caller
+    rate: float
+    draw_kind: Callable[[Random], str]
+
+
+def _draw_usual_kind(rng: Random) -> str:
+    return ONCE_KIND if rng.random() < 0.5 else "view"
+
+
+def _routed_traffic(cluster: Cluster, seed: int) -> list[_Traffic]:
+    traffic = []
+    for workspace, credential, kind, rate in ROUTED_TRAFFIC:
+        rng = Random(f"calls {credential} {seed}")
+        caller = Caller(cluster.session, workspace, credential, rng, by_routes=True)
+        traffic.append(_Traffic(caller, rate, _always(kind)))
+    return traffic
+
+
+def _always(kind: str) -> Callable[[Random], str]:
+    return lambda rng: kind
+
+
 async def _send_traffic(
-    caller: Caller, cluster: Cluster, seconds: float, schedule_done: asyncio.Event
+    traffic: _Traffic, cluster: Cluster, seconds: float, schedule_done: asyncio.Event
 ) -> None:
     """Send Poisson traffic over persistent connections to all entries, including those of
     stopped daemons, for at least `seconds` and until the schedule is done.
     """
+    caller = traffic.caller
     loop = asyncio.get_running_loop()
     end = loop.time() + seconds
     tasks = set()
     while loop.time() < end or not schedule_done.is_set():
-        await asyncio.sleep(caller.rng.expovariate(CALLS_PER_SECOND))
+        await asyncio.sleep(caller.rng.expovariate(traffic.rate))
         member = caller.rng.choice(list(cluster.members.values()))
-        once = caller.rng.random() < 0.5
-        kind = "submit" if once else "view"
+        kind = traffic.draw_kind(caller.rng)
+        once = kind == ONCE_KIND
         send = caller.send(
             member.instance.entry_port,
             "papers",
@@ -217,27 +249,6 @@
     await asyncio.gather(*tasks)
 
 
-async def _send_routed_traffic(
-    caller: Caller,
-    cluster: Cluster,
-    kind: str,
-    rate: float,
-    seconds: float,
-    schedule_done: asyncio.Event,
-) -> None:
-    """Send Poisson traffic of one kind to all entries, as long as `_send_traffic`."""
-    loop = asyncio.get_running_loop()
-    end = loop.time() + seconds
-    tasks = set()
-    while loop.time() < end or not schedule_done.is_set():
-        await asyncio.sleep(caller.rng.expovariate(rate))
-        member = caller.rng.choice(list(cluster.members.values()))
-        port, name = member.instance.entry_port, member.plan.name
-        send = caller.send(port, "papers", kind, once=False, deadline_ms=2000, entry=name)
-        tasks.add(asyncio.create_task(send))
-    await asyncio.gather(*tasks)
-
-
 async def _send_fatal_requests(
     cluster: Cluster, seed: int, plans: list[Plan], *, by_routes: bool
 ) -> None:
--- a/soak/history.py
+++ b/soak/history.py
@@ -108,7 +108,7 @@
     removals: list[RemovedCredential] = field(default_factory=list)
     workspace_limits: list[WorkspaceLimit] = field(default_factory=list)
     outages: list[Outage] = field(default_factory=list)
-    unstruck: list[str] = field(default_factory=list)  # faults without an effect
+    ineffective_faults: list[str] = field(default_factory=list)
 
     def arrived(self) -> list[ArrivedRequest]:
         """The requests that ran, each with its first start at a backend server."""
@@ -139,8 +139,8 @@
     violations += _late_fatal_runs(history)
     violations += _runs_over_limits(history)
     if history.credentials:
-        violations += _broken_workspace_promises(history)
-        violations += _unstruck_faults(history)
+        violations += _workspace_violations(history)
+        violations += _untested_guarantees(history)
     violations += [
         f"{stop.instance} exited with code {stop.code} after a planned stop"
         for stop in history.planned_stops
@@ -201,7 +201,7 @@
     return violations
 
 
-def _broken_workspace_promises(history: History) -> list[str]:
+def _workspace_violations(history: History) -> list[str]:
     requests = {request.request_id: request for request in history.requests}
     runs = [(requests.get(ran.run.request_id), ran.run) for ran in history.ran]
     known = [(request, run.workspace) for request, run in runs if request is not None]
@@ -222,30 +222,46 @@
     ]
 
 
-def _unstruck_faults(history: History) -> list[str]:
-    """Faults and traffic that did not put the promises to the test."""
+def _untested_guarantees(history: History) -> list[str]:
+    """Faults and traffic that did not put the guarantees to the test."""
+    ineffective = [
+        *history.ineffective_faults,
+        *_ineffective_removals(history),
+        *_ineffective_limits(history),
+    ]
+    return [f"fault without effect: {fault}" for fault in ineffective]
+
+
+def _ineffective_removals(history: History) -> list[str]:
     ran_ids = {ran.run.request_id for ran in history.ran}
-    unstruck = list(history.unstruck)
+    ineffective = []
     for removed in history.removals:
         own = [one for one in history.requests if one.credential == removed.credential]
         if not any(one.request_id in ran_ids for one in own):
-            unstruck.append("removal of a credential that no request had run with")
+            ineffective.append("removal of a credential that no request had run with")
         if not any(
             one.sent_at > effective_at(removed, one.entry, history.outages) for one in own
         ):
-            unstruck.append("removal of a credential that no request used later")
-    if history.workspace_limits:
-        lowered = min(history.workspace_limits, key=lambda limit: limit.rate)
-        refused_at = [
-            one.sent_at
-            for one in history.requests
-            if one.workspace == lowered.workspace and one.reason == "over-limit"
-        ]
-        if not any(at < lowered.since for at in refused_at):
-            unstruck.append(f"limit of {lowered.workspace} before it was lowered")
-        if not any(at > history.known_at(lowered.version) for at in refused_at):
-            unstruck.append(f"lowered limit of {lowered.workspace}")
-    return [f"fault without effect: {fault}" for fault in unstruck]
+            ineffective.append("removal of a credential that no request used later")
+    return ineffective
+
+
+def _ineffective_limits(history: History) -> list[str]:
+    """The lowered limit, unless it refused requests both before and after it was lowered."""
+    if not history.workspace_limits:
+        return []
+    lowered = min(history.workspace_limits, key=lambda limit: limit.rate)
+    refused_at = [
+        one.sent_at
+        for one in history.requests
+        if one.workspace == lowered.workspace and one.reason == "over-limit"
+    ]
+    ineffective = []
+    if not any(at < lowered.since for at in refused_at):
+        ineffective.append(f"limit of {lowered.workspace} before it was lowered")
+    if not any(at > history.known_at(lowered.version) for at in refused_at):
+        ineffective.append(f"lowered limit of {lowered.workspace}")
+    return ineffective
 
 
 def _count_window(times: Sequence[float], begin: float) -> int:
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -49,7 +49,7 @@
         Fault.LOWER_LIMIT,
     }
 )
-# Faults during which some connection must have withheld bytes, else they did not strike.
+# Faults during which some connection must have withheld chunks, else they had no effect.
 WITHHOLDING_FAULTS = frozenset({Fault.LOWER_LIMIT, Fault.REMOVE_CREDENTIAL})
 
 
@@ -172,16 +172,16 @@
                 await self._restore_zone(step.where)
             case Fault.PARTITION | Fault.LOWER_LIMIT:
                 self.cluster.unblock(step.where)
-        self._record_strike(step)
+        self._record_effect(step)
 
-    def _record_strike(self, step: Step) -> None:
+    def _record_effect(self, step: Step) -> None:
         """Record the outage of a step, and whether connections were silent because of it."""
         if step.fault in OUTAGE_FAULTS:
             outage = Outage(step.where, self._began_at[step], self.now)
             self.history.outages.append(outage)
         before = self._withheld_before.get(step)
         if before is not None and before == self.cluster.withheld_count(step.where):
-            self.history.unstruck.append(f"{step.fault} at {step.at:.1f} s")
+            self.history.ineffective_faults.append(f"{step.fault} at {step.at:.1f} s")
 
     @property
     def _routed(self) -> RoutedConfiguration:
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -235,7 +235,7 @@
         [routed_run("r", 9.1)],
         removals=[RemovedCredential("spare", 10.0)],
     ),
-    "silence at 3 s": routed_history([], [], unstruck=["silence at 3 s"]),
+    "silence at 3 s": routed_history([], [], ineffective_faults=["silence at 3 s"]),
 }
 
 
