--- a/test/quota_network.py
+++ b/test/quota_network.py
@@ -41,7 +41,7 @@
 
 @dataclass
 class Ask:
-    """A question of an entry about a workspace; `index` is the candidate asked now."""
+    """An ask of an entry about a workspace; `index` is the candidate asked now."""
 
     workspace: str
     order: tuple[str, ...]
--- a/test/test_quota_asker.py
+++ b/test/test_quota_asker.py
@@ -24,11 +24,11 @@
 ORDER = Candidates(len(NAMES))
 ORDER.set_members(NAMES)
 FIRST, SECOND, THIRD, FOURTH, _ = ORDER.of("alpha")
-QUESTION_SECONDS = 0.05  # that a question takes by the clock of these tests
+ASK_SECONDS = 0.05  # that an ask takes by the clock of these tests
 
 
 class ChannelsStandIn:
-    """Answers questions by the failure of each owner in `failures`, if any."""
+    """Answers asks by the failure of each owner in `failures`, if any."""
 
     def __init__(self, world):
         self._world = world
@@ -40,13 +40,13 @@
 
     async def ask(self, owner, request):
         self.asked.append((owner, request.failover))
-        self._world.now += QUESTION_SECONDS
+        self._world.now += ASK_SECONDS
         failure = self.failures.get(owner)
         return Ok(TokenGrant(request.tokens)) if failure is None else Err(failure)
 
 
 class ServiceStandIn:
-    """Records the questions that the own daemon answers."""
+    """Records the asks that the own daemon answers."""
 
     def __init__(self):
         self.asked = []
@@ -78,7 +78,7 @@
         self.asker.set_instances(instances())
 
     async def ask(self, workspace="alpha"):
-        """Ask, and return the answer and the questions that it took."""
+        """Ask, and return the answer and the asks that it took."""
         self.channels.asked.clear()
         answer = await self.asker.ask(TokenRequest("x", workspace, 1, 1, 10.0, 5.0))
         return answer, list(self.channels.asked)
@@ -116,9 +116,9 @@
             others = [f"workspace-{n}" for n in range(200)]
             other = next(w for w in others if ORDER.of(w)[0] == FIRST)
             assert FIRST not in dict((await world.ask(other))[1])
-            world.now += seconds - 3 * QUESTION_SECONDS
+            world.now += seconds - 3 * ASK_SECONDS
             assert (await world.ask())[1][0][0] != FIRST
-            world.now += 3 * QUESTION_SECONDS
+            world.now += 3 * ASK_SECONDS
             world.channels.failures = {}
             assert (await world.ask())[1] == [(FIRST, False)]
 
@@ -173,7 +173,7 @@
     run(scenario)
 
 
-def test_tokens_live_from_the_question_to_the_owner_that_granted_them():
+def test_tokens_live_from_the_ask_to_the_owner_that_granted_them():
     """Guards against tokens that a slow answer prolongs, or that silent candidates use up."""
 
     async def scenario():
@@ -181,13 +181,13 @@
         world.channels.failures = {FIRST: AskFailure.SILENT}
         started_at = world.now
         answer, _ = await world.ask()
-        assert answer.asked_at == started_at + QUESTION_SECONDS
-        assert world.now == started_at + 2 * QUESTION_SECONDS
+        assert answer.asked_at == started_at + ASK_SECONDS
+        assert world.now == started_at + 2 * ASK_SECONDS
 
     run(scenario)
 
 
-def test_a_connection_that_breaks_under_a_question_is_told_from_a_frozen_owner(monkeypatch):
+def test_a_connection_that_breaks_under_an_ask_is_told_from_a_frozen_owner(monkeypatch):
     """Guards against a killed owner that counts as frozen, so that nobody takes over."""
     monkeypatch.setattr(channels_module, "ASK_TIMEOUT_SECONDS", 30.0)
 
@@ -210,11 +210,11 @@
         channels = OwnerChannels(PeerTls())
         owner = Instance("owner", "p", "one", HOST, 1, 2, link.port)
         channels.set_instances({"owner": owner})
-        question = TokenRequest("x", "alpha", 1, 1, 10.0, 5.0)
+        ask = TokenRequest("x", "alpha", 1, 1, 10.0, 5.0)
         try:
-            assert (await channels.ask("owner", question)).is_ok()
+            assert (await channels.ask("owner", ask)).is_ok()
             link.bytes_per_second = 0.001  # holds the answer
-            asking = asyncio.create_task(channels.ask("owner", question))
+            asking = asyncio.create_task(channels.ask("owner", ask))
 
             async def is_asked():
                 return service.asked == 2
--- a/test/test_quota_client.py
+++ b/test/test_quota_client.py
@@ -29,16 +29,16 @@
 
 
 class AskerStandIn:
-    """Answers each question with the next of `grants`, once `may_answer` is set."""
+    """Answers each ask with the next of `grants`, once `may_answer` is set."""
 
     def __init__(self, clock, *grants):
         self._clock = clock
         self._grants = list(grants)
         self.may_answer = asyncio.Event()
-        self.questions = []
+        self.asks = []
 
     async def ask(self, request):
-        self.questions.append(request)
+        self.asks.append(request)
         asked_at = self._clock()
         await self.may_answer.wait()
         return Answer(self._grants.pop(0), "owner", asked_at)
@@ -61,7 +61,7 @@
 
 
 async def until_asked(asker, count=1):
-    while len(asker.questions) < count:
+    while len(asker.asks) < count:
         await asyncio.sleep(0)
 
 
@@ -90,7 +90,7 @@
             assert use.used == 0
             token = await client.take("alpha", LIMIT, 1)
             assert token == waiting.result()
-            assert len(asker.questions) == 1
+            assert len(asker.asks) == 1
 
     run(scenario)
 
@@ -110,13 +110,13 @@
             assert all(refusal.retry_after > 2.9 for refusal in refusals)
             later = await client.take("alpha", LIMIT, 1)
             assert isinstance(later, OverLimit)
-            assert len(asker.questions) == 1
+            assert len(asker.asks) == 1
 
     run(scenario)
 
 
-def test_requests_that_come_after_the_question_share_the_next_one():
-    """Guards against a refusal of requests that the first question did not count."""
+def test_requests_that_come_after_the_ask_share_the_next_one():
+    """Guards against a refusal of requests that the first ask did not count."""
 
     async def scenario():
         async with running_client(TokenGrant(1), TokenGrant(50)) as (client, asker):
@@ -127,13 +127,13 @@
             asker.may_answer.set()
             results = await asyncio.gather(first, *others)
             assert not any(isinstance(result, OverLimit) for result in results)
-            assert [question.tokens >= 9 for question in asker.questions] == [False, True]
+            assert [ask.tokens >= 9 for ask in asker.asks] == [False, True]
 
     run(scenario)
 
 
 def test_an_answer_whose_tokens_have_expired_does_not_keep_requests_waiting():
-    """Guards against a loop of questions without an end where each answer comes too late."""
+    """Guards against a loop of asks without an end where each answer comes too late."""
 
     async def scenario():
         async with running_client(TokenGrant(1)) as (client, asker):
@@ -142,12 +142,12 @@
             asker._clock.now += 1.0
             asker.may_answer.set()
             assert isinstance(await take, OverLimit)
-            assert len(asker.questions) == 1
+            assert len(asker.asks) == 1
 
     run(scenario)
 
 
-def test_a_question_names_the_newest_limit():
+def test_an_ask_names_the_newest_limit():
     """Guards against the limit of an older bundle that a request before the change has."""
 
     async def scenario():
@@ -155,7 +155,7 @@
             asker.may_answer.set()
             for version, rate in ((1, 10.0), (3, 2.0), (2, 10.0)):
                 await client.take("alpha", RateLimit(rate), version)
-            assert [(q.version, q.rate) for q in asker.questions] == [
+            assert [(q.version, q.rate) for q in asker.asks] == [
                 (1, 10.0),
                 (3, 2.0),
                 (3, 2.0),
@@ -178,6 +178,6 @@
             asker.may_answer.set()
             results = await asyncio.gather(first, second)
             assert not any(isinstance(result, OverLimit) for result in results)
-            assert [(q.version, q.rate) for q in asker.questions] == [(1, 10.0), (2, 1.0)]
+            assert [(q.version, q.rate) for q in asker.asks] == [(1, 10.0), (2, 1.0)]
 
     run(scenario)
--- a/test/test_quota_holder.py
+++ b/test/test_quota_holder.py
@@ -25,7 +25,7 @@
 
 
 @pytest.mark.parametrize("answered", [0.0, 0.2, 30.0])
-def test_the_lifetime_counts_from_the_question(answered):
+def test_the_lifetime_counts_from_the_ask(answered):
     """Guards against a slow answer, or a process that was frozen, with late tokens."""
     holder = holder_with(5, 0.0, answered)
     assert holder.take("alpha", max(answered, LIFETIME)) is None
--- a/test/test_quota_path.py
+++ b/test/test_quota_path.py
@@ -41,8 +41,8 @@
         await link.close()
 
 
-def record_questions(daemon):
-    """Return a list to which the daemon's questions are added, as it answers them."""
+def record_asks(daemon):
+    """Return a list to which the daemon's asks are added, as it answers them."""
     asked, grant = [], daemon.quota.service.grant
 
     def record_and_grant(request):
@@ -87,7 +87,7 @@
 
 
 def test_a_refusal_is_429_with_the_time_of_the_next_token(tmp_path):
-    """Guards against a Retry-After that is as short as the entry's pause between questions."""
+    """Guards against a Retry-After that is as short as the entry's pause between asks."""
 
     async def scenario():
         async with quota_fleet(tmp_path, 0.25, 0.0) as fleet:
@@ -141,19 +141,19 @@
     run(scenario)
 
 
-def test_requests_that_arrive_together_share_one_question(tmp_path):
-    """Guards against one question for each request of a burst."""
+def test_requests_that_arrive_together_share_one_ask(tmp_path):
+    """Guards against one ask for each request of a burst."""
 
     async def scenario():
         async with quota_fleet(tmp_path, 100.0, 100.0) as fleet:
             fleet.settle()
             primary = fleet.candidates()[0]
             entry = fleet.entry_beside(primary)
-            asked = record_questions(fleet.node(primary).daemon)
+            asked = record_asks(fleet.node(primary).daemon)
             requests = await asyncio.gather(*(fleet.send(entry) for _ in range(20)))
             assert len(answered(requests)) == 20
             assert 1 <= len(asked) < 10
-            assert {question.sender for question in asked} == {entry}
+            assert {ask.sender for ask in asked} == {entry}
 
     run(scenario)
 
@@ -168,7 +168,7 @@
             fleet.settle()
             primary, second, entry = fleet.candidates()
             control_port = fleet.node(primary).instance.control_port
-            asked = record_questions(fleet.node(second).daemon)
+            asked = record_asks(fleet.node(second).daemon)
             async with link_before(fleet, primary):
                 await fleet.send(entry)
                 assert fleet.use(entry).owner == primary
@@ -178,7 +178,7 @@
             assert fleet.logged("quota-owner-unreachable", owner=primary, why="refused")
             assert not fleet.logged("quota-owner-unreachable", why="silent")
             assert fleet.use(entry).owner == second
-            assert asked and all(question.failover for question in asked)
+            assert asked and all(ask.failover for ask in asked)
             assert len(answered(requests)) == len(requests)
 
             await fleet.relist(primary, control_port=control_port)
@@ -207,14 +207,14 @@
             try:
                 port = listener.sockets[0].getsockname()[1]
                 await fleet.relist(primary, control_port=port)
-                asked = record_questions(fleet.node(second).daemon)
+                asked = record_asks(fleet.node(second).daemon)
                 requests = [await fleet.send(entry) for _ in range(2)]
                 assert accepted
                 unreachable = fleet.logged(
                     "quota-owner-unreachable", owner=primary, why="silent"
                 )
                 assert len(unreachable) == 1
-                assert asked and not any(question.failover for question in asked)
+                assert asked and not any(ask.failover for ask in asked)
                 assert requests[0].elapsed_seconds >= channels.ASK_TIMEOUT_SECONDS
                 assert requests[1].elapsed_seconds < requests[0].elapsed_seconds
                 assert fleet.use(entry).owner in (second, entry)
@@ -270,7 +270,7 @@
 
 
 def test_an_owner_of_the_previous_version_is_left_out_for_longer(tmp_path):
-    """Guards against a question to each older daemon every second during an update."""
+    """Guards against an ask to each older daemon every second during an update."""
 
     async def scenario():
         async with quota_fleet(tmp_path, 10.0, 10.0) as fleet:
@@ -345,7 +345,7 @@
     run(scenario)
 
 
-def test_a_lowered_limit_takes_effect_with_the_next_question(tmp_path):
+def test_a_lowered_limit_takes_effect_with_the_next_ask(tmp_path):
     """Guards against a bucket that keeps the tokens, or the rate, of the higher limit."""
     rate, lower = 100.0, 4.0
     count = 400
@@ -433,7 +433,7 @@
                 use = fleet.use(entry)
                 assert not use.waiting
                 assert use.used == 0
-                assert link.bytes_to_target  # the question was under way
+                assert link.bytes_to_target  # the ask was under way
 
     run(scenario)
 
