--- a/packages/wheatslipd/wheatslipd/feed/feedsettings.py
+++ b/packages/wheatslipd/wheatslipd/feed/feedsettings.py
@@ -6,6 +6,7 @@
 from wheatslip.store.backoff import BACKOFF_MAX_SECONDS
 from wheatslip.store.objects import WATCH_SECONDS
 
+# Watchers confirm the head that often within `max_unconfirmed`; `confirm_interval` says why.
 CONFIRMATIONS_PER_LIMIT = 5
 
 
--- a/packages/wheatslipd/wheatslipd/gate/peerport.py
+++ b/packages/wheatslipd/wheatslipd/gate/peerport.py
@@ -176,22 +176,22 @@
         An entry of the previous version does not identify workspaces and forwards the
         credential, which this daemon looks up then. Other entries never forward one.
         """
-        name = self._names.credential
+        header = self._names.credential
         is_identified = bool(hop.workspace) or not self._settings.by_routes
-        if is_identified or not name or head.get(name) is None:
+        if is_identified or not header or head.get(header) is None:
             return call, hop.workspace
         configuration = self._view.configuration
         if configuration is None:
             return NOT_CONFIGURED
         route = configuration.routes.find(host_of(head) or "", path_of(head))
-        workspace = self._settings.identification.identify(head, configuration, route)
-        if workspace is None:
+        identified = self._settings.identification.identify(head, configuration, route)
+        if identified is None:
             return call, ""
-        if isinstance(workspace, NotRun):
-            # The previous version does not know the other reason and would answer 502.
-            is_unconfirmed = workspace.reason is Reason.UNCONFIRMED
-            return NOT_CONFIGURED if is_unconfirmed else workspace
-        return identified_call(call, workspace, route), workspace.name
+        if isinstance(identified, NotRun):
+            # The previous version does not know `UNCONFIRMED` and would answer 502.
+            is_unconfirmed = identified.reason is Reason.UNCONFIRMED
+            return NOT_CONFIGURED if is_unconfirmed else identified
+        return identified_call(call, identified, route), identified.name
 
     async def _check_entry(self, hop: Hop, exchange: Exchange) -> NotRun | None:
         """Return a refusal if the entry used an outdated list or configuration."""
