--- a/packages/wheatslip/wheatslip/quota/granter.py
+++ b/packages/wheatslip/wheatslip/quota/granter.py
@@ -39,7 +39,7 @@
 RESTART_SLACK_SHARE = 0.15  # of the slack, for the first tokens of a restarted primary
 SMALL_BURST_SLACK_SHARE = 0.5  # of the slack: what the bucket of a primary holds at least
 RESTART_SECONDS = 0.5  # of refill, at most, for the same
-HELD_SHARE = 0.25  # of a part of the margin: what its bucket holds
+PART_BURST_SHARE = 0.25  # of a part of the margin: what its bucket holds
 FORGET_SECONDS = 60.0  # without a request; only a full bucket is forgotten
 MAX_WORKSPACES = 4096  # limits memory
 
@@ -79,8 +79,8 @@
     def of(cls, tokens: float, seconds: float) -> "_Part":
         if tokens < MIN_BURST:
             return cls(0.0, MIN_BURST)
-        held = max(MIN_BURST, HELD_SHARE * tokens)
-        return cls((tokens - held) / seconds, held)
+        burst = max(MIN_BURST, PART_BURST_SHARE * tokens)
+        return cls((tokens - burst) / seconds, burst)
 
 
 @dataclass(slots=True)
@@ -201,14 +201,14 @@
             self._evicted_at = now
         since = min(now, self._members_since)
         quota = _Quota(
-            request.version,
-            request.rate,
-            request.burst,
-            self._position_of(request.workspace),
-            since,
-            TokenBucket(0.0, MIN_BURST, 0.0, since),
-            RetrySchedule(),
-            now,
+            version=request.version,
+            rate=request.rate,
+            burst=request.burst,
+            position=self._position_of(request.workspace),
+            since=since,
+            bucket=TokenBucket(rate=0.0, burst=MIN_BURST, level=0.0, now=since),
+            retries=RetrySchedule(),
+            asked_at=now,
         )
         self._apply(quota, since)
         if since > self._evicted_at:
@@ -222,7 +222,7 @@
         if quota.position != 0:
             return 0.0
         return min(
-            self._held(quota.burst),
+            self._primary_burst(quota.burst),
             RESTART_SLACK_SHARE * self._settings.slack,
             max(1.0, RESTART_SECONDS * quota.rate),
         )
@@ -247,7 +247,7 @@
         if position == 0:
             is_settled = now >= quota.since + SETTLE_SECONDS
             share = 1.0 if is_settled else SETTLING_SHARE
-            return _Part(share * quota.rate, self._held(quota.burst))
+            return _Part(share * quota.rate, self._primary_burst(quota.burst))
         part = self._margin_part(quota, position)
         if position < CANDIDATES and now < min(quota.failover_until, self._lapses_at):
             return _Part(max(part.rate, FAILOVER_SHARE * quota.rate), part.burst)
@@ -260,6 +260,7 @@
         return quota.position
 
     def _margin_part(self, quota: _Quota, position: int) -> _Part:
+        """The part of the margin for a position after the primary's."""
         margin = self._margin(quota.rate, quota.burst)
         seconds = self._settings.window + self._settings.token_lifetime
         if position == 1:
@@ -274,11 +275,13 @@
         """Tokens of a window that the bound leaves beside those of the primary."""
         settings = self._settings
         bound = (rate * settings.window + burst) * (1 + settings.overage) + settings.slack
-        primary = rate * (settings.window + settings.token_lifetime) + self._held(burst)
+        primary = rate * (settings.window + settings.token_lifetime) + self._primary_burst(
+            burst
+        )
         return bound - primary - RESTART_SLACK_SHARE * settings.slack
 
-    def _held(self, burst: float) -> float:
-        """Tokens that the bucket of a primary holds."""
+    def _primary_burst(self, burst: float) -> float:
+        """Tokens that the bucket of a primary holds, for a limit with `burst`."""
         return max(MIN_BURST, burst, SMALL_BURST_SLACK_SHARE * self._settings.slack)
 
     def _forget(self, now: float) -> None:
--- a/packages/wheatslip/wheatslip/quota/holder.py
+++ b/packages/wheatslip/wheatslip/quota/holder.py
@@ -29,7 +29,7 @@
 
 
 @dataclass(slots=True)
-class _Held:
+class _WorkspaceState:
     """State of one workspace. `expiries` are those of its tokens, in any order."""
 
     expiries: deque[float] = field(default_factory=deque)
@@ -52,21 +52,21 @@
 
     def __init__(self, settings: QuotaSettings):
         self._settings = settings
-        self._workspaces: OrderedDict[str, _Held] = OrderedDict()
+        self._workspaces: OrderedDict[str, _WorkspaceState] = OrderedDict()
 
     def on_arrival(self, workspace: str, now: float) -> None:
         """Records a request, whether it is served or not."""
-        held = self._of(workspace)
-        held.arrivals = _decayed(held.arrivals, now - held.arrivals_at) + 1.0
-        held.arrivals_at = now
+        state = self._of(workspace)
+        state.arrivals = _decayed(state.arrivals, now - state.arrivals_at) + 1.0
+        state.arrivals_at = now
 
     def take(self, workspace: str, now: float) -> Token | None:
         """Uses a token that has not expired; None if there is none."""
-        held = self._workspaces.get(workspace)
-        if held is None:
+        state = self._workspaces.get(workspace)
+        if state is None:
             return None
-        while held.expiries:
-            expires = held.expiries.popleft()
+        while state.expiries:
+            expires = state.expiries.popleft()
             if expires > now:
                 return Token(workspace, expires)
         return None
@@ -79,15 +79,15 @@
         token with each full grant and is halved by the others, because the owner may hold less
         than one entry expects to use.
         """
-        held = self._of(workspace)
+        state = self._of(workspace)
         expected = (
-            _decayed(held.arrivals, now - held.arrivals_at)
+            _decayed(state.arrivals, now - state.arrivals_at)
             / RATE_MEMORY_SECONDS
             * self._settings.token_lifetime
         )
-        live = sum(expires > now for expires in held.expiries)
-        ahead = min(held.max_ahead, max(0, math.floor(expected - math.sqrt(expected))))
-        held.waiting = waiting
+        live = sum(expires > now for expires in state.expiries)
+        ahead = min(state.max_ahead, max(0, math.floor(expected - math.sqrt(expected))))
+        state.waiting = waiting
         return waiting + max(0, ahead - live)
 
     def on_grant(
@@ -98,31 +98,31 @@
         They live from `asked_at`, so neither a slow answer nor a frozen process prolongs them.
         A repeated answer, or one that a later answer has overtaken, is ignored.
         """
-        held = self._of(workspace)
-        if asked_at <= held.asked_at or asked_at < held.dropped_at:
+        state = self._of(workspace)
+        if asked_at <= state.asked_at or asked_at < state.dropped_at:
             return
-        held.asked_at = asked_at
+        state.asked_at = asked_at
         expires = asked_at + self._settings.token_lifetime
         if expires > now:
-            held.expiries.extend([expires] * min(grant.tokens, wanted))
+            state.expiries.extend([expires] * min(grant.tokens, wanted))
         if grant.tokens < wanted:
-            held.max_ahead = max(0, grant.tokens - held.waiting) // 2
+            state.max_ahead = max(0, grant.tokens - state.waiting) // 2
         else:
-            held.max_ahead = min(held.max_ahead + 1, MAX_AHEAD)
-        if grant.tokens < min(wanted, held.waiting):
-            held.shortage = _decayed(held.shortage, now - held.shortage_at)
-            held.shortage += wanted - grant.tokens
-            held.shortage_at = now
-            held.granted_wait = grant.retry_after
-            held.retry_at = now + grant.retry_after
-            held.refuse_until = now + min(MAX_REFUSE_SECONDS, grant.retry_after)
+            state.max_ahead = min(state.max_ahead + 1, MAX_AHEAD)
+        if grant.tokens < min(wanted, state.waiting):
+            state.shortage = _decayed(state.shortage, now - state.shortage_at)
+            state.shortage += wanted - grant.tokens
+            state.shortage_at = now
+            state.granted_wait = grant.retry_after
+            state.retry_at = now + grant.retry_after
+            state.refuse_until = now + min(MAX_REFUSE_SECONDS, grant.retry_after)
         else:
-            held.retry_at = held.refuse_until = float("-inf")
+            state.retry_at = state.refuse_until = float("-inf")
 
     def refused_for(self, workspace: str, now: float) -> float:
         """Seconds for which to refuse without asking; 0: ask."""
-        held = self._workspaces.get(workspace)
-        return 0.0 if held is None else max(0.0, held.refuse_until - now)
+        state = self._workspaces.get(workspace)
+        return 0.0 if state is None else max(0.0, state.refuse_until - now)
 
     def retry_after(self, workspace: str, rate: float, now: float) -> float:
         """Seconds after which a caller that is refused now should retry.
@@ -131,34 +131,34 @@
         entry's own asks account for, other entries ask as well and refuse as many callers as
         this one. `rate` is the workspace's limit.
         """
-        held = self._of(workspace)
-        shortage = max(1.0, _decayed(held.shortage, now - held.shortage_at))
-        entries = max(1.0, held.granted_wait * rate / shortage)
-        return held.retries.retry_after(max(0.0, held.retry_at - now), 1, rate / entries, now)
+        state = self._of(workspace)
+        shortage = max(1.0, _decayed(state.shortage, now - state.shortage_at))
+        entries = max(1.0, state.granted_wait * rate / shortage)
+        return state.retries.retry_after(max(0.0, state.retry_at - now), 1, rate / entries, now)
 
     def give_back(self, token: Token, now: float) -> None:
         """Returns the token of a request that did not run."""
-        held = self._of(token.workspace)
+        state = self._of(token.workspace)
         asked_at = token.expires - self._settings.token_lifetime
-        if token.expires > now and asked_at >= held.dropped_at:
-            held.expiries.appendleft(token.expires)
+        if token.expires > now and asked_at >= state.dropped_at:
+            state.expiries.appendleft(token.expires)
 
     def drop_tokens(self, workspace: str, now: float) -> None:
         """Drops the tokens when the limit changes, also those of an ask in progress."""
-        held = self._of(workspace)
-        held.expiries.clear()
-        held.refuse_until = float("-inf")
-        held.dropped_at = now
-
-    def _of(self, workspace: str) -> _Held:
-        held = self._workspaces.get(workspace)
-        if held is None:
-            held = self._workspaces[workspace] = _Held()
+        state = self._of(workspace)
+        state.expiries.clear()
+        state.refuse_until = float("-inf")
+        state.dropped_at = now
+
+    def _of(self, workspace: str) -> _WorkspaceState:
+        state = self._workspaces.get(workspace)
+        if state is None:
+            state = self._workspaces[workspace] = _WorkspaceState()
             if len(self._workspaces) > MAX_WORKSPACES:
                 self._workspaces.popitem(last=False)
         else:
             self._workspaces.move_to_end(workspace)
-        return held
+        return state
 
 
 def _decayed(count: float, seconds: float) -> float:
