--- a/packages/wheatslip/wheatslip/admission/admission.py
+++ b/packages/wheatslip/wheatslip/admission/admission.py
@@ -277,13 +277,15 @@
         """Starts a short request in a slot that other requests may not use; returns whether it
         was started.
         """
-        has_slot = self.in_flight < self.settings.short_slots
-        if not has_slot or self._rate_wait(0, now) > 0 or not self.timing.is_short(ticket.call):
-            return False
-        if should_wait_out_slow_period(self.timing, ticket.call, now):
-            return False
-        self._start_ticket(ticket, now)
-        return True
+        if (
+            self.in_flight < self.settings.short_slots
+            and self._rate_wait(0, now) <= 0
+            and self.timing.is_short(ticket.call)
+            and not should_wait_out_slow_period(self.timing, ticket.call, now)
+        ):
+            self._start_ticket(ticket, now)
+            return True
+        return False
 
     def _rate_wait(self, ahead: int, now: float) -> float:
         """Seconds until the rate limits let a request with `ahead` others before it start."""
--- a/packages/wheatslipd/wheatslipd/controllers/confirmation.py
+++ b/packages/wheatslipd/wheatslipd/controllers/confirmation.py
@@ -37,16 +37,15 @@
         """The refusal of a request with a credential that the configuration `version` would
         identify; None if it may be identified.
         """
-        if not self._max_unconfirmed:
-            return None
-        is_expired = self._check_age(version)
-        if not is_expired:
+        if not self._max_unconfirmed or not self._is_expired(version):
             return None
         self._metrics.unconfirmed_refusals.inc({})
         return UNCONFIRMED
 
-    def _check_age(self, version: int) -> bool:
-        """Whether the configuration was confirmed too long ago; logs when that changes."""
+    def _is_expired(self, version: int) -> bool:
+        """Whether the configuration was confirmed too long ago or never; logs when that
+        changes.
+        """
         confirmed_at = self._cache.confirmed_at(version)
         age = None if confirmed_at is None else self._clock() - confirmed_at
         is_expired = age is None or age > self._max_unconfirmed
