Test the first refusal with a bucket of one token

A primary's bucket holds half of the slack since a small burst does. The test of the time of the next token still expected a bucket of one: it was not run with that change. It now sets no slack, so that the bucket holds one token again; what it asserts is the same.

--- a/test/test_quota_path.py
+++ b/test/test_quota_path.py
@@ -90,7 +90,8 @@
     """Guards against a Retry-After that is as short as the entry's pause between asks."""
 
     async def scenario():
-        async with quota_fleet(tmp_path, 0.25, 0.0) as fleet:
+        # Without slack a bucket holds one token if there is no burst.
+        async with quota_fleet(tmp_path, 0.25, 0.0, settings="[quota]\nslack = 0\n") as fleet:
             fleet.settle()
             url = f"http://{HOST}:{fleet.node('a').entry}/"
             headers = {"authorization": "Bearer alpha-secret", "wheatslip-service": "papers"}
