Ask the owner of a limit by its name

Its primary's machine had been taken away, and its address had gone to a machine of another service, while the list still had the old entry. Ruled out: an unreachable primary, whose second candidate grants a part.

An ask now names its owner, and a daemon of another name refuses it. That counts as a refused connection: the process that was there has ended, so the next candidate takes over.

--- a/packages/wheatslip/wheatslip/quota/messages.py
+++ b/packages/wheatslip/wheatslip/quota/messages.py
@@ -12,6 +12,7 @@
 
     `rate` (per second) and `burst` are the workspace's limit in the bundle of `version`.
     `failover` tells that all earlier candidates refused the connection, so they have ended.
+    `owner` is the daemon that is asked: another one may have got its address since.
     """
 
     sender: str
@@ -21,6 +22,7 @@
     rate: float
     burst: float
     failover: bool = False
+    owner: str = ""
 
 
 class TokenGrant(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/wheatslipd/wheatslipd/quota/asker.py
+++ b/packages/wheatslipd/wheatslipd/quota/asker.py
@@ -74,7 +74,7 @@
             unreachable = self._unreachable_now(owner)
             if unreachable is None:
                 failover = have_all_refused and owner != self._primary(request.workspace)
-                owner_request = msgspec.structs.replace(request, failover=failover)
+                owner_request = msgspec.structs.replace(request, failover=failover, owner=owner)
                 if owner == self._name:
                     return self._ask_locally(owner_request)
                 asked_at = self._clock()
--- a/packages/wheatslipd/wheatslipd/quota/channels.py
+++ b/packages/wheatslipd/wheatslipd/quota/channels.py
@@ -18,7 +18,7 @@
 from wheatslip.store.instances import Instance
 
 from wheatslipd.feed.codec import StructCodec
-from wheatslipd.quota.service import GET_TOKENS_METHOD
+from wheatslipd.quota.service import GET_TOKENS_METHOD, OTHER_DAEMON_STATUS
 from wheatslipd.tls import PeerTls
 
 ASK_TIMEOUT_SECONDS = 0.1  # for the connection and the answer together
@@ -30,7 +30,8 @@
 class AskFailure(Enum):
     """Why an owner has not answered an ask."""
 
-    REFUSED = auto()  # it refused the connection, so no process listens there
+    # No process listens there, or that of another daemon: the owner has ended.
+    REFUSED = auto()
     SILENT = auto()  # no answer in time, or the connection broke; its process may run
     UNSUPPORTED = auto()  # it runs a version that does not know the method
 
@@ -135,6 +136,8 @@
     except ConnectionRefusedError:
         return Err(AskFailure.REFUSED)
     except GRPCError as error:
+        if error.status is OTHER_DAEMON_STATUS:
+            return Err(AskFailure.REFUSED)
         is_unsupported = error.status in UNSUPPORTED_STATUSES
         return Err(AskFailure.UNSUPPORTED if is_unsupported else AskFailure.SILENT)
     except (OSError, StreamTerminatedError, msgspec.DecodeError):
--- a/packages/wheatslipd/wheatslipd/quota/service.py
+++ b/packages/wheatslipd/wheatslipd/quota/service.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 import grpclib.const
+from grpclib.exceptions import GRPCError
 from grpclib.server import Stream
 from wheatslip.quota.granter import Granter
 from wheatslip.quota.messages import TokenGrant, TokenRequest
@@ -13,6 +14,8 @@
 from wheatslipd.telemetry import logs
 
 GET_TOKENS_METHOD = "/wheatslip.Quota/GetTokens"
+# The answer to an ask for another daemon, which has ended: this one has its address now.
+OTHER_DAEMON_STATUS = grpclib.const.Status.NOT_FOUND
 
 
 class QuotaService:
@@ -47,8 +50,11 @@
 
     async def _get_tokens(self, stream: Stream[TokenRequest, TokenGrant]) -> None:
         request = await stream.recv_message()
-        if request is not None:
-            await stream.send_message(self.grant(request))
+        if request is None:
+            return
+        if request.owner not in ("", self._name):
+            raise GRPCError(OTHER_DAEMON_STATUS)
+        await stream.send_message(self.grant(request))
 
     def _log_primary(self, workspace: str) -> None:
         """Log the first request for a workspace since this daemon became its primary."""
--- a/test/test_quota_asker.py
+++ b/test/test_quota_asker.py
@@ -195,7 +195,7 @@
         asked = 0
 
         def __init__(self):
-            pass
+            self._name = "d0"
 
         def grant(self, request):
             self.asked += 1
--- a/test/test_quota_path.py
+++ b/test/test_quota_path.py
@@ -190,6 +190,24 @@
     run(scenario)
 
 
+def test_a_daemon_at_the_address_of_an_ended_primary_does_not_answer_for_it(tmp_path):
+    """Guards against a daemon that grants nothing and passes for the primary."""
+
+    async def scenario():
+        async with quota_fleet(tmp_path, 50.0, 10.0) as fleet:
+            fleet.settle()
+            primary, second, entry = fleet.candidates()
+            asked = record_asks(fleet.node(second).daemon)
+            await fleet.relist(primary, control_port=fleet.node(entry).instance.control_port)
+            requests = await fleet.send_paced((entry,), 10.0, 10)
+            assert fleet.logged("quota-owner-unreachable", owner=primary, why="refused")
+            assert fleet.use(entry).owner == second
+            assert asked and all(ask.failover for ask in asked)
+            assert len(answered(requests)) == len(requests)
+
+    run(scenario)
+
+
 def test_a_primary_that_accepts_and_never_answers_costs_one_time_out(tmp_path):
     """Guards against requests that each wait for a frozen owner, and against a second candidate
     that takes over as if the first had ended.
