--- a/test/test_quota_failures.py
+++ b/test/test_quota_failures.py
@@ -101,6 +101,11 @@
     assert cut_off_primary(float("inf")) > 1.3 * BOUND
 
 
+def test_a_primary_that_was_cut_off_and_removed_stays_within_the_bound_in_a_daemon():
+    """Guards against two primaries in a long partition. Daemons set no lease."""
+    assert cut_off_primary(float("inf")) <= BOUND
+
+
 def serve_small(failure):
     """0.6 requests a second of a limit of 1; returns used and refused after the failure."""
     network = Network()
