Send confirmations of the configuration only where a limit needs them

Cause: the time of each confirmation was recorded and sent to followers in every heartbeat, also without max-unconfirmed, though the design says that other deployments are served as before. Now a daemon records confirmations only with the setting, and sends its clock with the first of them. The new test failed on the code before.

--- a/packages/wheatslip/wheatslip/distribution/feedcache.py
+++ b/packages/wheatslip/wheatslip/distribution/feedcache.py
@@ -62,9 +62,9 @@
     first update of a stream has it.
 
     `confirmed` is the latest confirmation that the sender knows. Its time is on the monotonic
-    clock of the sender, whose present time is `clock`, in the first update of a stream; the
-    receiver converts it to its own clock. Unlike `as_of` it does not depend on wall clocks.
-    Daemons of the previous version send neither.
+    clock of the sender; `clock` is its time at the start of the stream, in the first such
+    update; the receiver converts it to its own clock. Unlike `as_of` it does not depend on wall
+    clocks. Daemons without a limit on its age and those of the previous version send neither.
     """
 
     as_of: float
--- a/packages/wheatslipd/wheatslipd/feed/reader.py
+++ b/packages/wheatslipd/wheatslipd/feed/reader.py
@@ -108,7 +108,7 @@
                 for item in listing.items:
                     await self.fetch_newer_bundle(item)
                 self._cache_writer.confirm_head()
-                self._cache_writer.confirm_bundle(asked_at)
+                self._confirm_bundle(asked_at)
                 self._cache_writer.advance_head_position(listing.version)
                 return True
             case Err(TooOld()):
@@ -140,12 +140,19 @@
                     await self.fetch_newer_bundle(stored)
                     self._cache_writer.advance_head_position(stored.version)
                 if not stale_ok:
-                    self._cache_writer.confirm_bundle(asked_at)
+                    self._confirm_bundle(asked_at)
                 return True
             case Err(unavailable):
                 log_unavailable(unavailable)
         return False
 
+    def _confirm_bundle(self, asked_at: float) -> None:
+        """Record the answer to a call of `asked_at`, if a limit needs it: confirmations make
+        each heartbeat to followers longer.
+        """
+        if self._access.settings.max_unconfirmed:
+            self._cache_writer.confirm_bundle(asked_at)
+
     async def fetch_newer_bundle(self, stored: StoredObject) -> None:
         """Fetch the bundle that a stored head names, if it is newer than the cached one."""
         try:
--- a/packages/wheatslipd/wheatslipd/feed/relay.py
+++ b/packages/wheatslipd/wheatslipd/feed/relay.py
@@ -139,9 +139,8 @@
         self.followers += 1
         sent_reports_position = 0  # position of the last report sent on this stream
         sent_head_position = 0  # the last `head_at` sent on this stream
-        # Sent with the first update only.
-        heartbeat = HEARTBEAT_SECONDS
-        clock: float | None = self._monotonic()
+        heartbeat = HEARTBEAT_SECONDS  # sent with the first update only
+        clock: float | None = self._monotonic()  # sent with the first confirmation only
         try:
             while not self._is_leaving:
                 changed = self._changed
@@ -150,12 +149,12 @@
                 )
                 sent_reports_position = self._cache.ends.position
                 changes = self._cache.since(cursor, sent_head_position)
-                update = msgspec.structs.replace(
-                    changes, ends=ends, heartbeat=heartbeat, clock=clock
-                )
+                update = msgspec.structs.replace(changes, ends=ends, heartbeat=heartbeat)
+                if changes.confirmed is not None:
+                    update = msgspec.structs.replace(update, clock=clock)
+                    clock = None
                 sent_head_position = max(sent_head_position, changes.head_at)
                 heartbeat = 0.0
-                clock = None
                 for chunk in split_message(msgspec.msgpack.encode(update)):
                     await stream.send_message(chunk)
                 cursor = _advance_cursor(cursor, update)
--- a/test/test_unconfirmed.py
+++ b/test/test_unconfirmed.py
@@ -114,6 +114,20 @@
     run(scenario)
 
 
+def test_without_the_limit_updates_to_followers_are_as_before():
+    """Guards against confirmations in every heartbeat of deployments that need none."""
+
+    async def scenario():
+        async with guarded_fleet("a", "b", watch="20s") as cluster:
+            for daemon in cluster.daemons.values():
+                cache = daemon.feed.cache
+                assert await daemon.feed._reader.refresh_head()
+                assert cache.head is not None
+                assert cache.since(Cursor("f")).confirmed is None
+
+    run(scenario)
+
+
 def test_wall_clocks_that_stand_still_or_differ_change_nothing():
     """Guards against ages that are counted with the clocks of different daemons."""
     started = time.monotonic()
