Let the plain backend stand-in receive headers that are no UTF-8 text

An entry and gate of the previous version pass it on, and if the entry tries its own server first, the stand-in raised UnicodeDecodeError and broke the connection; the request may have run then, so the entry answers 502. The test is unchanged.

--- a/standins/plainbackend.py
+++ b/standins/plainbackend.py
@@ -69,7 +69,11 @@
             await exchange.respond(ResponseHead(self.health, headers))
             return
         body = await exchange.body.read_up_to(1 << 20)
-        request_headers = {name.decode(): value.decode() for name, value in head.headers}
+        # A caller may send bytes that are no UTF-8 text.
+        request_headers = {
+            name.decode(): value.decode(errors="surrogateescape")
+            for name, value in head.headers
+        }
         received = ReceivedRequest(
             head.method.decode(), head.target.decode(), request_headers, body
         )
