Move what identifies requests of older entries out of the peer port

Only the place changes: all tests of identity, ranks and unconfirmed configurations pass as they are.

--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -14,9 +14,9 @@
 from wheatslip.quarantine import Quarantine
 from wheatslip.store.objects import ObjectStore
 
+from wheatslipd.confirmation import ConfirmationLimit
 from wheatslipd.controllers.bundles import BundleController
 from wheatslipd.controllers.bus import Bus
-from wheatslipd.controllers.confirmation import ConfirmationLimit
 from wheatslipd.controllers.events import leaving
 from wheatslipd.controllers.lifecycle import Lifecycle
 from wheatslipd.controllers.membership import MembershipController
--- a/packages/wheatslipd/wheatslipd/entry/filters.py
+++ b/packages/wheatslipd/wheatslipd/entry/filters.py
@@ -13,8 +13,8 @@
 
 from wheatslipd.chain import EntryRequest, Filter, Proceed
 from wheatslipd.controllers.view import View
-from wheatslipd.entry.identify import Identification
 from wheatslipd.http.messages import MILLISECONDS_PER_SECOND, RequestHead
+from wheatslipd.identification import Identification
 from wheatslipd.telemetry import logs
 from wheatslipd.telemetry.metrics import Metrics
 from wheatslipd.telemetry.outcometext import describe
--- a/packages/wheatslipd/wheatslipd/entry/routefilter.py
+++ b/packages/wheatslipd/wheatslipd/entry/routefilter.py
@@ -16,9 +16,9 @@
 
 from wheatslipd.chain import EntryRequest, Filter, Proceed
 from wheatslipd.entry.filters import IdentifyFilter
-from wheatslipd.entry.identify import HeaderIdentification, classify_identified
 from wheatslipd.http.identity import host_of, path_of
 from wheatslipd.http.messages import MILLISECONDS_PER_SECOND, RequestHead
+from wheatslipd.identification import HeaderIdentification, classify_identified
 from wheatslipd.settings import HeaderNames
 
 
--- a/packages/wheatslipd/wheatslipd/entry/wiring.py
+++ b/packages/wheatslipd/wheatslipd/entry/wiring.py
@@ -5,13 +5,13 @@
 from wheatslip.distribution.feedcache import FeedCache
 
 from wheatslipd.chain import build_chain
-from wheatslipd.controllers.confirmation import ConfirmationLimit
+from wheatslipd.confirmation import ConfirmationLimit
 from wheatslipd.entry.entry import Entry
 from wheatslipd.entry.filters import common_filters, workspace_filters
 from wheatslipd.entry.forward import Forwarder, ForwardSettings, RoutingPolicy
-from wheatslipd.entry.identify import BearerIdentification, HeaderIdentification
 from wheatslipd.entry.quotafilter import QuotaFilter
 from wheatslipd.entry.routefilter import route_filters
+from wheatslipd.identification import BearerIdentification, HeaderIdentification
 from wheatslipd.quota.client import QuotaClient
 from wheatslipd.settings import Interface, Settings
 from wheatslipd.shared import SharedState
--- a/packages/wheatslipd/wheatslipd/gate/forwardedrequest.py
+++ b/packages/wheatslipd/wheatslipd/gate/forwardedrequest.py
@@ -1,14 +1,12 @@
 """A request that an entry has forwarded, and what is decoded from it."""
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from wheatslip.call import COMMON_RANK, UNLIMITED, Call, CallClass, Rank, RequestKind
-from wheatslip.config.bundle import Route, Workspace
 from wheatslip.fingerprint import HASHED_BODY_BYTES
 from wheatslip.hop import FINGERPRINT_HEADER, Hop
 from wheatslip.runtracker import Run
 
-from wheatslipd.entry.identify import classify_identified
 from wheatslipd.http.exchange import Exchange
 from wheatslipd.http.identity import fingerprint_of
 from wheatslipd.telemetry.tracing import HopTrace
@@ -60,13 +58,6 @@
     )
 
 
-def identified_call(call: Call, workspace: Workspace, route: Route | None) -> Call:
-    """Return a call that an entry forwarded without a workspace, for an identified one."""
-    call_class, rank = classify_identified(workspace, route)
-    kind = replace(call.kind, call_class=call_class)
-    return replace(call, workspace=workspace.name, kind=kind, rank=rank)
-
-
 def _time_after(now: float, seconds: float | None) -> float:
     """The time `seconds` after `now`; `UNLIMITED` if there is no bound."""
     return UNLIMITED if seconds is None else now + seconds
--- a/packages/wheatslipd/wheatslipd/gate/peerport.py
+++ b/packages/wheatslipd/wheatslipd/gate/peerport.py
@@ -27,11 +27,10 @@
 )
 from wheatslip.ledger import Claim, KeptAnswer, KeyState, key_time
 from wheatslip.outcome import Answered, NotRun, Outcome, Reason, Unknown
-from wheatslip.retryafter import NOT_CONFIGURED, SHED_BY_SERVER
+from wheatslip.retryafter import SHED_BY_SERVER
 from wheatslip.runtracker import Run
 
 from wheatslipd.controllers.view import View
-from wheatslipd.entry.identify import HeaderIdentification
 from wheatslipd.entry.refusals import send_refusal
 from wheatslipd.gate.backend import Backend, BackendAnswer
 from wheatslipd.gate.backendhead import (
@@ -43,16 +42,15 @@
     ForwardedRequest,
     decode_call,
     fingerprint_of_request,
-    identified_call,
 )
 from wheatslipd.gate.gate import Gate
 from wheatslipd.gate.keyguard import KeyGuard
 from wheatslipd.gate.noticereader import NoticeReader
+from wheatslipd.gate.olderentry import OlderEntryRequests
 from wheatslipd.gate.serverend import ServerEndDetector
 from wheatslipd.gate.suspects import SuspectGuard
 from wheatslipd.http.body import BodyTruncated
 from wheatslipd.http.exchange import Exchange
-from wheatslipd.http.identity import host_of, path_of
 from wheatslipd.http.messages import Headers, RequestHead, ResponseHead
 from wheatslipd.settings import HeaderNames
 from wheatslipd.telemetry.metrics import Metrics, priority_label
@@ -73,6 +71,7 @@
 class BackendStages:
     """The stages that a request passes, in order, and the detector of server ends."""
 
+    older_entries: OlderEntryRequests  # with the routes interface
     keys: KeyGuard
     suspects: SuspectGuard
     gate: Gate
@@ -93,7 +92,6 @@
     pool: str
     names: HeaderNames
     by_routes: bool
-    identification: HeaderIdentification  # of requests from entries of the previous version
 
 
 class PeerPort:
@@ -119,6 +117,7 @@
         self._backend = stages.backend
         self._end_detector = stages.end_detector
         self._notices = stages.notices
+        self._older_entries = stages.older_entries
         self._settings = settings
         self._names = settings.names
         self._identity_headers = settings.names.identity
@@ -149,10 +148,12 @@
         # An entry sends no rank if it is the common one, or if its version has no ranks.
         rank = decode_rank(exchange.head.get(RANK_HEADER) or b"") or COMMON_RANK
         sent_call = decode_call(hop, self._clock(), request_id.decode("latin-1"), rank)
-        identified = self._identify(hop, sent_call, exchange.head)
-        if isinstance(identified, NotRun):
-            return identified
-        call, workspace = identified
+        call, workspace = sent_call, hop.workspace
+        if self._settings.by_routes:
+            identified = self._older_entries.identify(hop, sent_call, exchange.head)
+            if isinstance(identified, NotRun):
+                return identified
+            call, workspace = identified
         if not exchange.expects_continue:
             try:
                 await exchange.body.buffer_up_to(BUFFERED_BODY_BYTES)
@@ -171,29 +172,6 @@
             return await self._run_keyed(request)
         return await self._run(request, None)
 
-    def _identify(self, hop: Hop, call: Call, head: RequestHead) -> tuple[Call, str] | NotRun:
-        """Return the call with the name of its workspace, or empty; or a refusal.
-
-        An entry of the previous version does not identify workspaces and forwards the
-        credential, which this daemon looks up then. Other entries never forward one.
-        """
-        header = self._names.credential
-        is_identified = bool(hop.workspace) or not self._settings.by_routes
-        if is_identified or not header or head.get(header) is None:
-            return call, hop.workspace
-        configuration = self._view.configuration
-        if configuration is None:
-            return NOT_CONFIGURED
-        route = configuration.routes.find(host_of(head) or "", path_of(head))
-        identified = self._settings.identification.identify(head, configuration, route)
-        if identified is None:
-            return call, ""
-        if isinstance(identified, NotRun):
-            # The previous version does not know `UNCONFIRMED` and would answer 502.
-            is_unconfirmed = identified.reason is Reason.UNCONFIRMED
-            return NOT_CONFIGURED if is_unconfirmed else identified
-        return identified_call(call, identified, route), identified.name
-
     async def _check_entry(self, hop: Hop, exchange: Exchange) -> NotRun | None:
         """Return a refusal if the entry used an outdated list or configuration."""
         if not self._settings.by_routes:
--- a/packages/wheatslipd/wheatslipd/gate/serverside.py
+++ b/packages/wheatslipd/wheatslipd/gate/serverside.py
@@ -8,18 +8,19 @@
 from wheatslip.owners import OwnerHistory
 from wheatslip.slidinglimit import SlidingLimit
 
-from wheatslipd.controllers.confirmation import ConfirmationLimit
+from wheatslipd.confirmation import ConfirmationLimit
 from wheatslipd.controllers.events import backend_leaving
-from wheatslipd.entry.identify import HeaderIdentification
 from wheatslipd.gate.backend import Backend
 from wheatslipd.gate.gate import Gate, SpeedProbing
 from wheatslipd.gate.idleprobe import IdleProbe
 from wheatslipd.gate.keyguard import KeyGuard
 from wheatslipd.gate.noticereader import NoticeReader
+from wheatslipd.gate.olderentry import OlderEntryRequests
 from wheatslipd.gate.peerport import BackendStages, PeerPort, PeerPortSettings
 from wheatslipd.gate.serverend import ServerEndDetector
 from wheatslipd.gate.speedcheck import SpeedCheck
 from wheatslipd.gate.suspects import SuspectGuard
+from wheatslipd.identification import HeaderIdentification
 from wheatslipd.settings import CHECKS_DISABLED_PRICE, Interface, Settings
 from wheatslipd.shared import SharedState
 from wheatslipd.telemetry.tracing import HopTracer
@@ -75,14 +76,15 @@
     guard = SuspectGuard(shared.quarantine, shared.monotonic, shared.unix)
     ledger = KeyLedger(watching_since=shared.unix())
     keys = KeyGuard(settings.name, ledger, owners, shared.unix, lambda: cache.checked)
+    credential = settings.headers.credential
+    older_entries = OlderEntryRequests(
+        shared.view, credential, HeaderIdentification(credential, confirmation_limit)
+    )
     peer_port = PeerPort(
         shared.view,
-        BackendStages(keys, guard, gate, backend, end_detector, notices),
+        BackendStages(older_entries, keys, guard, gate, backend, end_detector, notices),
         PeerPortSettings(
-            settings.pool,
-            settings.headers,
-            settings.interface is Interface.ROUTES,
-            HeaderIdentification(settings.headers.credential, confirmation_limit),
+            settings.pool, settings.headers, settings.interface is Interface.ROUTES
         ),
         shared.metrics,
         tracer,
--- a/packages/wheatslipd/wheatslipd/identification.py
+++ b/packages/wheatslipd/wheatslipd/identification.py
@@ -9,7 +9,7 @@
 from wheatslip.config.bundle import Route, Workspace, credential_digest
 from wheatslip.outcome import NotRun, Reason
 
-from wheatslipd.controllers.confirmation import ConfirmationLimit
+from wheatslipd.confirmation import ConfirmationLimit
 from wheatslipd.controllers.view import Configuration
 from wheatslipd.http.messages import RequestHead
 
