Decide on failover by the order that an ask goes through

Cause: the asker read the candidates a second time for each owner, to see whether it is the primary, after waits in which the list may have changed; and the filter built a workspace's limit twice for each request. An ask now goes by the order with which it began: an owner after the first is asked with failover if all before it refused. The owner decides by its own list as before (a primary ignores failover).

--- a/packages/wheatslipd/wheatslipd/entry/quotafilter.py
+++ b/packages/wheatslipd/wheatslipd/entry/quotafilter.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from wheatslip.config.bundle import Workspace
+from wheatslip.config.bundle import RateLimit, Workspace
 from wheatslip.outcome import NotRun, Outcome, Reason
 from wheatslip.retryafter import over_limit_refusal
 
@@ -32,9 +32,10 @@
     async def __call__(self, request: EntryRequest, proceed: Proceed) -> Outcome:
         """Proceed with a token; return it if the request was not run."""
         workspace = request.workspace
-        if workspace is None or workspace.limit is None:
+        limit = workspace.limit if workspace is not None else None
+        if workspace is None or limit is None:
             return await proceed(request)
-        taken = await self._take(request, workspace)
+        taken = await self._take(request, workspace.name, limit)
         if taken is None:
             self._count(workspace, "deadline")
             return NotRun(Reason.DEADLINE)
@@ -53,17 +54,15 @@
                 self._count(workspace, "used")
         return outcome
 
-    async def _take(self, request: EntryRequest, workspace: Workspace) -> TakeResult | None:
+    async def _take(
+        self, request: EntryRequest, workspace: str, limit: RateLimit
+    ) -> TakeResult | None:
         """Take a token; None if the call's deadline is over before an owner has answered."""
         assert request.call is not None and request.configuration is not None
-        limit = workspace.limit
-        assert limit is not None
         remaining = max(0.0, request.call.remaining(self.clock()))
         try:
             async with asyncio.timeout(remaining):
-                return await self.client.take(
-                    workspace.name, limit, request.configuration.version
-                )
+                return await self.client.take(workspace, limit, request.configuration.version)
         except TimeoutError:
             return None
 
--- a/packages/wheatslipd/wheatslipd/quota/asker.py
+++ b/packages/wheatslipd/wheatslipd/quota/asker.py
@@ -70,10 +70,10 @@
     async def ask(self, request: TokenRequest) -> Answer:
         """Ask the candidates in their order, then this daemon."""
         have_all_refused = True  # the earlier candidates; so none of them runs
-        for owner in self._candidates_of(request.workspace):
+        for position, owner in enumerate(self._candidates_of(request.workspace)):
             unreachable = self._unreachable_now(owner)
             if unreachable is None:
-                failover = have_all_refused and owner != self._primary(request.workspace)
+                failover = have_all_refused and position > 0
                 owner_request = msgspec.structs.replace(request, failover=failover, owner=owner)
                 if owner == self._name:
                     return self._ask_locally(owner_request)
@@ -90,9 +90,6 @@
     def _ask_locally(self, request: TokenRequest) -> Answer:
         return Answer(self._service.grant(request), self._name, self._clock())
 
-    def _primary(self, workspace: str) -> str:
-        return next(iter(self._candidates_of(workspace)), "")
-
     def _unreachable_now(self, owner: str) -> _Unreachable | None:
         unreachable = self._unreachable.get(owner)
         if unreachable is None or unreachable.until <= self._clock():
