Read the workspaces in force in a function of their own

Cause: one nested function of workspace_commands.py read the platform, chose the bundle in force and printed. The reading is now a function that returns the rows or an exit code.

--- a/packages/wheatslip-cli/wheatslip_cli/workspace_commands.py
+++ b/packages/wheatslip-cli/wheatslip_cli/workspace_commands.py
@@ -138,19 +138,9 @@
         return print_errors(ExitCode.BAD_USAGE, f"--pages {pages}: expected IP:PORT,…")
 
     async def step(releases: Releases, settings: Settings) -> ExitCode:
-        head, proposals = await releases.head(), await releases.proposals()
-        if isinstance(head, Err):
-            return print_release_error(head.err_value)
-        if isinstance(proposals, Err):
-            return print_release_error(proposals.err_value)
-        bundles = [proposal.bundle for proposal in proposals.ok_value]
-        rows: list[WorkspaceRow] = []
-        if (current := head.ok_value) is not None:
-            in_force = next((b for b in bundles if b.digest() == current.digest), None)
-            if in_force is None:
-                error = f"the platform has no bundle of version {current.version} in force"
-                return print_errors(ExitCode.REFUSED, error)
-            rows = [_row(one, in_force, bundles) for one in in_force.workspaces]
+        rows = await _workspaces_in_force(releases)
+        if isinstance(rows, ExitCode):
+            return rows
         quotas = None
         if addresses:
             has_limits = any(row.rate for row in rows)
@@ -164,6 +154,26 @@
     return run_with_releases(settings_path, step)
 
 
+async def _workspaces_in_force(releases: Releases) -> list[WorkspaceRow] | ExitCode:
+    """Reads the workspaces of the bundle in force, none if there is no bundle. An exit code
+    means that this failed; the error is printed then.
+    """
+    head, proposals = await releases.head(), await releases.proposals()
+    if isinstance(head, Err):
+        return print_release_error(head.err_value)
+    if isinstance(proposals, Err):
+        return print_release_error(proposals.err_value)
+    current = head.ok_value
+    if current is None:
+        return []
+    bundles = [proposal.bundle for proposal in proposals.ok_value]
+    in_force = next((b for b in bundles if b.digest() == current.digest), None)
+    if in_force is None:
+        error = f"the platform has no bundle of version {current.version} in force"
+        return print_errors(ExitCode.REFUSED, error)
+    return [_row(one, in_force, bundles) for one in in_force.workspaces]
+
+
 def _row(workspace: Workspace, in_force: Bundle, proposals: Sequence[Bundle]) -> WorkspaceRow:
     limit = workspace.limit
     since = limit_since(in_force, proposals, workspace.name)
