--- a/bench/quotapath.py
+++ b/bench/quotapath.py
@@ -1,8 +1,8 @@
-"""Measures what a limit costs a request: added time, processor time and bytes of one question.
+"""Measures what a limit costs a request: added time, processor time and bytes of one ask.
 
 Two daemons run as processes; callers send to the one that is not the owner. There are as many
 workspaces with a limit as without, each with so few requests that each request of the first
-needs a question of its own. The bytes are those of questions through a link that counts both
+needs an ask of its own. The bytes are those of asks through a link that counts both
 directions; TCP and IP headers are added for each piece and its acknowledgement.
 """
 
@@ -40,7 +40,7 @@
 WORKSPACES = 40  # of each kind, in turns
 REQUESTS = 800  # of each kind in a repetition
 REQUESTS_PER_SECOND = 100.0
-QUESTIONS = 500  # for the bytes
+ASKS = 500  # for the bytes
 SEED = 1
 MICROSECONDS_PER_SECOND = 1e6
 MAX_LATENCY_MICROSECONDS = 60_000_000
@@ -48,7 +48,7 @@
 LIMITED_REQUESTS_PER_SECOND = 8.6  # of a daemon as an entry; as an owner it gets as many
 CORE_BOUND = Bound(maximum=0.023)
 # Against growth; docs/CAPACITY.md compares the bytes with the target, which they exceed.
-QUESTION_BYTES_BOUND = Bound(maximum=350.0)
+ASK_BYTES_BOUND = Bound(maximum=350.0)
 
 
 def bundle_text() -> tuple[str, list[str], list[str]]:
@@ -150,7 +150,7 @@
 
 
 async def measure_bytes() -> float:
-    """Bytes of a question and its answer on an open connection, with headers."""
+    """Bytes of an ask and its answer on an open connection, with headers."""
     loop = asyncio.get_running_loop()
     granter = Granter("owner", QuotaSettings())
     granter.set_members(["owner"], loop.time())
@@ -164,13 +164,13 @@
     request = TokenRequest("papers-00001", "workspace-01", 2, 1000, 170.0, 51.0)
     (await channels.ask("owner", request)).unwrap()
     before = total_bytes(link)
-    for _ in range(QUESTIONS):
+    for _ in range(ASKS):
         (await channels.ask("owner", request)).unwrap()
-    per_question = (total_bytes(link) - before) / QUESTIONS
+    per_ask = (total_bytes(link) - before) / ASKS
     channels.close()
     await link.close()
     await server.stop()
-    return per_question
+    return per_ask
 
 
 def total_bytes(link: ThrottledLink) -> int:
@@ -184,7 +184,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     add_record_option(parser)
     options = parser.parse_args()
-    question_bytes = asyncio.run(measure_bytes())
+    ask_bytes = asyncio.run(measure_bytes())
     bench = asyncio.run(measure_path())
     figures = []
     for percentile in (50.0, 99.0):
@@ -210,18 +210,18 @@
     ]
     for role, seconds in zip(("entry", "owner"), added_seconds, strict=True):
         micros = [each * MICROSECONDS_PER_SECOND for each in seconds]
-        figures.append(Figure(f"processor time of a question, {role}", "µs", micros))
+        figures.append(Figure(f"processor time of an ask, {role}", "µs", micros))
     core = [
         LIMITED_REQUESTS_PER_SECOND * (entry + owner)
         for entry, owner in zip(*added_seconds, strict=True)
     ]
     figures += [
         Figure("processor of a daemon at the target", "cores", core, CORE_BOUND),
-        Figure("bytes of a question", "B", [question_bytes], QUESTION_BYTES_BOUND),
+        Figure("bytes of an ask", "B", [ask_bytes], ASK_BYTES_BOUND),
         Figure(
             "bytes of a daemon at the target",
             "B/s",
-            [2 * LIMITED_REQUESTS_PER_SECOND * question_bytes],
+            [2 * LIMITED_REQUESTS_PER_SECOND * ask_bytes],
         ),
         Figure("failed calls", "", [bench.failed], Bound(maximum=0.0)),
     ]
--- a/packages/wheatslipd/wheatslipd/gate/speedcheck.py
+++ b/packages/wheatslipd/wheatslipd/gate/speedcheck.py
@@ -25,7 +25,7 @@
 # response, a longer one costs more than the slow start that the probe may avoid.
 REQUEST_WAIT_SECONDS = 0.02
 # Requests start without a probe after an unanswered one. A shorter pause delays more requests
-# in vain, a longer one starts more of them by old reports.
+# in vain, with a longer one more requests start although the last report of the speed is old.
 UNANSWERED_PAUSE_SECONDS = 0.5
 
 
--- a/packages/wheatslipd/wheatslipd/telemetry/metrics.py
+++ b/packages/wheatslipd/wheatslipd/telemetry/metrics.py
@@ -99,7 +99,7 @@
         )
         self.quota_ask_seconds = Histogram(
             "wheatslip_quota_ask_seconds",
-            "Time of a question for tokens, until an owner of the limit has answered",
+            "Time of an ask for tokens, until an owner of the limit has answered",
             const_labels=labels,
             registry=self.registry,
             buckets=LATENCY_BUCKETS,
