--- a/test/helper.py
+++ b/test/helper.py
@@ -7,13 +7,15 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
 from typing import Any
 
 import aiohttp
+import eliot
 import msgspec
 from aiohttp import web
 from wheatslip.config.bundle import Bundle, credential_digest
@@ -23,6 +25,9 @@
 from wheatslip.store.instances import INSTANCE_KIND, Instance, InstanceState
 from wheatslip.store.objectclient import ObjectClient
 from wheatslipd.daemon import Daemon
+from wheatslipd.http.exchange import Exchange
+from wheatslipd.http.messages import RequestHead
+from wheatslipd.http.server import Server
 from wheatslipd.settings import Settings, parse_settings
 
 from standins.backend import BackendStandIn, Behaviour
@@ -265,3 +270,26 @@
             return all(s.version == version and s.members == count for s in statuses)
 
         return check
+
+
+@contextmanager
+def recorded_events() -> Iterator[list[dict[str, Any]]]:
+    """Yield a list to which the events logged from now on are added."""
+    events: list[dict[str, Any]] = []
+    eliot.add_destinations(events.append)
+    events.clear()  # eliot also delivers the events before the first destination
+    try:
+        yield events
+    finally:
+        eliot.remove_destination(events.append)
+
+
+def record_heads(server: Server, heads: list[RequestHead]) -> None:
+    """Add the head of each request that a server receives to `heads`."""
+    handle = server._handler
+
+    async def recorded(exchange: Exchange) -> None:
+        heads.append(exchange.head)
+        await handle(exchange)
+
+    server._handler = recorded
--- a/test/quota_fleet.py
+++ b/test/quota_fleet.py
@@ -3,21 +3,22 @@
 import asyncio
 import time
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager, contextmanager
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from math import inf
 from pathlib import Path
 from random import Random
 from typing import Any
 
-import eliot
 import msgspec
 from wheatslip.config.bundle import Bundle, Kind
 from wheatslip.store.instances import Instance, InstanceState
 
 from standins.backend import Behaviour
 from standins.caller import Caller, Reported, Request
-from standins.cluster import eventually
-from test.helper import SEED, Installation, Node, bundle
+from standins.cluster import HOST, eventually
+from standins.link import ThrottledLink
+from test.helper import SEED, Installation, Node, bundle, recorded_events
 
 NAMES = ("a", "b", "c")
 WINDOW_SECONDS = 5.0
@@ -163,22 +164,6 @@
     return [r for r in requests if r.reported is Reported.ANSWERED]
 
 
-@contextmanager
-def recorded_events(events: list[dict[str, Any]]) -> Any:
-    """Add the logged events to `events`, from now on."""
-    started_at = time.time()  # eliot also delivers earlier events, such as other tests'
-
-    def add(event: dict[str, Any]) -> None:
-        if event["timestamp"] >= started_at:
-            events.append(event)
-
-    eliot.add_destinations(add)
-    try:
-        yield
-    finally:
-        eliot.remove_destination(add)
-
-
 @asynccontextmanager
 async def quota_fleet(
     folder: Path,
@@ -189,8 +174,7 @@
 ) -> AsyncIterator[QuotaFleet]:
     """Run daemons of these names, in which alpha has a limit."""
     clock = Monotonic()
-    events: list[dict[str, Any]] = []
-    with recorded_events(events):
+    with recorded_events() as events:
         async with Installation(
             folder, extra_settings=settings, daemon_options={"monotonic": clock}
         ) as installation:
@@ -199,3 +183,35 @@
             await installation.release(limited_bundle(rate, burst))
             await installation.ready()
             yield QuotaFleet(installation, clock, events)
+
+
+@asynccontextmanager
+async def link_before(fleet, name):
+    """Put a link before a daemon's control port, and list its port."""
+    control_port = fleet.node(name).instance.control_port
+    link = ThrottledLink(HOST, control_port, inf)
+    await link.open()
+    try:
+        await fleet.relist(name, control_port=link.port)
+        yield link
+    finally:
+        await link.close()
+
+
+def record_asks(daemon):
+    """Return a list to which the daemon's asks are added, as it answers them."""
+    asked, grant = [], daemon.quota.service.grant
+
+    def record_and_grant(request):
+        asked.append(request)
+        return grant(request)
+
+    daemon.quota.service.grant = record_and_grant
+    return asked
+
+
+async def until(is_met):
+    async def check():
+        return is_met()
+
+    await eventually(check)
--- a/test/test_identity.py
+++ b/test/test_identity.py
@@ -8,7 +8,6 @@
 from contextlib import asynccontextmanager
 
 import pytest
-from eliot import add_destinations, remove_destination
 from wheatslip.attempts import Attempts
 from wheatslip.call import COMMON_RANK, CallClass, Rank
 from wheatslip.config.bundle import credential_digest
@@ -21,7 +20,7 @@
 
 from standins.cluster import HOST, eventually
 from standins.plainbackend import ServerFault
-from test.helper import BUNDLE, Installation, bundle, run
+from test.helper import BUNDLE, Installation, bundle, record_heads, recorded_events, run
 from test.routed_fleet import configuration, fleet
 
 IDENTITY_HEADERS = "credential = Key\nworkspace = Tenant"
@@ -76,11 +75,8 @@
 
 @pytest.fixture
 def events():
-    captured = []
-    add_destinations(captured.append)
-    captured.clear()  # eliot also delivers the messages before the first destination
-    yield captured
-    remove_destination(captured.append)
+    with recorded_events() as captured:
+        yield captured
 
 
 BAD_HEADERS = {
@@ -298,20 +294,11 @@
     seen = []
     trace_file = tmp_path / "traces"
 
-    def record_forwarded(daemon):
-        handle = daemon.peer_server._handler
-
-        async def recorded(exchange):
-            seen.append(exchange.head)
-            await handle(exchange)
-
-        daemon.peer_server._handler = recorded
-
     async def scenario():
         traces = f"sample = 1\nfile = {trace_file}"
         async with guarded_fleet("a", "b", trace_settings=traces) as cluster:
             for daemon in cluster.daemons.values():
-                record_forwarded(daemon)
+                record_heads(daemon.peer_server, seen)
             for fault in ServerFault:
                 if fault is ServerFault.HANG:
                     continue
@@ -392,20 +379,11 @@
     """Guards against a credential or a forged name that reaches a backend server there."""
     heads = []
 
-    def record_heads(backend):
-        handle = backend.server._handler
-
-        async def recorded(exchange):
-            heads.append(exchange.head)
-            await handle(exchange)
-
-        backend.server._handler = recorded
-
     async def scenario():
         async with Installation(tmp_path) as installation:
             node = await installation.add(
                 "papers-1",
-                prepare_backend=record_heads,
+                prepare_backend=lambda backend: record_heads(backend.server, heads),
                 extra_settings=f"[headers]\n{IDENTITY_HEADERS}\n",
             )
             digests = [credential_digest(credential) for credential in ("alpha-secret", KEY)]
--- a/test/test_quota_routes.py
+++ b/test/test_quota_routes.py
@@ -4,8 +4,7 @@
 
 from wheatslipd.entry.quotafilter import LOG_INTERVAL_SECONDS
 
-from test.helper import run
-from test.quota_fleet import recorded_events
+from test.helper import recorded_events, run
 from test.test_identity import KEY, guarded_fleet, received, tenants_configuration
 
 NAMES = ("a", "b", "c")
@@ -23,8 +22,7 @@
     """
 
     async def scenario():
-        events = []
-        with recorded_events(events):
+        with recorded_events() as events:
             async with guarded_fleet(
                 *NAMES, initial_configuration=limited_configuration()
             ) as cluster:
@@ -52,8 +50,7 @@
     """Guards against a log line for each request of a workspace that sends too much."""
 
     async def scenario():
-        events = []
-        with recorded_events(events):
+        with recorded_events() as events:
             async with guarded_fleet(
                 "a", initial_configuration=limited_configuration()
             ) as cluster:
