Record a limit without burst that two primaries pass, as a strict test

Cause of the test: the bound with two owners was only tested with a burst of 60 at a rate of 200. Played with 170 a second without burst and lists that differ for 1.6 s, the model uses 992 requests in 5 s where 955 are allowed, since a new primary grants half of the rate, more than the bound leaves. Tried and taken back: to settle at what the margin leaves. 903 of 955, but it changes the stated half, and a restarted owner of a large limit then grants a sixth for 3 s.

--- a/test/test_quota_failures.py
+++ b/test/test_quota_failures.py
@@ -15,7 +15,15 @@
 SETTINGS = QuotaSettings()
 NAMES = [f"d{n}" for n in range(12)]
 LIMIT = Limit(1, 200.0, 60.0)
-BOUND = (LIMIT.rate * SETTINGS.window + LIMIT.burst) * (1 + SETTINGS.overage) + SETTINGS.slack
+LIMIT_WITHOUT_BURST = Limit(1, 170.0, 0.0)
+
+
+def bound_of(limit):
+    allowed = limit.rate * SETTINGS.window + limit.burst
+    return allowed * (1 + SETTINGS.overage) + SETTINGS.slack
+
+
+BOUND = bound_of(LIMIT)
 TICK = 0.02  # seconds
 FLOOD = 3.0  # times the limit
 FAILURE = 20.0  # seconds after the start
@@ -29,21 +37,22 @@
 class Fleet:
     """Daemons at which more requests arrive than the limit, from `flood_from` on."""
 
-    def __init__(self, names=NAMES, flood_from=0.0, lease=float("inf")):
+    def __init__(self, names=NAMES, flood_from=0.0, lease=float("inf"), limit=LIMIT):
+        self.limit = limit
         self.network = Network(
             granter_class=lambda name, settings: Granter(name, settings, lease)
         )
         self.most = 0  # requests in a window
         self.network.check_use = self.note
         for name in names:
-            self.network.start(name, names, {"alpha": LIMIT})
+            self.network.start(name, names, {"alpha": limit})
         self.network.at(flood_from, None, self.flood)
 
     def note(self, workspace, used):
         self.most = max(self.most, used)
 
     def flood(self):
-        count = round(FLOOD * LIMIT.rate * TICK / len(self.network.daemons))
+        count = round(FLOOD * self.limit.rate * TICK / len(self.network.daemons))
         for daemon in self.network.daemons.values():
             daemon.request("alpha", max(1, count))
         self.network.at(self.network.now + TICK, None, self.flood)
@@ -62,17 +71,28 @@
 @pytest.mark.parametrize("flood_from", [0.0, FAILURE - 3.0, FAILURE - 0.1])
 @pytest.mark.parametrize("lag", [0.1, 0.5, LONGEST_LIST_LAG])
 def test_two_primaries_while_lists_differ_stay_within_the_bound(lag, flood_from):
+    most = most_with_two_primaries(lag, flood_from, LIMIT)
+    assert LIMIT.rate * SETTINGS.window <= most <= BOUND
+
+
+def test_two_primaries_of_a_limit_without_burst_stay_within_the_bound():
+    """Guards against a new primary that grants more than the bound leaves beside the former."""
+    most = most_with_two_primaries(LONGEST_LIST_LAG, 0.0, LIMIT_WITHOUT_BURST)
+    assert most <= bound_of(LIMIT_WITHOUT_BURST)
+
+
+def most_with_two_primaries(lag, flood_from, limit):
     """A new primary joins; half of the entries and the former primary hear of it late."""
     new, former, *others = order()
     old_list = [former, *others]
-    fleet = Fleet(old_list, flood_from)
+    fleet = Fleet(old_list, flood_from, limit=limit)
     fleet.network.run_until(FAILURE)
-    fleet.network.start(new, NAMES, {"alpha": LIMIT})
+    fleet.network.start(new, NAMES, {"alpha": limit})
     fleet.set_members(others[::2], NAMES)
     fleet.network.run_until(FAILURE + lag)
     fleet.set_members(old_list, NAMES)
     fleet.network.run_until(FAILURE + 12.0)
-    assert LIMIT.rate * SETTINGS.window <= fleet.most <= BOUND
+    return fleet.most
 
 
 def cut_off_primary(lease):
