Keep slots for short requests only with credentials or on servers with few slots

short-slot-share counted on every deployment of the platform, also where no caller needs a credential and servers have 6 or 12 slots, of which slot-share leaves little unused. SlotSettings.usable (admission/serverslots) now decides from the reported slots and has_ranks: the share counts if callers by routes need credentials, or if the server reports at most [backend] few-slots slots (default 0; 3 on the platform). The registration and the bundle both ask it, so a configuration that adds or removes credentials changes the slots at once. A registration that reports 0 slots no longer counts as none.

Tests: 12, 6 and 3 slots with and without credentials, as a decision and in a daemon whose configuration gets credentials and loses them and whose server is replaced in between.

--- a/packages/wheatslip/wheatslip/admission/__init__.py
+++ b/packages/wheatslip/wheatslip/admission/__init__.py
@@ -8,12 +8,14 @@
 - `coldstart`: rate limit for a cold server
 - `namedlimit`: rate limit that a server names
 - `pacing`: evenly spaced starts
+- `serverslots`: how many of the server's slots requests may use
 - `ticket`: one request at a gate
 """
 
 from wheatslip.admission.admission import Admission
 from wheatslip.admission.closures import ClosedBy
 from wheatslip.admission.coldstart import ColdRate, ColdStartLimiter, cold_rate
+from wheatslip.admission.serverslots import SlotSettings, UsableSlots
 from wheatslip.admission.slowserver import NEEDLESS_REFUSAL_COST
 from wheatslip.admission.ticket import (
     DEFAULT_URGENT_SHARE,
@@ -31,6 +33,8 @@
     "ClosedBy",
     "ColdRate",
     "ColdStartLimiter",
+    "SlotSettings",
     "Ticket",
+    "UsableSlots",
     "cold_rate",
 ]
--- a/packages/wheatslipd/wheatslipd/controllers/lifecycle.py
+++ b/packages/wheatslipd/wheatslipd/controllers/lifecycle.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from circuits import Component
-from wheatslip.admission import DEFAULT_URGENT_SHARE, RANKED_URGENT_SHARE
+from wheatslip.admission import DEFAULT_URGENT_SHARE, RANKED_URGENT_SHARE, UsableSlots
 from wheatslip.config.bundle import Bundle
 from wheatslip.store.instances import Instance
 from wheatslip.store.registration import RegisteredServer
@@ -67,12 +67,15 @@
             logs.warning("pool-not-in-bundle", pool=self._settings.pool, version=bundle.version)
             return
         admission = self._gate.admission
-        slots = self._local_backend.apply_pool(pool) if self._local_backend else pool.slots
         has_ranks = self._has_ranks(bundle)
+        usable = UsableSlots(pool.slots)
+        if self._local_backend is not None:
+            usable = self._local_backend.apply_pool(pool, has_ranks=has_ranks)
         admission.resize(
             dataclasses.replace(
                 admission.settings,
-                slots=slots,
+                slots=usable.slots,
+                short_slots=usable.short_slots,
                 queue=pool.queue,
                 urgent_share=RANKED_URGENT_SHARE if has_ranks else DEFAULT_URGENT_SHARE,
                 has_ranks=has_ranks,
--- a/packages/wheatslipd/wheatslipd/registration/localbackend.py
+++ b/packages/wheatslipd/wheatslipd/registration/localbackend.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from msgspec import UNSET, UnsetType
-from wheatslip.admission import ColdRate, cold_rate
+from wheatslip.admission import ColdRate, UsableSlots, cold_rate
 from wheatslip.config.bundle import Pool
 from wheatslip.servernotice import ServerStart
 from wheatslip.store.instances import Instance, InstanceState
@@ -60,7 +60,7 @@
         self._cache = feed.cache
         self._ports = ports
         self._start = ServerStart()  # of the server that registered last
-        self._slots = 0  # the reported slots times `slot_share`; 0: none reported yet
+        self._reported_slots: int | None = None  # None: no server has registered
         self._registrar = Registrar(
             Registration(settings.pool, f"{settings.backend_address}:{settings.backend_port}"),
             backend,
@@ -99,13 +99,18 @@
         """Probe the server's health while its id is unknown or disputed, until cancelled."""
         await self._registrar.run()
 
-    def apply_pool(self, pool: Pool) -> int:
-        """Apply the bundle's settings of the pool and return the number of slots to use."""
+    def apply_pool(self, pool: Pool, *, has_ranks: bool) -> UsableSlots:
+        """Apply the bundle's settings of the pool and return the slots to use.
+
+        `has_ranks` tells whether callers need credentials by this bundle.
+        """
         health_path = pool.health_path or self._settings.health_path
         self._registrar.health_path = health_path
         self._speed_check.use_path(health_path)
         self._gate.admission.cold.set_rate(self._cold_rate(pool))
-        return self._slots or pool.slots
+        if self._reported_slots is None:
+            return UsableSlots(pool.slots)
+        return self._settings.slots.usable(self._reported_slots, has_ranks=has_ranks)
 
     def _cold_rate(self, pool: Pool) -> ColdRate | None:
         if isinstance(pool.cold, UnsetType):
@@ -129,11 +134,15 @@
         if is_first or not registered.start.may_equal(self._start):
             self._reset_for_new_server(registered)
         self._start = registered.start
-        self._slots = max(1, int(registered.slots * self._settings.slot_share))
-        short_slots = int(registered.slots * self._settings.short_slot_share)
+        self._reported_slots = registered.slots
         admission = self._gate.admission
+        usable = self._settings.slots.usable(
+            registered.slots, has_ranks=admission.settings.has_ranks
+        )
         admission.resize(
-            dataclasses.replace(admission.settings, slots=self._slots, short_slots=short_slots)
+            dataclasses.replace(
+                admission.settings, slots=usable.slots, short_slots=usable.short_slots
+            )
         )
 
     def _reset_for_new_server(self, registered: RegisteredServer) -> None:
--- a/packages/wheatslipd/wheatslipd/settings.py
+++ b/packages/wheatslipd/wheatslipd/settings.py
@@ -12,6 +12,7 @@
 from typing import TypeVar
 
 from result import Err, Ok, Result
+from wheatslip.admission import SlotSettings
 from wheatslip.budget import FleetBudget
 from wheatslip.chooser import ChooserSettings
 from wheatslip.config.ini import (
@@ -38,6 +39,7 @@
     ERROR = 40
 
 
+MAX_FEW_SLOTS = 10_000
 MAX_ANSWER_HOLD = 16 * 1024 * 1024  # bytes
 CHECKS_DISABLED_PRICE = 1.0  # check-price from which speed checks are disabled
 PLAIN_TEXT_CHOICES = ("no", "yes", "trusted-network")
@@ -133,8 +135,7 @@
     answer_hold: int  # bytes
     fleet_budget: FleetBudget | None
     registration_port: int | None  # None: the platform lists the instances
-    slot_share: float
-    short_slot_share: float  # 0: short requests have no slots of their own
+    slots: SlotSettings
     cold_overage: float
     cold_slack: float
     recovery_probe: float
@@ -234,8 +235,11 @@
         answer_hold=entry.integer("answer-hold", 0, 0, MAX_ANSWER_HOLD),
         fleet_budget=_fleet_budget(sections["retries"]),
         registration_port=_registration_port(sections["registration"]),
-        slot_share=backend.number("slot-share", 1.0, 0.1, 1.0),
-        short_slot_share=backend.number("short-slot-share", 0.0, 0.0, 1.0),
+        slots=SlotSettings(
+            share=backend.number("slot-share", 1.0, 0.1, 1.0),
+            short_share=backend.number("short-slot-share", 0.0, 0.0, 1.0),
+            few=backend.integer("few-slots", 0, 0, MAX_FEW_SLOTS),
+        ),
         cold_overage=backend.number("cold-overage", 1.0, 0.1, 1000.0),
         cold_slack=backend.number("cold-slack", 0.0, 0.0, 1e6),
         recovery_probe=backend.duration("recovery-probe", 0.1),
--- a/test/routed_fleet.py
+++ b/test/routed_fleet.py
@@ -186,11 +186,11 @@
             return self.doors[name].server.port
         return self.store.server.port
 
-    async def send_heartbeat(self, name, sequence, state="ready", server=None, born=0):
+    async def send_heartbeat(self, name, sequence, state="ready", server=None, born=0, slots=4):
         backend = self.backends[name]
         body = {
             "address": f"{HOST}:{backend.server.port}",
-            "info": {"service": "papers", "version": "v1", "zone": "one", "slots": 4},
+            "info": {"service": "papers", "version": "v1", "zone": "one", "slots": slots},
             "status": {
                 "state": state,
                 "seq": sequence,
--- a/test/test_short_requests.py
+++ b/test/test_short_requests.py
@@ -5,15 +5,28 @@
 from random import Random
 
 import pytest
-from wheatslip.admission import Admission, AdmissionSettings, ColdRate, Ticket
+from wheatslip.admission import (
+    Admission,
+    AdmissionSettings,
+    ColdRate,
+    SlotSettings,
+    Ticket,
+    UsableSlots,
+)
 from wheatslip.call import Call, RequestKind
 
+from standins.cluster import eventually
+from test.helper import run
+from test.routed_fleet import configuration, fleet
+from test.test_identity import IDENTITY_HEADERS, tenants_configuration
+
 LONG = RequestKind("history", repeatable=True)
 SHORT = RequestKind("index", repeatable=True)
 SERVICE_SECONDS = {LONG.name: 0.23, SHORT.name: 0.027}
 TARGET_SECONDS = {LONG.name: 0.8, SHORT.name: 0.127}
 SLOTS = 2
 SERVER_SLOTS = 3
+SLOT_SETTINGS = SlotSettings(share=0.8, short_share=1.0, few=3)  # those of the platform
 
 
 def make_call(kind, now):
@@ -112,3 +125,76 @@
     start_long_requests(admission, count=1)
     admission.arrive(make_call(SHORT, 1.0), 1.0)
     assert admission.in_flight == 1
+
+
+@pytest.mark.parametrize("has_ranks", [True, False])
+@pytest.mark.parametrize(("reported", "slots"), [(12, 9), (6, 4), (3, 2)])
+def test_short_requests_have_slots_with_credentials_or_on_servers_with_few(
+    reported, slots, has_ranks
+):
+    """Guards against slots for short requests in deployments that do not need them."""
+    have_slots = has_ranks or reported == 3
+    expected = UsableSlots(slots, reported if have_slots else 0)
+    assert SLOT_SETTINGS.usable(reported, has_ranks=has_ranks) == expected
+
+
+def test_by_default_no_server_has_few_slots():
+    settings = SlotSettings(share=0.8, short_share=1.0, few=0)
+    assert settings.usable(1, has_ranks=False) == UsableSlots(1)
+
+
+def test_without_a_share_short_requests_have_no_slots():
+    settings = SlotSettings(share=0.8, short_share=0.0, few=3)
+    assert settings.usable(3, has_ranks=True) == UsableSlots(2)
+
+
+@pytest.mark.parametrize(
+    ("reported", "with_credentials", "without"),
+    [
+        (12, UsableSlots(9, 12), UsableSlots(9)),
+        (6, UsableSlots(4, 6), UsableSlots(4)),
+        (3, UsableSlots(2, 3), UsableSlots(2, 3)),
+    ],
+)
+def test_slots_of_short_requests_follow_the_configuration_and_the_registration(
+    reported, with_credentials, without
+):
+    """Guards against a daemon that keeps the slots of an earlier configuration, or that decides
+    differently when the server registers before or after the configuration is in force.
+    """
+    slot_settings = "slot-share = 0.8\nshort-slot-share = 1\nfew-slots = 3"
+
+    async def scenario():
+        async with fleet(
+            "a",
+            initial_configuration=configuration(),
+            extra_header_settings=IDENTITY_HEADERS,
+            extra_backend_settings=slot_settings,
+        ) as cluster:
+            admission = cluster.daemons["a"].server_side.gate.admission
+
+            async def has(expected):
+                async def check():
+                    actual = UsableSlots(
+                        admission.settings.slots, admission.settings.short_slots
+                    )
+                    return actual == expected
+
+                await eventually(check)
+
+            assert await cluster.send_heartbeat("a", 1, slots=reported) == 200
+            await has(without)
+            cluster.store.write("config", "main", tenants_configuration(2))
+            await cluster.ready(version=2)
+            await has(with_credentials)
+            # Another start of the server registers while the configuration has credentials.
+            cluster.backends["a"].server_id = "i-a-2"
+            await cluster.send_heartbeat("a", 1, slots=reported + 1)
+            await has(SLOT_SETTINGS.usable(reported + 1, has_ranks=True))
+            await cluster.send_heartbeat("a", 2, slots=reported)
+            await has(with_credentials)
+            cluster.store.write("config", "main", configuration(3))
+            await cluster.ready(version=3)
+            await has(without)
+
+    run(scenario)
