Carry the asks of an entry to an owner on one stream

Cause: each ask was a unary call with headers and trailers of its own, and is over the cost that a call may have. One bidirectional stream for each pair of entry and owner now carries asks and answers, matched by a number (`NumberedAsk`, `NumberedAnswer`, around the messages as they were). A task owns each end: it sends from a bounded queue and receives. A refusal is a value in the answer, not the end of the stream.

Kept: 100 ms for connection and answer, the three failures, the idle time. Changed: an ask whose stream broke is tried once more also if it opened that stream (with 500 open asks to an owner that ends, the first one counted as silent, not refused); a time-out closes the stream only if nothing else was answered meanwhile.

--- a/packages/wheatslip/wheatslip/quota/messages.py
+++ b/packages/wheatslip/wheatslip/quota/messages.py
@@ -4,6 +4,8 @@
 be added at the end, with a default.
 """
 
+from enum import Enum
+
 import msgspec
 
 
@@ -34,3 +36,23 @@
 
     tokens: int
     retry_after: float = 0.0
+
+
+class AskRefusal(Enum):
+    """Why a daemon does not grant what it is asked for; a number on the wire."""
+
+    OTHER_DAEMON = 1  # the ask is for another daemon, whose address this one has now
+
+
+class NumberedAsk(msgspec.Struct, frozen=True, array_like=True):
+    """A `TokenRequest` on a stream of asks. `number` is unique on the stream."""
+
+    number: int
+    request: TokenRequest
+
+
+class NumberedAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """The answer to the `NumberedAsk` with the same number."""
+
+    number: int
+    answer: TokenGrant | AskRefusal
--- a/packages/wheatslipd/wheatslipd/quota/asker.py
+++ b/packages/wheatslipd/wheatslipd/quota/asker.py
@@ -12,7 +12,8 @@
 from wheatslip.quota.messages import TokenGrant, TokenRequest
 from wheatslip.store.instances import Instance
 
-from wheatslipd.quota.channels import AskFailure, OwnerChannels, ended_processes
+from wheatslipd.quota.askstream import AskFailure
+from wheatslipd.quota.channels import OwnerChannels, ended_processes
 from wheatslipd.quota.service import QuotaService
 from wheatslipd.telemetry import logs
 
--- a/packages/wheatslipd/wheatslipd/quota/channels.py
+++ b/packages/wheatslipd/wheatslipd/quota/channels.py
@@ -1,53 +1,35 @@
-"""Connections of one entry to the owners of limits, and one ask over them.
+"""The streams of one entry to the owners of limits, and asks over them.
 
-A connection stays open for later asks. It is closed after a time without asks, after an
-ask that was not answered in time, and when its daemon is no longer listed.
+A stream stays open for later asks. It is closed after a time without asks, when an ask timed
+out and nothing else was answered meanwhile, and when its daemon is no longer listed.
 """
 
 import asyncio
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
-from enum import Enum, auto
 
-import msgspec
-from grpclib.client import Channel, UnaryUnaryMethod
-from grpclib.const import Status
-from grpclib.exceptions import GRPCError, StreamTerminatedError
-from result import Err, Ok, Result
+from result import Err, Result
 from wheatslip.quota.messages import TokenGrant, TokenRequest
 from wheatslip.store.instances import Instance
 
-from wheatslipd.feed.codec import StructCodec
-from wheatslipd.quota.service import GET_TOKENS_METHOD, OTHER_DAEMON_STATUS
+from wheatslipd.quota.askstream import AskFailure, AskStream
 from wheatslipd.tls import PeerTls
 
 ASK_TIMEOUT_SECONDS = 0.1  # for the connection and the answer together
-# grpclib reports the answer of a server without the method as UNKNOWN.
-UNSUPPORTED_STATUSES = frozenset({Status.UNIMPLEMENTED, Status.UNKNOWN})
-IDLE_CLOSE_SECONDS = 60.0  # time without asks after which a connection is closed
-
-
-class AskFailure(Enum):
-    """Why an owner has not answered an ask."""
-
-    # No process listens there, or that of another daemon: the owner has ended.
-    REFUSED = auto()
-    SILENT = auto()  # no answer in time, or the connection broke; its process may run
-    UNSUPPORTED = auto()  # it runs a version that does not know the method
+IDLE_CLOSE_SECONDS = 60.0  # time without asks after which a stream is closed
 
 
 @dataclass(slots=True, eq=False)
 class _OpenChannel:
-    """A channel to an owner; `used_at` is in seconds of the loop's clock."""
+    """A stream to an owner; `used_at` is in seconds of the loop's clock."""
 
-    channel: Channel
-    method: UnaryUnaryMethod[TokenRequest, TokenGrant]
+    stream: AskStream
     used_at: float
     idle_timer: asyncio.TimerHandle | None = None
 
 
 class OwnerChannels:
-    """The connections of one entry to owners, by name."""
+    """The streams of one entry to owners, by name."""
 
     def __init__(self, tls: PeerTls):
         self._tls = tls
@@ -56,55 +38,68 @@
 
     @property
     def open_channels(self) -> tuple[str, ...]:
-        """Names of the owners to which a channel is kept."""
-        return tuple(self._channels)
+        """Names of the owners to which a stream is open."""
+        return tuple(name for name in self._channels if self._is_open(name))
 
     def set_instances(self, instances: Mapping[str, Instance]) -> None:
-        """Set the listed daemons by name; close the channels to all others."""
+        """Set the listed daemons by name; close the streams to all others."""
         before, self._instances = self._instances, instances
         for name in ended_processes(self._channels, before, instances):
             self._close(name)
 
     async def ask(self, owner: str, request: TokenRequest) -> Result[TokenGrant, AskFailure]:
         """Ask a listed owner, for at most `ASK_TIMEOUT_SECONDS`."""
-        instance = self._instances.get(owner)
-        if instance is None:
-            return Err(AskFailure.SILENT)
-        was_open = owner in self._channels
-        opened = self._open(instance)
+        asked_at = asyncio.get_running_loop().time()
         try:
             async with asyncio.timeout(ASK_TIMEOUT_SECONDS):
-                result = await _ask_once(opened, request)
-                if was_open and result == Err(AskFailure.SILENT):
-                    # The open connection broke. Only a new one tells whether a process listens.
-                    opened = self._open(instance)
-                    result = await _ask_once(opened, request)
+                result = await self._ask_once(owner, request)
+                if result == Err(AskFailure.SILENT):
+                    # The stream broke. Only a new one tells whether a process listens.
+                    result = await self._ask_once(owner, request)
         except TimeoutError:
-            result = Err(AskFailure.SILENT)
-        if result.is_err() and self._channels.get(owner) is opened:
-            self._close(owner)
+            self._close_if_silent(owner, asked_at)
+            return Err(AskFailure.SILENT)
         return result
 
     def close(self) -> None:
-        """Close all channels."""
+        """Close all streams."""
         for name in list(self._channels):
             self._close(name)
 
+    def _is_open(self, owner: str) -> bool:
+        opened = self._channels.get(owner)
+        return opened is not None and not opened.stream.has_ended
+
+    async def _ask_once(
+        self, owner: str, request: TokenRequest
+    ) -> Result[TokenGrant, AskFailure]:
+        instance = self._instances.get(owner)
+        if instance is None:
+            return Err(AskFailure.SILENT)
+        opened = self._open(instance)
+        result = await opened.stream.ask(request)
+        if result == Err(AskFailure.REFUSED) and self._channels.get(owner) is opened:
+            self._close(owner)  # another daemon may have answered there
+        return result
+
+    def _close_if_silent(self, owner: str, asked_at: float) -> None:
+        """Close a stream on which nothing was answered since `asked_at`.
+
+        If another ask was answered, the owner and the connection work, so the stream is kept
+        for the asks that are still open.
+        """
+        opened = self._channels.get(owner)
+        if opened is not None and opened.stream.last_answer_at < asked_at:
+            self._close(owner)
+
     def _open(self, instance: Instance) -> _OpenChannel:
         loop = asyncio.get_running_loop()
-        opened = self._channels.get(instance.name)
-        if opened is None:
-            channel = Channel(
-                instance.address,
-                instance.control_port,
-                codec=StructCodec(),
-                ssl=self._tls.client,
-            )
-            method: UnaryUnaryMethod[TokenRequest, TokenGrant] = UnaryUnaryMethod(
-                channel, GET_TOKENS_METHOD, TokenRequest, TokenGrant
-            )
-            opened = self._channels[instance.name] = _OpenChannel(channel, method, loop.time())
+        if not self._is_open(instance.name):
+            self._close(instance.name)
+            opened = _OpenChannel(AskStream(instance, self._tls), loop.time())
+            self._channels[instance.name] = opened
             self._check_idle_later(instance.name, opened, IDLE_CLOSE_SECONDS)
+        opened = self._channels[instance.name]
         opened.used_at = loop.time()
         return opened
 
@@ -125,23 +120,7 @@
             return
         if opened.idle_timer is not None:
             opened.idle_timer.cancel()
-        opened.channel.close()
-
-
-async def _ask_once(
-    opened: _OpenChannel, request: TokenRequest
-) -> Result[TokenGrant, AskFailure]:
-    try:
-        return Ok(await opened.method(request))
-    except ConnectionRefusedError:
-        return Err(AskFailure.REFUSED)
-    except GRPCError as error:
-        if error.status is OTHER_DAEMON_STATUS:
-            return Err(AskFailure.REFUSED)
-        is_unsupported = error.status in UNSUPPORTED_STATUSES
-        return Err(AskFailure.UNSUPPORTED if is_unsupported else AskFailure.SILENT)
-    except (OSError, StreamTerminatedError, msgspec.DecodeError):
-        return Err(AskFailure.SILENT)
+        opened.stream.close()
 
 
 def ended_processes(
--- a/packages/wheatslipd/wheatslipd/quota/service.py
+++ b/packages/wheatslipd/wheatslipd/quota/service.py
@@ -6,16 +6,21 @@
 from collections.abc import Callable
 
 import grpclib.const
-from grpclib.exceptions import GRPCError
 from grpclib.server import Stream
+from result import Err, Ok, Result
 from wheatslip.quota.granter import Granter
-from wheatslip.quota.messages import TokenGrant, TokenRequest
+from wheatslip.quota.messages import (
+    AskRefusal,
+    NumberedAnswer,
+    NumberedAsk,
+    TokenGrant,
+    TokenRequest,
+)
 
+from wheatslipd.quota.answerstream import AnswerStream
 from wheatslipd.telemetry import logs
 
-GET_TOKENS_METHOD = "/wheatslip.Quota/GetTokens"
-# The answer to an ask for another daemon, which has ended: this one has its address now.
-OTHER_DAEMON_STATUS = grpclib.const.Status.NOT_FOUND
+ASK_METHOD = "/wheatslip.Quota/Ask"
 
 
 class QuotaService:
@@ -36,10 +41,10 @@
 
     def __mapping__(self) -> dict[str, grpclib.const.Handler]:
         """Return the handlers by method path; grpclib calls this."""
-        unary = grpclib.const.Cardinality.UNARY_UNARY
+        both = grpclib.const.Cardinality.STREAM_STREAM
         return {
-            GET_TOKENS_METHOD: grpclib.const.Handler(
-                self._get_tokens, unary, TokenRequest, TokenGrant
+            ASK_METHOD: grpclib.const.Handler(
+                self._answer_stream, both, NumberedAsk, NumberedAnswer
             )
         }
 
@@ -48,13 +53,14 @@
         self._log_primary(request.workspace)
         return self._granter.grant(request, self._clock())
 
-    async def _get_tokens(self, stream: Stream[TokenRequest, TokenGrant]) -> None:
-        request = await stream.recv_message()
-        if request is None:
-            return
+    async def answer(self, request: TokenRequest) -> Result[TokenGrant, AskRefusal]:
+        """Answer the ask of another entry."""
         if request.owner not in ("", self._name):
-            raise GRPCError(OTHER_DAEMON_STATUS)
-        await stream.send_message(self.grant(request))
+            return Err(AskRefusal.OTHER_DAEMON)
+        return Ok(self.grant(request))
+
+    async def _answer_stream(self, stream: Stream[NumberedAsk, NumberedAnswer]) -> None:
+        await AnswerStream(stream, self.answer).run()
 
     def _log_primary(self, workspace: str) -> None:
         """Log the first request for a workspace since this daemon became its primary."""
--- a/standins/link.py
+++ b/standins/link.py
@@ -1,4 +1,7 @@
-"""Stand-in for a network link with limited bandwidth, whose connections can be silenced."""
+"""Stand-in for a network link with limited bandwidth, whose connections can be silenced.
+
+It can also lose what goes one way.
+"""
 
 import asyncio
 from collections.abc import AsyncIterator
@@ -24,6 +27,7 @@
     chunk_count: int = 0  # chunks in both directions
     withheld_count: int = 0  # chunks that a silenced or blocked connection did not forward
     is_blocked: bool = False  # new connections are accepted and say nothing
+    drops_to_target: bool = False  # bytes to `target` are lost; those from there arrive
     _server: asyncio.Server | None = None
     _rate_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
@@ -96,6 +100,9 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         async for chunk in self._read_chunks(reader):
+            if self.drops_to_target:
+                self.withheld_count += 1
+                continue
             self.bytes_to_target += len(chunk)
             writer.write(chunk)
             await writer.drain()
--- a/test/test_forms.py
+++ b/test/test_forms.py
@@ -37,7 +37,7 @@
 from wheatslip.distribution.feedcache import Cursor, Update
 from wheatslip.hop import decode_hop, decode_load, decode_refusal, encode, encode_outcome
 from wheatslip.outcome import Answered, NotRun, Reason, Unknown
-from wheatslip.quota.messages import TokenGrant, TokenRequest
+from wheatslip.quota.messages import NumberedAnswer, NumberedAsk, TokenGrant, TokenRequest
 from wheatslip.store.instances import Instance, decode_instance
 from wheatslip.store.objectclient import ObjectClient, WriteBody
 from wheatslip.store.objects import Listing, StoredObject
@@ -55,7 +55,7 @@
 from wheatslipd.http.messages import RequestHead
 from wheatslipd.main import Wheatslipd
 from wheatslipd.main import main as daemon_main
-from wheatslipd.quota.service import GET_TOKENS_METHOD
+from wheatslipd.quota.service import ASK_METHOD
 from wheatslipd.settings import default_text, parse_settings
 
 from fleet_adapter.configuration import read_configuration
@@ -122,6 +122,8 @@
     "stored-ends": json_round_trip(StoredEnds),
     "token-request": codec_round_trip(TokenRequest),
     "token-grant": codec_round_trip(TokenGrant),
+    "numbered-ask": codec_round_trip(NumberedAsk),
+    "numbered-answer": codec_round_trip(NumberedAnswer),
 }
 
 
@@ -534,7 +536,7 @@
         assert event in actual
     assert set(expected["headers"]) <= set(header_names())
     assert expected["relay-method"] == METHOD
-    assert expected["quota-method"] == GET_TOKENS_METHOD
+    assert expected["quota-method"] == ASK_METHOD
 
 
 def test_files_of_the_users_platform_are_unchanged() -> None:
--- a/test/test_quota_asker.py
+++ b/test/test_quota_asker.py
@@ -12,7 +12,8 @@
 from wheatslipd.feed.relay import RelayServer
 from wheatslipd.quota import channels as channels_module
 from wheatslipd.quota.asker import UNREACHABLE_SECONDS, UNSUPPORTED_SECONDS, OwnerAsker
-from wheatslipd.quota.channels import AskFailure, OwnerChannels
+from wheatslipd.quota.askstream import AskFailure
+from wheatslipd.quota.channels import OwnerChannels
 from wheatslipd.quota.service import QuotaService
 from wheatslipd.tls import PeerTls
 
