Refuse requests whose ask raises an exception, in place of ending the daemon

Cause: an exception in the granter of the own daemon ended the task group of the asks, and with it the daemon; requests then waited for their deadline. It is logged (quota-ask-failed), and the requests that wait are refused. Both new tests fail without the change: the request to the primary itself got no answer in 5 s.

--- a/packages/wheatslipd/wheatslipd/quota/client.py
+++ b/packages/wheatslipd/wheatslipd/quota/client.py
@@ -12,11 +12,14 @@
 
 from wheatslip.config.bundle import RateLimit
 from wheatslip.quota.holder import Token, TokenHolder
-from wheatslip.quota.messages import TokenRequest
+from wheatslip.quota.messages import TokenGrant, TokenRequest
 
-from wheatslipd.quota.asker import OwnerAsker
+from wheatslipd.quota.asker import Answer, OwnerAsker
+from wheatslipd.quota.askerrors import log_ask_error
 from wheatslipd.telemetry.metrics import Metrics
 
+FAILED_ASK_RETRY_SECONDS = 1.0  # after which callers retry if an ask raised an exception
+
 
 @dataclass(frozen=True, slots=True)
 class OverLimit:
@@ -142,9 +145,15 @@
         started_at = self._clock()
         wanted = self._holder.wanted(workspace, len(use.waiting), started_at)
         limit = use.limit
-        answer = await self._asker.ask(
-            TokenRequest(self._name, workspace, wanted, use.version, limit.rate, limit.burst)
+        request = TokenRequest(
+            self._name, workspace, wanted, use.version, limit.rate, limit.burst
         )
+        try:
+            answer = await self._asker.ask(request)
+        except Exception as error:
+            # A bug, as in the granter of this daemon. Only the requests that wait are refused.
+            log_ask_error(request, error)
+            answer = Answer(TokenGrant(0, FAILED_ASK_RETRY_SECONDS), use.owner, started_at)
         now = self._clock()
         self._metrics.quota_ask_seconds.observe({}, now - started_at)
         use.owner = answer.owner
--- a/test/test_quota_client.py
+++ b/test/test_quota_client.py
@@ -5,14 +5,14 @@
 
 import pytest
 from wheatslip.config.bundle import RateLimit
-from wheatslip.quota.holder import TokenHolder
+from wheatslip.quota.holder import MAX_REFUSE_SECONDS, TokenHolder
 from wheatslip.quota.messages import TokenGrant
 from wheatslip.quota.settings import QuotaSettings
 from wheatslipd.quota.asker import Answer
 from wheatslipd.quota.client import OverLimit, QuotaClient
 from wheatslipd.telemetry.metrics import Metrics
 
-from test.helper import run
+from test.helper import recorded_events, run
 
 LIMIT = RateLimit(10.0, 5.0)
 
@@ -181,3 +181,32 @@
             assert [(q.version, q.rate) for q in asker.asks] == [(1, 10.0), (2, 1.0)]
 
     run(scenario)
+
+
+def test_an_ask_that_raises_refuses_its_requests_and_does_not_end_the_client():
+    """Guards against a granter of the own daemon that raises and thereby ends the daemon, and
+    against requests that wait for an answer that never comes.
+    """
+
+    async def scenario():
+        with recorded_events() as events:
+            async with running_client(TokenGrant(1)) as (client, asker):
+                ask = asker.ask
+
+                async def raise_error(request):
+                    raise RuntimeError("granter of " + request.workspace)
+
+                asker.ask = raise_error
+                results = await asyncio.gather(
+                    *(client.take("alpha", LIMIT, 1) for _ in range(3))
+                )
+                assert all(isinstance(result, OverLimit) for result in results)
+                asker.ask = ask
+                asker.may_answer.set()
+                asker._clock.now += MAX_REFUSE_SECONDS
+                assert not isinstance(await client.take("alpha", LIMIT, 1), OverLimit)
+        (failed,) = [e for e in events if e.get("message_type") == "quota-ask-failed"]
+        assert (failed["workspace"], failed["sender"]) == ("alpha", "entry")
+        assert "granter of alpha" in failed["error"]
+
+    run(scenario)
--- a/test/test_quota_faults.py
+++ b/test/test_quota_faults.py
@@ -227,3 +227,37 @@
             assert most_in_window(fleet.run_times()) <= allowed(rate, burst)
 
     run(scenario)
+
+
+def test_a_granter_that_raises_ends_no_daemon_and_serves_others_again(tmp_path):
+    """Guards against a bug in the granter that ends the primary, as a daemon that asks itself
+    or as one that is asked, and against a stream that ends with one ask.
+    """
+
+    async def scenario():
+        async with quota_fleet(tmp_path, 50.0, 10.0) as fleet:
+            fleet.settle()
+            primary, second, entry = fleet.candidates()
+            service = fleet.node(primary).daemon.quota.service
+            grant = service.grant
+
+            def raise_error(request):
+                raise RuntimeError("granter of " + request.workspace)
+
+            service.grant = raise_error
+            requests = [await fleet.send(name) for name in (primary, entry)]
+            assert refused(requests[:1])
+            assert requests[1].reported is Reported.ANSWERED
+            assert fleet.use(entry).owner == second
+            assert fleet.logged("quota-owner-unreachable", owner=primary, why="silent")
+            failed = fleet.logged("quota-ask-failed", workspace="alpha")
+            assert {event["sender"] for event in failed} >= {primary, entry}
+            assert all("granter of alpha" in event["error"] for event in failed)
+
+            service.grant = grant
+            fleet.monotonic.offset_seconds += asker.UNREACHABLE_SECONDS
+            requests = [await fleet.send(name) for name in (primary, entry)]
+            assert len(answered(requests)) == 2
+            assert fleet.use(entry).owner == fleet.use(primary).owner == primary
+
+    run(scenario)
