Fail tests of ended streams that wait for the time-out of an ask

Cause: with the long time-out of these tests, an ask to a removed daemon whose stream stays open failed in the same way, 30 s later; so the test passed without the closing. With a bound of half that time it fails there.

--- a/test/test_quota_stream.py
+++ b/test/test_quota_stream.py
@@ -207,7 +207,8 @@
             asks = [world.begin_ask() for _ in range(ASKS_AT_ONCE)]
             await until(lambda: len(world.owner.asked) == ASKS_AT_ONCE)
             await world.link.close()
-            assert set(await asyncio.gather(*asks)) == {Err(AskFailure.REFUSED)}
+            async with asyncio.timeout(0.5 * LONG_SECONDS):  # not after the asks' time-out
+                assert set(await asyncio.gather(*asks)) == {Err(AskFailure.REFUSED)}
             assert not world.channels.open_channels
 
     run(scenario)
@@ -419,7 +420,8 @@
             ask = world.begin_ask()
             await until(lambda: world.owner.asked)
             world.channels.set_instances({})
-            assert await ask == Err(AskFailure.SILENT)
+            async with asyncio.timeout(0.5 * LONG_SECONDS):  # not after the ask's time-out
+                assert await ask == Err(AskFailure.SILENT)
             assert not world.channels.open_channels
             await until(lambda: not world.link._tasks)  # the connection is closed
 
