--- a/packages/wheatslipd/wheatslipd/feed/watching.py
+++ b/packages/wheatslipd/wheatslipd/feed/watching.py
@@ -39,6 +39,8 @@
 
     async def _follow(self) -> None:
         settings = self._access.settings
+        clock = self._access.monotonic
+        asked_at = clock()
         async for listing in self._access.changes(
             INSTANCE_KIND,
             self._on_unavailable,
@@ -50,6 +52,13 @@
             self._cache_writer.confirm_list()
             if listing.whole or listing.items:
                 self._cache_writer.apply_listing(listing)
+                confirmed_at = clock()  # the next watch brings later changes at once
+            else:
+                # The platform answers without changes at the end of the wait, not before. The
+                # answer may have been under way for long, as while this process was frozen.
+                confirmed_at = min(clock(), asked_at + settings.list_watch)
+            self._cache_writer.confirm_list_at(confirmed_at)
+            asked_at = clock()
 
     def _on_unavailable(self, unavailable: Unavailable) -> None:
         log_unavailable(unavailable)
