--- a/test/test_quota_replay.py
+++ b/test/test_quota_replay.py
@@ -40,6 +40,7 @@
         limits = {f"w{n}": limit_of(n, burst_seconds) for n in range(WORKSPACES)}
         for name in names:
             self.network.start(name, names, limits)
+        self.network.keep_confirmed()
         self.names = names
         self.entry_of = entry_of
         for number in range(WORKSPACES):
