Take limits over between daemons, and decline asks meanwhile

Cause: the library hands limits over, but a daemon neither asked the active one to yield nor confirmed its list, so no primary would have been active. Change: `QuotaService.answer` takes a limit over before it grants, by calls of `TakeoverCalls` (/wheatslip.Quota/TakeOver). An ask waits at most 60 ms for it; the calls go on after that, 0.3 s each at most. While another daemon is active, asks are declined with a status of their own, and the entry asks the next candidate.

--- a/packages/wheatslipd/wheatslipd/quota/channels.py
+++ b/packages/wheatslipd/wheatslipd/quota/channels.py
@@ -7,35 +7,28 @@
 import asyncio
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
-from enum import Enum, auto
 
 import msgspec
 from grpclib.client import Channel, UnaryUnaryMethod
-from grpclib.const import Status
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from result import Err, Ok, Result
 from wheatslip.quota.messages import TokenGrant, TokenRequest
 from wheatslip.store.instances import Instance
 
 from wheatslipd.feed.codec import StructCodec
-from wheatslipd.quota.service import GET_TOKENS_METHOD, OTHER_DAEMON_STATUS
+from wheatslipd.quota.askfailure import (
+    DECLINED_STATUS,
+    OTHER_DAEMON_STATUS,
+    UNSUPPORTED_STATUSES,
+    AskFailure,
+)
+from wheatslipd.quota.service import GET_TOKENS_METHOD
 from wheatslipd.tls import PeerTls
 
 ASK_TIMEOUT_SECONDS = 0.1  # for the connection and the answer together
-# grpclib reports the answer of a server without the method as UNKNOWN.
-UNSUPPORTED_STATUSES = frozenset({Status.UNIMPLEMENTED, Status.UNKNOWN})
 IDLE_CLOSE_SECONDS = 60.0  # time without asks after which a connection is closed
 
 
-class AskFailure(Enum):
-    """Why an owner has not answered an ask."""
-
-    # No process listens there, or that of another daemon: the owner has ended.
-    REFUSED = auto()
-    SILENT = auto()  # no answer in time, or the connection broke; its process may run
-    UNSUPPORTED = auto()  # it runs a version that does not know the method
-
-
 @dataclass(slots=True, eq=False)
 class _OpenChannel:
     """A channel to an owner; `used_at` is in seconds of the loop's clock."""
@@ -81,7 +74,8 @@
                     result = await _ask_once(opened, request)
         except TimeoutError:
             result = Err(AskFailure.SILENT)
-        if result.is_err() and self._channels.get(owner) is opened:
+        is_failed = result.is_err() and result != Err(AskFailure.DECLINED)
+        if is_failed and self._channels.get(owner) is opened:
             self._close(owner)
         return result
 
@@ -138,6 +132,8 @@
     except GRPCError as error:
         if error.status is OTHER_DAEMON_STATUS:
             return Err(AskFailure.REFUSED)
+        if error.status is DECLINED_STATUS:
+            return Err(AskFailure.DECLINED)
         is_unsupported = error.status in UNSUPPORTED_STATUSES
         return Err(AskFailure.UNSUPPORTED if is_unsupported else AskFailure.SILENT)
     except (OSError, StreamTerminatedError, msgspec.DecodeError):
--- a/packages/wheatslipd/wheatslipd/quota/service.py
+++ b/packages/wheatslipd/wheatslipd/quota/service.py
@@ -1,21 +1,53 @@
-"""Serves the requests of entries for tokens, on the control port.
+"""Serves the requests of entries for tokens and of other owners for a takeover, on the control
+port.
 
 The owner of a workspace's limit grants the tokens; `wheatslip.quota.granter` decides how many.
+If it is the first candidate and not active, it takes the limit over before it answers.
 """
 
+import asyncio
 from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass
 
 import grpclib.const
 from grpclib.exceptions import GRPCError
 from grpclib.server import Stream
+from result import Err, Ok, Result
 from wheatslip.quota.granter import Granter
-from wheatslip.quota.messages import TokenGrant, TokenRequest
+from wheatslip.quota.handover import Takeover
+from wheatslip.quota.messages import (
+    TakeoverAnswer,
+    TakeoverRequest,
+    TokenGrant,
+    TokenRequest,
+)
 
+from wheatslipd.quota.askfailure import (
+    DECLINED_STATUS,
+    OTHER_DAEMON_STATUS,
+    AskFailure,
+    AskRefusal,
+)
+from wheatslipd.quota.takeovercalls import TAKE_OVER_METHOD, TakeoverCalls
 from wheatslipd.telemetry import logs
 
 GET_TOKENS_METHOD = "/wheatslip.Quota/GetTokens"
-# The answer to an ask for another daemon, which has ended: this one has its address now.
-OTHER_DAEMON_STATUS = grpclib.const.Status.NOT_FOUND
+# An ask waits that long for a takeover. Its entry waits 0.1 s for the answer; the rest is for
+# the connection and for busy machines.
+MAX_WAIT_FOR_TAKEOVER_SECONDS = 0.06
+# A silent candidate must not keep a takeover from the next one, which may be active.
+TAKEOVER_CALL_TIMEOUT_SECONDS = 0.3
+_STATUS_OF_REFUSAL = {
+    AskRefusal.OTHER_DAEMON: OTHER_DAEMON_STATUS,
+    AskRefusal.DECLINED: DECLINED_STATUS,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class _TakeoverInProgress:
+    task: asyncio.Task[None]
+    wait_until: float  # by the loop's clock; later asks do not wait
 
 
 class QuotaService:
@@ -25,12 +57,15 @@
         self,
         name: str,
         granter: Granter,
+        calls: TakeoverCalls,
         clock: Callable[[], float],
     ):
         """`name` is this daemon's; `clock` is monotonic, in seconds."""
         self._name = name
         self._granter = granter
+        self._calls = calls
         self._clock = clock
+        self._takeovers: dict[str, _TakeoverInProgress] = {}  # by workspace
         # Workspaces whose requests this daemon has received as their primary.
         self._primary_of: set[str] = set()
 
@@ -40,9 +75,22 @@
         return {
             GET_TOKENS_METHOD: grpclib.const.Handler(
                 self._get_tokens, unary, TokenRequest, TokenGrant
-            )
+            ),
+            TAKE_OVER_METHOD: grpclib.const.Handler(
+                self._yield_limit, unary, TakeoverRequest, TakeoverAnswer
+            ),
         }
 
+    async def answer(self, request: TokenRequest) -> Result[TokenGrant, AskRefusal]:
+        """Answer an ask of another entry or of the own one, after a takeover if one is due."""
+        if request.owner not in ("", self._name):
+            return Err(AskRefusal.OTHER_DAEMON)
+        workspace = request.workspace
+        await self._take_over_if_due(workspace)
+        if self._granter.is_declining(workspace, self._clock()):
+            return Err(AskRefusal.DECLINED)
+        return Ok(self.grant(request))
+
     def grant(self, request: TokenRequest) -> TokenGrant:
         """Grant tokens now."""
         self._log_primary(request.workspace)
@@ -52,9 +100,78 @@
         request = await stream.recv_message()
         if request is None:
             return
-        if request.owner not in ("", self._name):
+        match await self.answer(request):
+            case Ok(grant):
+                await stream.send_message(grant)
+            case Err(refusal):
+                raise GRPCError(_STATUS_OF_REFUSAL[refusal])
+
+    async def _yield_limit(self, stream: Stream[TakeoverRequest, TakeoverAnswer]) -> None:
+        request = await stream.recv_message()
+        if request is None:
+            return
+        if request.owner != self._name:
             raise GRPCError(OTHER_DAEMON_STATUS)
-        await stream.send_message(self.grant(request))
+        answer = self._granter.answer_takeover(request, self._clock())
+        if answer.is_active and answer.seconds <= 0:
+            logs.info("quota-yielded", workspace=request.workspace, daemon=request.sender)
+        await stream.send_message(answer)
+
+    async def _take_over_if_due(self, workspace: str) -> None:
+        """Take over a limit, or wait for the takeover in progress, for a short time.
+
+        The takeover continues after that, or if this ask is cancelled.
+        """
+        loop = asyncio.get_running_loop()
+        in_progress = self._takeovers.get(workspace)
+        if in_progress is None:
+            takeover = self._granter.begin_takeover(workspace, self._clock())
+            if takeover is None:
+                return
+            in_progress = _TakeoverInProgress(
+                loop.create_task(self._take_over(takeover)),
+                loop.time() + MAX_WAIT_FOR_TAKEOVER_SECONDS,
+            )
+            self._takeovers[workspace] = in_progress
+        seconds = in_progress.wait_until - loop.time()
+        if seconds > 0:
+            await asyncio.wait((in_progress.task,), timeout=seconds)
+
+    async def _take_over(self, takeover: Takeover) -> None:
+        try:
+            while (owner := takeover.next_owner) is not None:
+                await self._ask_to_yield(takeover, owner)
+        finally:
+            del self._takeovers[takeover.workspace]
+            now = self._clock()
+            self._granter.finish_takeover(takeover, now)
+            logs.info(
+                "quota-takeover",
+                workspace=takeover.workspace,
+                state=self._granter.state_of(takeover.workspace, now).value,
+                repeat_key=takeover.workspace,
+            )
+
+    async def _ask_to_yield(self, takeover: Takeover, owner: str) -> None:
+        request = self._granter.takeover_request(takeover, owner)
+        result: Result[TakeoverAnswer, AskFailure] = Err(AskFailure.SILENT)
+        with suppress(TimeoutError):
+            async with asyncio.timeout(TAKEOVER_CALL_TIMEOUT_SECONDS):
+                result = await self._calls.send(request)
+        match result:
+            case Ok(answer):
+                takeover.on_answer(answer)
+            case Err(AskFailure.REFUSED | AskFailure.UNSUPPORTED):
+                takeover.on_ended()
+            case Err(failure):
+                logs.info(
+                    "quota-takeover-unanswered",
+                    workspace=takeover.workspace,
+                    owner=owner,
+                    why=failure.name.lower(),
+                    repeat_key=owner,
+                )
+                takeover.on_silence()
 
     def _log_primary(self, workspace: str) -> None:
         """Log the first request for a workspace since this daemon became its primary."""
--- a/test/test_forms.py
+++ b/test/test_forms.py
@@ -37,7 +37,12 @@
 from wheatslip.distribution.feedcache import Cursor, Update
 from wheatslip.hop import decode_hop, decode_load, decode_refusal, encode, encode_outcome
 from wheatslip.outcome import Answered, NotRun, Reason, Unknown
-from wheatslip.quota.messages import TokenGrant, TokenRequest
+from wheatslip.quota.messages import (
+    TakeoverAnswer,
+    TakeoverRequest,
+    TokenGrant,
+    TokenRequest,
+)
 from wheatslip.store.instances import Instance, decode_instance
 from wheatslip.store.objectclient import ObjectClient, WriteBody
 from wheatslip.store.objects import Listing, StoredObject
@@ -122,6 +127,8 @@
     "stored-ends": json_round_trip(StoredEnds),
     "token-request": codec_round_trip(TokenRequest),
     "token-grant": codec_round_trip(TokenGrant),
+    "takeover-request": codec_round_trip(TakeoverRequest),
+    "takeover-answer": codec_round_trip(TakeoverAnswer),
 }
 
 
