Serve a workspace at its full rate while another daemon becomes its primary

Change: an active daemon does not settle, a daemon that is no candidate in its own list declines, and a promise ends with an answer of its daemon, or if it is older than 2 s when a daemon yields. A takeover that lasted for longer than 2 s, as in a frozen process, does not count.

--- a/packages/wheatslip/wheatslip/quota/granter.py
+++ b/packages/wheatslip/wheatslip/quota/granter.py
@@ -157,7 +157,8 @@
             position = self._position_of(workspace)
             if position != quota.position:
                 quota.position = position
-                quota.since = now
+                if not self._handover.is_active(workspace, now):
+                    quota.since = now
             self._apply(quota, now)
 
     def candidates_of(self, workspace: str) -> tuple[str, ...]:
@@ -175,8 +176,12 @@
                 self._apply(quota, now)
 
     def is_declining(self, workspace: str, now: float) -> bool:
-        """Whether an entry should ask the next candidate, because another daemon is active."""
-        return self._handover.is_declining(workspace, now)
+        """Whether an entry should ask the next candidate, because another daemon is active.
+
+        A daemon that is no candidate in its own list may be one in a list that it lacks yet.
+        """
+        is_candidate = self._name in self.candidates_of(workspace)
+        return not is_candidate or self._handover.is_declining(workspace, now)
 
     def state_of(self, workspace: str, now: float) -> HandoverState:
         """Whether this daemon is active for a workspace, for logs."""
--- a/packages/wheatslip/wheatslip/quota/handover.py
+++ b/packages/wheatslip/wheatslip/quota/handover.py
@@ -32,6 +32,8 @@
 # After a change of the list, no daemon that the change replaced is active for longer.
 UNCERTAIN_SECONDS = LIST_LEASE_SECONDS + YIELD_SECONDS
 RETRY_SECONDS = 1.0  # between two takeovers of a workspace
+# The answers of a longer takeover do not count, as when this process was frozen meanwhile.
+MAX_TAKEOVER_SECONDS = 2.0
 INFORMED_ANSWERS = 2  # after which no further candidate is asked
 MAX_ASKED = 4  # candidates after the new primary
 MAX_WORKSPACES = 4096  # limits memory
@@ -42,8 +44,10 @@
     """One takeover of a workspace in progress: the daemons to ask, and what they answered."""
 
     workspace: str
+    begun_at: float
     leaving: tuple[str, ...]  # asked first
     candidates: tuple[str, ...]
+    inactive: set[str] = field(default_factory=set)  # of those asked
     _asked: int = 0
     _informed: int = 0
     tokens: float | None = None  # of the daemon that yielded
@@ -57,8 +61,11 @@
             return None
         if self._informed >= INFORMED_ANSWERS:
             return None
-        owners = self.leaving + self.candidates
-        return owners[self._asked] if self._asked < len(owners) else None
+        return self._owners[self._asked] if self._asked < len(self._owners) else None
+
+    @property
+    def _owners(self) -> tuple[str, ...]:
+        return self.leaving + self.candidates
 
     def on_answer(self, answer: TakeoverAnswer) -> None:
         if answer.is_active and answer.seconds <= 0:
@@ -67,12 +74,15 @@
             self.active_seconds = answer.seconds
         elif answer.seconds > 0:
             self.has_doubt = True
+        if answer.seconds <= 0:
+            self.inactive.add(self._owners[self._asked])
         if self._asked >= len(self.leaving) and not answer.is_new:
             self._informed += 1
         self._asked += 1
 
     def on_ended(self) -> None:
         """No process runs there, or one of a version that is never active."""
+        self.inactive.add(self._owners[self._asked])
         self._asked += 1
 
     def on_silence(self) -> None:
@@ -178,7 +188,7 @@
             and self._may_have_been_active(workspace, name, now)
         )
         after = self._candidates.of(workspace)[1 : MAX_ASKED + 1]
-        return Takeover(workspace, leaving, after)
+        return Takeover(workspace, now, leaving, after)
 
     def request_to(self, takeover: Takeover, owner: str) -> TakeoverRequest:
         return TakeoverRequest(
@@ -195,18 +205,23 @@
         state.is_in_progress = False
         state.is_declining = False
         state.retry_at = now + RETRY_SECONDS
-        if not state.is_first or now >= self.lapses_at:
+        for name in takeover.inactive:
+            if state.promised.get(name, inf) <= takeover.begun_at:
+                del state.promised[name]  # it may have been active before
+        is_late = now > takeover.begun_at + MAX_TAKEOVER_SECONDS
+        if not state.is_first or now >= self.lapses_at or is_late:
             return None
-        own_doubt = self._promise_wait(state, now) > 0
         if takeover.tokens is not None:
-            if own_doubt:
-                return None  # another daemon has asked this one meanwhile; the tokens are lost
+            # Only a daemon that was taking over at the same time can be active beside this one.
+            if any(time > now - MAX_TAKEOVER_SECONDS for time in state.promised.values()):
+                return None  # the tokens are lost
             self._activate(state)
             return takeover.tokens
         if takeover.active_seconds > 0:
             state.is_declining = True
             state.retry_at = now + min(RETRY_SECONDS, takeover.active_seconds)
             return None
+        own_doubt = self._promise_wait(state, now) > 0
         has_doubt = takeover.has_doubt or self._removed_wait(takeover.workspace, "", now) > 0
         if not own_doubt and (not has_doubt or now >= state.first_since + UNCERTAIN_SECONDS):
             self._activate(state)
--- a/test/test_quota_granter.py
+++ b/test/test_quota_granter.py
@@ -232,6 +232,15 @@
     assert settling == pytest.approx(RATE / 2 * 2.9, abs=3)
 
 
+def test_an_active_daemon_that_is_no_longer_the_first_grants_the_full_rate():
+    """Guards against half of the rate for a workspace whose new primary has just joined."""
+    order = order_of()
+    granter = listed(order[1], [name for name in NAMES if name != order[0]])
+    granted(granter, 20.0, 21.0)
+    granter.set_members(NAMES, 21.0)
+    assert granted(granter, 21.0, 24.0) == pytest.approx(RATE * 3, abs=2)
+
+
 def test_another_change_of_the_list_does_not_settle_again():
     granter = granter_at(0)
     granted(granter, 20.0, 21.0)
--- a/test/test_quota_handover.py
+++ b/test/test_quota_handover.py
@@ -265,6 +265,26 @@
     assert daemon.is_active(1.0)
 
 
+def test_a_daemon_takes_over_from_one_to_which_it_yielded_before():
+    """Guards against a limit that nobody grants for 40 s after a daemon left and joined."""
+    daemon = active(FIRST, NAMES)
+    daemon.answer(SECOND, 1.0, is_leaving=True)
+    daemon.set_members(without(FIRST), 1.5, left=[FIRST])
+    daemon.set_members(NAMES, 10.0)
+    daemon.take_over(14.0, TakeoverAnswer(0.0, is_active=True, tokens=5.0))
+    assert daemon.is_active(14.0) and daemon.tokens == 5.0
+
+
+@pytest.mark.parametrize("answer", [NOBODY, TakeoverAnswer(0.0, is_active=True)])
+def test_a_takeover_that_was_frozen_does_not_count(answer):
+    """Guards against a daemon that becomes active by answers that are no longer true."""
+    daemon = Daemon(FIRST, [FIRST, SECOND])
+    takeover = daemon.handover.begin("alpha", 0.0)
+    takeover.on_answer(answer)
+    assert daemon.handover.finish(takeover, 20.0) is None
+    assert not daemon.is_active(20.0)
+
+
 def test_a_daemon_that_told_another_that_nobody_is_active_does_not_take_over():
     """Guards against two daemons with different lists that both become active."""
     daemon = Daemon(SECOND, without(FIRST), now=0.0)
