Open no new connection to an owner that is no longer listed

Cause: when the list dropped an owner during an ask, its channel was closed, and the ask took that for a broken connection and opened a new one, which stayed for 60 s. Seen in the test of a primary that leaves, whose wait for the closed channel timed out. Change: the second attempt is made only for a listed owner.

--- a/packages/wheatslipd/wheatslipd/quota/channels.py
+++ b/packages/wheatslipd/wheatslipd/quota/channels.py
@@ -68,7 +68,8 @@
         try:
             async with asyncio.timeout(ASK_TIMEOUT_SECONDS):
                 result = await _ask_once(opened, request)
-                if was_open and result == Err(AskFailure.SILENT):
+                is_listed = owner in self._instances  # else `set_instances` closed the channel
+                if was_open and is_listed and result == Err(AskFailure.SILENT):
                     # The open connection broke. Only a new one tells whether a process listens.
                     opened = self._open(instance)
                     result = await _ask_once(opened, request)
