Let links cut off the connections that one daemon makes to others

A partition in the soak could only cut what reaches a daemon's control port and its way to the platform: links could not tell whose connections they forward. standins/sourceddaemon runs a daemon that connects to others from a loopback address of its own, and ThrottledLink.block_source cuts off the connections from one address. With has_request_links, entry and peer ports are reached through links too, so Cluster.isolate cuts a daemon off from callers and other daemons both ways, and cut_off_control from control only. Silence and withheld counts stay those of the control connections.

The callers' session has no limit of 100 connections, which requests to a daemon that is cut off use up.

Tests: a blocked source is cut off on open and new connections and no other one is; isolate and cut_off_control cut both ways what they name and nothing else, also for a daemon that starts meanwhile.

--- a/soak/injector.py
+++ b/soak/injector.py
@@ -104,7 +104,7 @@
             case Fault.KILL:
                 assert member is not None
                 member.daemon.send(signal.SIGKILL)
-                await self.cluster.refuse_control_connections(step.where)
+                await self.cluster.refuse_connections(step.where)
             case Fault.STOP:
                 assert member is not None
                 await self._stop_daemon(member)
@@ -246,7 +246,7 @@
 
     async def _stop_daemon(self, member: Member) -> None:
         code = await member.daemon.end()
-        await self.cluster.refuse_control_connections(member.plan.name)
+        await self.cluster.refuse_connections(member.plan.name)
         self.history.planned_stops.append(PlannedStop(member.plan.name, code))
 
     async def _restart_daemon(self, member: Member) -> None:
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -41,6 +41,7 @@
     credential: str = ""
     entry: str = ""
     sent_at: float = 0.0
+    kind: str = ""
 
 
 def make_key(rng: Random, now: float) -> str:
@@ -79,7 +80,7 @@
     ) -> Request:
         """Send one request; returns it with its outcome."""
         request_id = f"{self.workspace}-{self.rng.getrandbits(64):016x}"
-        request = Request(request_id, self.workspace, service, once, entry=entry)
+        request = Request(request_id, self.workspace, service, once, entry=entry, kind=kind)
         request.credential, request.sent_at = self.credential, time.time()
         self.requests.append(request)
         headers = {"x-request-id": request_id}
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -8,7 +8,7 @@
 import re
 import signal
 import sys
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 from math import inf
 from pathlib import Path
@@ -123,6 +123,26 @@
     return StartedProcess(process, name)
 
 
+@dataclass(slots=True)
+class DaemonLinks:
+    """The links to the ports of one daemon and from it to the platform, and the address that it
+    connects to other daemons from (empty: the same as all others).
+
+    `entry` and `peer` are None if those ports are reached directly.
+    """
+
+    platform: ThrottledLink
+    source: str = ""
+    control: ThrottledLink | None = None  # None until the daemon listens
+    entry: ThrottledLink | None = None
+    peer: ThrottledLink | None = None
+
+    @property
+    def to_ports(self) -> list[ThrottledLink]:
+        """The links to the daemon's ports."""
+        return [link for link in (self.control, self.entry, self.peer) if link is not None]
+
+
 @dataclass(slots=True)
 class Member:
     """One instance: the backend server and the daemon beside it."""
@@ -141,7 +161,8 @@
     """The processes of one installation. `folder` has the settings and keys.
 
     Daemons connect to each other's control ports and to the platform through links, unless
-    `has_links` is False.
+    `has_links` is False. With `has_request_links`, the ports for requests are reached through
+    links too, and each daemon connects to the others from an address of its own.
     """
 
     folder: Path
@@ -149,14 +170,19 @@
     own_settings: str = ""  # of the daemons that run the code of this checkout
     loop: str = "asyncio"
     has_links: bool = True
+    has_request_links: bool = False
     session: aiohttp.ClientSession = field(init=False)
     platform: StartedProcess = field(init=False)
     platform_address: str = field(init=False)
     members: dict[str, Member] = field(default_factory=dict)
     _links: list[ThrottledLink] = field(default_factory=list)
-    # By instance: the links to its present daemon's control port, and from it to the platform.
-    _control_links: dict[str, ThrottledLink] = field(default_factory=dict)
-    _platform_links: dict[str, ThrottledLink] = field(default_factory=dict)
+    # Those to control ports and to the platform.
+    _control_plane_links: list[ThrottledLink] = field(default_factory=list)
+    _daemon_links: dict[str, DaemonLinks] = field(default_factory=dict)  # by instance
+    # Addresses of daemons that are cut off from the other daemons' control ports, or from all
+    # their ports.
+    _cut_off_control: set[str] = field(default_factory=set)
+    _isolated: set[str] = field(default_factory=set)
 
     async def open(self) -> None:
         """Start the stand-in for the platform."""
@@ -167,33 +193,97 @@
 
     def silence_connections(self) -> None:
         """Stop forwarding on the open connections between daemons and to the platform."""
-        for link in self._links:
+        for link in self._control_plane_links:
             link.silence()
 
     def withheld_count(self, name: str = "") -> int:
-        """What silenced and blocked connections did not forward, in chunks; of one instance if
-        it is named.
+        """What silenced and blocked connections to control ports and to the platform did not
+        forward, in chunks; of one instance if it is named.
         """
-        links = [self._control_links[name], self._platform_links[name]] if name else self._links
+        links = self._control_plane(name) if name else self._control_plane_links
         return sum(link.withheld_count for link in links)
 
+    def withheld_by_port(self, name: str) -> dict[str, int]:
+        """What the links of an instance's daemon did not forward, in chunks, by the names of
+        the ports.
+        """
+        own = self._daemon_links[name]
+        counts = {"platform": own.platform.withheld_count}
+        for port in ("control", "entry", "peer"):
+            link = getattr(own, port)
+            counts[port] = link.withheld_count if link is not None else 0
+        return counts
+
+    def withheld_sources(self, name: str) -> set[str]:
+        """The addresses from which links of an instance's daemon have withheld something."""
+        own = self._daemon_links[name]
+        links = (own.platform, *own.to_ports)
+        return {address for link in links for address in link.withheld_by_source}
+
     def block(self, name: str) -> None:
         """Cut an instance's daemon off the platform, and others off its control port."""
-        self._control_links[name].block()
-        self._platform_links[name].block()
+        for link in self._control_plane(name):
+            link.block()
 
     def unblock(self, name: str) -> None:
         """End what `block` did."""
-        self._control_links[name].unblock()
-        self._platform_links[name].unblock()
+        for link in self._control_plane(name):
+            link.unblock()
+
+    def cut_off_control(self, name: str) -> None:
+        """Cut an instance's daemon off the platform, and it and others off each other's control
+        ports. Needs `has_request_links`.
+        """
+        self.block(name)
+        self._cut_off_control.add(self.source(name))
+        for links in self._links_of_others(name):
+            if links.control is not None:
+                links.control.block_source(self.source(name))
+
+    def isolate(self, name: str) -> None:
+        """Let nothing pass to or from an instance's daemon, but to and from its server. Needs
+        `has_request_links`.
+        """
+        own = self._daemon_links[name]
+        for link in (own.platform, *own.to_ports):
+            link.block()
+        self._isolated.add(self.source(name))
+        for links in self._links_of_others(name):
+            for link in links.to_ports:
+                link.block_source(self.source(name))
+
+    def reconnect(self, name: str) -> None:
+        """End what `cut_off_control` or `isolate` did."""
+        own = self._daemon_links[name]
+        for link in (own.platform, *own.to_ports):
+            link.unblock()
+        self._cut_off_control.discard(own.source)
+        self._isolated.discard(own.source)
+        for link in self._links:
+            link.unblock_source(own.source)
 
-    async def refuse_control_connections(self, name: str) -> None:
-        """Make connections to the control port of a daemon that has ended be refused."""
-        await self._control_links[name].close()
+    def _control_plane(self, name: str) -> list[ThrottledLink]:
+        own = self._daemon_links[name]
+        assert own.control is not None
+        return [own.platform, own.control]
+
+    def _links_of_others(self, name: str) -> list[DaemonLinks]:
+        return [links for other, links in self._daemon_links.items() if other != name]
+
+    def source(self, name: str) -> str:
+        """The address that an instance's daemon connects to other daemons from."""
+        source = self._daemon_links[name].source
+        assert source, "the daemon's connections come from the same address as all others'"
+        return source
+
+    async def refuse_connections(self, name: str) -> None:
+        """Make connections to the ports of a daemon that has ended be refused."""
+        for link in self._daemon_links[name].to_ports:
+            await link.close()
 
-    async def _open_link(self, port: int) -> ThrottledLink:
+    async def _open_link(self, port: int, blocked_sources: Iterable[str] = ()) -> ThrottledLink:
         """Open a link to `port`."""
-        link = ThrottledLink(HOST, port, inf)
+        link = ThrottledLink(HOST, port, inf, blocked_sources=set(blocked_sources))
         await link.open()
         self._links.append(link)
         return link
@@ -341,22 +431,36 @@
     ) -> tuple[int, int, int, int]:
         """Wait until a daemon listens; returns its entry, peer, control and pages ports.
 
-        The control port is that of a new link to the daemon, if there are links.
+        The ports that are reached through links are those of new links to the daemon.
         """
         match = await daemon.wait_for(_DAEMON_PORTS_PATTERN)
         entry, peer, control, pages = (int(port) for port in match.groups())
         if self.has_links:
-            self._control_links[name] = await self._open_link(control)
-            control = self._control_links[name].port
+            links = self._daemon_links[name]
+            links.control = await self._open_link(
+                control, self._isolated | self._cut_off_control
+            )
+            self._control_plane_links.append(links.control)
+            control = links.control.port
+            if self.has_request_links:
+                links.entry = await self._open_link(entry, self._isolated)
+                links.peer = await self._open_link(peer, self._isolated)
+                entry, peer = links.entry.port, links.peer.port
         return entry, peer, control, pages
 
     async def start_daemon(self, plan: Plan, backend_port: int) -> StartedProcess:
         """Start the daemon beside a backend server."""
         platform_port = int(self.platform_address.rpartition(":")[2])
+        source = ""
         if self.has_links:
-            if plan.name not in self._platform_links:
-                self._platform_links[plan.name] = await self._open_link(platform_port)
-            platform_port = self._platform_links[plan.name].port
+            links = self._daemon_links.get(plan.name)
+            if links is None:
+                links = DaemonLinks(await self._open_link(platform_port))
+                self._control_plane_links.append(links.platform)
+                self._daemon_links[plan.name] = links
+                if self.has_request_links:
+                    links.source = f"127.0.0.{len(self._daemon_links) + 1}"
+            platform_port, source = links.platform.port, links.source
         path = self.folder / f"{plan.name}.ini"
         path.write_text(
             f"[daemon]\nname = {plan.name}\nzone = {plan.zone}\npool = {plan.pool}\n"
@@ -368,9 +472,10 @@
             + self.extra_settings
             + (self.own_settings if plan.checkout is None else "")
         )
+        module = ["standins.sourceddaemon", source] if source else ["wheatslipd.main"]
         return await start_process(
             f"daemon {plan.name}",
-            "wheatslipd.main",
+            *module,
             "--settings",
             str(path),
             checkout=plan.checkout,
@@ -383,7 +488,8 @@
     By default aiohttp resends a GET when a reused connection breaks. If the resend can't
     connect, the caller would report the request as not run, although it may have run.
     """
-    session = aiohttp.ClientSession()
+    # By default a session has 100 connections, which those to a daemon that is cut off use up.
+    session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
     session._retry_connection = False
     return session
 
