Soak an isolated daemon, max-unconfirmed, ranks, and two versions with credentials

- isolate: nothing passes between a daemon and callers, other daemons and the platform, either way.
Two of different instances in each soak.
Each must have withheld requests of callers, one at least those of other daemons.
- max-unconfirmed of 3 s: while a credential is removed, one daemon is cut off from the platform and all control ports until 6 s after the acknowledgement, and serves requests.
Nothing may run with the removed credential that was sent 3 s after the acknowledgement, at any daemon; that daemon must have refused credentials as unconfirmed and got the removed one.
- overload: 3 s in which servers take 16 times as long and requests of two priorities come.
The urgent kind is not answered less often than the late one by more than 5 in 100 and chance; at most 9 in 10 of the late kind may be answered.

The faults that a seed had before are unchanged, but for the removal, which lasts longer.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -21,6 +21,9 @@
     HOT,
     MODERATE,
     OPEN_KIND,
+    PRIORITIES,
+    RANKED,
+    RANKED_SECRET,
     SECRET,
     SPARE_SECRET,
     WORKSPACE,
@@ -30,10 +33,12 @@
 from soak.history import History, TimedRun, find_violations
 from soak.injector import SERVICE_TIME_SECONDS, SLOTS, FaultInjector
 from soak.schedule import (
+    MAX_UNCONFIRMED_SECONDS,
     Fault,
     Step,
     draw_routes_steps,
     draw_schedule,
+    mixed_version_routes_steps,
     mixed_version_schedule,
 )
 from standins.caller import Caller, Reported
@@ -54,6 +59,7 @@
 )
 OWN_SETTINGS = "[headers]\nlimit = server-limit\n"  # that another version may not know
 ROUTES_SETTINGS = (
+    f"interface = routes\nmax-unconfirmed = {MAX_UNCONFIRMED_SECONDS:g}s\n"
     "[headers]\nlimit = server-limit\nrequest-id = x-request-id\ncredential = key\n"
     "workspace = tenant\n"
 )
@@ -67,6 +73,10 @@
     ("", "", OPEN_KIND, 2.0),
     ("", "never-held", "view", 1.0),
 )
+# Further requests per second with the credential that is removed, at the daemon that gets no
+# confirmation meanwhile: at random entries too few would come there.
+SPARE_AT_UNCONFIRMED_PER_SECOND = 2.0
+OVERLOAD_PER_SECOND = 60.0  # of each kind
 
 
 async def soak(
@@ -84,12 +94,16 @@
     """
     configuration = RoutedConfiguration() if by_routes else WorkspaceConfiguration()
     plans = make_plans(other_version, configuration.fatal_target)
-    interface = "interface = routes\n" if by_routes else ""
-    own_settings = ROUTES_SETTINGS if by_routes else OWN_SETTINGS
-    cluster = Cluster(folder, EXTRA_SETTINGS + interface, own_settings)
+    cluster = Cluster(
+        folder,
+        EXTRA_SETTINGS + (ROUTES_SETTINGS if by_routes else ""),
+        "" if by_routes else OWN_SETTINGS,
+        has_request_links=by_routes,
+    )
     history = History()
     if isinstance(configuration, RoutedConfiguration):
         history.credentials = configuration.holders
+        history.max_unconfirmed = MAX_UNCONFIRMED_SECONDS
     injector = FaultInjector(cluster, Operators(folder), history, configuration)
     await cluster.open()
     try:
@@ -99,9 +113,11 @@
         )
         version_recorder = asyncio.create_task(_record_versions(injector))
         schedule_done = asyncio.Event()
+        steps, updates = _make_schedule(plans, seed, seconds, by_routes=by_routes)
         traffic = [_Traffic(caller, CALLS_PER_SECOND, _draw_usual_kind)]
         if by_routes:
-            traffic += _routed_traffic(cluster, seed)
+            traffic += _routed_traffic(cluster, seed, steps)
+            traffic += _overload_traffic(injector, seed)
         senders = [
             asyncio.create_task(_send_traffic(one, cluster, seconds, schedule_done))
             for one in traffic
@@ -109,12 +125,6 @@
         fatal_sender = asyncio.create_task(
             _send_fatal_requests(cluster, seed, plans, by_routes=by_routes)
         )
-        steps, updates = _make_schedule(plans, seed, seconds)
-        if by_routes:
-            names = [plan.name for plan in plans]
-            hot_owner = owner(HOT, names)
-            assert hot_owner is not None
-            steps += draw_routes_steps(seed, seconds, names, hot_owner)
         await _run_steps(injector, steps)
         if updates:
             await injector.wait_until_recovered()
@@ -156,14 +166,23 @@
 
 
 def _make_schedule(
-    plans: list[Plan], seed: int, seconds: float
+    plans: list[Plan], seed: int, seconds: float, *, by_routes: bool
 ) -> tuple[list[Step], list[Step]]:
     """The steps, and the steps that update the daemons of the other version, if any."""
+    names = [plan.name for plan in plans]
     others = [plan.name for plan in plans if plan.checkout is not None]
     own = [plan.name for plan in plans if plan.checkout is None]
+    hot_owner = owner(HOT, names)
+    assert hot_owner is not None
     if others:
-        return mixed_version_schedule(others, own, ZONES)
-    return draw_schedule(seed, seconds, own, ZONES), []
+        steps, updates = mixed_version_schedule(others, own, ZONES)
+        if by_routes:
+            steps += mixed_version_routes_steps(others, hot_owner)
+        return steps, updates
+    steps = draw_schedule(seed, seconds, own, ZONES)
+    if by_routes:
+        steps += draw_routes_steps(seed, seconds, names, hot_owner, steps)
+    return steps, []
 
 
 async def _run_steps(injector: FaultInjector, steps: list[Step]) -> None:
@@ -192,33 +211,60 @@
         await asyncio.sleep(STATUS_INTERVAL_SECONDS)
 
 
+def _always(kind: str) -> Callable[[Random], str]:
+    return lambda rng: kind
+
+
 @dataclass(frozen=True, slots=True)
 class _Traffic:
     """Poisson traffic of one caller with `rate` requests per second.
 
-    `draw_kind` returns the kind of the next request, by the caller's random numbers.
+    `draw_kind` returns the kind of the next request, by the caller's random numbers. All are
+    sent to `entry`, or each to a random one if it is empty, while `is_sent` returns true (None:
+    always).
     """
 
     caller: Caller
     rate: float
     draw_kind: Callable[[Random], str]
+    entry: str = ""
+    is_sent: Callable[[], bool] | None = None
 
 
 def _draw_usual_kind(rng: Random) -> str:
     return ONCE_KIND if rng.random() < 0.5 else "view"
 
 
-def _routed_traffic(cluster: Cluster, seed: int) -> list[_Traffic]:
+def _routed_traffic(cluster: Cluster, seed: int, steps: list[Step]) -> list[_Traffic]:
     traffic = []
     for workspace, credential, kind, rate in ROUTED_TRAFFIC:
         rng = Random(f"calls {credential} {seed}")
         caller = Caller(cluster.session, workspace, credential, rng, by_routes=True)
         traffic.append(_Traffic(caller, rate, _always(kind)))
+    for step in steps:
+        if step.fault is Fault.REMOVE_CREDENTIAL:
+            rng = Random(f"calls unconfirmed {seed}")
+            caller = Caller(cluster.session, MODERATE, SPARE_SECRET, rng, by_routes=True)
+            rate = SPARE_AT_UNCONFIRMED_PER_SECOND
+            traffic.append(_Traffic(caller, rate, _always("view"), step.where))
     return traffic
 
 
-def _always(kind: str) -> Callable[[Random], str]:
-    return lambda rng: kind
+def _overload_traffic(injector: FaultInjector, seed: int) -> list[_Traffic]:
+    traffic = []
+    for kind in PRIORITIES:
+        rng = Random(f"calls {kind} {seed}")
+        session = injector.cluster.session
+        caller = Caller(session, RANKED, RANKED_SECRET, rng, by_routes=True)
+        traffic.append(
+            _Traffic(
+                caller,
+                OVERLOAD_PER_SECOND,
+                _always(kind),
+                is_sent=lambda: injector.is_overloaded,
+            )
+        )
+    return traffic
 
 
 async def _send_traffic(
@@ -233,7 +279,10 @@
     tasks = set()
     while loop.time() < end or not schedule_done.is_set():
         await asyncio.sleep(caller.rng.expovariate(traffic.rate))
-        member = caller.rng.choice(list(cluster.members.values()))
+        if traffic.is_sent is not None and not traffic.is_sent():
+            continue
+        name = traffic.entry or caller.rng.choice(list(cluster.members))
+        member = cluster.members[name]
         kind = traffic.draw_kind(caller.rng)
         once = kind == ONCE_KIND
         send = caller.send(
@@ -293,7 +342,7 @@
 
 def _print_workspaces(history: History) -> None:
     """Print what became of the requests of each workspace."""
-    for workspace in (WORKSPACE, MODERATE, HOT, ""):
+    for workspace in (WORKSPACE, MODERATE, HOT, RANKED, ""):
         own = [request for request in history.requests if request.workspace == workspace]
         reasons = Counter(request.reason or request.reported.value for request in own)
         counts = ", ".join(f"{count} {reason}" for reason, count in reasons.most_common())
@@ -317,8 +366,6 @@
         help="the routes interface, with credentials and limits of workspaces",
     )
     options = parser.parse_args()
-    if options.other_version and options.routes:
-        parser.error("--other-version and --routes cannot be used together")
     if options.other_version and not (options.other_version / "packages/wheatslipd").is_dir():
         parser.error(f"{options.other_version} is not the root of a checkout")
     with tempfile.TemporaryDirectory() as folder:
--- a/soak/configuration.py
+++ b/soak/configuration.py
@@ -14,6 +14,11 @@
 LOWERED_LIMIT = RateLimit(3.0, 3.0)  # of the hot workspace
 KINDS = {"view": True, "submit": False, "fatal": True}  # whether they may be repeated
 OPEN_KIND = "open"  # needs no credential
+RANKED = "delta"  # the workspace of the requests of an overload, without a limit
+RANKED_SECRET = "delta-secret"
+# The kinds of an overload with their priorities; 0 goes first.
+URGENT_KIND, LATE_KIND = "urgent", "late"
+PRIORITIES = {URGENT_KIND: 1, LATE_KIND: 3}
 FATAL_KIND = "fatal"  # of the request that ends each server that runs it
 
 _COMMON = """
@@ -59,6 +64,7 @@
             WORKSPACE: (SECRET,),
             MODERATE: ("beta-secret", SPARE_SECRET),
             HOT: ("gamma-secret",),
+            RANKED: (RANKED_SECRET,),
         }
     )
     limits: dict[str, RateLimit] = field(
@@ -68,7 +74,8 @@
     fatal_target = f"/papers/{FATAL_KIND}/"
 
     def text(self, version: int) -> str:
-        routes = KINDS | {OPEN_KIND: True, f"extra-{version}": True}
+        ranked = dict.fromkeys(PRIORITIES, True)
+        routes = KINDS | {OPEN_KIND: True} | ranked | {f"extra-{version}": True}
         return (
             f"[bundle]\nversion = {version}\n"
             + "".join(self._workspace(name) for name in self.secrets)
@@ -98,4 +105,5 @@
         f"[route {name}]\nhost = {ROUTES_HOST}\nprefix = /papers/{name}/\nservices = papers\n"
         f"repeatable = {'yes' if repeatable else 'no'}\ntimeout = 2s\nmax-attempts = 3\n"
         + ("open = yes\n" if name == OPEN_KIND else "")
+        + (f"priority = {PRIORITIES[name]}\n" if name in PRIORITIES else "")
     )
--- a/soak/history.py
+++ b/soak/history.py
@@ -10,13 +10,17 @@
 
 from wheatslip.quarantine import HOLD_AFTER_ENDS
 
+from soak.ranks import Overload, ineffective_overloads, misordered_kinds
 from soak.workspaces import (
     OBSERVATION_DELAY_SECONDS,
     ArrivedRequest,
+    Isolation,
     Outage,
     RemovedCredential,
     WorkspaceLimit,
     effective_at,
+    ineffective_confirmation_limits,
+    ineffective_isolations,
     refused_credentials,
     runs_over_workspace_limits,
     runs_with_removed_credentials,
@@ -108,6 +112,10 @@
     removals: list[RemovedCredential] = field(default_factory=list)
     workspace_limits: list[WorkspaceLimit] = field(default_factory=list)
     outages: list[Outage] = field(default_factory=list)
+    max_unconfirmed: float = inf  # seconds
+    unconfirmed: list[Outage] = field(default_factory=list)  # that are longer
+    isolations: list[Isolation] = field(default_factory=list)
+    overloads: list[Overload] = field(default_factory=list)
     ineffective_faults: list[str] = field(default_factory=list)
 
     def arrived(self) -> list[ArrivedRequest]:
@@ -216,9 +224,12 @@
             for _, run in runs
             if run.credential
         ),
-        *runs_with_removed_credentials(arrived, history.removals, history.outages),
+        *runs_with_removed_credentials(
+            arrived, history.removals, history.outages, history.max_unconfirmed
+        ),
         *refused_credentials(history.requests, history.credentials, history.removals),
         *runs_over_workspace_limits(arrived, history.workspace_limits, known_at),
+        *misordered_kinds(history.requests, history.overloads),
     ]
 
 
@@ -228,6 +239,11 @@
         *history.ineffective_faults,
         *_ineffective_removals(history),
         *_ineffective_limits(history),
+        *ineffective_confirmation_limits(
+            history.requests, history.removals, history.unconfirmed, history.max_unconfirmed
+        ),
+        *ineffective_isolations(history.isolations),
+        *ineffective_overloads(history.requests, history.overloads),
     ]
     return [f"fault without effect: {fault}" for fault in ineffective]
 
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -20,8 +20,9 @@
     RoutedConfiguration,
 )
 from soak.history import DrainedZone, History, NamedLimit, Observation, PlannedStop
+from soak.ranks import Overload
 from soak.schedule import Fault, Step
-from soak.workspaces import Outage, RemovedCredential, WorkspaceLimit
+from soak.workspaces import Isolation, Outage, RemovedCredential, WorkspaceLimit
 from standins.backend import Behaviour
 from standins.cluster import Cluster, Member, Plan, eventually
 from standins.operators import CommandFailed, Operators
@@ -31,6 +32,7 @@
 SLOTS = 4
 SERVICE_TIME_SECONDS = 0.02
 LIMIT_PER_SECOND = 1.0  # that a limited server names
+OVERLOAD_SERVICE_SECONDS = 0.32  # of all servers: 75 requests a second for six of four slots
 SLOW_FACTOR = 8.0  # by which a slow server multiplies its service time
 PLATFORM_DELAY_SECONDS = 0.5
 LOST_WRITE_ANSWERS = 3  # consecutive writes without an answer
@@ -47,6 +49,8 @@
         Fault.PLATFORM_DOWN,
         Fault.PARTITION,
         Fault.LOWER_LIMIT,
+        Fault.ISOLATE,
+        Fault.REMOVE_CREDENTIAL,
     }
 )
 # Faults during which some connection must have withheld chunks, else they had no effect.
@@ -67,6 +71,7 @@
     configuration: Configuration
     started_at: float = field(default_factory=time.time)  # unix seconds
     version: int = 0  # of the last bundle rolled out
+    is_overloaded: bool = False  # the requests of an overload are sent while it is true
     restarts: dict[str, int] = field(default_factory=dict)  # of each daemon
     # Serialize the faults of one instance or zone, and other faults of one type.
     locks: defaultdict[str, asyncio.Lock] = field(
@@ -77,6 +82,7 @@
     _texts: dict[int, str] = field(default_factory=dict)  # of bundles, by version
     _release_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     _withheld_before: dict[Step, int] = field(default_factory=dict)
+    _withheld_by_port: dict[Step, dict[str, int]] = field(default_factory=dict)
     _began_at: dict[Step, float] = field(default_factory=dict)
 
     @property
@@ -98,7 +104,7 @@
         self._print(f"{step.fault} {step.where} for {step.seconds:.1f} s")
         self._began_at[step] = self.now
         if step.fault in WITHHOLDING_FAULTS:
-            self._withheld_before[step] = self.cluster.withheld_count(step.where)
+            self._withheld_before[step] = self._withheld_count(step)
         member = self.cluster.members.get(step.where)
         match step.fault:
             case Fault.KILL:
@@ -137,6 +143,12 @@
                 self.cluster.silence_connections()
             case Fault.PARTITION:
                 self.cluster.block(step.where)
+            case Fault.ISOLATE:
+                self._withheld_by_port[step] = self.cluster.withheld_by_port(step.where)
+                self.cluster.isolate(step.where)
+            case Fault.OVERLOAD:
+                await self._change_all_service_times(OVERLOAD_SERVICE_SECONDS)
+                self.is_overloaded = True
             case Fault.LOWER_LIMIT:
                 self.cluster.block(step.where)
                 self._routed.limits[HOT] = LOWERED_LIMIT
@@ -144,9 +156,10 @@
             case Fault.REMOVE_CREDENTIAL:
                 self._routed.remove(SPARE_SECRET)
                 await self._retry_until_done(
-                    lambda: self._release_bundle(self.cluster.silence_connections)
+                    lambda: self._release_bundle(lambda: self._silence_and_cut_off(step))
                 )
                 self.history.removals.append(RemovedCredential(SPARE_SECRET, self.now))
+                self._print("removal acknowledged")
 
     async def end(self, step: Step) -> None:
         """End the fault of a step."""
@@ -172,6 +185,11 @@
                 await self._restore_zone(step.where)
             case Fault.PARTITION | Fault.LOWER_LIMIT:
                 self.cluster.unblock(step.where)
+            case Fault.ISOLATE | Fault.REMOVE_CREDENTIAL:
+                self.cluster.reconnect(step.where)
+            case Fault.OVERLOAD:
+                self.is_overloaded = False
+                await self._change_all_service_times(SERVICE_TIME_SECONDS)
         self._record_effect(step)
 
     def _record_effect(self, step: Step) -> None:
@@ -179,9 +197,34 @@
         if step.fault in OUTAGE_FAULTS:
             outage = Outage(step.where, self._began_at[step], self.now)
             self.history.outages.append(outage)
+            if step.fault is Fault.REMOVE_CREDENTIAL:
+                self.history.unconfirmed.append(outage)
+        if step.fault is Fault.OVERLOAD:
+            self.history.overloads.append(Overload(self._began_at[step], self.now))
         before = self._withheld_before.get(step)
-        if before is not None and before == self.cluster.withheld_count(step.where):
+        if before is not None and before == self._withheld_count(step):
             self.history.ineffective_faults.append(f"{step.fault} at {step.at:.1f} s")
+        if step in self._withheld_by_port:
+            self._record_isolation(step)
+
+    def _withheld_count(self, step: Step) -> int:
+        """What connections withheld that the fault of a step silences, in chunks."""
+        silences_all = step.fault is Fault.REMOVE_CREDENTIAL
+        return self.cluster.withheld_count("" if silences_all else step.where)
+
+    def _record_isolation(self, step: Step) -> None:
+        """Record what the links of an isolated daemon withheld."""
+        before = self._withheld_by_port[step]
+        counts = self.cluster.withheld_by_port(step.where)
+        self.history.isolations.append(
+            Isolation(step.where, step.at, {p: counts[p] - before[p] for p in counts})
+        )
+
+    def _silence_and_cut_off(self, step: Step) -> None:
+        """Silence the open control connections, and cut off the control of a step's daemon."""
+        self.cluster.silence_connections()
+        self.cluster.cut_off_control(step.where)
+        self._began_at[step] = self.now
 
     @property
     def _routed(self) -> RoutedConfiguration:
@@ -244,6 +287,10 @@
         self._behaviours[name] = behaviour
         await self.cluster.set_behaviour(name, behaviour)
 
+    async def _change_all_service_times(self, seconds: float) -> None:
+        for name in self.cluster.members:
+            await self._change_behaviour(name, service=seconds)
+
     async def _stop_daemon(self, member: Member) -> None:
         code = await member.daemon.end()
         await self.cluster.refuse_connections(member.plan.name)
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -15,6 +15,8 @@
 MIN_FAULT_SECONDS = 0.5
 MAX_FAULT_SECONDS = 4.0
 RESTART_INTERVAL_SECONDS = 3.0  # between two planned restarts
+RESTART_SECONDS = 2.0  # that a restart at the end of a fault may take
+MIN_ISOLATION_SECONDS = 2.0  # in a shorter one, few connections withhold something
 
 
 class Fault(StrEnum):
@@ -36,7 +38,9 @@
     # With the routes interface only:
     PARTITION = "partition"  # a daemon's control port and its way to the platform say nothing
     LOWER_LIMIT = "lower-limit"  # during a partition of the daemon that grants its tokens
-    REMOVE_CREDENTIAL = "remove-credential"  # just after a silence
+    REMOVE_CREDENTIAL = "remove-credential"  # after a silence, while a daemon hears nothing
+    ISOLATE = "isolate"  # a daemon: nothing passes to or from it, but to and from its server
+    OVERLOAD = "overload"  # all servers are slow, while requests of two priorities come
 
 
 INSTANCE_FAULTS = frozenset(
@@ -49,7 +53,15 @@
         Fault.DRAIN,
     }
 )
-ROUTES_FAULTS = frozenset({Fault.PARTITION, Fault.LOWER_LIMIT, Fault.REMOVE_CREDENTIAL})
+ROUTES_FAULTS = frozenset(
+    {
+        Fault.PARTITION,
+        Fault.LOWER_LIMIT,
+        Fault.REMOVE_CREDENTIAL,
+        Fault.ISOLATE,
+        Fault.OVERLOAD,
+    }
+)
 # Drawn from a separate random sequence, so that adding them did not change the other faults of
 # a seed.
 SEPARATELY_DRAWN_FAULTS = ROUTES_FAULTS | {Fault.SILENCE, Fault.LIMITED_SERVER}
@@ -57,6 +69,10 @@
 MEAN_LIMIT_INTERVAL_SECONDS = 6.0  # between the starts of two limits
 LIMIT_SECONDS = 9.0  # longer than the windows in which the requests are counted
 MEAN_PARTITION_INTERVAL_SECONDS = 12.0
+MEAN_ISOLATION_INTERVAL_SECONDS = 15.0
+MAX_UNCONFIRMED_SECONDS = 3.0  # without a confirmation, in which daemons accept credentials
+UNCONFIRMED_SECONDS = 2 * MAX_UNCONFIRMED_SECONDS  # after a removal, without a confirmation
+OVERLOAD_SECONDS = 3.0
 PLATFORM_FAULTS = frozenset({Fault.PLATFORM_DOWN, Fault.PLATFORM_SLOW, Fault.LOST_WRITES})
 
 
@@ -126,29 +142,70 @@
 
 
 def draw_routes_steps(
-    seed: int, seconds: float, instances: Sequence[str], owner: str
+    seed: int,
+    seconds: float,
+    instances: Sequence[str],
+    owner: str,
+    others: Sequence[Step] = (),
 ) -> list[Step]:
     """The additional steps of a soak with the routes interface. `owner` is the instance that
-    grants the tokens of the hot workspace.
+    grants the tokens of the hot workspace, `others` are the other steps.
 
     The limit is lowered once, early enough that the lower one is used for some windows, and a
-    credential is removed once.
+    credential is removed once, while a daemon gets no confirmation.
     """
     rng = Random(f"soak routes {seed}")
     lowered_at = INITIAL_CALM_SECONDS + rng.uniform(3.0, 5.0)
     removed_at = rng.uniform(0.5, 0.6) * seconds
-    steps = [
-        Step(lowered_at, Fault.LOWER_LIMIT, owner, rng.uniform(1.0, 3.0)),
-        Step(removed_at, Fault.REMOVE_CREDENTIAL, "", 1.0),
-    ]
+    steps = [Step(lowered_at, Fault.LOWER_LIMIT, owner, rng.uniform(1.0, 3.0))]
     at = lowered_at + rng.expovariate(1 / MEAN_PARTITION_INTERVAL_SECONDS)
     while at < seconds - FINAL_CALM_SECONDS - MAX_FAULT_SECONDS:
         duration = rng.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
         steps.append(Step(at, Fault.PARTITION, rng.choice(list(instances)), duration))
         at += duration + rng.expovariate(1 / MEAN_PARTITION_INTERVAL_SECONDS)
+    steps += _draw_isolations(seed, seconds, instances)
+    steps.append(_draw_removal(seed, removed_at, instances, [*steps, *others]))
+    overload_at = seconds - FINAL_CALM_SECONDS - OVERLOAD_SECONDS
+    return [*steps, Step(overload_at, Fault.OVERLOAD, "", OVERLOAD_SECONDS)]
+
+
+def _draw_isolations(seed: int, seconds: float, instances: Sequence[str]) -> list[Step]:
+    """At least two isolations, the first two of different instances: other daemons send nothing
+    to one that leaves or whose zone is drained.
+    """
+    rng = Random(f"soak isolations {seed}")
+    steps: list[Step] = []
+    at = INITIAL_CALM_SECONDS + rng.uniform(1.0, 5.0)
+    for where in rng.sample(list(instances), 2):
+        steps.append(Step(at, Fault.ISOLATE, where, _draw_isolation_seconds(rng)))
+        at = steps[-1].end + rng.uniform(1.0, 4.0)
+    at = steps[-1].end + rng.expovariate(1 / MEAN_ISOLATION_INTERVAL_SECONDS)
+    while at < seconds - FINAL_CALM_SECONDS - MAX_FAULT_SECONDS:
+        where = rng.choice(list(instances))
+        steps.append(Step(at, Fault.ISOLATE, where, _draw_isolation_seconds(rng)))
+        at = steps[-1].end + rng.expovariate(1 / MEAN_ISOLATION_INTERVAL_SECONDS)
     return steps
 
 
+def _draw_isolation_seconds(rng: Random) -> float:
+    return rng.uniform(MIN_ISOLATION_SECONDS, MAX_FAULT_SECONDS)
+
+
+def _draw_removal(
+    seed: int, at: float, instances: Sequence[str], others: Sequence[Step]
+) -> Step:
+    """The removal of a credential. The daemon that hears nothing of it has no other fault then
+    if possible, since faults of one instance follow each other.
+    """
+    rng = Random(f"soak unconfirmed {seed}")
+    end = at + UNCONFIRMED_SECONDS
+    occupied = {
+        step.where for step in others if step.at < end and step.end + RESTART_SECONDS > at
+    }
+    free = [name for name in instances if name not in occupied] or list(instances)
+    return Step(at, Fault.REMOVE_CREDENTIAL, rng.choice(free), UNCONFIRMED_SECONDS)
+
+
 def mixed_version_schedule(
     others: Sequence[str], own: Sequence[str], zones: Sequence[str]
 ) -> tuple[list[Step], list[Step]]:
@@ -179,6 +236,17 @@
     ]
 
 
+def mixed_version_routes_steps(others: Sequence[str], owner: str) -> list[Step]:
+    """The additional steps with the routes interface while daemons of two versions run. `owner`
+    is the instance that grants the tokens of the hot workspace.
+    """
+    return [
+        Step(4.0, Fault.LOWER_LIMIT, owner, 2.0),
+        Step(18.0, Fault.REMOVE_CREDENTIAL, others[-1], UNCONFIRMED_SECONDS),
+        Step(52.0, Fault.OVERLOAD, "", OVERLOAD_SECONDS),
+    ]
+
+
 def _planned_restarts(names: Sequence[str], begin: float) -> list[Step]:
     """Stops of daemons, one after the other."""
     return [
--- a/soak/workspaces.py
+++ b/soak/workspaces.py
@@ -56,9 +56,23 @@
     until: float
 
 
-def effective_at(removed: RemovedCredential, instance: str, outages: Sequence[Outage]) -> float:
+@dataclass(frozen=True, slots=True)
+class Isolation:
+    """A daemon that was cut off at `at`, and how many chunks its links withheld, by port."""
+
+    instance: str
+    at: float
+    withheld: Mapping[str, int]
+
+
+def effective_at(
+    removed: RemovedCredential,
+    instance: str,
+    outages: Sequence[Outage],
+    max_unconfirmed: float = inf,
+) -> float:
     """From when the instance must refuse a credential: after the promised delay, within which
-    it ran and reached the platform.
+    it ran and reached the platform, but at most `max_unconfirmed` seconds after the removal.
     """
     effective = removed.acknowledged_at + CONFIGURATION_DELAY_SECONDS
     for outage in sorted(outages, key=lambda outage: outage.since):
@@ -66,7 +80,7 @@
         begin = effective - CONFIGURATION_DELAY_SECONDS
         if is_affected and outage.since < effective and outage.until > begin:
             effective = outage.until + CONFIGURATION_DELAY_SECONDS
-    return effective
+    return min(effective, removed.acknowledged_at + max_unconfirmed)
 
 
 def wrong_workspaces(
@@ -96,6 +110,7 @@
     arrived: Sequence[ArrivedRequest],
     removals: Sequence[RemovedCredential],
     outages: Sequence[Outage],
+    max_unconfirmed: float = inf,
 ) -> list[str]:
     violations = []
     for removed in removals:
@@ -103,7 +118,9 @@
             request = one.request
             if request.credential != removed.credential:
                 continue
-            late = request.sent_at - effective_at(removed, request.entry, outages)
+            late = request.sent_at - effective_at(
+                removed, request.entry, outages, max_unconfirmed
+            )
             if late >= 0:
                 violations.append(
                     f"{request.request_id} ran with a removed credential, sent to "
@@ -113,6 +130,46 @@
     return violations
 
 
+def ineffective_confirmation_limits(
+    requests: Sequence[Request],
+    removals: Sequence[RemovedCredential],
+    outages: Sequence[Outage],
+    max_unconfirmed: float,
+) -> list[str]:
+    """Outages longer than `max_unconfirmed` whose daemon refused no credential for that, or did
+    not get the removed one.
+    """
+    ineffective = []
+    for outage in outages:
+        late = [
+            one
+            for one in requests
+            if one.entry == outage.instance
+            and outage.since + max_unconfirmed < one.sent_at < outage.until
+        ]
+        if not any(one.reason == "unconfirmed" for one in late):
+            ineffective.append(f"unconfirmed configuration of {outage.instance}")
+        removed = {one.credential for one in removals if one.acknowledged_at < outage.until}
+        if not any(one.credential in removed for one in late):
+            ineffective.append(f"removed credential at {outage.instance}, unconfirmed")
+    return ineffective
+
+
+def ineffective_isolations(isolations: Sequence[Isolation]) -> list[str]:
+    """Isolations that withheld no request of a caller, and all of them if none withheld one of
+    another daemon, which sends none to a drained zone. Only some daemons have control
+    connections, so the other ports are not required.
+    """
+    ineffective = [
+        f"isolation of {one.instance} at {one.at:.1f} s from callers"
+        for one in isolations
+        if one.withheld["entry"] <= 0
+    ]
+    if isolations and all(one.withheld["peer"] <= 0 for one in isolations):
+        ineffective.append("isolations from other daemons")
+    return ineffective
+
+
 def refused_credentials(
     requests: Sequence[Request],
     holders: Mapping[str, str],
--- a/test/test_soak.py
+++ b/test/test_soak.py
@@ -14,15 +14,18 @@
     TimedRun,
     find_violations,
 )
+from soak.ranks import Overload
 from soak.schedule import (
     FINAL_CALM_SECONDS,
     INITIAL_CALM_SECONDS,
+    MAX_UNCONFIRMED_SECONDS,
     Fault,
     draw_routes_steps,
     draw_schedule,
+    mixed_version_routes_steps,
     mixed_version_schedule,
 )
-from soak.workspaces import Outage, RemovedCredential, WorkspaceLimit
+from soak.workspaces import Isolation, Outage, RemovedCredential, WorkspaceLimit
 from standins.backend import Run
 from standins.caller import Reported, Request
 from standins.cluster import python_path
@@ -77,6 +80,37 @@
     assert all(step.end <= 40.0 - FINAL_CALM_SECONDS for step in steps)
 
 
+@pytest.mark.parametrize("seconds", [30.0, 40.0, 60.0])
+@pytest.mark.parametrize("seed", range(30))
+def test_with_routes_each_cut_and_an_overload_come_in_each_soak(seed, seconds):
+    """Guards against a soak whose seed leaves one of them out, and against a daemon that is
+    connected again before its configuration is too old.
+    """
+    usual = draw_schedule(seed, seconds, INSTANCES, ZONES)
+    steps = draw_routes_steps(seed, seconds, INSTANCES, "b", usual)
+    by_fault = {
+        fault: [step for step in steps if step.fault is fault]
+        for fault in (Fault.ISOLATE, Fault.OVERLOAD, Fault.REMOVE_CREDENTIAL)
+    }
+    assert len({step.where for step in by_fault[Fault.ISOLATE]}) >= 2
+    assert by_fault[Fault.OVERLOAD]
+    (removed,) = by_fault[Fault.REMOVE_CREDENTIAL]
+    assert removed.where and removed.seconds > MAX_UNCONFIRMED_SECONDS
+    assert all(step.end <= seconds - FINAL_CALM_SECONDS + 1e-9 for step in steps)
+
+
+def test_two_versions_have_a_removal_and_a_lower_limit_while_both_run():
+    others, own = ["a", "b"], ["c", "d"]
+    steps, _ = mixed_version_schedule(others, own, ZONES)
+    routes_steps = mixed_version_routes_steps(others, "c")
+    faults = {step.fault for step in routes_steps}
+    assert {Fault.LOWER_LIMIT, Fault.REMOVE_CREDENTIAL} <= faults
+    # Restarts would end the cut of the daemon, or delay it.
+    (cut,) = (step for step in routes_steps if step.fault is Fault.REMOVE_CREDENTIAL)
+    same_place = [step for step in steps if step.where == cut.where]
+    assert not any(step.at < cut.end and cut.at < step.end for step in same_place)
+
+
 @pytest.mark.parametrize("seed", range(30))
 def test_a_schedule_spares_one_instance_and_ends_without_faults(seed):
     steps = draw_schedule(seed, 40.0, INSTANCES, ZONES)
@@ -172,13 +206,44 @@
     return requests, runs
 
 
-def with_removal(*sent, outages=()):
+def overload(urgent, late, count=200, reason="overloaded"):
+    """`count` requests of each kind, of which that many were answered, and their runs."""
+    requests = []
+    for kind, answered in (("urgent", urgent), ("late", late)):
+        for number in range(count):
+            is_answered = number < answered
+            reported = Reported.ANSWERED if is_answered else Reported.NOT_RUN
+            request = routed_request(
+                f"{kind}-{number}", 6.0, kind=kind, reported=reported, reason=reason
+            )
+            request.workspace, request.credential = "gamma", "gamma-secret"
+            requests.append(request)
+    runs = [
+        routed_run(request.request_id, 6.1, "gamma")
+        for request in requests
+        if request.reported is Reported.ANSWERED
+    ]
+    return requests, runs
+
+
+def with_cut(*requests):
+    """A daemon without confirmations from 9 to 20 s, while a credential is removed."""
+    outage = Outage("a", 9.0, 20.0)
+    history = with_removal(8.0, outages=[outage], max_unconfirmed=3.0)
+    history.unconfirmed = [outage]
+    history.requests += requests
+    return history
+
+
+def with_removal(*sent, outages=(), **fields):
     """Requests that ran with a credential whose removal was acknowledged after 10 s."""
     requests = [routed_request(f"r{at}", at, "spare") for at in sent]
     late = routed_request("unanswered", 60.0, "spare", reported=Reported.NOT_RUN)
     runs = [routed_run(request.request_id, request.sent_at + 0.1) for request in requests]
     removals = [RemovedCredential("spare", 10.0)]
-    return routed_history([*requests, late], runs, removals=removals, outages=list(outages))
+    return routed_history(
+        [*requests, late], runs, removals=removals, outages=list(outages), **fields
+    )
 
 
 # The bound of the first limit in 5 s is (2 x 5 + 2) x 1.1 + 20, of the lower one 2 x 1.1 + 20.
@@ -198,6 +263,21 @@
         9.0, 16.0, outages=[Outage("a", 12.0, 14.0)]
     ),
     "while the store is down": with_removal(9.0, 16.0, outages=[Outage("", 12.0, 14.0)]),
+    "unconfirmed for less than the limit": with_removal(
+        9.0, 12.9, outages=[Outage("a", 9.0, 30.0)], max_unconfirmed=3.0
+    ),
+    "isolated from callers and other daemons": routed_history(
+        [], [], isolations=[Isolation(n, 3.0, {"entry": 1, "peer": n == "a"}) for n in "ab"]
+    ),
+    "refused while unconfirmed": with_cut(
+        routed_request("s", 14.0, "spare", reported=Reported.NOT_RUN, reason="unconfirmed")
+    ),
+    "the late kind is answered less often": routed_history(
+        *overload(urgent=200, late=50), overloads=[Overload(5.0, 8.0)]
+    ),
+    "within the tolerance of ranks": routed_history(
+        *overload(urgent=110, late=120), overloads=[Overload(5.0, 8.0)]
+    ),
 }
 
 
@@ -236,6 +316,32 @@
         removals=[RemovedCredential("spare", 10.0)],
     ),
     "silence at 3 s": routed_history([], [], ineffective_faults=["silence at 3 s"]),
+    "isolation of a at 3.0 s from callers": routed_history(
+        [], [], isolations=[Isolation("a", 3.0, {"entry": 0, "peer": 1})]
+    ),
+    "isolations from other daemons": routed_history(
+        [], [], isolations=[Isolation(n, 3.0, {"entry": 1, "peer": 0}) for n in "ab"]
+    ),
+    "sent to a 4.50 s after": with_removal(
+        9.0, 15.0, outages=[Outage("a", 9.0, 30.0)], max_unconfirmed=3.0
+    ),
+    "unconfirmed configuration of a": with_cut(
+        routed_request("s", 14.0, "spare", reported=Reported.NOT_RUN)
+    ),
+    "removed credential at a, unconfirmed": with_cut(
+        routed_request("s", 14.0, reported=Reported.NOT_RUN, reason="unconfirmed")
+    ),
+    "urgent kind was answered less often (0.50) than the late one (0.75)": routed_history(
+        *overload(urgent=100, late=150), overloads=[Overload(5.0, 8.0)]
+    ),
+    # Failures for other reasons do not show that capacity was short.
+    "overload at 4.0 s": routed_history(
+        *overload(urgent=100, late=50, reason="could not connect"),
+        overloads=[Overload(4.0, 8.0)],
+    ),
+    "overload at 5.0 s": routed_history(
+        *overload(urgent=200, late=190), overloads=[Overload(5.0, 8.0)]
+    ),
 }
 
 
