Soak backend servers that say nothing to their daemons

freeze-server stops a backend server by SIGSTOP for 0.8 to 1.6 s, so that its daemon gets nothing from it, and continues it. A server may then start in a drained zone what was sent before the drain, within half a second, which the check allows. Isolations are two at least as well.

--- a/soak/injector.py
+++ b/soak/injector.py
@@ -19,7 +19,14 @@
     Configuration,
     RoutedConfiguration,
 )
-from soak.history import DrainedZone, History, NamedLimit, Observation, PlannedStop
+from soak.history import (
+    DrainedZone,
+    FrozenServer,
+    History,
+    NamedLimit,
+    Observation,
+    PlannedStop,
+)
 from soak.ranks import Overload
 from soak.schedule import Fault, Step
 from soak.workspaces import Isolation, Outage, RemovedCredential, WorkspaceLimit
@@ -146,6 +153,9 @@
             case Fault.ISOLATE:
                 self._withheld_by_port[step] = self.cluster.withheld_by_port(step.where)
                 self.cluster.isolate(step.where)
+            case Fault.FREEZE_SERVER:
+                assert member is not None
+                member.backend.send(signal.SIGSTOP)
             case Fault.OVERLOAD:
                 await self._change_all_service_times(OVERLOAD_SERVICE_SECONDS)
                 self.is_overloaded = True
@@ -187,6 +197,11 @@
                 self.cluster.unblock(step.where)
             case Fault.ISOLATE | Fault.REMOVE_CREDENTIAL:
                 self.cluster.reconnect(step.where)
+            case Fault.FREEZE_SERVER:
+                assert member is not None
+                frozen = FrozenServer(step.where, self._began_at[step], self.now)
+                self.history.frozen_servers.append(frozen)
+                member.backend.send(signal.SIGCONT)
             case Fault.OVERLOAD:
                 self.is_overloaded = False
                 await self._change_all_service_times(SERVICE_TIME_SECONDS)
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -16,7 +16,6 @@
 MAX_FAULT_SECONDS = 4.0
 RESTART_INTERVAL_SECONDS = 3.0  # between two planned restarts
 RESTART_SECONDS = 2.0  # that a restart at the end of a fault may take
-MIN_ISOLATION_SECONDS = 2.0  # in a shorter one, few connections withhold something
 
 
 class Fault(StrEnum):
@@ -40,6 +39,7 @@
     LOWER_LIMIT = "lower-limit"  # during a partition of the daemon that grants its tokens
     REMOVE_CREDENTIAL = "remove-credential"  # after a silence, while a daemon hears nothing
     ISOLATE = "isolate"  # a daemon: nothing passes to or from it, but to and from its server
+    FREEZE_SERVER = "freeze-server"  # nothing passes between a daemon and its server
     OVERLOAD = "overload"  # all servers are slow, while requests of two priorities come
 
 
@@ -59,6 +59,7 @@
         Fault.LOWER_LIMIT,
         Fault.REMOVE_CREDENTIAL,
         Fault.ISOLATE,
+        Fault.FREEZE_SERVER,
         Fault.OVERLOAD,
     }
 )
@@ -69,7 +70,10 @@
 MEAN_LIMIT_INTERVAL_SECONDS = 6.0  # between the starts of two limits
 LIMIT_SECONDS = 9.0  # longer than the windows in which the requests are counted
 MEAN_PARTITION_INTERVAL_SECONDS = 12.0
-MEAN_ISOLATION_INTERVAL_SECONDS = 15.0
+# Shortest and longest cuts, in seconds. A short isolation meets few requests. A frozen server
+# goes on before the requests that it got exceed the timeout of their routes, 2 s.
+CUT_SECONDS = {Fault.ISOLATE: (2.0, 4.0), Fault.FREEZE_SERVER: (0.8, 1.6)}
+MEAN_CUT_INTERVAL_SECONDS = 15.0  # between two isolations or two frozen servers
 MAX_UNCONFIRMED_SECONDS = 3.0  # without a confirmation, in which daemons accept credentials
 UNCONFIRMED_SECONDS = 2 * MAX_UNCONFIRMED_SECONDS  # after a removal, without a confirmation
 OVERLOAD_SECONDS = 3.0
@@ -163,34 +167,31 @@
         duration = rng.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
         steps.append(Step(at, Fault.PARTITION, rng.choice(list(instances)), duration))
         at += duration + rng.expovariate(1 / MEAN_PARTITION_INTERVAL_SECONDS)
-    steps += _draw_isolations(seed, seconds, instances)
+    for fault in (Fault.ISOLATE, Fault.FREEZE_SERVER):
+        steps += _draw_cuts(fault, seed, seconds, instances)
     steps.append(_draw_removal(seed, removed_at, instances, [*steps, *others]))
     overload_at = seconds - FINAL_CALM_SECONDS - OVERLOAD_SECONDS
     return [*steps, Step(overload_at, Fault.OVERLOAD, "", OVERLOAD_SECONDS)]
 
 
-def _draw_isolations(seed: int, seconds: float, instances: Sequence[str]) -> list[Step]:
-    """At least two isolations, the first two of different instances: other daemons send nothing
-    to one that leaves or whose zone is drained.
+def _draw_cuts(fault: Fault, seed: int, seconds: float, instances: Sequence[str]) -> list[Step]:
+    """At least two cuts, the first two of different instances: other daemons send nothing to
+    one that leaves or whose zone is drained.
     """
-    rng = Random(f"soak isolations {seed}")
+    rng = Random(f"soak {fault} {seed}")
     steps: list[Step] = []
     at = INITIAL_CALM_SECONDS + rng.uniform(1.0, 5.0)
     for where in rng.sample(list(instances), 2):
-        steps.append(Step(at, Fault.ISOLATE, where, _draw_isolation_seconds(rng)))
+        steps.append(Step(at, fault, where, rng.uniform(*CUT_SECONDS[fault])))
         at = steps[-1].end + rng.uniform(1.0, 4.0)
-    at = steps[-1].end + rng.expovariate(1 / MEAN_ISOLATION_INTERVAL_SECONDS)
+    at = steps[-1].end + rng.expovariate(1 / MEAN_CUT_INTERVAL_SECONDS)
     while at < seconds - FINAL_CALM_SECONDS - MAX_FAULT_SECONDS:
         where = rng.choice(list(instances))
-        steps.append(Step(at, Fault.ISOLATE, where, _draw_isolation_seconds(rng)))
-        at = steps[-1].end + rng.expovariate(1 / MEAN_ISOLATION_INTERVAL_SECONDS)
+        steps.append(Step(at, fault, where, rng.uniform(*CUT_SECONDS[fault])))
+        at = steps[-1].end + rng.expovariate(1 / MEAN_CUT_INTERVAL_SECONDS)
     return steps
 
 
-def _draw_isolation_seconds(rng: Random) -> float:
-    return rng.uniform(MIN_ISOLATION_SECONDS, MAX_FAULT_SECONDS)
-
-
 def _draw_removal(
     seed: int, at: float, instances: Sequence[str], others: Sequence[Step]
 ) -> Step:
