Report ends of servers around the ring also while watchers follow each other in cycles

A report of a server's end goes to the parent and to the followers. After an outage of the control ports, each watcher follows the first parent that it reaches, and stays with it. These may form several cycles; both watchers of a pair hear the platform, so neither counts as stale. A report then never left its pair, and the other daemons went on sending the request that ends servers.

Trace: test_ends_seen_while_control_ports_are_closed_* at a load of 29 to 36 on 12 cores, with a log line for each parent followed. The daemons followed each other as a-b, c-e and d-f, and for the 3 s of the test two of six had the third report. Three runs failed with that picture and one with a plain timeout.

A watcher now also reports to its first parent in the ring if it follows another one, so a report passes around the ring whoever is followed. This costs calls only while there are reports that it lacks.

Other failures of that test were its own: the port that it reopens had been taken by another process (EADDRINUSE, 7 of 36 runs of it and the new test beside each other, no other failure in them). The new test pairs the watchers and fails without the change.

--- a/packages/wheatslipd/wheatslipd/feed/feed.py
+++ b/packages/wheatslipd/wheatslipd/feed/feed.py
@@ -91,10 +91,13 @@
         )
         self._reader = PlatformReader(name, access)
         self._follower = ParentFollower(self._position, access, self._reader, tls)
-        self._end_reporter = EndReporter(name, self.cache, lambda: self.parent, tls)
+        self._end_reporters = (
+            EndReporter(name, self.cache, lambda: self.parent, tls),
+            EndReporter(name, self.cache, self._missed_ring_parent, tls),
+        )
         self._end_store = EndStore(name, access, dependencies.unix)
-        self.cache_writer.on_end_reports = self._end_reporter.wake
-        self._follower.on_parent_changed = self._end_reporter.wake
+        self.cache_writer.on_end_reports = self._wake_end_reporters
+        self._follower.on_parent_changed = self._wake_end_reporters
         self.hint_handler = HintHandler(
             name, self.relay, self.cache_writer, self._reader, tls, rng, monotonic
         )
@@ -141,6 +144,15 @@
         self.cache_writer.apply_end_reports((report,), self._name)
         self._end_store.add(report)
 
+    def _missed_ring_parent(self) -> str:
+        """Name of the first parent in the ring; empty if it is followed or there is none."""
+        ring_parent = self._position.ring_parent
+        return "" if ring_parent == self.parent else ring_parent
+
+    def _wake_end_reporters(self) -> None:
+        for end_reporter in self._end_reporters:
+            end_reporter.wake()
+
     def _apply_end_reports(self, reports: tuple[EndReport, ...], sender: str) -> None:
         self.cache_writer.apply_end_reports(reports, sender)
 
@@ -149,7 +161,8 @@
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._synchronize())
-                group.create_task(self._end_reporter.run())
+                for end_reporter in self._end_reporters:
+                    group.create_task(end_reporter.run())
                 group.create_task(self._end_store.run())
                 group.create_task(self.hint_handler.run())
                 group.create_task(self._monitor_head_age())
--- a/packages/wheatslipd/wheatslipd/feed/position.py
+++ b/packages/wheatslipd/wheatslipd/feed/position.py
@@ -52,6 +52,11 @@
             return ring_parents_of(self.name, self._ring)
         return parents_of(self.name, self._order, self._watchers)
 
+    @property
+    def ring_parent(self) -> str:
+        """Name of the first parent of a watcher; empty for other daemons, or if it is alone."""
+        return next(iter(self.parents()), "") if self.is_watcher else ""
+
     def removal_rank(self, zone: str) -> int | None:
         """Return how many daemons precede this one in removing dead entries of `zone`.
 
--- a/test/test_end_reports.py
+++ b/test/test_end_reports.py
@@ -1,6 +1,7 @@
 """A request that ends servers is held at every daemon within seconds, despite failures."""
 
 import asyncio
+import socket
 from functools import partial
 
 import pytest
@@ -8,6 +9,7 @@
 from wheatslip.quarantine import HOLD_AFTER_ENDS, ServerEnd
 from wheatslip.store.instances import Instance
 from wheatslipd.feed.codec import StructCodec
+from wheatslipd.feed.parentfollower import ParentFollower
 from wheatslipd.feed.relay import EndReports, send_end_reports
 from wheatslipd.tls import PeerTls
 
@@ -19,6 +21,7 @@
 from test.routed_fleet import fleet
 from test.test_requests_that_end_servers import FATAL, register_under_new_id
 
+PAIRS = {"a": "b", "b": "a", "c": "e", "e": "c", "d": "f", "f": "d"}
 PROPAGATION_SECONDS = 3.0  # required by the operators of the users' platform
 NAMES = "abcdef"
 ZONES = dict(zip(NAMES, ("one", "two", "three") * 2, strict=True))
@@ -136,21 +139,31 @@
 
 
 class ControlPorts:
-    """The control ports of all daemons of a fleet, to close and reopen."""
+    """The control ports of all daemons of a fleet, to close and reopen.
+
+    Closed ports stay bound, so that no other process gets them meanwhile.
+    """
 
     def __init__(self, cluster):
         self._relays = [daemon.feed.relay for daemon in cluster.daemons.values()]
+        self._bound = []
 
     def close(self):
         """Close all streams: no daemon can follow a parent or send end reports."""
         for relay in self._relays:
             relay._server.close()
+            bound = socket.socket()
+            bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            bound.bind((HOST, relay.port))
+            self._bound.append(bound)
 
     async def open(self):
         """Listen on the same ports again."""
         for relay in self._relays:
             relay._server = Server([relay], codec=relay._codec)
             await relay.listen(HOST, relay.port)
+        while self._bound:
+            self._bound.pop().close()
 
 
 def test_ends_seen_while_control_ports_are_closed_reach_all_daemons_later():
@@ -168,6 +181,34 @@
     run(scenario)
 
 
+def test_ends_reach_all_daemons_although_watchers_follow_each_other_in_pairs(monkeypatch):
+    """Guards against reports that stay within a cycle of watchers. After an outage of their
+    control ports, each watcher follows the one that it reaches first.
+    """
+    follow_parent = ParentFollower._follow_parent
+
+    async def follow_pair(follower, parent):
+        return await follow_parent(follower, PAIRS[follower._position.name])
+
+    async def scenario():
+        servers = EndingServers()
+        async with three_zone_fleet(servers) as cluster:
+            monkeypatch.setattr(ParentFollower, "_follow_parent", follow_pair)
+            ports = ControlPorts(cluster)
+            ports.close()
+            await ports.open()
+
+            async def are_paired():
+                return all(d.feed.parent == PAIRS[n] for n, d in cluster.daemons.items())
+
+            await eventually(are_paired)
+            await send_until_held(cluster, servers)
+            await wait_until_held(cluster)
+            assert await are_paired()
+
+    run(scenario)
+
+
 def test_lifting_a_hold_at_one_daemon_lifts_it_at_all():
     async def scenario():
         servers = EndingServers()
