Apply a list in which only the leaving daemons have changed

Cause: the granter ignored a list with the same candidates, so a daemon that appears only as leaving was not asked in a takeover, although it may still be active. Change: the leaving daemons are compared too; the parameter has the name that the controller uses. Test: such a daemon is asked first.

--- a/packages/wheatslip/wheatslip/quota/granter.py
+++ b/packages/wheatslip/wheatslip/quota/granter.py
@@ -40,7 +40,7 @@
 OWN_BUCKETS = 2  # further daemons that may grant a few tokens to themselves
 GRANTING_DAEMONS = CANDIDATES + OWN_BUCKETS  # the others' buckets stay empty
 NO_POSITION = GRANTING_DAEMONS  # of all others in the rendezvous order
-SETTLING_SHARE = 0.5  # of the rate, until then
+SETTLING_SHARE = 0.5  # of the rate, for `SETTLE_SECONDS`
 FAILOVER_SHARE = 0.5  # of the rate, for a candidate after a primary that ended
 SECOND_SHARE, THIRD_SHARE, OWN_SHARE = 0.5, 0.25, 0.25  # of the margin
 WAITING_POSITION = 2  # whose part a primary gets that is not active yet
@@ -138,21 +138,27 @@
         self._quotas: OrderedDict[str, _Quota] = OrderedDict()  # least recently asked first
         self._received: dict[str, tuple[float, float]] = {}  # tokens and time, by workspace
         self._members_since = float("inf")  # no list yet
+        self._leaving: frozenset[str] = frozenset()
         self._evicted_at = float("-inf")  # last time a bucket was forgotten that was not full
 
-    def set_members(self, names: Iterable[str], now: float, left: Collection[str] = ()) -> None:
-        """Applies the list of daemons; `left` are those that are listed as leaving.
+    def set_members(
+        self, names: Iterable[str], now: float, leaving: Collection[str] = ()
+    ) -> None:
+        """Applies the list of daemons; `leaving` are those that are listed as such.
 
         The list is relied on only after `confirm_members`.
         """
         members = frozenset(names)
-        if members == self._candidates.members:
+        has_changed = members != self._candidates.members
+        if not has_changed and frozenset(leaving) == self._leaving:
             return
+        self._leaving = frozenset(leaving)
         for quota in self._quotas.values():
             self._advance(quota, now)
         self._candidates.set_members(members)
-        self._handover.set_members(members, left, now)
-        self._members_since = now
+        self._handover.set_members(members, leaving, now)
+        if has_changed:
+            self._members_since = now
         for workspace, quota in self._quotas.items():
             position = self._position_of(workspace)
             if position != quota.position:
--- a/test/test_quota_granter.py
+++ b/test/test_quota_granter.py
@@ -225,7 +225,7 @@
     granter = granter_at(1)
     granter.grant(request(0), 20.0)
     others = [name for name in NAMES if name != order[0]]
-    granter.set_members(others, 20.0, left=[order[0]])
+    granter.set_members(others, 20.0, leaving=[order[0]])
     take_over(granter, 20.0)
     granted(granter, 20.0, 20.1)
     settling = granted(granter, 20.1, 20.0 + SETTLE_SECONDS)
@@ -305,3 +305,13 @@
     times = [20.0 + granter.grant(request(1), 20.0).retry_after for _ in range(50)]
     assert times == pytest.approx([20.0 + (n + 1) / RATE for n in range(50)])
     assert all(granter.grant(request(1), time + ROUNDING).tokens == 1 for time in times)
+
+
+def test_a_daemon_that_is_listed_only_as_leaving_is_asked():
+    """Guards against a change of the list that is ignored because the candidates stay."""
+    first, second, *others = order_of()
+    granter = Granter(first, SETTINGS, inf)
+    granter.set_members((first, *others), 0.0)
+    granter.confirm_members(0.0, 0.0)
+    granter.set_members((first, *others), 0.5, leaving=(second,))
+    assert granter.begin_takeover("alpha", 1.0).leaving == (second,)
