Take the handover of limits back

The cause is not traced; suspected is that daemons that start grant from the margin until others have answered and the list is confirmed.

--- a/packages/wheatslip/wheatslip/distribution/feedcache.py
+++ b/packages/wheatslip/wheatslip/distribution/feedcache.py
@@ -64,9 +64,7 @@
     `confirmed` is the latest confirmation that the sender knows. Its time is on the monotonic
     clock of the sender; `clock` is its time at the start of the stream, in the first such
     update; the receiver converts it to its own clock. Unlike `as_of` it does not depend on wall
-    clocks. Daemons without a limit on its age and those of the previous version do not send it.
-    `list_at` is the time, by the same clocks, at which the platform had no newer instance list
-    than the sender's.
+    clocks. Daemons without a limit on its age and those of the previous version send neither.
     """
 
     as_of: float
@@ -83,7 +81,6 @@
     heartbeat: float = 0.0
     confirmed: Confirmation | None = None
     clock: float | None = None
-    list_at: float | None = None
 
 
 class FeedCache:
@@ -94,7 +91,6 @@
         self.confirmation: Confirmation | None = None
         self._earlier_confirmation: Confirmation | None = None  # the last of an older version
         self.checked = 0.0
-        self.list_at: float | None = None  # last confirmation of the list, monotonic
         self.listed = 0  # version of the instance list
         self.instances: dict[str, Instance] = {}
         self._versions: dict[str, int] = {}  # version of the last change, by instance name
@@ -128,13 +124,6 @@
             self._earlier_confirmation = current
         self.confirmation = Confirmation(version, at)
 
-    def confirm_list(self, confirmed_at: float) -> bool:
-        """Records that the platform had no newer list then; false if that was known."""
-        if self.list_at is not None and confirmed_at <= self.list_at:
-            return False
-        self.list_at = confirmed_at
-        return True
-
     def confirmed_at(self, version: int) -> float | None:
         """When the bundle `version` was last known to be the newest; None if it never was.
 
@@ -241,7 +230,6 @@
             drains=drains,
             head_at=head_at,
             confirmed=self.confirmation,
-            list_at=self.list_at,
         )
         if self.head is None or cursor.bundle >= self.head.version:
             return update
--- a/packages/wheatslip/wheatslip/quota/granter.py
+++ b/packages/wheatslip/wheatslip/quota/granter.py
@@ -12,27 +12,19 @@
   exceed the slack.
 - `Granter.candidates_of` serves the entry of the same daemon too, because the first candidates
   of each workspace among 22,000 members take some 15 ms to compute.
-- Only an active daemon grants at the full rate (`wheatslip.quota.handover`). The others grant
-  parts of the margin, by their positions. A removed daemon that may be active keeps its
-  position for that time, so that the parts of two lists are not granted at the same time.
+- With a `list_lease`, a daemon whose list was not confirmed for that long grants at the part of
+  the next position and takes over from nobody. Without one, a primary that is cut off from the
+  store still grants at the full rate after the others have removed it from the list.
 """
 
 from collections import OrderedDict
-from collections.abc import Collection, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import StrEnum
 
-import msgspec
-
 from wheatslip.quota.bucket import MIN_BURST, TokenBucket
 from wheatslip.quota.candidates import Candidates
-from wheatslip.quota.handover import LIST_LEASE_SECONDS, SETTLE_SECONDS, Handover, Takeover
-from wheatslip.quota.messages import (
-    TakeoverAnswer,
-    TakeoverRequest,
-    TokenGrant,
-    TokenRequest,
-)
+from wheatslip.quota.messages import TokenGrant, TokenRequest
 from wheatslip.quota.retryschedule import RetrySchedule
 from wheatslip.quota.settings import QuotaSettings
 
@@ -40,10 +32,10 @@
 OWN_BUCKETS = 2  # further daemons that may grant a few tokens to themselves
 GRANTING_DAEMONS = CANDIDATES + OWN_BUCKETS  # the others' buckets stay empty
 NO_POSITION = GRANTING_DAEMONS  # of all others in the rendezvous order
-SETTLING_SHARE = 0.5  # of the rate, for `SETTLE_SECONDS`
+SETTLE_SECONDS = 3.0  # by then every entry has the list that made a daemon the primary
+SETTLING_SHARE = 0.5  # of the rate, until then
 FAILOVER_SHARE = 0.5  # of the rate, for a candidate after a primary that ended
 SECOND_SHARE, THIRD_SHARE, OWN_SHARE = 0.5, 0.25, 0.25  # of the margin
-WAITING_POSITION = 2  # whose part a primary gets that is not active yet
 RESTART_SLACK_SHARE = 0.15  # of the slack, for the first tokens of a restarted primary
 SMALL_BURST_SLACK_SHARE = 0.5  # of the slack: what the bucket of a primary holds at least
 RESTART_SECONDS = 0.5  # of refill, at most, for the same
@@ -52,14 +44,6 @@
 MAX_WORKSPACES = 4096  # limits memory
 
 
-class HandoverState(StrEnum):
-    """Whether the first candidate of a workspace grants at the full rate."""
-
-    ACTIVE = "active"
-    DECLINING = "declining"  # another daemon is active
-    WAITING = "waiting"  # another daemon may be active; it grants a part of the margin
-
-
 class Position(StrEnum):
     """Name of this daemon's position in a workspace's rendezvous order."""
 
@@ -107,7 +91,6 @@
     when it got there, or when the list was confirmed after a lapse.
     """
 
-    workspace: str
     version: int
     rate: float
     burst: float
@@ -125,108 +108,48 @@
     """Grants tokens for the workspaces of which this daemon is a candidate.
 
     Times are in seconds, monotonic. `list_lease` is the time after which an unconfirmed list is
-    not relied on.
+    not relied on; it must be shorter than the time after which silent daemons are removed from
+    the list. By default the last list counts for ever.
     """
 
-    def __init__(
-        self, name: str, settings: QuotaSettings, list_lease: float = LIST_LEASE_SECONDS
-    ):
+    def __init__(self, name: str, settings: QuotaSettings, list_lease: float = float("inf")):
         self._name = name
         self._settings = settings
+        self._list_lease = list_lease
+        self._lapses_at = float("inf")
         self._candidates = Candidates(GRANTING_DAEMONS)
-        self._handover = Handover(name, self._candidates, list_lease)
         self._quotas: OrderedDict[str, _Quota] = OrderedDict()  # least recently asked first
-        self._received: dict[str, tuple[float, float]] = {}  # tokens and time, by workspace
         self._members_since = float("inf")  # no list yet
-        self._leaving: frozenset[str] = frozenset()
         self._evicted_at = float("-inf")  # last time a bucket was forgotten that was not full
 
-    def set_members(
-        self, names: Iterable[str], now: float, leaving: Collection[str] = ()
-    ) -> None:
-        """Applies the list of daemons; `leaving` are those that are listed as such.
-
-        The list is relied on only after `confirm_members`.
-        """
+    def set_members(self, names: Iterable[str], now: float) -> None:
+        """Applies the list of daemons, which is thereby confirmed."""
+        self.confirm_members(now)
         members = frozenset(names)
-        has_changed = members != self._candidates.members
-        if not has_changed and frozenset(leaving) == self._leaving:
+        if members == self._candidates.members:
             return
-        self._leaving = frozenset(leaving)
-        for quota in self._quotas.values():
-            self._advance(quota, now)
         self._candidates.set_members(members)
-        self._handover.set_members(members, leaving, now)
-        if has_changed:
-            self._members_since = now
+        self._members_since = now
         for workspace, quota in self._quotas.items():
             position = self._position_of(workspace)
             if position != quota.position:
+                self._advance(quota, now)
                 quota.position = position
-                if not self._handover.is_active(workspace, now):
-                    quota.since = now
-            self._apply(quota, now)
+                quota.since = now
+                self._apply(quota, now)
 
     def candidates_of(self, workspace: str) -> tuple[str, ...]:
         """The listed daemons that an entry asks, in this order."""
         return self._candidates.of(workspace)[:CANDIDATES]
 
-    def confirm_members(self, confirmed_at: float, now: float) -> None:
-        """The store had this list at `confirmed_at`. After a lapse, primaries settle again."""
-        for quota in self._quotas.values():
-            self._advance(quota, now)
-        if self._handover.confirm(confirmed_at, now):
+    def confirm_members(self, now: float) -> None:
+        """The store was reached and has this list. After a lapse, primaries settle again."""
+        if now >= self._lapses_at:
             self._members_since = now
             for quota in self._quotas.values():
+                self._advance(quota, now)
                 quota.since = now
-                self._apply(quota, now)
-
-    def is_declining(self, workspace: str, now: float) -> bool:
-        """Whether an entry should ask the next candidate, because another daemon is active.
-
-        A daemon that is no candidate in its own list may be one in a list that it lacks yet.
-        """
-        is_candidate = self._name in self.candidates_of(workspace)
-        return not is_candidate or self._handover.is_declining(workspace, now)
-
-    def state_of(self, workspace: str, now: float) -> HandoverState:
-        """Whether this daemon is active for a workspace, for logs."""
-        if self._handover.is_active(workspace, now):
-            return HandoverState.ACTIVE
-        if self._handover.is_declining(workspace, now):
-            return HandoverState.DECLINING
-        return HandoverState.WAITING
-
-    def begin_takeover(self, workspace: str, now: float) -> Takeover | None:
-        """The takeover that must be made before tokens are granted; None if none is due."""
-        return self._handover.begin(workspace, now)
-
-    def takeover_request(self, takeover: Takeover, owner: str) -> TakeoverRequest:
-        return self._handover.request_to(takeover, owner)
-
-    def finish_takeover(self, takeover: Takeover, now: float) -> None:
-        """Becomes active if the answers allow it. Tokens of the former active daemon move."""
-        quota = self._quotas.get(takeover.workspace)
-        if quota is not None:
-            self._advance(quota, now)
-        tokens = self._handover.finish(takeover, now)
-        if tokens is not None:
-            self._received[takeover.workspace] = (tokens, now)
-        if quota is not None:
-            self._receive(quota)
-            self._apply(quota, now)
-
-    def answer_takeover(self, request: TakeoverRequest, now: float) -> TakeoverAnswer:
-        quota = self._quotas.get(request.workspace)
-        if quota is not None:
-            self._advance(quota, now)
-        answer = self._handover.answer(request, now)
-        if quota is None or not answer.is_active or answer.seconds > 0:
-            return answer
-        tokens = quota.bucket.level
-        quota.bucket.level = 0.0
-        self._apply(quota, now)
-        return msgspec.structs.replace(answer, tokens=tokens)
+        self._lapses_at = now + self._list_lease
 
     def grant(self, request: TokenRequest, now: float) -> TokenGrant:
         quota = self._quotas.get(request.workspace)
@@ -240,7 +163,6 @@
             quota.rate = request.rate
             quota.burst = request.burst
         if request.failover:
-            self._handover.note_failover(request.workspace, now)
             quota.failover_until = now + self._settings.token_lifetime
         self._apply(quota, now)
         if quota.rate <= 0:  # the newest version has no limit
@@ -279,7 +201,6 @@
             self._evicted_at = now
         since = min(now, self._members_since)
         quota = _Quota(
-            workspace=request.workspace,
             version=request.version,
             rate=request.rate,
             burst=request.burst,
@@ -294,23 +215,11 @@
             quota.bucket.level = self._first_tokens(quota)
         else:
             quota.bucket.now = self._evicted_at
-        self._receive(quota)
         self._quotas[request.workspace] = quota
         return quota
 
-    def _receive(self, quota: _Quota) -> None:
-        """Puts the tokens of a daemon that yielded into the bucket; nobody else grants."""
-        received = self._received.pop(quota.workspace, None)
-        if received is None:
-            return
-        tokens, at = received
-        quota.since = at - SETTLE_SECONDS
-        self._apply(quota, at)
-        quota.bucket.level = min(tokens, quota.bucket.burst)
-        quota.bucket.now = at
-
     def _first_tokens(self, quota: _Quota) -> float:
-        if not self._handover.is_active(quota.workspace, quota.asked_at):
+        if quota.position != 0:
             return 0.0
         return min(
             self._primary_burst(quota.burst),
@@ -324,12 +233,7 @@
 
     def _advance(self, quota: _Quota, now: float) -> None:
         """Refills until `now`, with the rates that changed in between."""
-        times = (
-            quota.since + SETTLE_SECONDS,
-            quota.failover_until,
-            self._handover.lapses_at,
-            self._handover.active_until(quota.workspace),
-        )
+        times = (quota.since + SETTLE_SECONDS, quota.failover_until, self._lapses_at)
         for time in sorted(times):
             if quota.bucket.now < time <= now:
                 self._apply(quota, time)
@@ -345,22 +249,15 @@
             share = 1.0 if is_settled else SETTLING_SHARE
             return _Part(share * quota.rate, self._primary_burst(quota.burst))
         part = self._margin_part(quota, position)
-        takes_over_until = min(quota.failover_until, self._handover.lapses_at)
-        if quota.position < CANDIDATES and now < takes_over_until:
+        if position < CANDIDATES and now < min(quota.failover_until, self._lapses_at):
             return _Part(max(part.rate, FAILOVER_SHARE * quota.rate), part.burst)
         return part
 
     def _effective_position(self, quota: _Quota, now: float) -> int:
-        """0 if this daemon is active, else the position whose part of the margin it gets.
-
-        While the list is not confirmed, it is one later; own buckets keep theirs.
-        """
-        if self._handover.is_active(quota.workspace, now):
-            return 0
-        if now >= self._handover.lapses_at and quota.position < CANDIDATES:
+        """The position, one later while the list is not confirmed; own buckets keep theirs."""
+        if now >= self._lapses_at and quota.position < CANDIDATES:
             return quota.position + 1
-        position = quota.position + self._handover.uncertain_before(quota.workspace, now)
-        return position or WAITING_POSITION
+        return quota.position
 
     def _margin_part(self, quota: _Quota, position: int) -> _Part:
         """The part of the margin for a position after the primary's."""
--- a/packages/wheatslip/wheatslip/quota/messages.py
+++ b/packages/wheatslip/wheatslip/quota/messages.py
@@ -1,4 +1,4 @@
-"""Messages between an entry and the owner of a workspace's rate limit, and between owners.
+"""Messages between an entry and the owner of a workspace's rate limit.
 
 They are arrays on the wire, since each limited request may cost a pair of them. New fields must
 be added at the end, with a default.
@@ -42,7 +42,6 @@
     """Why a daemon does not grant what it is asked for; a number on the wire."""
 
     OTHER_DAEMON = 1  # the ask is for another daemon, whose address this one has now
-    DECLINED = 2  # another daemon is active for the limit: the next candidate is asked
 
 
 class NumberedAsk(msgspec.Struct, frozen=True, array_like=True):
@@ -57,32 +56,3 @@
 
     number: int
     answer: TokenGrant | AskRefusal
-
-
-class TakeoverRequest(msgspec.Struct, frozen=True, array_like=True):
-    """`sender` is the first candidate of a workspace in its list, and asks `owner` to yield.
-
-    `ended` are daemons whose processes are known to have ended. `is_leaving` tells that `owner`
-    is listed as leaving.
-    """
-
-    sender: str
-    workspace: str
-    owner: str
-    ended: tuple[str, ...] = ()
-    is_leaving: bool = False
-
-
-class TakeoverAnswer(msgspec.Struct, frozen=True, array_like=True):
-    """Response to a `TakeoverRequest`.
-
-    If `is_active`, the daemon yields in `seconds`; with 0 it has yielded, and the `tokens` of
-    its bucket move to the sender. Otherwise a daemon that was removed from the list may be
-    active for `seconds`; 0: none is known. `is_new` tells that the daemon has had its list for
-    too short a time to know of one.
-    """
-
-    seconds: float
-    is_active: bool = False
-    tokens: float = 0.0
-    is_new: bool = False
--- a/packages/wheatslipd/wheatslipd/controllers/events.py
+++ b/packages/wheatslipd/wheatslipd/controllers/events.py
@@ -41,13 +41,6 @@
         super().__init__(instances, removed, whole)
 
 
-class list_confirmed(Event):
-    """At `confirmed_at` (seconds, monotonic) the platform had no newer instance list."""
-
-    def __init__(self, confirmed_at: float):
-        super().__init__(confirmed_at)
-
-
 class members_changed(Event):
     """The members that requests see were published, in any order; an entry that lapsed is still
     among them during its grace period.
--- a/packages/wheatslipd/wheatslipd/controllers/quota.py
+++ b/packages/wheatslipd/wheatslipd/controllers/quota.py
@@ -11,7 +11,6 @@
 from wheatslip.store.instances import Instance, InstanceState
 
 from wheatslipd.quota.asker import OwnerAsker
-from wheatslipd.quota.takeovercalls import TakeoverCalls
 
 
 class QuotaController(Component):
@@ -23,14 +22,12 @@
         self,
         granter: Granter,
         asker: OwnerAsker,
-        takeover_calls: TakeoverCalls,
         clock: Callable[[], float],
     ):
         """`clock` is monotonic, in seconds."""
         super().__init__()
         self._granter = granter
         self._asker = asker
-        self._takeover_calls = takeover_calls
         self._clock = clock
         self.limited: tuple[Workspace, ...] = ()
 
@@ -41,14 +38,8 @@
             for member in members
             if member.state is not InstanceState.LEAVING
         }
-        leaving = frozenset(member.name for member in members if member.name not in listed)
-        self._granter.set_members(listed, self._clock(), leaving)
+        self._granter.set_members(listed, self._clock())
         self._asker.set_instances(listed)
-        self._takeover_calls.set_instances({member.name: member for member in members})
-
-    def list_confirmed(self, confirmed_at: float) -> None:
-        """Rely on the list for a further time; `confirmed_at` is by the monotonic clock."""
-        self._granter.confirm_members(confirmed_at, self._clock())
 
     def bundle_in_force(self, bundle: Bundle) -> None:
         """Note which workspaces have a limit. Each ask carries the limit itself."""
--- a/packages/wheatslipd/wheatslipd/feed/cachewriter.py
+++ b/packages/wheatslipd/wheatslipd/feed/cachewriter.py
@@ -28,7 +28,6 @@
     bundle_verified,
     end_reports_received,
     instances_updated,
-    list_confirmed,
     zones_drained,
 )
 from wheatslipd.feed.position import RelayPosition
@@ -77,15 +76,6 @@
         """
         self.cache.checked = self._unix()
 
-    def confirm_list_at(self, confirmed_at: float) -> None:
-        """Record that the platform had no newer list than the cached one at this monotonic
-        time.
-
-        Unlike `confirm_list`, this does not count a platform that does not answer.
-        """
-        if self.cache.confirm_list(confirmed_at):
-            self._bus.fire(list_confirmed(confirmed_at))
-
     def confirm_head(self) -> None:
         """Record that the platform confirmed the head just now."""
         self.cache.as_of = self._unix()
@@ -104,16 +94,11 @@
         """
         self.cache.head_at = max(self.cache.head_at, version)
 
-    def apply_complete_list(self, listing: Listing, asked_at: float) -> None:
-        """Apply a complete list; a list that is not stale also confirms the cached one.
-
-        `asked_at` is the monotonic time before the call.
-        """
+    def apply_complete_list(self, listing: Listing) -> None:
+        """Apply a complete list; a list that is not stale also confirms the cached one."""
         if not listing.stale:
             self.confirm_list()
         self.apply_listing(listing)
-        if not listing.stale:
-            self.confirm_list_at(asked_at)
 
     def apply_listing(self, listing: Listing) -> None:
         """Apply the complete list or changes of it."""
@@ -152,8 +137,6 @@
         if (update.whole or update.changes) and not self.cache.is_outdated(update):
             self._apply_list(update.listed, list(update.changes), whole=update.whole)
         self.cache.checked = max(self.cache.checked, update.checked)
-        if update.list_at is not None:
-            self.confirm_list_at(update.list_at)
         if update.as_of > self.cache.as_of:
             # Followers are not notified: they get it with their next heartbeat.
             self.cache.as_of = update.as_of
--- a/packages/wheatslipd/wheatslipd/feed/reader.py
+++ b/packages/wheatslipd/wheatslipd/feed/reader.py
@@ -86,10 +86,9 @@
 
     async def read_list(self, *, stale_ok: bool = False) -> bool:
         """Read the complete list once; return whether the platform answered."""
-        asked_at = self._access.monotonic()
         match await self._store.list(INSTANCE_KIND, stale_ok=stale_ok):
             case Ok(listing):
-                self._cache_writer.apply_complete_list(listing, asked_at)
+                self._cache_writer.apply_complete_list(listing)
                 return True
             case Err(unavailable):
                 log_unavailable(unavailable)
--- a/packages/wheatslipd/wheatslipd/feed/relay.py
+++ b/packages/wheatslipd/wheatslipd/feed/relay.py
@@ -150,7 +150,7 @@
                 sent_reports_position = self._cache.ends.position
                 changes = self._cache.since(cursor, sent_head_position)
                 update = msgspec.structs.replace(changes, ends=ends, heartbeat=heartbeat)
-                if changes.confirmed is not None or changes.list_at is not None:
+                if changes.confirmed is not None:
                     update = msgspec.structs.replace(update, clock=clock)
                     clock = None
                 sent_head_position = max(sent_head_position, changes.head_at)
@@ -213,7 +213,7 @@
                         silence_timeout = MISSED_HEARTBEATS * heartbeat
                         if update.clock is not None:
                             parent_clock = update.clock
-                        yield _convert_confirmations(update, asked_at, parent_clock)
+                        yield _convert_confirmation(update, asked_at, parent_clock)
                     case Err(reason):
                         logs.warning("update-refused", parent=parent.name, why=reason)
                         return
@@ -230,25 +230,23 @@
         channel.close()
 
 
-def _convert_confirmations(
+def _convert_confirmation(
     update: Update, asked_at: float, parent_clock: float | None
 ) -> Update:
-    """Convert the times of the confirmations from the parent's clock to the own one.
+    """Convert the time of the confirmation from the parent's clock to the own one.
 
     The parent read `parent_clock` after `asked_at`, so the result may be too early by the time
     that opening the stream took. It is never too late, even if an update was under way or in a
     buffer for long, as while one of the daemons was frozen.
     """
-    confirmed, list_at = update.confirmed, update.list_at
-    if parent_clock is None:
-        confirmed = list_at = None
-    else:
-        offset = asked_at - parent_clock
-        if confirmed is not None:
-            confirmed = Confirmation(confirmed.version, confirmed.at + offset)
-        if list_at is not None:
-            list_at += offset
-    return msgspec.structs.replace(update, confirmed=confirmed, list_at=list_at, clock=None)
+    confirmed = update.confirmed
+    if confirmed is not None:
+        confirmed = (
+            None
+            if parent_clock is None
+            else Confirmation(confirmed.version, confirmed.at - parent_clock + asked_at)
+        )
+    return msgspec.structs.replace(update, confirmed=confirmed, clock=None)
 
 
 async def send_end_reports(parent: Instance, reports: EndReports, tls: PeerTls) -> bool:
--- a/packages/wheatslipd/wheatslipd/feed/watching.py
+++ b/packages/wheatslipd/wheatslipd/feed/watching.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from math import inf
 
 from wheatslip.config.head import HEAD_KIND
 from wheatslip.config.zonedrains import ZONE_DRAIN_KIND
@@ -27,8 +26,6 @@
         self._access = access
         self._cache_writer = access.cache_writer
         self._restart_requested = asyncio.Event()
-        self._asked_at = -inf  # at the latest; monotonic, in seconds
-        self._has_failed = False  # the call before the present one
 
     def restart(self) -> None:
         """Start the watch again, because it may no longer receive changes."""
@@ -42,9 +39,6 @@
 
     async def _follow(self) -> None:
         settings = self._access.settings
-        clock = self._access.monotonic
-        self._asked_at = clock()
-        is_first = True  # the first answer comes without a wait
         async for listing in self._access.changes(
             INSTANCE_KIND,
             self._on_unavailable,
@@ -56,20 +50,10 @@
             self._cache_writer.confirm_list()
             if listing.whole or listing.items:
                 self._cache_writer.apply_listing(listing)
-            # The answer may have been under way for long, as while this process was frozen. The
-            # platform sent it at most `list_watch` after the call.
-            longest_wait = 0.0 if is_first or self._has_failed else settings.list_watch
-            confirmed_at = min(clock(), self._asked_at + longest_wait)
-            self._cache_writer.confirm_list_at(confirmed_at)
-            self._asked_at = clock()
-            is_first = self._has_failed = False
 
     def _on_unavailable(self, unavailable: Unavailable) -> None:
         log_unavailable(unavailable)
         self._cache_writer.confirm_list()
-        # The next watch is made after this, and answered without a wait.
-        self._asked_at = self._access.monotonic()
-        self._has_failed = True
 
 
 class StateWatch:
--- a/packages/wheatslipd/wheatslipd/quota/asker.py
+++ b/packages/wheatslipd/wheatslipd/quota/asker.py
@@ -1,19 +1,18 @@
 """Asks the owners of a workspace's limit for tokens, one candidate after the other.
 
-An owner that did not answer is left out for a time, for all workspaces. One that declined,
-because another daemon is active for the limit, is not. If none of the candidates answers, this
-daemon grants the tokens itself, from its own small part of the limit.
+An owner that did not answer is left out for a time, for all workspaces. If none of the
+candidates answers, this daemon grants the tokens itself, from its own small part of the limit.
 """
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 import msgspec
-from result import Err, Ok, Result
+from result import Err, Ok
 from wheatslip.quota.messages import TokenGrant, TokenRequest
 from wheatslip.store.instances import Instance
 
-from wheatslipd.quota.askfailure import AskFailure
+from wheatslipd.quota.askstream import AskFailure
 from wheatslipd.quota.channels import OwnerChannels, ended_processes
 from wheatslipd.quota.service import QuotaService
 from wheatslipd.telemetry import logs
@@ -77,27 +76,20 @@
             if unreachable is None:
                 failover = have_all_refused and position > 0
                 owner_request = msgspec.structs.replace(request, failover=failover, owner=owner)
+                if owner == self._name:
+                    return self._ask_locally(owner_request)
                 asked_at = self._clock()
-                match await self._ask_owner(owner, owner_request):
+                match await self._channels.ask(owner, owner_request):
                     case Ok(grant):
                         self._unreachable.pop(owner, None)
                         return Answer(grant, owner, asked_at)
-                    case Err(AskFailure.DECLINED):
-                        have_all_refused = False
-                        continue
                     case Err(failure):
                         unreachable = self._leave_out(owner, failure)
             have_all_refused &= unreachable.has_refused
-        request = msgspec.structs.replace(request, failover=False)
-        return Answer(self._service.grant(request), self._name, self._clock())
+        return self._ask_locally(msgspec.structs.replace(request, failover=False))
 
-    async def _ask_owner(
-        self, owner: str, request: TokenRequest
-    ) -> Result[TokenGrant, AskFailure]:
-        if owner != self._name:
-            return await self._channels.ask(owner, request)
-        answer = await self._service.answer(request)
-        return answer.map_err(lambda refusal: AskFailure.DECLINED)
+    def _ask_locally(self, request: TokenRequest) -> Answer:
+        return Answer(self._service.grant(request), self._name, self._clock())
 
     def _unreachable_now(self, owner: str) -> _Unreachable | None:
         unreachable = self._unreachable.get(owner)
--- a/packages/wheatslipd/wheatslipd/quota/askerrors.py
+++ b/packages/wheatslipd/wheatslipd/quota/askerrors.py
@@ -1,4 +1,4 @@
-"""Logs asks and takeovers that raised an exception, at the daemon where they did."""
+"""Logs an ask that raised an exception, at the daemon where it did."""
 
 import traceback
 
@@ -17,14 +17,3 @@
         trace="".join(traceback.format_exception(error)),
         repeat_key=request.workspace,
     )
-
-
-def log_takeover_error(workspace: str, error: Exception) -> None:
-    """Log a bug because of which a takeover is not answered, or broke off."""
-    logs.error(
-        "quota-takeover-failed",
-        workspace=workspace,
-        error=repr(error),
-        trace="".join(traceback.format_exception(error)),
-        repeat_key=workspace,
-    )
--- a/packages/wheatslipd/wheatslipd/quota/channels.py
+++ b/packages/wheatslipd/wheatslipd/quota/channels.py
@@ -12,8 +12,7 @@
 from wheatslip.quota.messages import TokenGrant, TokenRequest
 from wheatslip.store.instances import Instance
 
-from wheatslipd.quota.askfailure import AskFailure
-from wheatslipd.quota.askstream import AskStream
+from wheatslipd.quota.askstream import AskFailure, AskStream
 from wheatslipd.tls import PeerTls
 
 ASK_TIMEOUT_SECONDS = 0.1  # for the connection and the answer together
--- a/packages/wheatslipd/wheatslipd/quota/wiring.py
+++ b/packages/wheatslipd/wheatslipd/quota/wiring.py
@@ -11,7 +11,6 @@
 from wheatslipd.quota.client import QuotaClient
 from wheatslipd.quota.report import QuotaReport
 from wheatslipd.quota.service import QuotaService
-from wheatslipd.quota.takeovercalls import TakeoverCalls
 from wheatslipd.settings import Settings
 from wheatslipd.shared import SharedState
 from wheatslipd.tls import PeerTls
@@ -33,12 +32,11 @@
     """Build the parts. The client's `run` must run while requests are accepted."""
     clock = shared.monotonic
     granter = Granter(settings.name, settings.quota)
-    takeover_calls = TakeoverCalls(tls)
-    service = QuotaService(settings.name, granter, takeover_calls, clock)
+    service = QuotaService(settings.name, granter, clock)
     channels = OwnerChannels(tls)
     asker = OwnerAsker(settings.name, service, granter.candidates_of, channels, clock)
     holder = TokenHolder(settings.quota)
     client = QuotaClient(settings.name, holder, asker, shared.metrics, clock)
-    controller = QuotaController(granter, asker, takeover_calls, clock)
+    controller = QuotaController(granter, asker, clock)
     report = QuotaReport(controller, client, granter, clock)
     return Quota(service, granter, channels, client, controller, report)
