Say when the second receiver of end reports is woken

Cause: a comment said that following a parent wakes each delivery, but the receiver in the ring may change without that; its reports wait for the next one. The function that names it was called "missed", which reads as lost.

--- a/packages/wheatslipd/wheatslipd/feed/endreporter.py
+++ b/packages/wheatslipd/wheatslipd/feed/endreporter.py
@@ -49,7 +49,7 @@
         name = self._receiver()
         instance = self._cache.instances.get(name)
         if instance is None:
-            return True  # `wake` is called when a parent is followed
+            return True  # the next report or parent wakes it
         if name != self._reported_receiver:
             self._reported_receiver, self._reported_position = name, 0
         position = self._cache.ends.position
--- a/packages/wheatslipd/wheatslipd/feed/feed.py
+++ b/packages/wheatslipd/wheatslipd/feed/feed.py
@@ -93,7 +93,7 @@
         self._follower = ParentFollower(self._position, access, self._reader, tls)
         self._end_reporters = (
             EndReporter(name, self.cache, lambda: self.parent, tls),
-            EndReporter(name, self.cache, self._missed_ring_parent, tls),
+            EndReporter(name, self.cache, self._unfollowed_ring_parent, tls),
         )
         self._end_store = EndStore(name, access, dependencies.unix)
         self.cache_writer.on_end_reports = self._wake_end_reporters
@@ -144,7 +144,7 @@
         self.cache_writer.apply_end_reports((report,), self._name)
         self._end_store.add(report)
 
-    def _missed_ring_parent(self) -> str:
+    def _unfollowed_ring_parent(self) -> str:
         """Name of the first parent in the ring; empty if it is followed or there is none."""
         ring_parent = self._position.ring_parent
         return "" if ring_parent == self.parent else ring_parent
