--- a/packages/wheatslipd/wheatslipd/http/server.py
+++ b/packages/wheatslipd/wheatslipd/http/server.py
@@ -26,8 +26,9 @@
     """A listening socket and its open connections."""
 
     def __init__(self, handler: Handler, tls: ssl.SSLContext | None = None):
+        self._handler = handler
         self._connections = ServerConnections()
-        self._listener = Listener(lambda: ServerConnection(handler, self._connections), tls)
+        self._listener = Listener(self._create_connection, tls)
         self._idle_check: asyncio.Task[None] | None = None
         self._deadline = inf  # of a stop, by the loop's clock
 
@@ -90,6 +91,15 @@
         await self.drain(grace)
         return await self.close() if grace > 0 else self._close_at_once()
 
+    async def abort(self) -> None:
+        """Stop listening and close all connections at once, as if the process had ended."""
+        await self.drain(0.0)
+        for connection in list(self._connections.open):
+            connection.abort()
+
+    def _create_connection(self) -> ServerConnection:
+        return ServerConnection(self._handler, self._connections)
+
     async def _wait_until_quiet(self) -> None:
         loop = asyncio.get_running_loop()
         await read_arrived()
--- a/standins/ending.py
+++ b/standins/ending.py
@@ -71,10 +71,7 @@
 
     async def _restart(self) -> None:
         ended_server = self.stand_in.server
-        connections = list(ended_server._connections)
-        await ended_server.stop(0.0)
-        for connection in connections:
-            connection.abort()
+        await ended_server.abort()
         await asyncio.sleep(self.down_seconds)
         self.stand_in.server = Server(self.handle)
         await self.stand_in.server.listen(HOST, ended_server.port)
