Pass asks on to the former primary of a limit until it has yielded

What servers saw: while lists differ by 1.6 s, a limit of 170 a second without burst got 992 requests in 5 s where 955 are allowed. A new primary granted half of the rate beside the former one. What callers saw: a workspace below its limit was refused for 3 s whenever its primary joined or left.

Cause: each daemon that is first in its own list grants, and lists differ.

Why it works: the new primary passes asks on to the former one, so that one bucket serves the entries of both lists. The former one grants for 2 s after it has the list, then declines and hands over what its bucket held. A former primary that refuses the connection has ended (half of the rate for 3 s, as before); one that is silent for 0.25 s costs 2 s at a part of the margin. Another candidate that an entry asks because the primary did not answer it passes asks on too. Nothing is lowered at rest, and nobody is waited for.

New: joins and leaves below the limit, in the model and between daemons. Two stand-ins of test_quota_asker answer `serve`, which replaces `grant` as what an asker calls; their checks are as before.

--- a/packages/wheatslip/wheatslip/quota/bucket.py
+++ b/packages/wheatslip/wheatslip/quota/bucket.py
@@ -45,6 +45,10 @@
         self.burst = max(MIN_BURST, burst)
         self.level = min(self.level, self.burst)
 
+    def level_at(self, time: float) -> float:
+        """The number of tokens at a time that is not before `now`."""
+        return min(self.burst, self.level + self.rate * (time - self.now))
+
     def is_full(self, now: float) -> bool:
         self._refill(now)
         return self.level >= self.burst
--- a/packages/wheatslip/wheatslip/quota/granter.py
+++ b/packages/wheatslip/wheatslip/quota/granter.py
@@ -2,7 +2,7 @@
 
 Beyond docs/design/workspace-limits.md, so that the bound holds in the worst case:
 
-- The parts of the margin include what a bucket holds (`_Part`).
+- The parts of the margin include what a bucket holds (`Part`).
 - A part of the slack is kept for the tokens that a restarted primary starts with. Those are
   also at most half a second's refill, so that a restart loop does not multiply them.
 - A primary's bucket holds a part of the slack if the burst is smaller. Requests arrive at
@@ -12,98 +12,58 @@
   exceed the slack.
 - `Granter.candidates_of` serves the entry of the same daemon too, because the first candidates
   of each workspace among 22,000 members take some 15 ms to compute.
+- A new primary passes asks on to the former one (`former`) until that one has declined, and a
+  former one grants for `YIELD_SECONDS` more. docs/design/limits-in-partitions.md describes it.
 - With a `list_lease`, a daemon whose list was not confirmed for that long grants at the part of
-  the next position and takes over from nobody. Without one, a primary that is cut off from the
-  store still grants at the full rate after the others have removed it from the list.
+  the next position and takes over from nobody. Daemons set none: a store that is silent for all
+  would end it.
 """
 
 from collections import OrderedDict
 from collections.abc import Iterable
-from dataclasses import dataclass
-from enum import StrEnum
 
+from wheatslip.owners import rendezvous_weights
 from wheatslip.quota.bucket import MIN_BURST, TokenBucket
 from wheatslip.quota.candidates import Candidates
-from wheatslip.quota.messages import TokenGrant, TokenRequest
+from wheatslip.quota.messages import RelayedAnswer, TokenGrant, TokenRequest
+from wheatslip.quota.quotastate import (
+    CANDIDATES,
+    SETTLE_SECONDS,
+    SILENT_SECONDS,
+    YIELD_SECONDS,
+    Part,
+    Position,
+    Quota,
+    QuotaStats,
+    Succession,
+    name_position,
+)
 from wheatslip.quota.retryschedule import RetrySchedule
 from wheatslip.quota.settings import QuotaSettings
 
-CANDIDATES = 3  # daemons that an entry asks, in this order
+__all__ = [
+    "CANDIDATES",
+    "GRANTING_DAEMONS",
+    "SETTLE_SECONDS",
+    "Granter",
+    "Position",
+    "QuotaStats",
+]
+
 OWN_BUCKETS = 2  # further daemons that may grant a few tokens to themselves
 GRANTING_DAEMONS = CANDIDATES + OWN_BUCKETS  # the others' buckets stay empty
 NO_POSITION = GRANTING_DAEMONS  # of all others in the rendezvous order
-SETTLE_SECONDS = 3.0  # by then every entry has the list that made a daemon the primary
-SETTLING_SHARE = 0.5  # of the rate, until then
+SETTLING_SHARE = 0.5  # of the rate, for `SETTLE_SECONDS` after a list change
+RECENT_SECONDS = 5.0  # for which a daemon that left the list may be the former primary
 FAILOVER_SHARE = 0.5  # of the rate, for a candidate after a primary that ended
 SECOND_SHARE, THIRD_SHARE, OWN_SHARE = 0.5, 0.25, 0.25  # of the margin
 RESTART_SLACK_SHARE = 0.15  # of the slack, for the first tokens of a restarted primary
 SMALL_BURST_SLACK_SHARE = 0.5  # of the slack: what the bucket of a primary holds at least
 RESTART_SECONDS = 0.5  # of refill, at most, for the same
-PART_BURST_SHARE = 0.25  # of a part of the margin: what its bucket holds
 FORGET_SECONDS = 60.0  # without a request; only a full bucket is forgotten
 MAX_WORKSPACES = 4096  # limits memory
 
 
-class Position(StrEnum):
-    """Name of this daemon's position in a workspace's rendezvous order."""
-
-    PRIMARY = "primary"
-    SECOND = "second"
-    THIRD = "third"
-    NONE = "none"
-
-
-_CANDIDATE_POSITIONS = (Position.PRIMARY, Position.SECOND, Position.THIRD)
-
-
-@dataclass(frozen=True, slots=True)
-class QuotaStats:
-    """State of one workspace for the status page; `granted` and `refused` count tokens."""
-
-    workspace: str
-    rate: float
-    burst: float
-    granted: int
-    refused: int
-    position: Position
-
-
-@dataclass(frozen=True, slots=True)
-class _Part:
-    """Refill and size of a bucket that grants at most `tokens` in a window and a lifetime."""
-
-    rate: float
-    burst: float
-
-    @classmethod
-    def of(cls, tokens: float, seconds: float) -> "_Part":
-        if tokens < MIN_BURST:
-            return cls(0.0, MIN_BURST)
-        burst = max(MIN_BURST, PART_BURST_SHARE * tokens)
-        return cls((tokens - burst) / seconds, burst)
-
-
-@dataclass(slots=True)
-class _Quota:
-    """One workspace.
-
-    `position` is this daemon's index in the rendezvous order, 0 for the primary. `since` is
-    when it got there, or when the list was confirmed after a lapse.
-    """
-
-    version: int
-    rate: float
-    burst: float
-    position: int
-    since: float
-    bucket: TokenBucket
-    retries: RetrySchedule
-    asked_at: float
-    failover_until: float = float("-inf")
-    granted: int = 0
-    refused: int = 0
-
-
 class Granter:
     """Grants tokens for the workspaces of which this daemon is a candidate.
 
@@ -118,26 +78,87 @@
         self._list_lease = list_lease
         self._lapses_at = float("inf")
         self._candidates = Candidates(GRANTING_DAEMONS)
-        self._quotas: OrderedDict[str, _Quota] = OrderedDict()  # least recently asked first
+        self._quotas: OrderedDict[str, Quota] = OrderedDict()  # least recently asked first
         self._members_since = float("inf")  # no list yet
+        self._left_at: dict[str, float] = {}  # daemons that left the list lately
         self._evicted_at = float("-inf")  # last time a bucket was forgotten that was not full
 
     def set_members(self, names: Iterable[str], now: float) -> None:
         """Applies the list of daemons, which is thereby confirmed."""
         self.confirm_members(now)
-        members = frozenset(names)
-        if members == self._candidates.members:
+        members, before = frozenset(names), self._candidates.members
+        if members == before:
             return
+        removed = before - members
+        self._left_at = {
+            name: time
+            for name, time in (self._left_at | dict.fromkeys(removed, now)).items()
+            if name not in members and now - time < RECENT_SECONDS
+        }
         self._candidates.set_members(members)
         self._members_since = now
         for workspace, quota in self._quotas.items():
             position = self._position_of(workspace)
             if position != quota.position:
                 self._advance(quota, now)
-                quota.position = position
-                quota.since = now
+                quota.move(position, now)
                 self._apply(quota, now)
 
+    def former(self, request: TokenRequest, now: float) -> str | None:
+        """The daemon to which to pass an ask on; None: grant.
+
+        It is the former primary until that one grants no more. Another candidate than the
+        primary passes on to it what it gets from entries that could not reach it.
+        """
+        quota = self._quotas.get(request.workspace) or self._create(request, now)
+        is_yielding = now < quota.yields_until
+        if quota.succession is Succession.DONE or is_yielding or now < quota.silent_until:
+            return None
+        if quota.position != 0:
+            passes_on = quota.position < CANDIDATES and not request.failover
+            return self._candidates.of(request.workspace)[0] if passes_on else None
+        former = self._former_of(request.workspace, now)
+        if former is None:
+            quota.succession = Succession.DONE
+        return former
+
+    def on_declined(self, workspace: str, answer: RelayedAnswer, now: float) -> None:
+        """The former primary has declined. What its bucket held moves here."""
+        quota = self._quotas.get(workspace)
+        if quota is None:
+            return
+        if quota.position != 0 or answer.primary != self._name:
+            self.on_silent(workspace, now)
+            return
+        self._advance(quota, now)
+        quota.succession = Succession.DONE
+        if now >= quota.since + SETTLE_SECONDS or not answer.has_yielded:
+            return  # settled, or after a start, when others may have taken over lately
+        quota.since = now - SETTLE_SECONDS
+        self._apply(quota, now)
+        level = min(quota.bucket.level, self._first_tokens(quota))
+        quota.bucket.level = min(quota.bucket.burst, level + answer.grant.tokens)
+
+    def on_refused(self, workspace: str, now: float) -> None:
+        """The daemon to which asks were passed on has ended."""
+        quota = self._quotas.get(workspace)
+        if quota is None:
+            return
+        if quota.position == 0:
+            quota.succession = Succession.DONE
+        else:
+            quota.silent_until = now + SILENT_SECONDS
+
+    def on_silent(self, workspace: str, now: float) -> None:
+        """The former primary, or another candidate's primary, may still grant."""
+        quota = self._quotas.get(workspace)
+        if quota is None:
+            return
+        self._advance(quota, now)
+        quota.succession = Succession.SILENT
+        quota.silent_until = now + SILENT_SECONDS
+        self._apply(quota, now)
+
     def candidates_of(self, workspace: str) -> tuple[str, ...]:
         """The listed daemons that an entry asks, in this order."""
         return self._candidates.of(workspace)[:CANDIDATES]
@@ -151,10 +172,23 @@
                 quota.since = now
         self._lapses_at = now + self._list_lease
 
+    def grant_relayed(self, request: TokenRequest, now: float) -> RelayedAnswer:
+        """Grants what another daemon has passed on, if this one is the primary or yields.
+
+        A primary that passes asks on itself declines.
+        """
+        quota = self._quotas.get(request.workspace) or self._create(request, now)
+        if now >= quota.yields_until and not quota.grants_in_full(now):
+            self._advance(quota, now)
+            first = next(iter(self._candidates.of(request.workspace)), self._name)
+            has_yielded = now - quota.yields_until < RECENT_SECONDS
+            return RelayedAnswer(TokenGrant(quota.take_leftover()), first, has_yielded)
+        self._advance(quota, now)
+        quota.relayed_at = now
+        return RelayedAnswer(self.grant(request, now))
+
     def grant(self, request: TokenRequest, now: float) -> TokenGrant:
-        quota = self._quotas.get(request.workspace)
-        if quota is None:
-            quota = self._create(request, now)
+        quota = self._quotas.get(request.workspace) or self._create(request, now)
         self._quotas.move_to_end(request.workspace)
         self._advance(quota, now)
         quota.asked_at = now
@@ -188,19 +222,19 @@
                 quota.burst,
                 quota.granted,
                 quota.refused,
-                _name_position(self._effective_position(quota, now)),
+                name_position(self._effective_position(quota, now)),
             )
             for workspace, quota in self._quotas.items()
         )
 
-    def _create(self, request: TokenRequest, now: float) -> _Quota:
+    def _create(self, request: TokenRequest, now: float) -> Quota:
         """Makes the bucket as if it had existed since the last change of the list."""
         self._forget(now)
         if len(self._quotas) >= MAX_WORKSPACES:
             self._quotas.popitem(last=False)
             self._evicted_at = now
         since = min(now, self._members_since)
-        quota = _Quota(
+        quota = Quota(
             version=request.version,
             rate=request.rate,
             burst=request.burst,
@@ -218,7 +252,7 @@
         self._quotas[request.workspace] = quota
         return quota
 
-    def _first_tokens(self, quota: _Quota) -> float:
+    def _first_tokens(self, quota: Quota) -> float:
         if quota.position != 0:
             return 0.0
         return min(
@@ -227,49 +261,82 @@
             max(1.0, RESTART_SECONDS * quota.rate),
         )
 
+    def _former_of(self, workspace: str, now: float) -> str | None:
+        """The first other daemon in rendezvous order that is listed, or was until lately."""
+        listed = [name for name in self._candidates.of(workspace) if name != self._name][:1]
+        recent = [n for n, time in self._left_at.items() if now - time < RECENT_SECONDS]
+        names = [*listed, *recent]
+        weighted = zip(rendezvous_weights(workspace, names), names, strict=True)
+        return max(weighted, default=(b"", None))[1]
+
     def _position_of(self, workspace: str) -> int:
         order = self._candidates.of(workspace)
         return order.index(self._name) if self._name in order else NO_POSITION
 
-    def _advance(self, quota: _Quota, now: float) -> None:
+    def _advance(self, quota: Quota, now: float) -> None:
         """Refills until `now`, with the rates that changed in between."""
-        times = (quota.since + SETTLE_SECONDS, quota.failover_until, self._lapses_at)
+        times = (
+            quota.since + YIELD_SECONDS,
+            quota.since + SETTLE_SECONDS,
+            quota.failover_until,
+            quota.yields_until,
+            quota.relayed_at + YIELD_SECONDS,
+            self._lapses_at,
+        )
         for time in sorted(times):
             if quota.bucket.now < time <= now:
+                yielded = quota.yields(quota.bucket.now) and not quota.yields(time)
+                level = quota.bucket.level_at(time)
                 self._apply(quota, time)
+                if yielded:
+                    quota.leftover = int(max(0.0, level - quota.bucket.level))
 
-    def _apply(self, quota: _Quota, now: float) -> None:
+    def _apply(self, quota: Quota, now: float) -> None:
         part = self._part(quota, now)
         quota.bucket.change(part.rate, part.burst, now)
 
-    def _part(self, quota: _Quota, now: float) -> _Part:
+    def _part(self, quota: Quota, now: float) -> Part:
         position = self._effective_position(quota, now)
         if position == 0:
-            is_settled = now >= quota.since + SETTLE_SECONDS
-            share = 1.0 if is_settled else SETTLING_SHARE
-            return _Part(share * quota.rate, self._primary_burst(quota.burst))
+            return self._primary_part(quota, now)
         part = self._margin_part(quota, position)
         if position < CANDIDATES and now < min(quota.failover_until, self._lapses_at):
-            return _Part(max(part.rate, FAILOVER_SHARE * quota.rate), part.burst)
+            return Part(max(part.rate, FAILOVER_SHARE * quota.rate), part.burst)
         return part
 
-    def _effective_position(self, quota: _Quota, now: float) -> int:
-        """The position, one later while the list is not confirmed; own buckets keep theirs."""
+    def _primary_part(self, quota: Quota, now: float) -> Part:
+        if quota.succession is Succession.SILENT and now < quota.since + YIELD_SECONDS:
+            return self._margin_part(quota, 1)
+        is_settled = (
+            now >= quota.since + SETTLE_SECONDS
+            or quota.succession is Succession.SILENT
+            or quota.yields(now)
+        )
+        share = 1.0 if is_settled else SETTLING_SHARE
+        return Part(share * quota.rate, self._primary_burst(quota.burst))
+
+    def _effective_position(self, quota: Quota, now: float) -> int:
+        """The position, one later while the list is not confirmed; own buckets keep theirs.
+
+        A former primary keeps its position until it has yielded.
+        """
+        if quota.yields(now):
+            return 0
         if now >= self._lapses_at and quota.position < CANDIDATES:
             return quota.position + 1
         return quota.position
 
-    def _margin_part(self, quota: _Quota, position: int) -> _Part:
+    def _margin_part(self, quota: Quota, position: int) -> Part:
         """The part of the margin for a position after the primary's."""
         margin = self._margin(quota.rate, quota.burst)
         seconds = self._settings.window + self._settings.token_lifetime
         if position == 1:
-            return _Part.of(SECOND_SHARE * margin, seconds)
+            return Part.of(SECOND_SHARE * margin, seconds)
         if position == 2:
-            return _Part.of(THIRD_SHARE * margin, seconds)
+            return Part.of(THIRD_SHARE * margin, seconds)
         if position < GRANTING_DAEMONS:
-            return _Part.of(OWN_SHARE * margin / OWN_BUCKETS, seconds)
-        return _Part(0.0, MIN_BURST)
+            return Part.of(OWN_SHARE * margin / OWN_BUCKETS, seconds)
+        return Part(0.0, MIN_BURST)
 
     def _margin(self, rate: float, burst: float) -> float:
         """Tokens of a window that the bound leaves beside those of the primary."""
@@ -295,7 +362,3 @@
             if not quota.bucket.is_full(now):
                 return
             del self._quotas[workspace]
-
-
-def _name_position(position: int) -> Position:
-    return _CANDIDATE_POSITIONS[position] if position < CANDIDATES else Position.NONE
--- a/packages/wheatslip/wheatslip/quota/messages.py
+++ b/packages/wheatslip/wheatslip/quota/messages.py
@@ -38,6 +38,19 @@
     retry_after: float = 0.0
 
 
+class RelayedAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """Response to a `TokenRequest` that another daemon has passed on.
+
+    `primary` is set if it is declined: the sender grants no more as the primary, and by its
+    list this daemon is the primary. `grant` then has the tokens that its bucket held, and
+    `has_yielded` tells whether it was the primary until lately.
+    """
+
+    grant: TokenGrant
+    primary: str = ""
+    has_yielded: bool = False
+
+
 class AskRefusal(Enum):
     """Why a daemon does not grant what it is asked for; a number on the wire."""
 
--- a/packages/wheatslipd/wheatslipd/controllers/quota.py
+++ b/packages/wheatslipd/wheatslipd/controllers/quota.py
@@ -11,6 +11,7 @@
 from wheatslip.store.instances import Instance, InstanceState
 
 from wheatslipd.quota.asker import OwnerAsker
+from wheatslipd.quota.relaycalls import RelayCalls
 
 
 class QuotaController(Component):
@@ -22,12 +23,14 @@
         self,
         granter: Granter,
         asker: OwnerAsker,
+        relay_calls: RelayCalls,
         clock: Callable[[], float],
     ):
         """`clock` is monotonic, in seconds."""
         super().__init__()
         self._granter = granter
         self._asker = asker
+        self._relay_calls = relay_calls
         self._clock = clock
         self.limited: tuple[Workspace, ...] = ()
 
@@ -40,6 +43,7 @@
         }
         self._granter.set_members(listed, self._clock())
         self._asker.set_instances(listed)
+        self._relay_calls.set_instances({member.name: member for member in members})
 
     def bundle_in_force(self, bundle: Bundle) -> None:
         """Note which workspaces have a limit. Each ask carries the limit itself."""
--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -164,6 +164,7 @@
             task.cancel()
         await asyncio.gather(stop_requested, *tasks, *probe_tasks, return_exceptions=True)
         self.quota.channels.close()
+        self.quota.relay_calls.close()
         await self.feed.relay.stop()
         await pages.stop()
         self._tracer.close()
--- a/packages/wheatslipd/wheatslipd/quota/asker.py
+++ b/packages/wheatslipd/wheatslipd/quota/asker.py
@@ -12,7 +12,7 @@
 from wheatslip.quota.messages import TokenGrant, TokenRequest
 from wheatslip.store.instances import Instance
 
-from wheatslipd.quota.askstream import AskFailure
+from wheatslipd.quota.askfailure import AskFailure
 from wheatslipd.quota.channels import OwnerChannels, ended_processes
 from wheatslipd.quota.service import QuotaService
 from wheatslipd.telemetry import logs
@@ -77,7 +77,7 @@
                 failover = have_all_refused and position > 0
                 owner_request = msgspec.structs.replace(request, failover=failover, owner=owner)
                 if owner == self._name:
-                    return self._ask_locally(owner_request)
+                    return await self._ask_locally(owner_request)
                 asked_at = self._clock()
                 match await self._channels.ask(owner, owner_request):
                     case Ok(grant):
@@ -86,10 +86,11 @@
                     case Err(failure):
                         unreachable = self._leave_out(owner, failure)
             have_all_refused &= unreachable.has_refused
-        return self._ask_locally(msgspec.structs.replace(request, failover=False))
+        return await self._ask_locally(msgspec.structs.replace(request, failover=False))
 
-    def _ask_locally(self, request: TokenRequest) -> Answer:
-        return Answer(self._service.grant(request), self._name, self._clock())
+    async def _ask_locally(self, request: TokenRequest) -> Answer:
+        asked_at = self._clock()
+        return Answer(await self._service.serve(request), self._name, asked_at)
 
     def _unreachable_now(self, owner: str) -> _Unreachable | None:
         unreachable = self._unreachable.get(owner)
--- a/packages/wheatslipd/wheatslipd/quota/askstream.py
+++ b/packages/wheatslipd/wheatslipd/quota/askstream.py
@@ -6,13 +6,11 @@
 
 import asyncio
 import traceback
-from enum import Enum, auto
 from itertools import count
 from math import inf
 
 import msgspec
 from grpclib.client import Channel, Stream, StreamStreamMethod
-from grpclib.const import Status
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from result import Err, Ok, Result
 from wheatslip.quota.messages import (
@@ -26,26 +24,16 @@
 
 from wheatslipd.feed.codec import StructCodec
 from wheatslipd.feed.tasks import run_until_first_completes
+from wheatslipd.quota.askfailure import UNSUPPORTED_STATUSES, AskFailure
 from wheatslipd.quota.service import ASK_METHOD
 from wheatslipd.telemetry import logs
 from wheatslipd.tls import PeerTls
 
-# grpclib reports the answer of a server without the method as UNKNOWN.
-UNSUPPORTED_STATUSES = frozenset({Status.UNIMPLEMENTED, Status.UNKNOWN})
 # Asks that wait to be sent; one more fails as silent at once. An entry has at most one ask per
 # workspace in progress, so the queue is full only if the owner does not read.
 MAX_UNSENT_ASKS = 1024
 
 
-class AskFailure(Enum):
-    """Why an owner has not answered an ask."""
-
-    # No process listens there, or that of another daemon: the owner has ended.
-    REFUSED = auto()
-    SILENT = auto()  # no answer in time, or the connection broke; its process may run
-    UNSUPPORTED = auto()  # it runs a version that does not know the method
-
-
 FAILURE_OF_REFUSAL = {AskRefusal.OTHER_DAEMON: AskFailure.REFUSED}
 
 AskResult = Result[TokenGrant, AskFailure]
--- a/packages/wheatslipd/wheatslipd/quota/channels.py
+++ b/packages/wheatslipd/wheatslipd/quota/channels.py
@@ -12,7 +12,8 @@
 from wheatslip.quota.messages import TokenGrant, TokenRequest
 from wheatslip.store.instances import Instance
 
-from wheatslipd.quota.askstream import AskFailure, AskStream
+from wheatslipd.quota.askfailure import AskFailure
+from wheatslipd.quota.askstream import AskStream
 from wheatslipd.timeouts import reply_timeout
 from wheatslipd.tls import PeerTls
 
--- a/packages/wheatslipd/wheatslipd/quota/service.py
+++ b/packages/wheatslipd/wheatslipd/quota/service.py
@@ -1,11 +1,13 @@
 """Serves the requests of entries for tokens, on the control port.
 
-The owner of a workspace's limit grants the tokens; `wheatslip.quota.granter` decides how many.
+The owner of a workspace's limit grants the tokens; `wheatslip.quota.granter` decides how many,
+and when an ask is passed on to the former owner instead.
 """
 
 from collections.abc import Callable
 
 import grpclib.const
+from grpclib.exceptions import GRPCError
 from grpclib.server import Stream
 from result import Err, Ok, Result
 from wheatslip.quota.granter import Granter
@@ -13,14 +15,22 @@
     AskRefusal,
     NumberedAnswer,
     NumberedAsk,
+    RelayedAnswer,
     TokenGrant,
     TokenRequest,
 )
 
 from wheatslipd.quota.answerstream import AnswerStream
+from wheatslipd.quota.askfailure import AskFailure
+from wheatslipd.quota.relaycalls import OTHER_DAEMON_STATUS, RELAY_METHOD, RelayCalls
 from wheatslipd.telemetry import logs
 
 ASK_METHOD = "/wheatslip.Quota/Ask"
+# Longer than an ask, after which the entry asks the former primary by itself: one that is taken
+# for silent costs the workspace most of its limit for some seconds.
+FORMER_TIMEOUT_SECONDS = 0.25
+# From another candidate, which leaves time to grant by itself within an ask.
+PRIMARY_TIMEOUT_SECONDS = 0.06
 
 
 class QuotaService:
@@ -31,8 +41,12 @@
         name: str,
         granter: Granter,
         clock: Callable[[], float],
+        relay_calls: RelayCalls | None = None,
     ):
-        """`name` is this daemon's; `clock` is monotonic, in seconds."""
+        """`name` is this daemon's; `clock` is monotonic, in seconds. Without `relay_calls` no
+        ask is passed on.
+        """
+        self._relay_calls = relay_calls
         self._name = name
         self._granter = granter
         self._clock = clock
@@ -42,29 +56,69 @@
     def __mapping__(self) -> dict[str, grpclib.const.Handler]:
         """Return the handlers by method path; grpclib calls this."""
         both = grpclib.const.Cardinality.STREAM_STREAM
+        unary = grpclib.const.Cardinality.UNARY_UNARY
         return {
             ASK_METHOD: grpclib.const.Handler(
                 self._answer_stream, both, NumberedAsk, NumberedAnswer
-            )
+            ),
+            RELAY_METHOD: grpclib.const.Handler(
+                self._answer_relayed, unary, TokenRequest, RelayedAnswer
+            ),
         }
 
     def grant(self, request: TokenRequest) -> TokenGrant:
         """Grant tokens now."""
-        self._log_primary(request.workspace)
         return self._granter.grant(request, self._clock())
 
+    async def serve(self, request: TokenRequest) -> TokenGrant:
+        """Grant tokens, or pass the ask on to the former primary while that one grants."""
+        self._log_primary(request.workspace)
+        former = self._granter.former(request, self._clock())
+        if former is None or self._relay_calls is None:
+            return self.grant(request)
+        workspace = request.workspace
+        is_primary = self._is_primary(workspace)
+        seconds = FORMER_TIMEOUT_SECONDS if is_primary else PRIMARY_TIMEOUT_SECONDS
+        match await self._relay_calls.relay(former, request, seconds):
+            case Ok(answer) if not answer.primary:
+                return answer.grant
+            case Ok(answer):
+                self._granter.on_declined(workspace, answer, self._clock())
+            case Err(AskFailure.SILENT):
+                logs.info(
+                    "quota-former-silent",
+                    workspace=workspace,
+                    owner=former,
+                    repeat_key=workspace,
+                )
+                self._granter.on_silent(workspace, self._clock())
+            case Err(_):  # its process has ended, or its version grants by its own list only
+                self._granter.on_refused(workspace, self._clock())
+        return self.grant(request)
+
     async def answer(self, request: TokenRequest) -> Result[TokenGrant, AskRefusal]:
         """Answer the ask of another entry."""
         if request.owner not in ("", self._name):
             return Err(AskRefusal.OTHER_DAEMON)
-        return Ok(self.grant(request))
+        return Ok(await self.serve(request))
+
+    async def _answer_relayed(self, stream: Stream[TokenRequest, RelayedAnswer]) -> None:
+        request = await stream.recv_message()
+        if request is None:
+            return
+        if request.owner != self._name:
+            raise GRPCError(OTHER_DAEMON_STATUS)
+        await stream.send_message(self._granter.grant_relayed(request, self._clock()))
 
     async def _answer_stream(self, stream: Stream[NumberedAsk, NumberedAnswer]) -> None:
         await AnswerStream(stream, self.answer).run()
 
+    def _is_primary(self, workspace: str) -> bool:
+        return next(iter(self._granter.candidates_of(workspace)), "") == self._name
+
     def _log_primary(self, workspace: str) -> None:
         """Log the first request for a workspace since this daemon became its primary."""
-        is_primary = next(iter(self._granter.candidates_of(workspace)), "") == self._name
+        is_primary = self._is_primary(workspace)
         if is_primary and workspace not in self._primary_of:
             self._primary_of.add(workspace)
             logs.info("quota-owner", workspace=workspace, daemon=self._name)
--- a/test/quota_network.py
+++ b/test/quota_network.py
@@ -18,7 +18,9 @@
 from wheatslip.quota.settings import QuotaSettings
 
 ASK_TIMEOUT = 0.1  # seconds
+FORMER_TIMEOUT, PRIMARY_TIMEOUT = 0.25, 0.06  # of asks that are passed on
 UNREACHABLE_SECONDS = 1.0
+REFUSED = object()  # the answer of a machine on which no process listens
 CLOCK_STEP = 1e-6  # seconds between two asks, at least
 
 
@@ -69,6 +71,38 @@
         self.is_frozen = False
         self.deferred = deque()  # what happens to a frozen process
 
+    def serve(self, request, reply, is_relayed=False):
+        """Answers an ask, or passes it on to the former primary."""
+        if is_relayed:
+            reply(self.granter.grant_relayed(request, self.network.now))
+            return
+        former = self.granter.former(request, self.network.now)
+        if former is None:
+            reply(self.granter.grant(request, self.network.now))
+            return
+        is_over = False
+
+        def on_answer(answer):
+            nonlocal is_over
+            if is_over:
+                return
+            is_over = True
+            now, workspace = self.network.now, request.workspace
+            if answer is REFUSED:
+                self.granter.on_refused(workspace, now)
+            elif answer is None:
+                self.granter.on_silent(workspace, now)
+            elif answer.primary:
+                self.granter.on_declined(workspace, answer, now)
+            else:
+                reply(answer.grant)
+                return
+            reply(self.granter.grant(request, now))
+
+        is_primary = self.granter.candidates_of(request.workspace)[0] == self.name
+        timeout = FORMER_TIMEOUT if is_primary else PRIMARY_TIMEOUT
+        self.network.call(self, former, request, timeout, on_answer, is_relayed=True)
+
     def set_members(self, members):
         self.candidates.set_members(members)
         self.granter.set_members(members, self.network.now)
@@ -106,9 +140,9 @@
         ask.index += 1
         ask.number = self.network.next_number()
         ask.asked_at = self.network.now
+        number = ask.number
         if ask.index >= len(ask.order):
-            grant = self.granter.grant(self.request_of(ask), self.network.now)
-            self.on_grant(ask, ask.number, grant)
+            self.serve(self.request_of(ask), lambda grant: self.on_grant(ask, number, grant))
             return
         name = ask.order[ask.index]
         until, refused = self.unreachable.get(name, (0.0, False))
@@ -116,8 +150,7 @@
             ask.refused = ask.refused and refused
             self.ask_next(ask)
         elif name == self.name:
-            grant = self.granter.grant(self.request_of(ask), self.network.now)
-            self.on_grant(ask, ask.number, grant)
+            self.serve(self.request_of(ask), lambda grant: self.on_grant(ask, number, grant))
         else:
             self.network.ask(self, name, ask, self.request_of(ask))
 
@@ -226,30 +259,35 @@
 
     def ask(self, sender, name, ask, request):
         number = ask.number
-        self.at(
-            self.now + ASK_TIMEOUT,
-            sender,
-            lambda: sender.on_failure(ask, number, refused=False),
-        )
+
+        def on_answer(grant):
+            if grant is None or grant is REFUSED:
+                sender.on_failure(ask, number, refused=grant is REFUSED)
+            else:
+                sender.on_grant(ask, number, grant)
+
+        self.call(sender, name, request, ASK_TIMEOUT, on_answer)
+
+    def call(self, sender, name, request, timeout, on_answer, is_relayed=False):
+        """Sends a request; `on_answer` gets each answer, REFUSED, or None after `timeout`."""
+        self.at(self.now + timeout, sender, lambda: on_answer(None))
 
         def arrive():
             receiver = self.daemons.get(name)
             if receiver is None or receiver.is_dead:
-                refuse = self._delivery(name, sender)
-                refuse(lambda: sender.on_failure(ask, number, refused=True))
+                self._delivery(name, sender)(lambda: on_answer(REFUSED))
             elif receiver.is_frozen:
-                receiver.deferred.append(
-                    lambda: self._answer(receiver, sender, ask, number, request)
-                )
+                receiver.deferred.append(serve(receiver))
             else:
-                self._answer(receiver, sender, ask, number, request)
+                serve(receiver)()
 
-        self._send(sender.name, name, None, arrive)
+        def serve(receiver):
+            deliver = self._delivery(receiver.name, sender)
+            return lambda: receiver.serve(
+                request, lambda grant: deliver(lambda: on_answer(grant)), is_relayed
+            )
 
-    def _answer(self, receiver, sender, ask, number, request):
-        grant = receiver.granter.grant(request, self.now)
-        deliver = self._delivery(receiver.name, sender)
-        deliver(lambda: sender.on_grant(ask, number, grant))
+        self._send(sender.name, name, None, arrive)
 
     def _delivery(self, name, sender):
         return lambda action: self._send(name, sender.name, sender, action)
--- a/test/test_quota_asker.py
+++ b/test/test_quota_asker.py
@@ -52,7 +52,7 @@
     def __init__(self):
         self.asked = []
 
-    def grant(self, request):
+    async def serve(self, request):
         self.asked.append(request.failover)
         return TokenGrant(0, 0.5)
 
@@ -198,7 +198,7 @@
         def __init__(self):
             self._name = "d0"
 
-        def grant(self, request):
+        async def serve(self, request):
             self.asked += 1
             return TokenGrant(1)
 
--- a/test/test_quota_failures.py
+++ b/test/test_quota_failures.py
@@ -28,6 +28,7 @@
 FLOOD = 3.0  # times the limit
 FAILURE = 20.0  # seconds after the start
 MIN_SERVED_SHARE = 0.8  # of a small workspace's requests, without its primary
+MAX_REFUSED_SHARE = 0.005  # of the requests of a workspace below its limit
 LEASE_SECONDS = 10.0
 REMOVED_SECONDS = 15.0
 # The longest time after which a daemon has a change, in docs/ARCHITECTURE.md.
@@ -126,6 +127,71 @@
     assert cut_off_primary(float("inf")) <= BOUND
 
 
+class Demand:
+    """A constant demand, spread over the daemons that run, as a share of the limit."""
+
+    def __init__(self, names, share, limit=LIMIT):
+        self.network = Network()
+        self.random = Random(5)
+        for name in names:
+            self.network.start(name, names, {"alpha": limit})
+        self.rate = share * limit.rate
+        self.network.at(0.0, None, self.arrive)
+
+    def arrive(self):
+        running = [
+            daemon
+            for name, daemon in self.network.daemons.items()
+            if not daemon.is_dead and name not in self.network.group
+        ]
+        if running:
+            self.random.choice(running).request("alpha")
+        self.network.at(
+            self.network.now + self.random.expovariate(self.rate), None, self.arrive
+        )
+
+    def refused_share(self, seconds):
+        """The share of the requests of the next seconds that is refused."""
+        self.network.used.clear()
+        self.network.refused.clear()
+        self.network.run_until(self.network.now + seconds)
+        refused = self.network.refused.get("alpha", 0)
+        return refused / max(1, refused + self.network.used.get("alpha", 0))
+
+
+@pytest.mark.parametrize("limit", [LIMIT, LIMIT_WITHOUT_BURST])
+def test_nothing_below_the_limit_is_refused_after_a_primary_joins(limit):
+    """Guards against a new primary that grants less than the former one did."""
+    new, former, *others = order()
+    old_list = [former, *others]
+    demand = Demand(old_list, 0.8, limit)
+    demand.network.run_until(FAILURE)
+    demand.network.start(new, NAMES, {"alpha": limit})
+    for name in others[::2]:
+        demand.network.daemons[name].set_members(NAMES)
+    shares = [demand.refused_share(LONGEST_LIST_LAG)]
+    for name in old_list:
+        demand.network.daemons[name].set_members(NAMES)
+    shares.append(demand.refused_share(5.0))
+    assert max(shares) < MAX_REFUSED_SHARE
+
+
+def test_nothing_below_the_limit_is_refused_while_a_primary_leaves():
+    """Guards against a successor that grants from the margin, or before it has the list."""
+    leaving, *others = order()
+    demand = Demand(NAMES, 0.8)
+    demand.network.run_until(FAILURE)
+    for name in others[2::2]:
+        demand.network.daemons[name].set_members(others)
+    shares = [demand.refused_share(LONGEST_LIST_LAG)]
+    for name in (leaving, *others):
+        demand.network.daemons[name].set_members(others)
+    shares.append(demand.refused_share(2.5))
+    demand.network.kill(leaving)
+    shares.append(demand.refused_share(5.0))
+    assert max(shares) < MAX_REFUSED_SHARE
+
+
 def serve_small(failure):
     """0.6 requests a second of a limit of 1; returns used and refused after the failure."""
     network = Network()
