Grant a limit by the share of the daemons that its primary can reach

What servers saw: a primary that was cut off from the store for over 15 s, so that the others had removed it, granted the full rate beside its successor: 2,022 requests in 5 s where 1,186 are allowed, for as long as the partition lasted.

Cause: being first in one's own list says nothing of the other side of a cut.

Why it works: a primary connects to the others while it grants, and grants the share of its list that is in touch, less the daemons that left the list without a word, until their machines are in touch. Two sides of a cut so add up to the rate; a silent store costs nothing, a crashed machine its own share, and a restart asks for nobody's permission. The share rises 3 s late, when the list of the others has come.

Tests: test_a_primary_that_was_cut_off_and_removed_stays_within_the_bound_in_a_daemon, unchanged, failed before (2,022) and passes (1,011); it is deterministic, and leaves the list. test_the_lease_is_needed_for_that demanded with the same arguments more than 1.3 times the bound, so both could not pass; it is replaced by the same check of a granter that ignores whom it can reach. New: the end of a partition, a restart of all without three of twelve machines, a silent store, the model without a lease.

--- a/packages/wheatslip/wheatslip/quota/granter.py
+++ b/packages/wheatslip/wheatslip/quota/granter.py
@@ -13,14 +13,15 @@
 - `Granter.candidates_of` serves the entry of the same daemon too, because the first candidates
   of each workspace among 22,000 members take some 15 ms to compute.
 - A new primary passes asks on to the former one (`former`) until that one has declined, and a
-  former one grants for `YIELD_SECONDS` more. docs/design/limits-in-partitions.md describes it.
+  former one grants for `YIELD_SECONDS` more. A primary grants the share of `Reach`.
+  docs/design/limits-in-partitions.md describes both.
 - With a `list_lease`, a daemon whose list was not confirmed for that long grants at the part of
   the next position and takes over from nobody. Daemons set none: a store that is silent for all
   would end it.
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Mapping
 
 from wheatslip.owners import rendezvous_weights
 from wheatslip.quota.bucket import MIN_BURST, TokenBucket
@@ -38,6 +39,7 @@
     Succession,
     name_position,
 )
+from wheatslip.quota.reach import Contact, Reach
 from wheatslip.quota.retryschedule import RetrySchedule
 from wheatslip.quota.settings import QuotaSettings
 
@@ -80,16 +82,24 @@
         self._candidates = Candidates(GRANTING_DAEMONS)
         self._quotas: OrderedDict[str, Quota] = OrderedDict()  # least recently asked first
         self._members_since = float("inf")  # no list yet
+        self._started_at = float("inf")  # when the first list came
+        self.reach = Reach(name)
+        self._share = 1.0  # of rate and burst, at a primary
         self._left_at: dict[str, float] = {}  # daemons that left the list lately
         self._evicted_at = float("-inf")  # last time a bucket was forgotten that was not full
 
-    def set_members(self, names: Iterable[str], now: float) -> None:
-        """Applies the list of daemons, which is thereby confirmed."""
+    def set_members(self, names: Iterable[str], now: float, lost: Collection[str] = ()) -> None:
+        """Applies the list of daemons, which is thereby confirmed.
+
+        Of those that it no longer has, `lost` have not been listed as leaving.
+        """
         self.confirm_members(now)
-        members, before = frozenset(names), self._candidates.members
+        listed = tuple(names)
+        members, before = frozenset(listed), self._candidates.members
         if members == before:
             return
         removed = before - members
+        self.reach.set_members(listed, removed & frozenset(lost), now)
         self._left_at = {
             name: time
             for name, time in (self._left_at | dict.fromkeys(removed, now)).items()
@@ -97,12 +107,28 @@
         }
         self._candidates.set_members(members)
         self._members_since = now
+        self._started_at = min(self._started_at, now)
         for workspace, quota in self._quotas.items():
             position = self._position_of(workspace)
             if position != quota.position:
                 self._advance(quota, now)
                 quota.move(position, now)
                 self._apply(quota, now)
+        self._update_share(now)
+
+    def on_probes(self, contacts: Mapping[str, Contact], now: float) -> None:
+        """Records which daemons are in touch, of those that `reach` names for a round."""
+        self.reach.on_round(contacts, now)
+        self._update_share(now)
+
+    @property
+    def share(self) -> float:
+        """The share of a limit's rate and burst that this daemon grants as the primary."""
+        return self._share
+
+    def has_granted_since(self, time: float) -> bool:
+        """Whether this daemon was asked as the primary of a workspace since then."""
+        return any(q.position == 0 and q.asked_at >= time for q in self._quotas.values())
 
     def former(self, request: TokenRequest, now: float) -> str | None:
         """The daemon to which to pass an ask on; None: grant.
@@ -150,13 +176,19 @@
             quota.silent_until = now + SILENT_SECONDS
 
     def on_silent(self, workspace: str, now: float) -> None:
-        """The former primary, or another candidate's primary, may still grant."""
+        """The former primary, or another candidate's primary, may still grant.
+
+        After a start, machines that do not return are silent, so that the primary settles as if
+        they had ended.
+        """
         quota = self._quotas.get(workspace)
         if quota is None:
             return
         self._advance(quota, now)
-        quota.succession = Succession.SILENT
-        quota.silent_until = now + SILENT_SECONDS
+        if quota.since > self._started_at:
+            quota.succession = Succession.SILENT
+        # A primary does not ask again: the entries that wait meanwhile would leave it out.
+        quota.silent_until = float("inf") if quota.position == 0 else now + SILENT_SECONDS
         self._apply(quota, now)
 
     def candidates_of(self, workspace: str) -> tuple[str, ...]:
@@ -269,6 +301,16 @@
         weighted = zip(rendezvous_weights(workspace, names), names, strict=True)
         return max(weighted, default=(b"", None))[1]
 
+    def _update_share(self, now: float) -> None:
+        share = self.reach.share(now)
+        if share == self._share:
+            return
+        for quota in self._quotas.values():
+            self._advance(quota, now)
+        self._share = share
+        for quota in self._quotas.values():
+            self._apply(quota, now)
+
     def _position_of(self, workspace: str) -> int:
         order = self._candidates.of(workspace)
         return order.index(self._name) if self._name in order else NO_POSITION
@@ -312,8 +354,9 @@
             or quota.succession is Succession.SILENT
             or quota.yields(now)
         )
-        share = 1.0 if is_settled else SETTLING_SHARE
-        return Part(share * quota.rate, self._primary_burst(quota.burst))
+        share = self._share * (1.0 if is_settled else SETTLING_SHARE)
+        burst = max(MIN_BURST, self._share * self._primary_burst(quota.burst))
+        return Part(share * quota.rate, burst)
 
     def _effective_position(self, quota: Quota, now: float) -> int:
         """The position, one later while the list is not confirmed; own buckets keep theirs.
--- a/packages/wheatslip/wheatslip/quota/quotastate.py
+++ b/packages/wheatslip/wheatslip/quota/quotastate.py
@@ -9,7 +9,7 @@
 CANDIDATES = 3  # daemons that an entry asks, in this order
 SETTLE_SECONDS = 3.0  # by then every entry has the list that made a daemon the primary
 YIELD_SECONDS = 2.0  # for which a former primary grants; by then every entry has the list
-SILENT_SECONDS = 1.0  # for which a silent former primary is not asked again
+SILENT_SECONDS = 1.0  # for which a silent primary gets no asks from another candidate
 PART_BURST_SHARE = 0.25  # of a part of the margin: what its bucket holds
 
 
@@ -78,7 +78,7 @@
     asked_at: float
     failover_until: float = float("-inf")
     succession: Succession = Succession.UNKNOWN
-    silent_until: float = float("-inf")  # the former primary is not asked again before
+    silent_until: float = float("-inf")  # no ask is passed on before
     yields_until: float = float("-inf")  # grants as the primary that it was, if relayed to
     relayed_at: float = float("-inf")  # last ask that the new primary has passed on
     leftover: int = 0  # tokens of the primary that it was, once it has yielded
--- a/packages/wheatslipd/wheatslipd/controllers/quota.py
+++ b/packages/wheatslipd/wheatslipd/controllers/quota.py
@@ -11,6 +11,7 @@
 from wheatslip.store.instances import Instance, InstanceState
 
 from wheatslipd.quota.asker import OwnerAsker
+from wheatslipd.quota.reachprober import ReachProber
 from wheatslipd.quota.relaycalls import RelayCalls
 
 
@@ -24,6 +25,7 @@
         granter: Granter,
         asker: OwnerAsker,
         relay_calls: RelayCalls,
+        prober: ReachProber,
         clock: Callable[[], float],
     ):
         """`clock` is monotonic, in seconds."""
@@ -31,7 +33,9 @@
         self._granter = granter
         self._asker = asker
         self._relay_calls = relay_calls
+        self._prober = prober
         self._clock = clock
+        self._listed: frozenset[str] = frozenset()  # that do not leave
         self.limited: tuple[Workspace, ...] = ()
 
     def members_changed(self, members: tuple[Instance, ...]) -> None:
@@ -41,9 +45,12 @@
             for member in members
             if member.state is not InstanceState.LEAVING
         }
-        self._granter.set_members(listed, self._clock())
+        lost = self._listed - {member.name for member in members}
+        self._listed = frozenset(listed)
+        self._granter.set_members(listed, self._clock(), lost)
         self._asker.set_instances(listed)
         self._relay_calls.set_instances({member.name: member for member in members})
+        self._prober.set_instances(listed, has_lost=bool(lost))
 
     def bundle_in_force(self, bundle: Bundle) -> None:
         """Note which workspaces have a limit. Each ask carries the limit itself."""
--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -143,6 +143,7 @@
         loop = asyncio.get_running_loop()
         tasks = [
             loop.create_task(self.quota.client.run()),
+            loop.create_task(self.quota.prober.run()),
             loop.create_task(self.feed.run()),
             loop.create_task(LoopLagMonitor(self._shared.metrics).run()),
         ]
--- /dev/null
+++ b/packages/wheatslipd/wheatslipd/quota/reachprober.py
@@ -0,0 +1,89 @@
+"""The task that finds out which daemons a primary of a limit can reach.
+
+It connects to their control ports and closes the connections at once.
+"""
+
+import asyncio
+from collections.abc import Callable, Mapping
+from contextlib import suppress
+
+from wheatslip.quota.granter import Granter
+from wheatslip.quota.reach import Contact
+from wheatslip.store.instances import Instance
+
+from wheatslipd.telemetry import logs
+from wheatslipd.timeouts import reply_timeout
+
+REST_SECONDS = 2.0  # between two rounds while all are in touch
+DOUBT_SECONDS = 1.0  # the same once one was silent
+LOST_SECONDS = 0.1  # the same while a daemon that left the list was not tried yet
+CONNECT_TIMEOUT_SECONDS = 0.5
+ACTIVE_SECONDS = 10.0  # since the last ask, for which a daemon counts as a primary
+
+
+class ReachProber:
+    """Probes while this daemon grants tokens as a primary."""
+
+    def __init__(self, granter: Granter, clock: Callable[[], float]):
+        """`clock` is monotonic, in seconds."""
+        self._granter = granter
+        self._clock = clock
+        self._instances: dict[str, Instance] = {}
+        self._wake = asyncio.Event()
+
+    def set_instances(self, instances: Mapping[str, Instance], *, has_lost: bool) -> None:
+        """Set the daemons by name. If some were lost, a round follows at once."""
+        # Lost ones are probed too.
+        self._instances |= instances
+        for name in self._instances.keys() - instances.keys():
+            if not self._granter.reach.is_known(name):
+                del self._instances[name]
+        if has_lost:
+            self._wake.set()
+
+    async def run(self) -> None:
+        """Probe until cancelled."""
+        is_in_doubt = False
+        while True:
+            with suppress(TimeoutError):
+                async with asyncio.timeout(self._pause(is_in_doubt)):
+                    await self._wake.wait()
+            self._wake.clear()
+            if self._granter.has_granted_since(self._clock() - ACTIVE_SECONDS):
+                is_in_doubt = await self._probe_round()
+
+    def _pause(self, is_in_doubt: bool) -> float:
+        if self._granter.reach.has_untried_lost:
+            return LOST_SECONDS
+        return DOUBT_SECONDS if is_in_doubt else REST_SECONDS
+
+    async def _probe_round(self) -> bool:
+        """Probe some daemons; returns whether one was silent."""
+        names = self._granter.reach.next_probes()
+        results = await asyncio.gather(*(self._probe(name) for name in names))
+        contacts = dict(zip(names, results, strict=True))
+        share = self._granter.share
+        self._granter.on_probes(contacts, self._clock())
+        silent = [name for name, contact in contacts.items() if contact is Contact.SILENT]
+        if self._granter.share != share:
+            logs.info(
+                "quota-reach", share=round(self._granter.share, 3), silent=",".join(silent)
+            )
+        return bool(silent)
+
+    async def _probe(self, name: str) -> Contact:
+        instance = self._instances.get(name)
+        if instance is None:
+            return Contact.SILENT
+        loop = asyncio.get_running_loop()
+        try:
+            async with reply_timeout(CONNECT_TIMEOUT_SECONDS, "reach"):
+                transport, _ = await loop.create_connection(
+                    asyncio.Protocol, instance.address, instance.control_port
+                )
+        except ConnectionRefusedError:
+            return Contact.REFUSED
+        except (OSError, TimeoutError):
+            return Contact.SILENT
+        transport.abort()
+        return Contact.ACCEPTED
--- a/packages/wheatslipd/wheatslipd/quota/report.py
+++ b/packages/wheatslipd/wheatslipd/quota/report.py
@@ -35,6 +35,11 @@
             for workspace in self._controller.limited
         )
 
+    @property
+    def share(self) -> float:
+        """The share of limits that this daemon grants as a primary."""
+        return self._granter.share
+
     def _status_of(self, workspace: Workspace, granted: int) -> QuotaStatus:
         limit = workspace.limit
         assert limit is not None
--- a/packages/wheatslipd/wheatslipd/quota/wiring.py
+++ b/packages/wheatslipd/wheatslipd/quota/wiring.py
@@ -9,6 +9,7 @@
 from wheatslipd.quota.asker import OwnerAsker
 from wheatslipd.quota.channels import OwnerChannels
 from wheatslipd.quota.client import QuotaClient
+from wheatslipd.quota.reachprober import ReachProber
 from wheatslipd.quota.relaycalls import RelayCalls
 from wheatslipd.quota.report import QuotaReport
 from wheatslipd.quota.service import QuotaService
@@ -28,6 +29,7 @@
     controller: QuotaController
     report: QuotaReport
     relay_calls: RelayCalls
+    prober: ReachProber
 
 
 def build_quota(settings: Settings, shared: SharedState, tls: PeerTls) -> Quota:
@@ -35,11 +37,12 @@
     clock = shared.monotonic
     granter = Granter(settings.name, settings.quota)
     relay_calls = RelayCalls(tls)
+    prober = ReachProber(granter, clock)
     service = QuotaService(settings.name, granter, clock, relay_calls)
     channels = OwnerChannels(tls)
     asker = OwnerAsker(settings.name, service, granter.candidates_of, channels, clock)
     holder = TokenHolder(settings.quota)
     client = QuotaClient(settings.name, holder, asker, shared.metrics, clock)
-    controller = QuotaController(granter, asker, relay_calls, clock)
+    controller = QuotaController(granter, asker, relay_calls, prober, clock)
     report = QuotaReport(controller, client, granter, clock)
-    return Quota(service, granter, channels, client, controller, report, relay_calls)
+    return Quota(service, granter, channels, client, controller, report, relay_calls, prober)
--- a/packages/wheatslipd/wheatslipd/telemetry/metrics.py
+++ b/packages/wheatslipd/wheatslipd/telemetry/metrics.py
@@ -104,6 +104,10 @@
             registry=self.registry,
             buckets=LATENCY_BUCKETS,
         )
+        self.quota_share = gauge(
+            "wheatslip_quota_share",
+            "Share of limits that this daemon grants as a primary, by the daemons in touch",
+        )
         self.loop_lag_seconds = Histogram(
             "wheatslip_loop_lag_seconds",
             "How late the event loop runs a timer, measured four times a second",
--- a/packages/wheatslipd/wheatslipd/telemetry/statereport.py
+++ b/packages/wheatslipd/wheatslipd/telemetry/statereport.py
@@ -94,6 +94,7 @@
         metrics.platform_calls.set({}, self._feed.client.calls)
         metrics.relay_bytes.set({}, self._feed.relay.sent_bytes)
         metrics.head_age.set({}, self._feed.head_age or 0.0)
+        metrics.quota_share.set({}, self._quotas.share)
         quarantine = self._shared.quarantine
         metrics.suspects.set({}, len(quarantine))
         metrics.held_requests.set({}, len(quarantine.held(self._shared.unix())))
--- a/test/quota_network.py
+++ b/test/quota_network.py
@@ -15,10 +15,12 @@
 from wheatslip.quota.granter import CANDIDATES, Granter
 from wheatslip.quota.holder import TokenHolder
 from wheatslip.quota.messages import TokenRequest
+from wheatslip.quota.reach import Contact
 from wheatslip.quota.settings import QuotaSettings
 
 ASK_TIMEOUT = 0.1  # seconds
 FORMER_TIMEOUT, PRIMARY_TIMEOUT = 0.25, 0.06  # of asks that are passed on
+PROBE_SECONDS = 1.0  # between two rounds of connections
 UNREACHABLE_SECONDS = 1.0
 REFUSED = object()  # the answer of a machine on which no process listens
 CLOCK_STEP = 1e-6  # seconds between two asks, at least
@@ -70,6 +72,14 @@
         self.is_dead = False
         self.is_frozen = False
         self.deferred = deque()  # what happens to a frozen process
+        network.at(network.now, self, self.probe)
+
+    def probe(self):
+        """Connects to daemons; a machine answers whatever its process does."""
+        names = self.granter.reach.next_probes()
+        contacts = {name: self.network.contact(self.name, name) for name in names}
+        self.granter.on_probes(contacts, self.network.now)
+        self.network.at(self.network.now + PROBE_SECONDS, self, self.probe)
 
     def serve(self, request, reply, is_relayed=False):
         """Answers an ask, or passes it on to the former primary."""
@@ -103,9 +113,11 @@
         timeout = FORMER_TIMEOUT if is_primary else PRIMARY_TIMEOUT
         self.network.call(self, former, request, timeout, on_answer, is_relayed=True)
 
-    def set_members(self, members):
+    def set_members(self, members, has_left=False):
+        """Applies a list. `has_left`: those that it lacks were listed as leaving before."""
+        lost = () if has_left else self.candidates.members - frozenset(members)
         self.candidates.set_members(members)
-        self.granter.set_members(members, self.network.now)
+        self.granter.set_members(members, self.network.now, lost)
 
     def set_limit(self, workspace, limit):
         old = self.limits.get(workspace)
@@ -257,6 +269,13 @@
     def is_cut(self, one, other):
         return (one in self.group) != (other in self.group)
 
+    def contact(self, one, other):
+        if self.is_cut(one, other):
+            return Contact.SILENT
+        receiver = self.daemons.get(other)
+        has_ended = receiver is None or receiver.is_dead
+        return Contact.REFUSED if has_ended else Contact.ACCEPTED
+
     def ask(self, sender, name, ask, request):
         number = ask.number
 
--- a/test/test_quota_failures.py
+++ b/test/test_quota_failures.py
@@ -38,10 +38,17 @@
 class Fleet:
     """Daemons at which more requests arrive than the limit, from `flood_from` on."""
 
-    def __init__(self, names=NAMES, flood_from=0.0, lease=float("inf"), limit=LIMIT):
+    def __init__(
+        self,
+        names=NAMES,
+        flood_from=0.0,
+        lease=float("inf"),
+        limit=LIMIT,
+        granter_class=Granter,
+    ):
         self.limit = limit
         self.network = Network(
-            granter_class=lambda name, settings: Granter(name, settings, lease)
+            granter_class=lambda name, settings: granter_class(name, settings, lease)
         )
         self.most = 0  # requests in a window
         self.network.check_use = self.note
@@ -96,10 +103,10 @@
     return fleet.most
 
 
-def cut_off_primary(lease):
+def cut_off_primary(lease, granter_class=Granter):
     """The primary and three others are cut off, and removed from the list by the rest."""
     primary, _, *others = order()
-    fleet = Fleet(lease=lease)
+    fleet = Fleet(lease=lease, granter_class=granter_class)
     fleet.network.run_until(FAILURE)
     cut_off = frozenset([primary, *others[:3]])
     fleet.network.group = cut_off
@@ -117,9 +124,19 @@
     assert cut_off_primary(LEASE_SECONDS) <= BOUND
 
 
-def test_the_lease_is_needed_for_that():
+class NoReach(Granter):
+    """A primary grants its whole limit, whomever it can reach."""
+
+    def on_probes(self, contacts, now):
+        pass
+
+    def set_members(self, names, now, lost=()):
+        super().set_members(names, now)
+
+
+def test_the_lease_or_the_share_in_reach_is_needed_for_that():
     """Guards against a replay in which the former primary grants nothing anyway."""
-    assert cut_off_primary(float("inf")) > 1.3 * BOUND
+    assert cut_off_primary(float("inf"), NoReach) > 1.3 * BOUND
 
 
 def test_a_primary_that_was_cut_off_and_removed_stays_within_the_bound_in_a_daemon():
@@ -127,6 +144,30 @@
     assert cut_off_primary(float("inf")) <= BOUND
 
 
+@pytest.mark.parametrize("group_size", [2, 4, 6, 9])
+@pytest.mark.parametrize("lag", [0.1, LONGEST_LIST_LAG])
+def test_the_end_of_a_long_partition_stays_within_the_bound(group_size, lag):
+    """Guards against a primary that grants in full again before it has the others' list."""
+    primary, _, *others = order()
+    fleet = Fleet()
+    fleet.network.run_until(FAILURE)
+    cut_off = [primary, *others[: group_size - 1]]
+    fleet.network.group = frozenset(cut_off)
+    connected = [name for name in NAMES if name not in cut_off]
+    fleet.network.run_until(FAILURE + REMOVED_SECONDS)
+    fleet.set_members(connected, connected)
+    fleet.network.run_until(FAILURE + 2 * REMOVED_SECONDS)
+    fleet.network.group = frozenset()
+    fleet.network.run_until(fleet.network.now + lag)
+    fleet.set_members(cut_off, connected)  # they have the list, and are not in it yet
+    fleet.network.run_until(fleet.network.now + 2.0)
+    fleet.set_members(cut_off, NAMES)
+    fleet.network.run_until(fleet.network.now + lag)
+    fleet.set_members(connected, NAMES)
+    fleet.network.run_until(fleet.network.now + 12.0)
+    assert fleet.most <= BOUND
+
+
 class Demand:
     """A constant demand, spread over the daemons that run, as a share of the limit."""
 
@@ -182,16 +223,43 @@
     demand = Demand(NAMES, 0.8)
     demand.network.run_until(FAILURE)
     for name in others[2::2]:
-        demand.network.daemons[name].set_members(others)
+        demand.network.daemons[name].set_members(others, has_left=True)
     shares = [demand.refused_share(LONGEST_LIST_LAG)]
     for name in (leaving, *others):
-        demand.network.daemons[name].set_members(others)
+        demand.network.daemons[name].set_members(others, has_left=True)
     shares.append(demand.refused_share(2.5))
     demand.network.kill(leaving)
     shares.append(demand.refused_share(5.0))
     assert max(shares) < MAX_REFUSED_SHARE
 
 
+GONE = 3  # of the 12 machines
+
+
+def test_a_fleet_that_restarts_without_some_machines_serves_what_is_below_its_share():
+    """Guards against a restarted primary that waits for machines which do not return. Their
+    entries stay listed, as if the store were silent.
+    """
+    demand = Demand(NAMES, 0.6)
+    demand.network.run_until(FAILURE)
+    gone = order()[1 : 1 + GONE]  # those whom a new primary would ask
+    for name in NAMES:
+        demand.network.kill(name)
+    demand.network.group = frozenset(gone)
+    for name in NAMES:
+        if name not in gone:
+            demand.network.start(name, NAMES, {"alpha": LIMIT})
+    assert demand.refused_share(3.0) < 0.75  # a quarter is served at least
+    assert demand.refused_share(40.0) < MAX_REFUSED_SHARE
+
+
+def test_a_store_that_is_silent_for_all_costs_nothing():
+    """Guards against a limit that depends on the confirmation of the list."""
+    demand = Demand(NAMES, 0.9)
+    demand.network.run_until(FAILURE)
+    assert demand.refused_share(60.0) < MAX_REFUSED_SHARE
+
+
 def serve_small(failure):
     """0.6 requests a second of a limit of 1; returns used and refused after the failure."""
     network = Network()
--- a/test/test_quota_model.py
+++ b/test/test_quota_model.py
@@ -6,8 +6,9 @@
 bound.
 
 A limit counts as long as a daemon has had it within the window. A daemon without connection to
-the store keeps its list and limits. It is removed from the list after `REMOVED_SECONDS`, by
-which time the lease on its own list has ended. Broken rules must be found.
+the store keeps its list and limits, unless one that it can reach has newer ones. It is removed
+from the list after `REMOVED_SECONDS`, by which time the lease on its own list has ended. Broken
+rules must be found.
 """
 
 from random import Random
@@ -72,6 +73,7 @@
         self.listed = list(NAMES)
         self.number = 0  # of the state of the store
         self.read_numbers = {}  # by daemon
+        self.states = {}  # of the store by number: list and limits
         self.limits = {"small": Limit(1, 1.0, 100.0), "large": Limit(1, 200.0, 40.0)}
         self.held = {}  # (workspace, version): limit and last time at which a daemon had it
         self.per_tick = dict.fromkeys(WORKSPACES, 0)
@@ -120,8 +122,18 @@
                         )
         self.network.at(self.network.now + TICK, None, self.tick)
 
+    def pass_on(self):
+        """Daemons without the store get the newest state that one of them has."""
+        group = [d for d in self.network.daemons.values() if not self.has_store(d.name)]
+        running = [d for d in group if not d.is_dead and not d.is_frozen]
+        newest = max((self.read_numbers.get(d, 0) for d in running), default=0)
+        for daemon in running if newest else ():
+            if self.read_numbers.get(daemon, 0) < newest:
+                self.send_state(daemon, newest, *self.states[newest])
+
     def confirm(self):
         self.publish()
+        self.pass_on()
         self.network.at(self.network.now + CONFIRM_SECONDS, None, self.confirm)
 
     def has_store(self, name):
@@ -130,6 +142,7 @@
     def publish(self):
         """Sends list and limits to all daemons that are connected to the store."""
         self.number += 1
+        self.states[self.number] = (self.listed, self.limits)
         for daemon in list(self.network.daemons.values()):
             if self.has_store(daemon.name):
                 self.send_state(daemon, self.number, self.listed, self.limits)
@@ -285,6 +298,16 @@
     run_state_machine_as_test(QuotaMachine, settings=MODEL_SETTINGS)
 
 
+class MachineWithoutLease(QuotaMachine):
+    """Daemons set no lease: a primary that is cut off grants by what it can reach."""
+
+    granter_class = Granter
+
+
+def test_the_bound_holds_without_a_lease():
+    run_state_machine_as_test(MachineWithoutLease, settings=MODEL_SETTINGS)
+
+
 class FullRateEverywhere(Granter):
     """Every candidate grants as the primary does."""
 
--- /dev/null
+++ b/test/test_quota_reach.py
@@ -0,0 +1,135 @@
+"""Which daemons a primary counts on: probes, lost daemons, and the share that it grants."""
+
+import pytest
+from wheatslip.quota.reach import (
+    FADE_SECONDS,
+    PROBES_AT_REST,
+    PROBES_IN_DOUBT,
+    REMEMBER_SECONDS,
+    RISE_SECONDS,
+    SAMPLE,
+    Contact,
+    Reach,
+)
+
+NAMES = tuple(f"d{n}" for n in range(12))
+MANY = tuple(f"d{n}" for n in range(22_000))
+ROUND_SECONDS = 1.0
+
+
+def play(reach, silent=(), refused=(), begin=0.0, seconds=20.0):
+    """Probe for some seconds; returns the time and the number of probes."""
+    now, probes = begin, 0
+    while now < begin + seconds:
+        names = reach.next_probes()
+        probes += len(names)
+        contacts = {
+            name: Contact.SILENT
+            if name in silent
+            else Contact.REFUSED
+            if name in refused
+            else Contact.ACCEPTED
+            for name in names
+        }
+        reach.on_round(contacts, now)
+        now += ROUND_SECONDS
+    return now, probes
+
+
+def reach_of(names=NAMES, own="d0"):
+    reach = Reach(own)
+    reach.set_members(names, (), 0.0)
+    return reach
+
+
+def test_all_in_touch_is_the_whole_limit_and_one_probe_a_round():
+    reach = reach_of()
+    now, probes = play(reach)
+    assert reach.share(now) == 1.0
+    assert probes == 20 * PROBES_AT_REST
+
+
+@pytest.mark.parametrize("count", [1, 4, 8, 11])
+def test_the_two_sides_of_a_cut_add_up_to_the_limit(count):
+    """Guards against two primaries that grant more than the limit together."""
+    ours, theirs = NAMES[:count], NAMES[count:]
+    one, other = reach_of(own=ours[0]), reach_of(own=theirs[0])
+    now, _ = play(one, silent=theirs)
+    play(other, silent=ours)
+    assert one.share(now) == pytest.approx(len(ours) / len(NAMES))
+    other.set_members(theirs, ours, now)
+    later, _ = play(other, silent=ours, begin=now)
+    assert one.share(later) + other.share(later) == pytest.approx(1.0)
+
+
+def test_a_single_silence_costs_nothing():
+    """Guards against a limit that falls with each lost packet."""
+    reach = reach_of()
+    reach.on_round({"d1": Contact.SILENT}, 0.0)
+    assert reach.share(0.0) == 1.0
+    assert reach.next_probes()[0] == "d1"
+    reach.on_round({"d1": Contact.ACCEPTED}, 1.0)
+    assert reach.share(1.0) == 1.0
+
+
+def test_the_share_rises_only_when_the_list_of_the_others_has_come():
+    reach = reach_of()
+    now, _ = play(reach, silent=NAMES[6:])
+    assert reach.share(now) == 0.5
+    reach.on_round(dict.fromkeys(NAMES[1:], Contact.ACCEPTED), now)
+    assert reach.share(now) == 0.5
+    later, _ = play(reach, begin=now, seconds=RISE_SECONDS + 2 * ROUND_SECONDS)
+    assert reach.share(later) == 1.0
+
+
+def test_a_lost_daemon_counts_until_its_machine_is_in_touch():
+    """Guards against entries that lapse, and are written again, at many daemons at once."""
+    for contact in (Contact.ACCEPTED, Contact.REFUSED):
+        reach = reach_of()
+        reach.set_members(NAMES[:6], NAMES[6:], 1.0)
+        assert reach.has_untried_lost
+        assert reach.share(1.0) == 0.5
+        assert set(NAMES[6:]) <= set(reach.next_probes())
+        reach.on_round(dict.fromkeys(NAMES[6:], contact), 1.1)
+        assert reach.share(1.1) == 1.0
+        assert not reach.has_untried_lost
+
+
+def test_a_daemon_whose_process_had_ended_is_not_lost():
+    reach = reach_of()
+    play(reach, refused=("d3",))
+    reach.set_members([n for n in NAMES if n != "d3"], ["d3"], 30.0)
+    assert reach.share(30.0) == 1.0
+
+
+def test_a_lost_daemon_counts_until_it_is_listed_again_or_forgotten():
+    reach = reach_of()
+    others = [n for n in NAMES if n != "d3"]
+    reach.set_members(others, ["d3"], 0.0)
+    now, _ = play(reach, silent=("d3",))
+    assert reach.share(now) == pytest.approx(11 / 12)
+    reach.set_members(NAMES, (), now)
+    assert reach.share(now) == 1.0
+    reach.set_members(others, ["d3"], now)
+    reach.on_round({}, now + REMEMBER_SECONDS)
+    assert reach.share(now + REMEMBER_SECONDS) == 1.0
+
+
+def test_a_daemon_that_others_may_have_forgotten_grants_nothing():
+    """Guards against a partition that lasts for longer than the memory of the other side."""
+    reach = reach_of()
+    now, _ = play(reach, silent=NAMES[6:])
+    assert reach.share(now) > 0
+    reach.on_round({}, FADE_SECONDS + now)
+    assert reach.share(FADE_SECONDS + now) == 0.0
+    assert FADE_SECONDS < REMEMBER_SECONDS
+
+
+def test_a_large_fleet_is_judged_by_a_sample():
+    """Guards against state and probes that grow with the number of daemons."""
+    reach = reach_of(MANY)
+    silent = frozenset(MANY[::2])
+    now, probes = play(reach, silent=silent, seconds=60.0)
+    assert probes <= 60 * PROBES_IN_DOUBT
+    assert len(reach._silences) <= SAMPLE
+    assert 0.35 < reach.share(now) < 0.65
--- a/test/test_quota_succession.py
+++ b/test/test_quota_succession.py
@@ -1,11 +1,19 @@
-"""A limit that passes to another primary, between daemons."""
+"""A limit that passes to another primary, between daemons; and what a primary can reach."""
 
 import asyncio
+import socket
+from contextlib import contextmanager
 
+import pytest
 from wheatslip.quota.candidates import Candidates
-from wheatslip.store.instances import InstanceState
+from wheatslip.quota.granter import Granter
+from wheatslip.quota.reach import Contact
+from wheatslip.quota.settings import QuotaSettings
+from wheatslip.store.instances import Instance, InstanceState
+from wheatslipd.quota.reachprober import ReachProber
 
 from standins.backend import Behaviour
+from standins.cluster import HOST
 from test.helper import run
 from test.quota_fleet import NAMES, answered, quota_fleet, refused, until
 
@@ -62,3 +70,67 @@
             assert fleet.granted(second) > 0
 
     run(scenario)
+
+
+@contextmanager
+def silent_port():
+    """Yield a port that answers no connection, as its backlog is full."""
+    with socket.create_server((HOST, 0), backlog=0) as listening:
+        port = listening.getsockname()[1]
+        waiting = []
+        for _ in range(2):
+            one = socket.socket()
+            one.setblocking(False)
+            one.connect_ex((HOST, port))
+            waiting.append(one)
+        try:
+            yield port
+        finally:
+            for one in waiting:
+                one.close()
+
+
+@pytest.fixture
+def ports():
+    """Control ports of three daemons: one listens, one has ended, one is silent."""
+    with socket.create_server((HOST, 0)) as listening, silent_port() as silent:
+        with socket.create_server((HOST, 0)) as closed:
+            refused_port = closed.getsockname()[1]
+        yield {"b": listening.getsockname()[1], "c": refused_port, "d": silent}
+
+
+def test_a_probe_tells_a_silent_machine_from_an_ended_process(ports):
+    """Guards against crashed machines and ended processes that are taken for each other."""
+
+    async def scenario():
+        granter = Granter("a", QuotaSettings())
+        prober = ReachProber(granter, asyncio.get_running_loop().time)
+        listed = {
+            name: Instance(name, "papers", "one", HOST, 1, 2, port)
+            for name, port in ports.items()
+        }
+        prober.set_instances(listed, has_lost=False)
+        contacts = [await prober._probe(name) for name in "bcd"]
+        assert contacts == [Contact.ACCEPTED, Contact.REFUSED, Contact.SILENT]
+
+    run(scenario)
+
+
+def test_a_primary_grants_the_share_that_it_can_reach(tmp_path):
+    """Guards against a prober that does not run, or whose results do not count."""
+
+    async def scenario():
+        async with quota_fleet(tmp_path, RATE, BURST) as fleet:
+            fleet.settle()
+            primary, *_ = fleet.candidates()
+            daemon = fleet.node(primary).daemon
+            other = next(name for name in NAMES if name != primary)
+            with silent_port() as port:
+                prober = daemon.quota.prober
+                prober._instances[other] = Instance(other, "papers", "one", HOST, 1, 2, port)
+                await fleet.send(primary)
+                await until(lambda: daemon.quota.granter.share < 1.0)
+                assert daemon.quota.granter.share == pytest.approx(2 / 3)
+                assert fleet.logged("quota-reach")
+
+    run(scenario)
