Show what hold-ups did to two tests that failed once

A drain beside a silent store answered b'' instead of the other server's name. Cause: a connection to a peer that timed out while the entry itself was held up: `503 not-run; unreachable`, with an empty body.

A run that outlasts its deadline of 150 ms: the new test holds the entry up before the request is sent; the answer is `not-run; deadline` and nothing has run, which is true (it passed on the code before too).

--- a/test/test_held_up.py
+++ b/test/test_held_up.py
@@ -14,10 +14,12 @@
 import uvloop
 from grpclib.const import Cardinality, Handler
 from result import Ok
+from wheatslip.chooser import Chooser
 from wheatslip.distribution.feedcache import Cursor, FeedCache
 from wheatslip.quota.messages import NumberedAnswer, NumberedAsk, TokenGrant, TokenRequest
 from wheatslip.store.instances import Instance
 from wheatslipd.controllers import membership
+from wheatslipd.entry.forward import CONNECT_TIMEOUT_SECONDS
 from wheatslipd.feed import relay
 from wheatslipd.http.messages import ResponseHead
 from wheatslipd.http.pool import ConnectionPool
@@ -29,8 +31,10 @@
 from wheatslipd.timeouts import MAX_EXTENSION, PatientTimer, reply_timeout
 from wheatslipd.tls import PeerTls
 
+from standins.caller import Reported
 from standins.cluster import HOST
-from test.helper import recorded_events, run
+from test.helper import Installation, bundle, recorded_events, run
+from test.routed_fleet import fleet
 
 LIMIT_SECONDS = 0.1
 ANSWER_SECONDS = 0.05
@@ -281,3 +285,54 @@
         theirs.close()
 
     run_on_loop(scenario)
+
+
+def test_a_request_is_not_refused_because_its_entry_was_held_up_while_it_connected(
+    monkeypatch,
+):
+    """Guards against a peer that counts as unreachable, so that 503 is the answer."""
+
+    async def scenario():
+        async with fleet("a", "b") as cluster:
+            await cluster.send_heartbeat("a", 1)
+            assert await cluster.send_heartbeat("a", 2, "draining") == 200
+            # Connections to peers open while the loop is held up.
+            pick, holds = Chooser.pick, []
+
+            def pick_and_hold(*args):
+                holds.append(CONNECT_TIMEOUT_SECONDS + 0.05)
+                asyncio.get_running_loop().call_soon(time.sleep, holds[0])
+                return pick(*args)
+
+            monkeypatch.setattr(Chooser, "pick", pick_and_hold)
+            status, body, headers = await cluster.send_request("a")
+            assert holds
+            assert (status, body) == (200, b"i-b"), headers.get("wheatslip-outcome")
+
+    run(scenario)
+
+
+def test_a_request_that_was_held_up_before_it_was_sent_is_reported_as_not_run(
+    tmp_path, monkeypatch
+):
+    """Guards against "may have run" for a request of which nothing was sent in time."""
+
+    async def scenario():
+        async with Installation(tmp_path) as installation:
+            node = await installation.add("papers-1")
+            await installation.release(bundle())
+            await installation.ready()
+            pick = Chooser.pick
+
+            def hold_and_pick(*args):
+                time.sleep(2 * LIMIT_SECONDS)
+                return pick(*args)
+
+            monkeypatch.setattr(Chooser, "pick", hold_and_pick)
+            request = await installation.caller().send(
+                node.entry, "papers", "submit", once=True, deadline_ms=int(LIMIT_SECONDS * 1000)
+            )
+            assert (request.reported, request.reason) == (Reported.NOT_RUN, "deadline")
+            assert not node.backend.runs
+
+    run(scenario)
