--- a/test/test_held_up.py
+++ b/test/test_held_up.py
@@ -11,7 +11,6 @@
 from contextlib import aclosing, contextmanager
 
 import pytest
-import uvloop
 from grpclib.const import Cardinality, Handler
 from result import Ok
 from wheatslip.chooser import Chooser
@@ -43,17 +42,6 @@
 TRIES = 10
 
 
-@pytest.fixture(params=["asyncio", "uvloop"])
-def run_on_loop(request):
-    factory = {"asyncio": asyncio.new_event_loop, "uvloop": uvloop.new_event_loop}
-
-    def run_scenario(scenario):
-        with asyncio.Runner(loop_factory=factory[request.param]) as runner:
-            runner.run(asyncio.wait_for(scenario(), 30.0))
-
-    return run_scenario
-
-
 @contextmanager
 def in_thread(start):
     """Run a server on the event loop of a thread; `start` returns its port."""
--- a/test/test_planned_stop.py
+++ b/test/test_planned_stop.py
@@ -9,7 +9,6 @@
 from collections import Counter
 
 import pytest
-import uvloop
 from wheatslipd.http import server as server_module
 from wheatslipd.http.messages import ResponseHead
 from wheatslipd.http.server import Server
@@ -30,18 +29,6 @@
 MAX_UNREAD_BYTES = 4_000_000
 
 
-@pytest.fixture(params=["asyncio", "uvloop"])
-def run_on_loop(request):
-    """Runs a scenario on each of the two event loops of the settings."""
-    factory = {"asyncio": asyncio.new_event_loop, "uvloop": uvloop.new_event_loop}
-
-    def run_scenario(scenario):
-        with asyncio.Runner(loop_factory=factory[request.param]) as runner:
-            runner.run(asyncio.wait_for(scenario(), 30.0))
-
-    return run_scenario
-
-
 async def answer_slowly(exchange):
     await exchange.body.read_up_to(1 << 20)
     await asyncio.sleep(SERVICE_SECONDS)
