Rest at a daemon that is no primary, and forget lost daemons there too

What operators would have seen: after a crash anywhere, each daemon that grants no limit woke ten times a second and never stopped, also where no limits are, and kept each lost daemon for ever.

Cause: the short pause between rounds of probes asked whether a lost daemon was untried, but only primaries try them; and lost daemons were forgotten in a round only.

Why it works: the short pause needs a primary, and a change of the list forgets old ones as well. A daemon that becomes a primary now makes its first round within 2 s instead of 0.1 s.

Both new tests failed before (0.1 s instead of 2 s; five lost daemons kept instead of one).

--- a/packages/wheatslip/wheatslip/quota/reach.py
+++ b/packages/wheatslip/wheatslip/quota/reach.py
@@ -58,6 +58,7 @@
         size = max(1, len(self._members))
         self._members = tuple(members)
         listed = self._listed = frozenset(members)
+        self._forget_lost(now)
         self._lost |= {name: _Lost(now, 1.0 / size) for name in lost if name not in self._ended}
         for name in self._lost.keys() & listed:
             del self._lost[name]
@@ -91,8 +92,7 @@
             self._on_contact(name, contact)
         while len(self._silences) > SAMPLE:
             self._silences.popitem(last=False)
-        for name in [n for n, lost in self._lost.items() if now - lost.at >= REMEMBER_SECONDS]:
-            del self._lost[name]
+        self._forget_lost(now)
         share = self._share_of_members()
         if share >= 1.0:
             self._partial_since = inf
@@ -131,6 +131,10 @@
             # Its machine is in touch: the process has ended, or has the list of the others.
             self._lost.pop(name, None)
 
+    def _forget_lost(self, now: float) -> None:
+        for name in [n for n, lost in self._lost.items() if now - lost.at >= REMEMBER_SECONDS]:
+            del self._lost[name]
+
     def _share_of_members(self) -> float:
         tried = [count for name, count in self._silences.items() if name in self._listed]
         silent = sum(count >= SILENCES for count in tried)
--- a/packages/wheatslipd/wheatslipd/quota/reachprober.py
+++ b/packages/wheatslipd/wheatslipd/quota/reachprober.py
@@ -49,11 +49,14 @@
                 async with asyncio.timeout(self._pause(is_in_doubt)):
                     await self._wake.wait()
             self._wake.clear()
-            if self._granter.has_granted_since(self._clock() - ACTIVE_SECONDS):
+            if self._is_active():
                 is_in_doubt = await self._probe_round()
 
+    def _is_active(self) -> bool:
+        return self._granter.has_granted_since(self._clock() - ACTIVE_SECONDS)
+
     def _pause(self, is_in_doubt: bool) -> float:
-        if self._granter.reach.has_untried_lost:
+        if self._granter.reach.has_untried_lost and self._is_active():
             return LOST_SECONDS
         return DOUBT_SECONDS if is_in_doubt else REST_SECONDS
 
--- a/test/test_quota_reach.py
+++ b/test/test_quota_reach.py
@@ -115,6 +115,16 @@
     assert reach.share(now + REMEMBER_SECONDS) == 1.0
 
 
+def test_a_daemon_that_never_probes_forgets_lost_ones_too():
+    """Guards against a memory that grows at a daemon which is no primary."""
+    reach = reach_of()
+    names = list(NAMES)
+    for number in range(5):
+        lost = names.pop()
+        reach.set_members(names, [lost], number * REMEMBER_SECONDS)
+    assert list(reach._lost) == [lost]
+
+
 def test_a_daemon_that_others_may_have_forgotten_grants_nothing():
     """Guards against a partition that lasts for longer than the memory of the other side."""
     reach = reach_of()
--- a/test/test_quota_succession.py
+++ b/test/test_quota_succession.py
@@ -10,7 +10,7 @@
 from wheatslip.quota.reach import Contact
 from wheatslip.quota.settings import QuotaSettings
 from wheatslip.store.instances import Instance, InstanceState
-from wheatslipd.quota.reachprober import ReachProber
+from wheatslipd.quota.reachprober import REST_SECONDS, ReachProber
 
 from standins.backend import Behaviour
 from standins.cluster import HOST
@@ -116,6 +116,20 @@
     run(scenario)
 
 
+def test_a_daemon_that_is_no_primary_rests_although_another_was_lost():
+    """Guards against daemons without limits that wake up ten times a second."""
+
+    async def scenario():
+        granter = Granter("a", QuotaSettings())
+        granter.set_members(("a", "b"), 0.0)
+        granter.set_members(("a",), 1.0, ["b"])
+        prober = ReachProber(granter, asyncio.get_running_loop().time)
+        assert granter.reach.has_untried_lost
+        assert prober._pause(False) == REST_SECONDS
+
+    run(scenario)
+
+
 def test_a_primary_grants_the_share_that_it_can_reach(tmp_path):
     """Guards against a prober that does not run, or whose results do not count."""
 
