Use one piece each for addresses, lateness, last answers and patient waits

No behaviour changes. What stood twice or was larger than needed, and is now one piece: - the addresses of daemons that left the list, which relay calls and the prober each kept with two copies of the whole list at each change: `KnownDaemons`; - how late a sleep ended (loop lag, scan for dead entries, a test): `sleep_lateness`; - an answer outside of an exchange (malformed data, the end of a stop): `_send_last`; - `reply_timeout` is a context manager of eight lines instead of a class and a function; - the refill of a bucket uses `level_at`. `Granter.former` is `relay_target`, as it may name the primary, and `has_granted_since` `was_primary_since`, as it counts asks. A comment of speedcheck says what its pause is for. Tests use the new seams, with the same assertions; one more is for `KnownDaemons`.

--- a/packages/wheatslip/wheatslip/quota/bucket.py
+++ b/packages/wheatslip/wheatslip/quota/bucket.py
@@ -55,5 +55,5 @@
 
     def _refill(self, now: float) -> None:
         if now > self.now:
-            self.level = min(self.burst, self.level + self.rate * (now - self.now))
+            self.level = self.level_at(now)
             self.now = now
--- a/packages/wheatslip/wheatslip/quota/granter.py
+++ b/packages/wheatslip/wheatslip/quota/granter.py
@@ -12,8 +12,8 @@
   exceed the slack.
 - `Granter.candidates_of` serves the entry of the same daemon too, because the first candidates
   of each workspace among 22,000 members take some 15 ms to compute.
-- A new primary passes asks on to the former one (`former`) until that one has declined, and a
-  former one grants for `YIELD_SECONDS` more. A primary grants the share of `Reach`.
+- A new primary passes asks on to the former one (`relay_target`) until that one has declined,
+  and a former one grants for `YIELD_SECONDS` more. A primary grants the share of `Reach`.
   docs/design/limits-in-partitions.md describes both.
 - With a `list_lease`, a daemon whose list was not confirmed for that long grants at the part of
   the next position and takes over from nobody. Daemons set none: a store that is silent for all
@@ -126,11 +126,11 @@
         """The share of a limit's rate and burst that this daemon grants as the primary."""
         return self._share
 
-    def has_granted_since(self, time: float) -> bool:
+    def was_primary_since(self, time: float) -> bool:
         """Whether this daemon was asked as the primary of a workspace since then."""
         return any(q.position == 0 and q.asked_at >= time for q in self._quotas.values())
 
-    def former(self, request: TokenRequest, now: float) -> str | None:
+    def relay_target(self, request: TokenRequest, now: float) -> str | None:
         """The daemon to which to pass an ask on; None: grant.
 
         It is the former primary until that one grants no more. Another candidate than the
--- a/packages/wheatslip/wheatslip/quota/reach.py
+++ b/packages/wheatslip/wheatslip/quota/reach.py
@@ -71,10 +71,6 @@
         """Whether it is not known of a daemon that was lost if it is in touch."""
         return any(name not in self._silences for name in self._lost)
 
-    def is_known(self, name: str) -> bool:
-        """Whether a daemon is listed, or was lost and may still grant."""
-        return name in self._lost or name in self._listed
-
     def next_probes(self) -> tuple[str, ...]:
         """The daemons to connect to in the next round."""
         is_in_doubt = bool(self._lost) or any(self._silences.values())
--- a/packages/wheatslipd/wheatslipd/controllers/quota.py
+++ b/packages/wheatslipd/wheatslipd/controllers/quota.py
@@ -11,8 +11,8 @@
 from wheatslip.store.instances import Instance, InstanceState
 
 from wheatslipd.quota.asker import OwnerAsker
+from wheatslipd.quota.knowndaemons import KnownDaemons
 from wheatslipd.quota.reachprober import ReachProber
-from wheatslipd.quota.relaycalls import RelayCalls
 
 
 class QuotaController(Component):
@@ -24,7 +24,7 @@
         self,
         granter: Granter,
         asker: OwnerAsker,
-        relay_calls: RelayCalls,
+        known: KnownDaemons,
         prober: ReachProber,
         clock: Callable[[], float],
     ):
@@ -32,7 +32,7 @@
         super().__init__()
         self._granter = granter
         self._asker = asker
-        self._relay_calls = relay_calls
+        self._known = known
         self._prober = prober
         self._clock = clock
         self._listed: frozenset[str] = frozenset()  # that do not leave
@@ -45,12 +45,14 @@
             for member in members
             if member.state is not InstanceState.LEAVING
         }
-        lost = self._listed - {member.name for member in members}
+        known = {member.name: member for member in members}
+        lost = self._listed - known.keys()
         self._listed = frozenset(listed)
+        self._known.set_listed(known)
         self._granter.set_members(listed, self._clock(), lost)
         self._asker.set_instances(listed)
-        self._relay_calls.set_instances({member.name: member for member in members})
-        self._prober.set_instances(listed, has_lost=bool(lost))
+        if lost:
+            self._prober.on_lost()
 
     def bundle_in_force(self, bundle: Bundle) -> None:
         """Note which workspaces have a limit. Each ask carries the limit itself."""
--- a/packages/wheatslipd/wheatslipd/gate/speedcheck.py
+++ b/packages/wheatslipd/wheatslipd/gate/speedcheck.py
@@ -24,8 +24,9 @@
 # Longest wait of a request for a probe, which continues after it. A shorter wait misses the
 # response, a longer one costs more than the slow start that the probe may avoid.
 REQUEST_WAIT_SECONDS = 0.02
-# Requests start without a probe after an unanswered one. A shorter pause delays more requests
-# in vain, with a longer one more requests start although the last report of the speed is old.
+# After an unanswered probe, requests start without one for this long. A shorter pause makes
+# more requests wait for an answer that does not come; a longer one lets more of them start with
+# an outdated report of the speed.
 UNANSWERED_PAUSE_SECONDS = 0.5
 
 
--- a/packages/wheatslipd/wheatslipd/http/serverconnection.py
+++ b/packages/wheatslipd/wheatslipd/http/serverconnection.py
@@ -33,6 +33,7 @@
 REFUSED_STATUS = 503
 UNKNOWN_STATUS = 502
 STOPPED_IN_FLIGHT = Unknown(Reason.CANCELLED)
+MALFORMED = NotRun(Reason.BAD_REQUEST)
 
 Handler = Callable[[Exchange], Awaitable[None]]
 
@@ -152,9 +153,9 @@
             self.abort()
             return
         if exchange is not None:
-            self._send_last(STOPPED_IN_FLIGHT)
+            self._send_last(UNKNOWN_STATUS, STOPPED_IN_FLIGHT)
         elif self._has_partial_head:
-            self._send_last(STOPPING)
+            self._send_last(REFUSED_STATUS, STOPPING)
         self._ended_while_idle = exchange is None
         self.close()
         if self._task is not None:
@@ -171,9 +172,9 @@
             self._ended_while_idle = False
             self._connections.crossed += 1
 
-    def _send_last(self, outcome: NotRun | Unknown) -> None:
+    def _send_last(self, status: int, outcome: NotRun | Unknown) -> None:
+        """Respond outside of an exchange, and announce the close."""
         assert self.transport is not None
-        status = REFUSED_STATUS if isinstance(outcome, NotRun) else UNKNOWN_STATUS
         head = ResponseHead(status, [(b"content-length", b"0")])
         head.headers.append((OUTCOME_HEADER, encode_outcome(outcome)))
         self.transport.write(encode_response(head, chunked=False, close=True))
@@ -271,10 +272,7 @@
     def _finish_or_wait(self) -> None:
         """After the last queued request, reject malformed data or become idle."""
         if self._rejection_status:
-            head = ResponseHead(self._rejection_status, [(b"content-length", b"0")])
-            head.headers.append((b"wheatslip-outcome", b"not-run; bad-request"))
-            assert self.transport is not None
-            self.transport.write(encode_response(head, chunked=False, close=True))
+            self._send_last(self._rejection_status, MALFORMED)
             self.close()
             return
         self._mark_idle()
--- a/packages/wheatslipd/wheatslipd/quota/reachprober.py
+++ b/packages/wheatslipd/wheatslipd/quota/reachprober.py
@@ -4,13 +4,13 @@
 """
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from contextlib import suppress
 
 from wheatslip.quota.granter import Granter
 from wheatslip.quota.reach import Contact
-from wheatslip.store.instances import Instance
 
+from wheatslipd.quota.knowndaemons import KnownDaemons
 from wheatslipd.telemetry import logs
 from wheatslipd.timeouts import reply_timeout
 
@@ -24,22 +24,16 @@
 class ReachProber:
     """Probes while this daemon grants tokens as a primary."""
 
-    def __init__(self, granter: Granter, clock: Callable[[], float]):
+    def __init__(self, granter: Granter, known: KnownDaemons, clock: Callable[[], float]):
         """`clock` is monotonic, in seconds."""
         self._granter = granter
         self._clock = clock
-        self._instances: dict[str, Instance] = {}
+        self._known = known
         self._wake = asyncio.Event()
 
-    def set_instances(self, instances: Mapping[str, Instance], *, has_lost: bool) -> None:
-        """Set the daemons by name. If some were lost, a round follows at once."""
-        # Lost ones are probed too.
-        self._instances |= instances
-        for name in self._instances.keys() - instances.keys():
-            if not self._granter.reach.is_known(name):
-                del self._instances[name]
-        if has_lost:
-            self._wake.set()
+    def on_lost(self) -> None:
+        """Probe at once, because daemons left the list without a word."""
+        self._wake.set()
 
     async def run(self) -> None:
         """Probe until cancelled."""
@@ -53,7 +47,7 @@
                 is_in_doubt = await self._probe_round()
 
     def _is_active(self) -> bool:
-        return self._granter.has_granted_since(self._clock() - ACTIVE_SECONDS)
+        return self._granter.was_primary_since(self._clock() - ACTIVE_SECONDS)
 
     def _pause(self, is_in_doubt: bool) -> float:
         if self._granter.reach.has_untried_lost and self._is_active():
@@ -75,7 +69,7 @@
         return bool(silent)
 
     async def _probe(self, name: str) -> Contact:
-        instance = self._instances.get(name)
+        instance = self._known.get(name)
         if instance is None:
             return Contact.SILENT
         loop = asyncio.get_running_loop()
--- a/packages/wheatslipd/wheatslipd/quota/relaycalls.py
+++ b/packages/wheatslipd/wheatslipd/quota/relaycalls.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-from collections.abc import Mapping
 from dataclasses import dataclass
 
 import msgspec
@@ -18,14 +17,13 @@
 
 from wheatslipd.feed.codec import StructCodec
 from wheatslipd.quota.askfailure import UNSUPPORTED_STATUSES, AskFailure
+from wheatslipd.quota.knowndaemons import KnownDaemons
 from wheatslipd.timeouts import reply_timeout
 from wheatslipd.tls import PeerTls
 
 RELAY_METHOD = "/wheatslip.Quota/Relay"
 OTHER_DAEMON_STATUS = Status.NOT_FOUND  # another daemon has the address of the one asked
 IDLE_CLOSE_SECONDS = 10.0
-# For which the address of a daemon that left the list is kept: it may be a former primary.
-KEEP_SECONDS = 10.0
 
 RelayResult = Result[RelayedAnswer, AskFailure]
 
@@ -39,26 +37,14 @@
 class RelayCalls:
     """Calls to daemons that are listed, or were until lately."""
 
-    def __init__(self, tls: PeerTls):
+    def __init__(self, tls: PeerTls, known: KnownDaemons):
         self._tls = tls
-        self._instances: dict[str, Instance] = {}
-        self._left_at: dict[str, float] = {}
+        self._known = known
         self._channels: dict[str, _OpenChannel] = {}
 
-    def set_instances(self, instances: Mapping[str, Instance]) -> None:
-        """Set all listed daemons by name, also those that leave."""
-        now = asyncio.get_running_loop().time()
-        for name in self._instances.keys() - instances.keys():
-            self._left_at.setdefault(name, now)
-        for name, left_at in list(self._left_at.items()):
-            if name in instances or now - left_at >= KEEP_SECONDS:
-                del self._left_at[name]
-        kept = {name: self._instances[name] for name in self._left_at}
-        self._instances = kept | dict(instances)
-
     async def relay(self, owner: str, request: TokenRequest, seconds: float) -> RelayResult:
         """Pass an ask on to `owner`, and wait for up to `seconds`."""
-        instance = self._instances.get(owner)
+        instance = self._known.get(owner)
         if instance is None:
             return Err(AskFailure.SILENT)
         try:
--- a/packages/wheatslipd/wheatslipd/quota/service.py
+++ b/packages/wheatslipd/wheatslipd/quota/service.py
@@ -73,13 +73,13 @@
     async def serve(self, request: TokenRequest) -> TokenGrant:
         """Grant tokens, or pass the ask on to the former primary while that one grants."""
         self._log_primary(request.workspace)
-        former = self._granter.former(request, self._clock())
-        if former is None or self._relay_calls is None:
+        target = self._granter.relay_target(request, self._clock())
+        if target is None or self._relay_calls is None:
             return self.grant(request)
         workspace = request.workspace
         is_primary = self._is_primary(workspace)
         seconds = FORMER_TIMEOUT_SECONDS if is_primary else PRIMARY_TIMEOUT_SECONDS
-        match await self._relay_calls.relay(former, request, seconds):
+        match await self._relay_calls.relay(target, request, seconds):
             case Ok(answer) if not answer.primary:
                 return answer.grant
             case Ok(answer):
@@ -88,7 +88,7 @@
                 logs.info(
                     "quota-former-silent",
                     workspace=workspace,
-                    owner=former,
+                    owner=target,
                     repeat_key=workspace,
                 )
                 self._granter.on_silent(workspace, self._clock())
--- a/packages/wheatslipd/wheatslipd/quota/wiring.py
+++ b/packages/wheatslipd/wheatslipd/quota/wiring.py
@@ -9,6 +9,7 @@
 from wheatslipd.quota.asker import OwnerAsker
 from wheatslipd.quota.channels import OwnerChannels
 from wheatslipd.quota.client import QuotaClient
+from wheatslipd.quota.knowndaemons import KnownDaemons
 from wheatslipd.quota.reachprober import ReachProber
 from wheatslipd.quota.relaycalls import RelayCalls
 from wheatslipd.quota.report import QuotaReport
@@ -36,13 +37,14 @@
     """Build the parts. The client's `run` must run while requests are accepted."""
     clock = shared.monotonic
     granter = Granter(settings.name, settings.quota)
-    relay_calls = RelayCalls(tls)
-    prober = ReachProber(granter, clock)
+    known = KnownDaemons(clock)
+    relay_calls = RelayCalls(tls, known)
+    prober = ReachProber(granter, known, clock)
     service = QuotaService(settings.name, granter, clock, relay_calls)
     channels = OwnerChannels(tls)
     asker = OwnerAsker(settings.name, service, granter.candidates_of, channels, clock)
     holder = TokenHolder(settings.quota)
     client = QuotaClient(settings.name, holder, asker, shared.metrics, clock)
-    controller = QuotaController(granter, asker, relay_calls, prober, clock)
+    controller = QuotaController(granter, asker, known, prober, clock)
     report = QuotaReport(controller, client, granter, clock)
     return Quota(service, granter, channels, client, controller, report, relay_calls, prober)
--- a/packages/wheatslipd/wheatslipd/registration/removal.py
+++ b/packages/wheatslipd/wheatslipd/registration/removal.py
@@ -5,7 +5,6 @@
 calls the platform. A running daemon whose entry is removed writes it again.
 """
 
-import asyncio
 from collections.abc import Callable
 
 from result import Err, Ok
@@ -14,6 +13,7 @@
 
 from wheatslipd.controllers.view import Peer, View
 from wheatslipd.telemetry import logs
+from wheatslipd.timeouts import sleep_lateness
 
 SCAN_SECONDS = 5.0  # between two scans for dead entries
 # A scan that is later is left out: this daemon was held up, and has not tried its peers since.
@@ -46,11 +46,8 @@
 
     async def run(self) -> None:
         """Scan for dead entries until cancelled."""
-        loop = asyncio.get_running_loop()
         while True:
-            due = loop.time() + SCAN_SECONDS
-            await asyncio.sleep(SCAN_SECONDS)
-            if loop.time() - due < MAX_LATENESS_SECONDS:
+            if await sleep_lateness(SCAN_SECONDS) < MAX_LATENESS_SECONDS:
                 await self.remove_dead()
 
     async def remove_dead(self) -> None:
--- a/packages/wheatslipd/wheatslipd/telemetry/looplag.py
+++ b/packages/wheatslipd/wheatslipd/telemetry/looplag.py
@@ -2,10 +2,9 @@
 own from the silence of others.
 """
 
-import asyncio
-
 from wheatslipd.telemetry import logs
 from wheatslipd.telemetry.metrics import Metrics
+from wheatslipd.timeouts import sleep_lateness
 
 CHECK_SECONDS = 0.25
 LOGGED_LAG_SECONDS = 0.1  # as long as an entry waits for the owner of a limit
@@ -19,11 +18,8 @@
 
     async def run(self) -> None:
         """Measure until cancelled."""
-        loop = asyncio.get_running_loop()
         while True:
-            due = loop.time() + CHECK_SECONDS
-            await asyncio.sleep(CHECK_SECONDS)
-            lag = max(0.0, loop.time() - due)
+            lag = await sleep_lateness(CHECK_SECONDS)
             self._metrics.loop_lag_seconds.observe({}, lag)
             if lag >= LOGGED_LAG_SECONDS:
                 logs.warning("held-up", seconds=round(lag, 3), repeat_key="held-up")
--- a/packages/wheatslipd/wheatslipd/timeouts.py
+++ b/packages/wheatslipd/wheatslipd/timeouts.py
@@ -7,8 +7,8 @@
 """
 
 import asyncio
-from collections.abc import Callable
-from types import TracebackType
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 
 from wheatslipd.telemetry import logs
 
@@ -60,34 +60,24 @@
             self._callback()
 
 
-class ReplyTimeout:
-    """As `asyncio.timeout`, but hold-ups of the own event loop do not count."""
+@asynccontextmanager
+async def reply_timeout(seconds: float, waits_for: str) -> AsyncIterator[None]:
+    """As `asyncio.timeout`, but hold-ups of the own event loop do not count.
 
-    def __init__(self, seconds: float, waits_for: str):
-        """`waits_for` names in the log whose reply is awaited."""
-        self._seconds = seconds
-        self._waits_for = waits_for
-        self._timeout = asyncio.timeout(None)
-        self._timer: PatientTimer | None = None
-
-    async def __aenter__(self) -> None:
-        await self._timeout.__aenter__()
-        self._timer = PatientTimer(self._seconds, self._expire, self._waits_for)
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        assert self._timer is not None
-        self._timer.cancel()
-        await self._timeout.__aexit__(kind, error, trace)
-
-    def _expire(self) -> None:
-        self._timeout.reschedule(asyncio.get_running_loop().time())
+    `waits_for` names in the log whose reply is awaited. Raises TimeoutError.
+    """
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(None) as timeout:
+        timer = PatientTimer(seconds, lambda: timeout.reschedule(loop.time()), waits_for)
+        try:
+            yield
+        finally:
+            timer.cancel()
 
 
-def reply_timeout(seconds: float, waits_for: str) -> ReplyTimeout:
-    """Limit the wait for a reply; raises TimeoutError like `asyncio.timeout`."""
-    return ReplyTimeout(seconds, waits_for)
+async def sleep_lateness(seconds: float) -> float:
+    """Sleep, and return by how many seconds the loop was late to end it."""
+    loop = asyncio.get_running_loop()
+    due = loop.time() + seconds
+    await asyncio.sleep(seconds)
+    return max(0.0, loop.time() - due)
--- a/test/quota_network.py
+++ b/test/quota_network.py
@@ -86,8 +86,8 @@
         if is_relayed:
             reply(self.granter.grant_relayed(request, self.network.now))
             return
-        former = self.granter.former(request, self.network.now)
-        if former is None:
+        target = self.granter.relay_target(request, self.network.now)
+        if target is None:
             reply(self.granter.grant(request, self.network.now))
             return
         is_over = False
@@ -111,7 +111,7 @@
 
         is_primary = self.granter.candidates_of(request.workspace)[0] == self.name
         timeout = FORMER_TIMEOUT if is_primary else PRIMARY_TIMEOUT
-        self.network.call(self, former, request, timeout, on_answer, is_relayed=True)
+        self.network.call(self, target, request, timeout, on_answer, is_relayed=True)
 
     def set_members(self, members, has_left=False):
         """Applies a list. `has_left`: those that it lacks were listed as leaving before."""
--- a/test/test_quota_succession.py
+++ b/test/test_quota_succession.py
@@ -7,9 +7,10 @@
 import pytest
 from wheatslip.quota.candidates import Candidates
 from wheatslip.quota.granter import Granter
-from wheatslip.quota.reach import Contact
+from wheatslip.quota.reach import REMEMBER_SECONDS, Contact
 from wheatslip.quota.settings import QuotaSettings
 from wheatslip.store.instances import Instance, InstanceState
+from wheatslipd.quota.knowndaemons import KnownDaemons
 from wheatslipd.quota.reachprober import REST_SECONDS, ReachProber
 
 from standins.backend import Behaviour
@@ -104,12 +105,14 @@
 
     async def scenario():
         granter = Granter("a", QuotaSettings())
-        prober = ReachProber(granter, asyncio.get_running_loop().time)
+        clock = asyncio.get_running_loop().time
+        known = KnownDaemons(clock)
+        prober = ReachProber(granter, known, clock)
         listed = {
             name: Instance(name, "papers", "one", HOST, 1, 2, port)
             for name, port in ports.items()
         }
-        prober.set_instances(listed, has_lost=False)
+        known.set_listed(listed)
         contacts = [await prober._probe(name) for name in "bcd"]
         assert contacts == [Contact.ACCEPTED, Contact.REFUSED, Contact.SILENT]
 
@@ -123,7 +126,8 @@
         granter = Granter("a", QuotaSettings())
         granter.set_members(("a", "b"), 0.0)
         granter.set_members(("a",), 1.0, ["b"])
-        prober = ReachProber(granter, asyncio.get_running_loop().time)
+        clock = asyncio.get_running_loop().time
+        prober = ReachProber(granter, KnownDaemons(clock), clock)
         assert granter.reach.has_untried_lost
         assert prober._pause(False) == REST_SECONDS
 
@@ -140,11 +144,25 @@
             daemon = fleet.node(primary).daemon
             other = next(name for name in NAMES if name != primary)
             with silent_port() as port:
-                prober = daemon.quota.prober
-                prober._instances[other] = Instance(other, "papers", "one", HOST, 1, 2, port)
+                silent = Instance(other, "papers", "one", HOST, 1, 2, port)
+                known = daemon.quota.prober._known
+                known.set_listed({**known._listed, other: silent})
                 await fleet.send(primary)
                 await until(lambda: daemon.quota.granter.share < 1.0)
                 assert daemon.quota.granter.share == pytest.approx(2 / 3)
                 assert fleet.logged("quota-reach")
 
     run(scenario)
+
+
+def test_a_daemon_that_left_the_list_is_known_for_a_while():
+    """Guards against a former primary, or a lost daemon, that can't be called any more."""
+    now = 0.0
+    known = KnownDaemons(lambda: now)
+    one = Instance("b", "papers", "one", HOST, 1, 2, 3)
+    known.set_listed({"b": one})
+    known.set_listed({})
+    assert known.get("b") == one
+    now = REMEMBER_SECONDS
+    known.set_listed({})
+    assert known.get("b") is None
--- a/test/test_silent_sources.py
+++ b/test/test_silent_sources.py
@@ -20,6 +20,7 @@
 from wheatslip.store.instances import Instance
 from wheatslipd.feed.codec import StructCodec
 from wheatslipd.feed.relay import FOLLOW_METHOD, follow_parent
+from wheatslipd.timeouts import sleep_lateness
 from wheatslipd.tls import PeerTls
 
 from standins.cluster import HOST, eventually
@@ -90,11 +91,8 @@
     lags = [0.0]
 
     async def measure():
-        loop = asyncio.get_running_loop()
         while True:
-            due = loop.time() + LAG_CHECK_SECONDS
-            await asyncio.sleep(LAG_CHECK_SECONDS)
-            lags.append(max(0.0, loop.time() - due))
+            lags.append(await sleep_lateness(LAG_CHECK_SECONDS))
 
     task = asyncio.get_running_loop().create_task(measure())
     try:
