Keep what a former primary's bucket held for asks that are passed on

Cause: a former primary becomes a candidate with a small bucket when it sees the list, and a primary that yields only with the first ask that is passed on; what its bucket held was cut in between (traced: no owner left out, no hold-up, a refusal 0.02 s after the change).

Why it works: it keeps that number aside, and has it again with that ask, or hands it over when it declines. Nothing is granted twice: an ask that is not passed on gets the small part.

--- a/packages/wheatslip/wheatslip/quota/granter.py
+++ b/packages/wheatslip/wheatslip/quota/granter.py
@@ -216,7 +216,11 @@
             has_yielded = now - quota.yields_until < RECENT_SECONDS
             return RelayedAnswer(TokenGrant(quota.take_leftover()), first, has_yielded)
         self._advance(quota, now)
+        has_yielded_before = quota.yields(now)
         quota.relayed_at = now
+        if quota.yields(now) and not has_yielded_before:
+            self._apply(quota, now)
+            quota.bucket.level = min(quota.bucket.burst, quota.take_leftover())
         return RelayedAnswer(self.grant(request, now))
 
     def grant(self, request: TokenRequest, now: float) -> TokenGrant:
--- a/packages/wheatslip/wheatslip/quota/quotastate.py
+++ b/packages/wheatslip/wheatslip/quota/quotastate.py
@@ -81,12 +81,12 @@
     silent_until: float = float("-inf")  # no ask is passed on before
     yields_until: float = float("-inf")  # grants as the primary that it was, if relayed to
     relayed_at: float = float("-inf")  # last ask that the new primary has passed on
-    leftover: int = 0  # tokens of the primary that it was, once it has yielded
+    leftover: int = 0  # tokens that its bucket held as a primary, taken out since
     granted: int = 0
     refused: int = 0
 
     def take_leftover(self) -> int:
-        """The tokens that move to the new primary, once."""
+        """Those tokens, once: for asks that are passed on, or for the new primary."""
         leftover, self.leftover = self.leftover, 0
         return leftover
 
@@ -103,6 +103,8 @@
         """Changes the position; a primary that loses it grants for `YIELD_SECONDS` more."""
         if self.grants_in_full(now):
             self.yields_until = now + YIELD_SECONDS
+            # While asks are passed on, they stay in the bucket.
+            self.leftover = 0 if self.yields(now) else int(self.bucket.level_at(now))
         self.position = position
         self.since = now
         self.succession = Succession.UNKNOWN
--- a/test/test_quota_succession.py
+++ b/test/test_quota_succession.py
@@ -4,9 +4,11 @@
 import socket
 from contextlib import contextmanager
 
+import msgspec
 import pytest
 from wheatslip.quota.candidates import Candidates
-from wheatslip.quota.granter import Granter
+from wheatslip.quota.granter import SMALL_BURST_SLACK_SHARE, Granter
+from wheatslip.quota.messages import TokenRequest
 from wheatslip.quota.reach import REMEMBER_SECONDS, Contact
 from wheatslip.quota.settings import QuotaSettings
 from wheatslip.store.instances import Instance, InstanceState
@@ -166,3 +168,19 @@
     now = REMEMBER_SECONDS
     known.set_listed({})
     assert known.get("b") is None
+
+
+@pytest.mark.parametrize("burst", [0.0, 40.0])
+def test_a_former_primary_keeps_what_its_bucket_held_for_asks_that_are_passed_on(burst):
+    """Guards against a refusal below the limit at the moment in which a primary changes."""
+    new, former, *_ = order_of(NAMES)
+    granter = Granter(former, QuotaSettings())
+    granter.set_members([name for name in NAMES if name != new], 0.0)
+    request = TokenRequest("x", "alpha", 1, 1, RATE, burst)
+    granter.grant(request, 0.0)
+    assert granter.grant(request, 20.0).tokens == 1
+    granter.set_members(NAMES, 20.0)
+    asked = msgspec.structs.replace(request, tokens=100)
+    held = max(burst, SMALL_BURST_SLACK_SHARE * QuotaSettings().slack) - 1
+    assert granter.grant_relayed(asked, 20.0).grant.tokens == held
+    assert granter.grant_relayed(asked, 20.0).grant.tokens == 0
