--- a/test/test_quota_failures.py
+++ b/test/test_quota_failures.py
@@ -144,6 +144,22 @@
     assert cut_off_primary(float("inf")) <= BOUND
 
 
+def test_successors_of_a_cut_off_primary_that_all_restart_stay_within_the_bound():
+    """Guards against a restarted primary that knows nothing of the other side of a cut."""
+    primary, *others = order()
+    fleet = Fleet()
+    fleet.network.run_until(FAILURE)
+    cut_off = frozenset([primary, *others[-5:]])
+    fleet.network.group = cut_off
+    fleet.network.run_until(FAILURE + REMOVED_SECONDS)
+    connected = [name for name in NAMES if name not in cut_off]
+    for name in connected:
+        fleet.network.kill(name)
+        fleet.network.start(name, connected, {"alpha": LIMIT})
+    fleet.network.run_until(fleet.network.now + 9.0)
+    assert fleet.most <= BOUND
+
+
 @pytest.mark.parametrize("group_size", [2, 4, 6, 9])
 @pytest.mark.parametrize("lag", [0.1, LONGEST_LIST_LAG])
 def test_the_end_of_a_long_partition_stays_within_the_bound(group_size, lag):
