Say what a test of confirmations saw when it fails

It printed the set of statuses only, which tells neither which daemon refused nor whether its confirmation was late or the process was held up.

The check is as strict as before.

--- a/test/helper.py
+++ b/test/helper.py
@@ -29,6 +29,7 @@
 from wheatslipd.http.messages import RequestHead
 from wheatslipd.http.server import Server
 from wheatslipd.settings import Settings, parse_settings
+from wheatslipd.timeouts import sleep_lateness
 
 from standins.backend import BackendStandIn, Behaviour
 from standins.caller import Caller
@@ -37,6 +38,7 @@
 
 OPERATORS = ("anna", "moussa")
 SEED = 11
+LAG_CHECK_SECONDS = 0.02
 
 BUNDLE = f"""
 [bundle]
@@ -84,6 +86,22 @@
         return time.time() + self.offset_seconds
 
 
+@contextmanager
+def measured_lag() -> Iterator[list[float]]:
+    """Yield a list of the seconds by which a timer of `LAG_CHECK_SECONDS` was late."""
+    lags = [0.0]
+
+    async def measure() -> None:
+        while True:
+            lags.append(await sleep_lateness(LAG_CHECK_SECONDS))
+
+    task = asyncio.get_running_loop().create_task(measure())
+    try:
+        yield lags
+    finally:
+        task.cancel()
+
+
 def ports_of(daemon: Daemon) -> dict[str, int]:
     """The ports of a listening daemon, by their field names in `Instance`."""
     return {
--- a/test/test_silent_sources.py
+++ b/test/test_silent_sources.py
@@ -7,7 +7,7 @@
 import asyncio
 import itertools
 from collections import Counter
-from contextlib import aclosing, contextmanager
+from contextlib import aclosing
 from math import inf
 
 import grpclib.const
@@ -20,14 +20,12 @@
 from wheatslip.store.instances import Instance
 from wheatslipd.feed.codec import StructCodec
 from wheatslipd.feed.relay import FOLLOW_METHOD, follow_parent
-from wheatslipd.timeouts import sleep_lateness
 from wheatslipd.tls import PeerTls
 
 from standins.cluster import HOST, eventually
-from test.helper import run
+from test.helper import measured_lag, run
 from test.routed_fleet import configuration, fleet
 
-LAG_CHECK_SECONDS = 0.02
 IN_FORCE_SECONDS = 2.0  # from the write
 RECONNECT_SECONDS = 3.0  # from the moment at which all connections fall silent
 NAMES = "abcdefghijkl"
@@ -85,22 +83,6 @@
             ) from None
 
 
-@contextmanager
-def measured_lag():
-    """Yield a list of the seconds by which a timer of `LAG_CHECK_SECONDS` was late."""
-    lags = [0.0]
-
-    async def measure():
-        while True:
-            lags.append(await sleep_lateness(LAG_CHECK_SECONDS))
-
-    task = asyncio.get_running_loop().create_task(measure())
-    try:
-        yield lags
-    finally:
-        task.cancel()
-
-
 def parents(cluster):
     """The daemons that have followers, the one with the most first."""
     followers = Counter(daemon.feed.parent for daemon in cluster.daemons.values())
--- a/test/test_unconfirmed.py
+++ b/test/test_unconfirmed.py
@@ -22,7 +22,7 @@
 from fleet_standins.store import Fault
 from standins.cluster import HOST, eventually
 from standins.plainbackend import ServerFault
-from test.helper import run
+from test.helper import measured_lag, run
 from test.test_identity import KEY, NEW_KEY, events, guarded_fleet, tenants_configuration
 
 __all__ = ["events"]  # a fixture
@@ -50,11 +50,31 @@
 
 
 async def check_served(cluster, seconds):
-    """Check that all daemons serve requests with a credential for some time."""
+    """Check that all daemons serve requests with a credential for some time.
+
+    A failure says which refused, how old their confirmations were and whom they followed, and
+    how long the event loop was held up.
+    """
     end = time.monotonic() + seconds
-    while time.monotonic() < end:
-        assert {await status_of(cluster, name) for name in cluster.daemons} == {200}
-        await asyncio.sleep(0.05)
+    with measured_lag() as lags:
+        while time.monotonic() < end:
+            statuses = {name: await status_of(cluster, name) for name in cluster.daemons}
+            assert set(statuses.values()) == {200}, (
+                f"{statuses}, {end - time.monotonic():.2f} of {seconds} s before the end; "
+                f"seconds since the confirmation, and parent: {confirmations(cluster)}; the "
+                f"loop was held up for {sum(lags):.2f} s, at most {max(lags):.2f} s at once"
+            )
+            await asyncio.sleep(0.05)
+
+
+def confirmations(cluster):
+    """For each daemon the age in seconds of its latest confirmation, and its parent."""
+    now = time.monotonic()
+    return {
+        name: (round(now - daemon.feed.cache.confirmation.at, 2), daemon.feed.parent)
+        for name, daemon in cluster.daemons.items()
+        if daemon.feed.cache.confirmation is not None
+    }
 
 
 async def check_refused_in_time(cluster, silent_since):
