Tell daemons that start whom the others know to be lost

What servers got: a primary of a limit that restarted during a partition, alone or in turn with its whole side, granted the full rate beside the other side's part: 1,505 to 1,507 requests in 5 s where 1,186 are allowed, with half of twelve daemons cut off.

Cause: a primary grants less by the daemons that left the list without a word. It knows of them from its own lists only, and the list that it starts with does not have them.

Ruled out: the shares themselves; without a restart the same cut stays at 1,014.

Change: the first update of each stream of the relay tree names the daemons that the parent knows to be lost, and again if the parent is told of new ones. A daemon takes those that were lost before its own first list, each once: later ones it saw itself, and one that it found in touch must not count again each time it changes its parent. Nothing is sent at rest; a daemon of the version before ignores the field.

--- a/packages/wheatslip/wheatslip/distribution/feedcache.py
+++ b/packages/wheatslip/wheatslip/distribution/feedcache.py
@@ -44,6 +44,17 @@
     drained: int = UNKNOWN_VERSION
 
 
+class LostInstance(msgspec.Struct, frozen=True, array_like=True):
+    """An instance that left the list `ago` seconds ago without having been listed as leaving.
+
+    `share` is its part of the list in which it was: 1 / number of instances.
+    """
+
+    instance: Instance
+    ago: float
+    share: float
+
+
 class Confirmation(msgspec.Struct, frozen=True, array_like=True):
     """At `at` (seconds, monotonic) the platform had no newer head than that of `version`."""
 
@@ -65,6 +76,10 @@
     clock of the sender; `clock` is its time at the start of the stream, in the first such
     update; the receiver converts it to its own clock. Unlike `as_of` it does not depend on wall
     clocks. Daemons without a limit on its age and those of the previous version send neither.
+
+    `lost` are instances that the follower does not know of if it started after they left. The
+    first update of a stream has those that the sender knows, and a later one all of them again
+    when the sender was told of more.
     """
 
     as_of: float
@@ -81,6 +96,7 @@
     heartbeat: float = 0.0
     confirmed: Confirmation | None = None
     clock: float | None = None
+    lost: tuple[LostInstance, ...] = ()
 
 
 class FeedCache:
--- a/packages/wheatslip/wheatslip/quota/granter.py
+++ b/packages/wheatslip/wheatslip/quota/granter.py
@@ -39,7 +39,7 @@
     Succession,
     name_position,
 )
-from wheatslip.quota.reach import Contact, Reach
+from wheatslip.quota.reach import Contact, Lost, Reach
 from wheatslip.quota.retryschedule import RetrySchedule
 from wheatslip.quota.settings import QuotaSettings
 
@@ -121,6 +121,12 @@
         self.reach.on_round(contacts, now)
         self._update_share(now)
 
+    def learn_lost(self, lost: Mapping[str, Lost], now: float) -> frozenset[str]:
+        """Applies losses that another daemon knows of; returns the names that are new."""
+        new = self.reach.learn_lost(lost, now)
+        self._update_share(now)
+        return new
+
     @property
     def share(self) -> float:
         """The share of a limit's rate and burst that this daemon grants as the primary."""
--- a/packages/wheatslip/wheatslip/quota/reach.py
+++ b/packages/wheatslip/wheatslip/quota/reach.py
@@ -34,7 +34,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Lost:
+class Lost:
     """A daemon that left the list, of which it was this share, without having said so."""
 
     at: float
@@ -55,7 +55,9 @@
         self._now = -inf  # of the last round
         # Silences in a row of the daemons that were tried; the one tried last is at the end.
         self._silences: OrderedDict[str, int] = OrderedDict()
-        self._lost: dict[str, _Lost] = {}
+        self._lost: dict[str, Lost] = {}
+        self._told: set[str] = set()  # daemons of whose loss others told this one
+        self._first_listed_at = inf  # when the first list came
         self._ended: set[str] = set()  # members whose process had ended when last tried
         self._shares: deque[tuple[float, float]] = deque()  # of the members, lately
         self._partial_since = inf  # not in touch with all members
@@ -63,17 +65,42 @@
     def set_members(self, members: Collection[str], lost: Collection[str], now: float) -> None:
         """Applies a list; `lost` have left it without having been listed as leaving."""
         size = max(1, len(self._members))
+        self._first_listed_at = min(self._first_listed_at, now)
         self._members = tuple(members)
         listed = self._listed = frozenset(members)
         self._step = _coprime_step(len(self._members))
         self._forget_lost(now)
-        self._lost |= {name: _Lost(now, 1.0 / size) for name in lost if name not in self._ended}
+        self._lost |= {name: Lost(now, 1.0 / size) for name in lost if name not in self._ended}
         for name in self._lost.keys() & listed:
             del self._lost[name]
         self._ended &= listed
         for name in self._silences.keys() - listed - self._lost.keys():
             del self._silences[name]
 
+    @property
+    def lost(self) -> Mapping[str, Lost]:
+        """The daemons that were lost and may still grant."""
+        return self._lost
+
+    def learn_lost(self, lost: Mapping[str, Lost], now: float) -> frozenset[str]:
+        """Applies what another daemon knows; returns the names that are new.
+
+        This daemon has seen the losses since its own start. Of an earlier one it is told once,
+        because it finds out by itself if that daemon is in touch again.
+        """
+        new = {
+            name: one
+            for name, one in lost.items()
+            if one.at < self._first_listed_at
+            and name not in self._listed
+            and name not in self._lost
+            and name not in self._told
+        }
+        self._told |= new.keys()
+        self._lost |= new
+        self._forget_lost(now)
+        return frozenset(new)
+
     @property
     def is_in_doubt(self) -> bool:
         """Whether more daemons may be out of touch, or in touch again, than is known."""
--- a/packages/wheatslipd/wheatslipd/controllers/events.py
+++ b/packages/wheatslipd/wheatslipd/controllers/events.py
@@ -4,6 +4,7 @@
 from wheatslip.config.bundle import Bundle
 from wheatslip.config.head import Head
 from wheatslip.config.zonedrains import ZoneDrains
+from wheatslip.distribution.feedcache import LostInstance
 from wheatslip.quarantine import EndReport
 from wheatslip.runtracker import EndedRuns
 from wheatslip.store.instances import Instance
@@ -50,6 +51,13 @@
         super().__init__(members)
 
 
+class losses_told(Event):
+    """A parent named instances that left the list without having been listed as leaving."""
+
+    def __init__(self, lost: tuple[LostInstance, ...]):
+        super().__init__(lost)
+
+
 class zones_drained(Event):
     """A new set of zone drains arrived."""
 
--- a/packages/wheatslipd/wheatslipd/controllers/quota.py
+++ b/packages/wheatslipd/wheatslipd/controllers/quota.py
@@ -7,11 +7,13 @@
 
 from circuits import Component
 from wheatslip.config.bundle import Bundle, Workspace
+from wheatslip.distribution.feedcache import LostInstance
 from wheatslip.quota.granter import Granter
 from wheatslip.store.instances import Instance, InstanceState
 
 from wheatslipd.quota.asker import OwnerAsker
 from wheatslipd.quota.knowndaemons import KnownDaemons
+from wheatslipd.quota.lostdaemons import LostDaemons
 from wheatslipd.quota.reachprober import ReachProber
 
 
@@ -25,6 +27,7 @@
         granter: Granter,
         asker: OwnerAsker,
         known: KnownDaemons,
+        lost: LostDaemons,
         prober: ReachProber,
         clock: Callable[[], float],
     ):
@@ -33,6 +36,7 @@
         self._granter = granter
         self._asker = asker
         self._known = known
+        self._lost = lost
         self._prober = prober
         self._clock = clock
         self._listed: frozenset[str] = frozenset()  # that do not leave
@@ -54,6 +58,11 @@
         if lost:
             self._prober.on_lost()
 
+    def losses_told(self, lost: tuple[LostInstance, ...]) -> None:
+        """Apply what the parent knows of lost daemons."""
+        if self._lost.learn(lost):
+            self._prober.on_lost()
+
     def bundle_in_force(self, bundle: Bundle) -> None:
         """Note which workspaces have a limit. Each ask carries the limit itself."""
         self.limited = tuple(w for w in bundle.workspaces if w.limit is not None)
--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -95,7 +95,9 @@
         # The components below read the configuration, zone drains and instances from the feed.
         self.feed = Feed(
             LocalDaemon(settings.name, settings.zone, settings.feed),
-            FeedDependencies(store, tls, rng, unix, monotonic, (self.quota.service,)),
+            FeedDependencies(
+                store, tls, rng, unix, monotonic, (self.quota.service,), self.quota.lost
+            ),
             create_verifier(settings),
             self.bus,
         )
--- a/packages/wheatslipd/wheatslipd/feed/cachewriter.py
+++ b/packages/wheatslipd/wheatslipd/feed/cachewriter.py
@@ -28,6 +28,7 @@
     bundle_verified,
     end_reports_received,
     instances_updated,
+    losses_told,
     zones_drained,
 )
 from wheatslipd.feed.position import RelayPosition
@@ -132,6 +133,8 @@
         """Apply an update from the daemon `source`."""
         if update.ends:
             self.apply_end_reports(update.ends, source)
+        if update.lost:
+            self._bus.fire(losses_told(update.lost))
         if update.drains is not None:
             self._apply_drains(update.drains)
         if (update.whole or update.changes) and not self.cache.is_outdated(update):
--- a/packages/wheatslipd/wheatslipd/feed/feed.py
+++ b/packages/wheatslipd/wheatslipd/feed/feed.py
@@ -24,7 +24,13 @@
 from wheatslipd.feed.parentfollower import ParentFollower
 from wheatslipd.feed.position import RelayPosition
 from wheatslipd.feed.reader import PlatformReader
-from wheatslipd.feed.relay import HEARTBEAT_SECONDS, ControlService, RelayServer
+from wheatslipd.feed.relay import (
+    HEARTBEAT_SECONDS,
+    NO_LOSSES,
+    ControlService,
+    LostSource,
+    RelayServer,
+)
 from wheatslipd.feed.tasks import run_until_first_completes
 from wheatslipd.feed.verifier import Verifier
 from wheatslipd.feed.watchcheck import HEAD_REFRESH_SECONDS
@@ -46,8 +52,8 @@
 
 @dataclass(frozen=True, slots=True)
 class FeedDependencies:
-    """External dependencies of a feed: the platform, peer TLS, random numbers, clocks, and the
-    other services on its port.
+    """External dependencies of a feed: the platform, peer TLS, random numbers, clocks, the
+    other services on its port, and what its followers are told of lost instances.
     """
 
     store: ObjectStore
@@ -56,6 +62,7 @@
     unix: Callable[[], float]  # returns the Unix time in seconds
     monotonic: Callable[[], float] = time.monotonic  # in seconds
     services: tuple[ControlService, ...] = ()  # that the control port offers too
+    lost: LostSource = NO_LOSSES
 
 
 class Feed:
@@ -74,7 +81,12 @@
         self._unix = dependencies.unix
         self.cache = FeedCache()
         self.relay = RelayServer(
-            self.cache, tls, self._apply_end_reports, monotonic, dependencies.services
+            self.cache,
+            tls,
+            self._apply_end_reports,
+            monotonic,
+            dependencies.services,
+            dependencies.lost,
         )
         self._position = RelayPosition(name, daemon.zone, daemon.settings.watchers)
         self.cache_writer = CacheWriter(
--- a/packages/wheatslipd/wheatslipd/feed/relay.py
+++ b/packages/wheatslipd/wheatslipd/feed/relay.py
@@ -18,7 +18,13 @@
 from grpclib.server import Server, Stream
 from result import Err, Ok
 from wheatslip.distribution.chunks import Chunk, Joiner, split_message
-from wheatslip.distribution.feedcache import Confirmation, Cursor, FeedCache, Update
+from wheatslip.distribution.feedcache import (
+    Confirmation,
+    Cursor,
+    FeedCache,
+    LostInstance,
+    Update,
+)
 from wheatslip.quarantine import EndReport
 from wheatslip.store.instances import Instance
 
@@ -63,6 +69,32 @@
         ...
 
 
+class LostSource(Protocol):
+    """Knows the instances that left the list without having been listed as leaving."""
+
+    @property
+    def version(self) -> int:
+        """Rises when others have told of more."""
+        ...
+
+    def current(self) -> tuple[LostInstance, ...]:
+        """Return all of them."""
+        ...
+
+
+class NoLosses:
+    """For feeds of daemons that need to know of none."""
+
+    version = 0
+
+    def current(self) -> tuple[LostInstance, ...]:
+        """Return none."""
+        return ()
+
+
+NO_LOSSES = NoLosses()
+
+
 class RelayServer:
     """Serves updates to the followers of one daemon, and receives their end reports."""
 
@@ -73,10 +105,12 @@
         on_reports: ReportsCallback = lambda reports, sender: None,
         monotonic: Callable[[], float] = time.monotonic,
         services: Sequence[ControlService] = (),
+        lost: LostSource = NO_LOSSES,
     ):
         """`on_reports` is called with the end reports that a follower sends, and its name. The
-        server offers `services` too.
+        server offers `services` too, and tells followers of `lost`.
         """
+        self._lost = lost
         self._monotonic = monotonic
         self._cache = cache
         self._tls = tls
@@ -140,6 +174,7 @@
         self.followers += 1
         sent_reports_position = 0  # position of the last report sent on this stream
         sent_head_position = 0  # the last `head_at` sent on this stream
+        sent_lost_version = -1  # of the lost instances sent on this stream; -1: none
         heartbeat = HEARTBEAT_SECONDS  # sent with the first update only
         clock: float | None = self._monotonic()  # sent with the first confirmation only
         try:
@@ -154,6 +189,9 @@
                 if changes.confirmed is not None:
                     update = msgspec.structs.replace(update, clock=clock)
                     clock = None
+                if self._lost.version > sent_lost_version:
+                    update = msgspec.structs.replace(update, lost=self._lost.current())
+                    sent_lost_version = self._lost.version
                 sent_head_position = max(sent_head_position, changes.head_at)
                 heartbeat = 0.0
                 for chunk in split_message(msgspec.msgpack.encode(update)):
--- a/packages/wheatslipd/wheatslipd/quota/knowndaemons.py
+++ b/packages/wheatslipd/wheatslipd/quota/knowndaemons.py
@@ -27,6 +27,10 @@
         }
         self._listed = instances
 
+    def add_left(self, instance: Instance, left_at: float) -> None:
+        """Add a daemon that left the list before this one had it."""
+        self._left.setdefault(instance.name, (left_at, instance))
+
     def get(self, name: str) -> Instance | None:
         """The instance of this name, as it was last listed."""
         if name in self._listed:
--- a/packages/wheatslipd/wheatslipd/quota/wiring.py
+++ b/packages/wheatslipd/wheatslipd/quota/wiring.py
@@ -10,6 +10,7 @@
 from wheatslipd.quota.channels import OwnerChannels
 from wheatslipd.quota.client import QuotaClient
 from wheatslipd.quota.knowndaemons import KnownDaemons
+from wheatslipd.quota.lostdaemons import LostDaemons
 from wheatslipd.quota.reachprober import ReachProber
 from wheatslipd.quota.relaycalls import RelayCalls
 from wheatslipd.quota.report import QuotaReport
@@ -31,6 +32,7 @@
     report: QuotaReport
     relay_calls: RelayCalls
     prober: ReachProber
+    lost: LostDaemons
 
 
 def build_quota(settings: Settings, shared: SharedState, tls: PeerTls) -> Quota:
@@ -38,6 +40,7 @@
     clock = shared.monotonic
     granter = Granter(settings.name, settings.quota)
     known = KnownDaemons(clock)
+    lost = LostDaemons(granter, known, clock)
     relay_calls = RelayCalls(tls, known)
     prober = ReachProber(granter, known, clock)
     service = QuotaService(settings.name, granter, clock, relay_calls)
@@ -45,6 +48,8 @@
     asker = OwnerAsker(settings.name, service, granter.candidates_of, channels, clock)
     holder = TokenHolder(settings.quota)
     client = QuotaClient(settings.name, holder, asker, shared.metrics, clock)
-    controller = QuotaController(granter, asker, known, prober, clock)
+    controller = QuotaController(granter, asker, known, lost, prober, clock)
     report = QuotaReport(controller, client, granter, clock)
-    return Quota(service, granter, channels, client, controller, report, relay_calls, prober)
+    return Quota(
+        service, granter, channels, client, controller, report, relay_calls, prober, lost
+    )
--- a/test/quota_network.py
+++ b/test/quota_network.py
@@ -21,6 +21,7 @@
 ASK_TIMEOUT = 0.1  # seconds
 FORMER_TIMEOUT, PRIMARY_TIMEOUT = 0.25, 0.06  # of asks that are passed on
 PROBE_SECONDS = 1.0  # between two rounds of connections
+TOLD_SECONDS = 0.5  # after a start; then a daemon has heard of lost ones from another
 UNREACHABLE_SECONDS = 1.0
 REFUSED = object()  # the answer of a machine on which no process listens
 CLOCK_STEP = 1e-6  # seconds between two asks, at least
@@ -254,8 +255,16 @@
         for workspace, limit in limits.items():
             daemon.set_limit(workspace, limit)
         daemon.set_members(members)
+        self.at(self.now + TOLD_SECONDS, daemon, lambda: self.tell_lost(daemon))
         return daemon
 
+    def tell_lost(self, daemon):
+        """Daemons that `daemon` can reach tell it of lost ones."""
+        for other in self.daemons.values():
+            is_running = not other.is_dead and not other.is_frozen
+            if is_running and not self.is_cut(daemon.name, other.name):
+                daemon.granter.learn_lost(other.granter.reach.lost, self.now)
+
     def kill(self, name):
         self.daemons[name].is_dead = True
         self.daemons[name].is_frozen = False
--- a/test/test_forms.py
+++ b/test/test_forms.py
@@ -37,7 +37,13 @@
 from wheatslip.distribution.feedcache import Cursor, Update
 from wheatslip.hop import decode_hop, decode_load, decode_refusal, encode, encode_outcome
 from wheatslip.outcome import Answered, NotRun, Reason, Unknown
-from wheatslip.quota.messages import NumberedAnswer, NumberedAsk, TokenGrant, TokenRequest
+from wheatslip.quota.messages import (
+    NumberedAnswer,
+    NumberedAsk,
+    RelayedAnswer,
+    TokenGrant,
+    TokenRequest,
+)
 from wheatslip.store.instances import Instance, decode_instance
 from wheatslip.store.objectclient import ObjectClient, WriteBody
 from wheatslip.store.objects import Listing, StoredObject
@@ -122,6 +128,7 @@
     "stored-ends": json_round_trip(StoredEnds),
     "token-request": codec_round_trip(TokenRequest),
     "token-grant": codec_round_trip(TokenGrant),
+    "relayed-answer": codec_round_trip(RelayedAnswer),
     "numbered-ask": codec_round_trip(NumberedAsk),
     "numbered-answer": codec_round_trip(NumberedAnswer),
 }
--- a/test/test_quota_model.py
+++ b/test/test_quota_model.py
@@ -342,6 +342,9 @@
     def on_probes(self, contacts, now):
         pass
 
+    def learn_lost(self, lost, now):
+        pass
+
     def set_members(self, names, now, lost=()):
         super().set_members(names, now)
 
--- a/test/test_quota_reach.py
+++ b/test/test_quota_reach.py
@@ -123,6 +123,32 @@
         assert not reach.has_untried_lost
 
 
+def test_a_daemon_that_starts_is_told_once_of_those_that_were_lost_before():
+    """Guards against a restarted primary that grants beside the other side of a cut, and
+    against one that counts a daemon again that it has found in touch.
+    """
+    old = reach_of()
+    old.set_members(NAMES[:6], NAMES[6:], 1.0)
+    restarted = Reach("d1")
+    restarted.set_members(NAMES[:6], (), 5.0)
+    assert restarted.share(5.0) == 1.0
+    assert restarted.learn_lost(old.lost, 5.5) == frozenset(NAMES[6:])
+    assert restarted.share(5.5) == 0.5
+    assert restarted.has_untried_lost
+    restarted.on_round(dict.fromkeys(NAMES[6:], Contact.ACCEPTED), 5.6)
+    assert not restarted.learn_lost(old.lost, 6.0)
+    assert restarted.share(6.0) == 1.0
+
+
+def test_a_daemon_is_not_told_of_those_that_are_listed_or_were_lost_since_its_start():
+    old = reach_of()
+    old.set_members(NAMES[:6], NAMES[6:], 5.0)
+    for members, started_at in ((NAMES, 6.0), (NAMES[:6], 4.0)):
+        reach = Reach("d1")
+        reach.set_members(members, (), started_at)
+        assert not reach.learn_lost(old.lost, 7.0)
+
+
 @pytest.mark.parametrize("is_listed", [True, False])
 def test_a_machine_that_crashed_costs_no_more_probes_after_a_while(is_listed):
     """Guards against the probes of doubt for an hour after each crash."""
--- a/test/test_quota_succession.py
+++ b/test/test_quota_succession.py
@@ -11,7 +11,7 @@
 from wheatslip.quota.messages import TokenRequest
 from wheatslip.quota.reach import REMEMBER_SECONDS, Contact
 from wheatslip.quota.settings import QuotaSettings
-from wheatslip.store.instances import Instance, InstanceState
+from wheatslip.store.instances import INSTANCE_KIND, Instance, InstanceState
 from wheatslipd.quota.knowndaemons import KnownDaemons
 from wheatslipd.quota.reachprober import REST_SECONDS, ReachProber
 
@@ -21,6 +21,7 @@
 from test.quota_fleet import NAMES, answered, quota_fleet, refused, until
 
 RATE, BURST = 50.0, 0.0
+FOUR_NAMES = (*NAMES, "d")
 DEMAND = 0.8  # of the limit
 MAX_REFUSED_SHARE = 0.005
 
@@ -170,6 +171,38 @@
     assert known.get("b") is None
 
 
+def test_daemons_that_restart_in_turn_are_told_of_a_lost_one(tmp_path):
+    """Guards against a restarted primary that forgets the other side of a cut."""
+
+    async def scenario():
+        lost, *others = FOUR_NAMES
+        async with quota_fleet(tmp_path, RATE, BURST, names=FOUR_NAMES) as fleet:
+            await remove_without_word(fleet, lost)
+            await until(lambda: all(lost in lost_at(fleet, name) for name in others))
+            for name in others:
+                await fleet.installation.stop(name)
+                await fleet.installation.start_again(name)
+                await until(lambda name=name: lost in lost_at(fleet, name))
+                quota = fleet.node(name).daemon.quota
+                assert quota.granter.share == pytest.approx(1 - 1 / len(FOUR_NAMES))
+                assert quota.prober._known.get(lost) == fleet.node(lost).instance
+            assert len(fleet.logged("quota-lost-told", count=1)) == len(others)
+
+    run(scenario)
+
+
+async def remove_without_word(fleet, name):
+    """End a daemon whose entry was never listed as leaving, and remove the entry."""
+    node = fleet.node(name)
+    await fleet.installation.stop(name)
+    removed = await fleet.installation.client.delete(INSTANCE_KIND, name, node.listed_version)
+    removed.unwrap()
+
+
+def lost_at(fleet, name):
+    return fleet.node(name).daemon.quota.granter.reach.lost
+
+
 @pytest.mark.parametrize("burst", [0.0, 40.0])
 def test_a_former_primary_keeps_what_its_bucket_held_for_asks_that_are_passed_on(burst):
     """Guards against a refusal below the limit at the moment in which a primary changes."""
