Say with each failed test for how long its event loop was held up

Tests that failed once beside load printed nothing that tells a fault of the product from a process that got no processor: of the entries in KNOWN-RED.txt that holds for requests that end servers [get] and for the limit below which nothing is refused. `run`, which all tests with an event loop use, now adds a note to the failure: the sum of the hold-ups, and the longest one. The first of the two also says by how much runs were late. No check changes.

--- a/test/helper.py
+++ b/test/helper.py
@@ -63,27 +63,21 @@
 
 
 def run(scenario: Callable[[], Awaitable[None]], seconds: float = 60.0) -> None:
-    """Run an async test; the timeout only stops a test that hangs."""
+    """Run an async test; the timeout only stops a test that hangs.
 
-    async def run_with_timeout() -> None:
-        async with asyncio.timeout(seconds):
-            await scenario()
-
-    asyncio.run(run_with_timeout())
-
-
-@dataclass(slots=True)
-class ShiftedClock:
-    """Unix time plus an offset that a test can change.
-
-    Daemons start while the clock is in the past, so that keys made now are newer than their
-    records: a daemon does not run a request whose key is older.
+    A failure also says for how long the event loop was held up during the test.
     """
 
-    offset_seconds: float = -100.0
+    async def run_with_timeout() -> None:
+        with measured_lag() as lags:
+            try:
+                async with asyncio.timeout(seconds):
+                    await scenario()
+            except Exception as error:
+                error.add_note(describe_lag(lags))
+                raise
 
-    def __call__(self) -> float:
-        return time.time() + self.offset_seconds
+    asyncio.run(run_with_timeout())
 
 
 @contextmanager
@@ -102,6 +96,24 @@
         task.cancel()
 
 
+def describe_lag(lags: list[float]) -> str:
+    return f"the loop was held up for {sum(lags):.2f} s, at most {max(lags):.2f} s at once"
+
+
+@dataclass(slots=True)
+class ShiftedClock:
+    """Unix time plus an offset that a test can change.
+
+    Daemons start while the clock is in the past, so that keys made now are newer than their
+    records: a daemon does not run a request whose key is older.
+    """
+
+    offset_seconds: float = -100.0
+
+    def __call__(self) -> float:
+        return time.time() + self.offset_seconds
+
+
 def ports_of(daemon: Daemon) -> dict[str, int]:
     """The ports of a listening daemon, by their field names in `Instance`."""
     return {
--- a/test/test_requests_that_end_servers.py
+++ b/test/test_requests_that_end_servers.py
@@ -86,7 +86,8 @@
     run_times = sorted(at for server in servers for at in server.fatal_run_times)
     late_runs = [at for at in run_times if at > third_end_at + HOLD_DELAY_SECONDS]
     assert len(late_runs) <= MAX_LATE_RUNS, (
-        f"{len(late_runs)} of {len(run_times)} runs were late"
+        f"{len(late_runs)} of {len(run_times)} runs were late, by "
+        f"{[round(at - third_end_at - HOLD_DELAY_SECONDS, 2) for at in late_runs]} s"
     )
     hold_expected_at = third_end_at + HOLD_DELAY_SECONDS
     for results in (callers.frequent, callers.unique):
--- a/test/test_silent_sources.py
+++ b/test/test_silent_sources.py
@@ -23,7 +23,7 @@
 from wheatslipd.tls import PeerTls
 
 from standins.cluster import HOST, eventually
-from test.helper import measured_lag, run
+from test.helper import describe_lag, measured_lag, run
 from test.routed_fleet import configuration, fleet
 
 IN_FORCE_SECONDS = 2.0  # from the write
@@ -78,8 +78,7 @@
             late = {n: d for n, d in cluster.daemons.items() if d.status().version != version}
             raise AssertionError(
                 f"version {version} is not in force at {list(late)} after {seconds} s; they "
-                f"follow {[d.feed.parent for d in late.values()]}; the loop was held up for "
-                f"{sum(lags):.2f} s, at most {max(lags):.2f} s at once"
+                f"follow {[d.feed.parent for d in late.values()]}; {describe_lag(lags)}"
             ) from None
 
 
--- a/test/test_start.py
+++ b/test/test_start.py
@@ -7,7 +7,7 @@
 from wheatslipd.telemetry.pages import PageServer
 
 from fleet_standins.store import Fault
-from test.helper import measured_lag, run
+from test.helper import describe_lag, measured_lag, run
 from test.routed_fleet import fleet
 
 
@@ -74,7 +74,4 @@
         sent_at = loop.time()
         assert (await installation.send_request("a"))[0] == 503
         took = loop.time() - sent_at
-    assert took < seconds, (
-        f"refused after {took:.2f} s; the loop was held up for {sum(lags):.2f} s, "
-        f"at most {max(lags):.2f} s at once"
-    )
+    assert took < seconds, f"refused after {took:.2f} s; {describe_lag(lags)}"
--- a/test/test_unconfirmed.py
+++ b/test/test_unconfirmed.py
@@ -22,7 +22,7 @@
 from fleet_standins.store import Fault
 from standins.cluster import HOST, eventually
 from standins.plainbackend import ServerFault
-from test.helper import measured_lag, run
+from test.helper import describe_lag, measured_lag, run
 from test.test_identity import KEY, NEW_KEY, events, guarded_fleet, tenants_configuration
 
 __all__ = ["events"]  # a fixture
@@ -61,8 +61,8 @@
             statuses = {name: await status_of(cluster, name) for name in cluster.daemons}
             assert set(statuses.values()) == {200}, (
                 f"{statuses}, {end - time.monotonic():.2f} of {seconds} s before the end; "
-                f"seconds since the confirmation, and parent: {confirmations(cluster)}; the "
-                f"loop was held up for {sum(lags):.2f} s, at most {max(lags):.2f} s at once"
+                f"seconds since the confirmation, and parent: {confirmations(cluster)}; "
+                f"{describe_lag(lags)}"
             )
             await asyncio.sleep(0.05)
 
