Note lost daemons at the platform before they leave the list

What servers got: if all daemons on one side of a partition restart at once, nobody is left who can tell the new primary whom the others are: 1,506 requests in 5 s where 1,186 are allowed, with half of twelve daemons cut off (listed).

Cause: the list at the platform has no trace of a removed entry, and daemons keep nothing over a restart.

Change: a daemon that removes dead entries first notes them in an object of its own name (lost-instances), one write for all of a scan, and removes none that the platform did not take. Each daemon reads the objects of all once, when it first has a limit in force. Without limits there are no calls.

Now each name counts once until it is listed again.

Still open, named in INVARIANTS: the same beside a silent store, and where the platform itself removes entries.

--- a/packages/wheatslip/wheatslip/quota/reach.py
+++ b/packages/wheatslip/wheatslip/quota/reach.py
@@ -56,8 +56,7 @@
         # Silences in a row of the daemons that were tried; the one tried last is at the end.
         self._silences: OrderedDict[str, int] = OrderedDict()
         self._lost: dict[str, Lost] = {}
-        self._told: set[str] = set()  # daemons of whose loss others told this one
-        self._first_listed_at = inf  # when the first list came
+        self._counted: set[str] = set()  # daemons that were lost, and not listed again since
         self._ended: set[str] = set()  # members whose process had ended when last tried
         self._shares: deque[tuple[float, float]] = deque()  # of the members, lately
         self._partial_since = inf  # not in touch with all members
@@ -65,12 +64,12 @@
     def set_members(self, members: Collection[str], lost: Collection[str], now: float) -> None:
         """Applies a list; `lost` have left it without having been listed as leaving."""
         size = max(1, len(self._members))
-        self._first_listed_at = min(self._first_listed_at, now)
         self._members = tuple(members)
         listed = self._listed = frozenset(members)
         self._step = _coprime_step(len(self._members))
         self._forget_lost(now)
         self._lost |= {name: Lost(now, 1.0 / size) for name in lost if name not in self._ended}
+        self._counted = (self._counted | self._lost.keys()) - listed
         for name in self._lost.keys() & listed:
             del self._lost[name]
         self._ended &= listed
@@ -85,18 +84,11 @@
     def learn_lost(self, lost: Mapping[str, Lost], now: float) -> frozenset[str]:
         """Applies what another daemon knows; returns the names that are new.
 
-        This daemon has seen the losses since its own start. Of an earlier one it is told once,
-        because it finds out by itself if that daemon is in touch again.
+        A daemon counts once, because this one finds out by itself if it is in touch again.
         """
-        new = {
-            name: one
-            for name, one in lost.items()
-            if one.at < self._first_listed_at
-            and name not in self._listed
-            and name not in self._lost
-            and name not in self._told
-        }
-        self._told |= new.keys()
+        known = self._listed | self._counted | {self._name}
+        new = {name: one for name, one in lost.items() if name not in known}
+        self._counted |= new.keys()
         self._lost |= new
         self._forget_lost(now)
         return frozenset(new)
--- a/packages/wheatslip/wheatslip/store/instances.py
+++ b/packages/wheatslip/wheatslip/store/instances.py
@@ -9,6 +9,7 @@
 from wheatslip.servernotice import UNKNOWN_START, ServerStart
 
 INSTANCE_KIND = "instance"
+LOST_KIND = "lost-instances"  # see `wheatslip.store.losses`
 
 
 class InstanceState(StrEnum):
--- a/packages/wheatslipd/wheatslipd/controllers/quota.py
+++ b/packages/wheatslipd/wheatslipd/controllers/quota.py
@@ -13,6 +13,7 @@
 
 from wheatslipd.quota.asker import OwnerAsker
 from wheatslipd.quota.knowndaemons import KnownDaemons
+from wheatslipd.quota.lossstore import LossStore
 from wheatslipd.quota.lostdaemons import LostDaemons
 from wheatslipd.quota.reachprober import ReachProber
 
@@ -28,6 +29,7 @@
         asker: OwnerAsker,
         known: KnownDaemons,
         lost: LostDaemons,
+        loss_store: LossStore,
         prober: ReachProber,
         clock: Callable[[], float],
     ):
@@ -37,6 +39,7 @@
         self._asker = asker
         self._known = known
         self._lost = lost
+        self._loss_store = loss_store
         self._prober = prober
         self._clock = clock
         self._listed: frozenset[str] = frozenset()  # that do not leave
@@ -60,9 +63,10 @@
 
     def losses_told(self, lost: tuple[LostInstance, ...]) -> None:
         """Apply what the parent knows of lost daemons."""
-        if self._lost.learn(lost):
-            self._prober.on_lost()
+        self._lost.learn(lost)
 
     def bundle_in_force(self, bundle: Bundle) -> None:
         """Note which workspaces have a limit. Each ask carries the limit itself."""
         self.limited = tuple(w for w in bundle.workspaces if w.limit is not None)
+        if self.limited:
+            self._loss_store.on_limits()
--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -90,7 +90,7 @@
         self._chooser = Chooser(settings.zone, rng, settings.chooser)
         self._tracer = HopTracer(settings.name, settings.trace_sample, settings.trace_file, rng)
 
-        self.quota = build_quota(settings, shared, tls)
+        self.quota = build_quota(settings, shared, tls, store)
 
         # The components below read the configuration, zone drains and instances from the feed.
         self.feed = Feed(
@@ -146,6 +146,7 @@
         tasks = [
             loop.create_task(self.quota.client.run()),
             loop.create_task(self.quota.prober.run()),
+            loop.create_task(self.quota.loss_store.run()),
             loop.create_task(self.feed.run()),
             loop.create_task(LoopLagMonitor(self._shared.metrics).run()),
         ]
@@ -216,6 +217,7 @@
             store,
             adapters.decode_heartbeat,
             self._ports,
+            self.quota.loss_store.note,
         )
 
     def _register(self, *controllers: Component) -> None:
--- a/packages/wheatslipd/wheatslipd/quota/lostdaemons.py
+++ b/packages/wheatslipd/wheatslipd/quota/lostdaemons.py
@@ -17,10 +17,17 @@
 class LostDaemons:
     """The lost daemons that this one knows, as instances."""
 
-    def __init__(self, granter: Granter, known: KnownDaemons, clock: Callable[[], float]):
-        """`clock` is monotonic, in seconds."""
+    def __init__(
+        self,
+        granter: Granter,
+        known: KnownDaemons,
+        on_learned: Callable[[], None],
+        clock: Callable[[], float],
+    ):
+        """`on_learned` is called after new ones were learned. `clock` is monotonic."""
         self._granter = granter
         self._known = known
+        self._on_learned = on_learned
         self._clock = clock
         self.version = 0  # number of times that others told of new ones
 
@@ -34,16 +41,16 @@
             if instance is not None
         )
 
-    def learn(self, told: tuple[LostInstance, ...]) -> bool:
-        """Apply what another daemon knows; return whether any of it is new."""
+    def learn(self, told: tuple[LostInstance, ...]) -> None:
+        """Apply what another daemon or the platform knows."""
         now = self._clock()
         lost = {one.instance.name: Lost(now - one.ago, one.share) for one in told}
         new = self._granter.learn_lost(lost, now)
         if not new:
-            return False
+            return
         for one in told:
             if one.instance.name in new:
                 self._known.add_left(one.instance, now - one.ago)
         self.version += 1
         logs.info("quota-lost-told", count=len(new), share=round(self._granter.share, 3))
-        return True
+        self._on_learned()
--- a/packages/wheatslipd/wheatslipd/quota/wiring.py
+++ b/packages/wheatslipd/wheatslipd/quota/wiring.py
@@ -4,12 +4,15 @@
 
 from wheatslip.quota.granter import Granter
 from wheatslip.quota.holder import TokenHolder
+from wheatslip.store.backoff import Backoff
+from wheatslip.store.objects import ObjectStore
 
 from wheatslipd.controllers.quota import QuotaController
 from wheatslipd.quota.asker import OwnerAsker
 from wheatslipd.quota.channels import OwnerChannels
 from wheatslipd.quota.client import QuotaClient
 from wheatslipd.quota.knowndaemons import KnownDaemons
+from wheatslipd.quota.lossstore import LossStore
 from wheatslipd.quota.lostdaemons import LostDaemons
 from wheatslipd.quota.reachprober import ReachProber
 from wheatslipd.quota.relaycalls import RelayCalls
@@ -33,23 +36,42 @@
     relay_calls: RelayCalls
     prober: ReachProber
     lost: LostDaemons
+    loss_store: LossStore
 
 
-def build_quota(settings: Settings, shared: SharedState, tls: PeerTls) -> Quota:
+def build_quota(
+    settings: Settings, shared: SharedState, tls: PeerTls, store: ObjectStore
+) -> Quota:
     """Build the parts. The client's `run` must run while requests are accepted."""
     clock = shared.monotonic
     granter = Granter(settings.name, settings.quota)
     known = KnownDaemons(clock)
-    lost = LostDaemons(granter, known, clock)
-    relay_calls = RelayCalls(tls, known)
     prober = ReachProber(granter, known, clock)
+    lost = LostDaemons(granter, known, prober.on_lost, clock)
+    loss_store = LossStore(
+        settings.name,
+        store,
+        lost.learn,
+        lambda: Backoff(shared.rng, last=settings.feed.retry_last),
+        shared.unix,
+    )
+    relay_calls = RelayCalls(tls, known)
     service = QuotaService(settings.name, granter, clock, relay_calls)
     channels = OwnerChannels(tls)
     asker = OwnerAsker(settings.name, service, granter.candidates_of, channels, clock)
     holder = TokenHolder(settings.quota)
     client = QuotaClient(settings.name, holder, asker, shared.metrics, clock)
-    controller = QuotaController(granter, asker, known, lost, prober, clock)
+    controller = QuotaController(granter, asker, known, lost, loss_store, prober, clock)
     report = QuotaReport(controller, client, granter, clock)
     return Quota(
-        service, granter, channels, client, controller, report, relay_calls, prober, lost
+        service,
+        granter,
+        channels,
+        client,
+        controller,
+        report,
+        relay_calls,
+        prober,
+        lost,
+        loss_store,
     )
--- a/packages/wheatslipd/wheatslipd/registration/localbackend.py
+++ b/packages/wheatslipd/wheatslipd/registration/localbackend.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import NamedTuple
 
 from msgspec import UNSET, UnsetType
@@ -50,8 +50,11 @@
         store: ObjectStore,
         decode: HeartbeatDecoder,
         ports: Callable[[], ListedPorts],
+        note_lost: Callable[[Sequence[Instance], int], Awaitable[bool]],
     ):
-        """`ports` is called when the entry is written, after all ports are bound."""
+        """`ports` is called when the entry is written, after all ports are bound. `note_lost`
+        is that of `DeadEntryRemover`.
+        """
         gate, backend, clock = server_side.gate, server_side.backend, shared.monotonic
         self._settings = settings
         self._view = shared.view
@@ -79,7 +82,13 @@
         )
         self._publisher = Publisher(store, shared.rng)
         self.remover = DeadEntryRemover(
-            settings.name, store, shared.view, clock, feed.removal_rank, feed.cache.version_of
+            settings.name,
+            store,
+            shared.view,
+            clock,
+            feed.removal_rank,
+            feed.cache.version_of,
+            note_lost,
         )
         self.registration_server = Server(self._registrar.handle)
 
--- a/packages/wheatslipd/wheatslipd/registration/removal.py
+++ b/packages/wheatslipd/wheatslipd/registration/removal.py
@@ -5,10 +5,10 @@
 calls the platform. A running daemon whose entry is removed writes it again.
 """
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Sequence
 
 from result import Err, Ok
-from wheatslip.store.instances import INSTANCE_KIND, decode_instance
+from wheatslip.store.instances import INSTANCE_KIND, Instance, decode_instance
 from wheatslip.store.objects import Conflict, ObjectStore
 
 from wheatslipd.controllers.view import Peer, View
@@ -32,10 +32,12 @@
         clock: Callable[[], float],
         rank: Callable[[str], int | None],
         version_of: Callable[[str], int],
+        note_lost: Callable[[Sequence[Instance], int], Awaitable[bool]],
     ):
         """`name` is the name of this daemon, whose entry is never removed. `rank` returns how
         many daemons remove entries of a zone before this one does, None if it removes none.
-        `version_of` returns the version of an instance's list entry.
+        `version_of` returns the version of an instance's list entry. `note_lost` is called with
+        the instances to remove and the number of listed ones, and returns whether to go on.
         """
         self._name = name
         self._store = store
@@ -43,6 +45,7 @@
         self._clock = clock
         self._rank = rank
         self._version_of = version_of
+        self._note_lost = note_lost
 
     async def run(self) -> None:
         """Scan for dead entries until cancelled."""
@@ -55,9 +58,11 @@
         now = self._clock()
         pools = self._view.membership.pools.values()
         peers = [peer for pool in pools for peer in pool]
-        for peer in peers:
-            if self._should_remove(peer, now):
-                await self._remove(peer.instance.name, peer.instance.incarnation)
+        dead = [peer.instance for peer in peers if self._should_remove(peer, now)]
+        if not dead or not await self._note_lost(dead, len(peers)):
+            return
+        for instance in dead:
+            await self._remove(instance.name, instance.incarnation)
 
     def _should_remove(self, peer: Peer, now: float) -> bool:
         rank = self._rank(peer.instance.zone)
--- a/test/quota_network.py
+++ b/test/quota_network.py
@@ -15,7 +15,7 @@
 from wheatslip.quota.granter import CANDIDATES, Granter
 from wheatslip.quota.holder import TokenHolder
 from wheatslip.quota.messages import TokenRequest
-from wheatslip.quota.reach import Contact
+from wheatslip.quota.reach import Contact, Lost
 from wheatslip.quota.settings import QuotaSettings
 
 ASK_TIMEOUT = 0.1  # seconds
@@ -221,6 +221,8 @@
 
     def __post_init__(self):
         self.daemons = {}
+        self.listed = frozenset()  # by the store
+        self.noted_lost = {}  # by the store, when they were removed
         self.group = frozenset()  # daemons on one side of a partition
         self.uses = {}  # workspace: (time, count)
         self.in_window = {}
@@ -255,9 +257,19 @@
         for workspace, limit in limits.items():
             daemon.set_limit(workspace, limit)
         daemon.set_members(members)
+        if members:  # the store answers
+            self.note_lost(frozenset(members))
+            daemon.granter.learn_lost(self.noted_lost, self.now)
         self.at(self.now + TOLD_SECONDS, daemon, lambda: self.tell_lost(daemon))
         return daemon
 
+    def note_lost(self, listed):
+        """The store has this list. Daemons noted those that they removed from it."""
+        share = 1.0 / max(1, len(self.listed))
+        self.noted_lost |= {name: Lost(self.now, share) for name in self.listed - listed}
+        self.noted_lost = {n: one for n, one in self.noted_lost.items() if n not in listed}
+        self.listed = listed
+
     def tell_lost(self, daemon):
         """Daemons that `daemon` can reach tell it of lost ones."""
         for other in self.daemons.values():
--- a/test/test_forms.py
+++ b/test/test_forms.py
@@ -45,6 +45,7 @@
     TokenRequest,
 )
 from wheatslip.store.instances import Instance, decode_instance
+from wheatslip.store.losses import StoredLosses
 from wheatslip.store.objectclient import ObjectClient, WriteBody
 from wheatslip.store.objects import Listing, StoredObject
 from wheatslip.store.registration import Heartbeat
@@ -128,6 +129,7 @@
     "stored-ends": json_round_trip(StoredEnds),
     "token-request": codec_round_trip(TokenRequest),
     "token-grant": codec_round_trip(TokenGrant),
+    "stored-losses": json_round_trip(StoredLosses),
     "relayed-answer": codec_round_trip(RelayedAnswer),
     "numbered-ask": codec_round_trip(NumberedAsk),
     "numbered-answer": codec_round_trip(NumberedAnswer),
--- a/test/test_quota_reach.py
+++ b/test/test_quota_reach.py
@@ -140,13 +140,28 @@
     assert restarted.share(6.0) == 1.0
 
 
-def test_a_daemon_is_not_told_of_those_that_are_listed_or_were_lost_since_its_start():
+def test_a_daemon_is_told_nothing_of_itself_or_of_those_that_it_knows():
+    """Guards against a daemon that starts again before the others have listed it, and against
+    one that counts those again that it has lost itself and found in touch.
+    """
     old = reach_of()
-    old.set_members(NAMES[:6], NAMES[6:], 5.0)
-    for members, started_at in ((NAMES, 6.0), (NAMES[:6], 4.0)):
-        reach = Reach("d1")
-        reach.set_members(members, (), started_at)
-        assert not reach.learn_lost(old.lost, 7.0)
+    old.set_members(NAMES[:6], NAMES[6:], 1.0)
+    listed = reach_of(own="d1")
+    assert not listed.learn_lost(old.lost, 2.0)
+    listed.set_members(NAMES[:6], NAMES[6:], 3.0)
+    listed.on_round(dict.fromkeys(NAMES[6:], Contact.ACCEPTED), 3.1)
+    assert not listed.learn_lost(old.lost, 4.0)
+    returned = Reach(NAMES[6])
+    assert returned.learn_lost(old.lost, 2.0) == frozenset(NAMES[7:])
+
+
+def test_a_daemon_that_was_listed_again_may_be_lost_again():
+    reach = reach_of()
+    for now in (1.0, 3.0):
+        reach.set_members(NAMES[:6], NAMES[6:], now)
+        assert reach.share(now) == 0.5
+        reach.set_members(NAMES, (), now + 1.0)
+        assert reach.share(now + 1.0) == 1.0
 
 
 @pytest.mark.parametrize("is_listed", [True, False])
