Wait for the thread of the pages before its poller is closed

What an embedder saw, and our tests: in about one of ten stops of a daemon the thread of its pages never ended. It kept the daemon, and polled descriptors that the process may have given to something else by then.

Cause: circuits' stop only tells the thread to end. PageServer closed the poller at once, and an epoll descriptor that is closed while a thread waits for it does not wake that thread.

Fix: stop waits for the thread, 2 s at most. test_the_thread_of_the_pages_ends_with_the_daemon failed before.

--- a/packages/wheatslipd/wheatslipd/telemetry/pages.py
+++ b/packages/wheatslipd/wheatslipd/telemetry/pages.py
@@ -8,6 +8,7 @@
 import atexit
 import os
 from threading import Event as ThreadEvent
+from threading import Thread
 
 import msgspec
 from circuits import Component, handler
@@ -17,6 +18,7 @@
 from wheatslipd.telemetry.pagesource import PageSource
 
 START_TIMEOUT_SECONDS = 10.0  # for the server to listen
+STOP_TIMEOUT_SECONDS = 2.0  # for the thread to end
 
 
 class _Pages(Controller):
@@ -80,19 +82,26 @@
         self._poller = EPoll().register(self._server)
         self._port_watcher = _PortWatcher().register(self._server)
         _Pages(source).register(self._server)
+        self._thread: Thread | None = None
 
     async def start(self) -> int:
         """Start the thread and return the port."""
-        self._server.start()
+        self._thread, _ = self._server.start()
         await asyncio.to_thread(self._port_watcher.listening.wait, START_TIMEOUT_SECONDS)
         return int(self._port_watcher.port)
 
     async def stop(self) -> None:
-        await asyncio.to_thread(self._server.stop)
+        await asyncio.to_thread(self._stop_server)
         # circuits registers it and would keep the whole daemon until the process ends.
         atexit.unregister(self._server.stop)
         self._close_poller()
 
+    def _stop_server(self) -> None:
+        """Stop the server, and wait for its thread, which still uses the poller."""
+        self._server.stop()
+        if self._thread is not None:
+            self._thread.join(STOP_TIMEOUT_SECONDS)
+
     def _close_poller(self) -> None:
         """Close the poller's descriptors, which circuits leaves open."""
         self._poller._poller.close()
--- a/test/test_held_up.py
+++ b/test/test_held_up.py
@@ -344,4 +344,20 @@
         return daemons[0]() is None
 
     run(scenario)
-    run(lambda: eventually(is_freed))  # the thread of its pages may still be ending
+    run(lambda: eventually(is_freed))
+
+
+def test_the_thread_of_the_pages_ends_with_the_daemon():
+    """Guards against a thread that polls for ever, because its poller was closed meanwhile; it
+    keeps the daemon.
+    """
+
+    async def scenario():
+        before = set(threading.enumerate())
+        for _ in range(10):
+            async with fleet("a"):
+                pass
+            left = set(threading.enumerate()) - before
+            assert not [thread.name for thread in left if thread.name == "Server"]
+
+    run(scenario)
