Show with each failed test what was logged last

test_named_limits.py::test_next_start_of_a_server_that_left_gets_requests failed once in a whole run at a load of 4 to 7: in 3 s no request arrived at the next start of a server. The loop was held up for 0.00 s at once at most, so it is no hold-up, and the output told nothing else.

`run` adds the last 40 events above debug to the failure, as `wheatslipd` would write them. No check changes. The failure was not provoked: 20 of 20 runs passed at a load of 9.

--- a/test/helper.py
+++ b/test/helper.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import time
+from collections import deque
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
@@ -28,7 +29,8 @@
 from wheatslipd.http.exchange import Exchange
 from wheatslipd.http.messages import RequestHead
 from wheatslipd.http.server import Server
-from wheatslipd.settings import Settings, parse_settings
+from wheatslipd.settings import LogLevel, Settings, parse_settings
+from wheatslipd.telemetry.logs import render
 from wheatslipd.timeouts import sleep_lateness
 
 from standins.backend import BackendStandIn, Behaviour
@@ -39,6 +41,7 @@
 OPERATORS = ("anna", "moussa")
 SEED = 11
 LAG_CHECK_SECONDS = 0.02
+SHOWN_EVENTS = 40  # of a failed test
 
 BUNDLE = f"""
 [bundle]
@@ -65,21 +68,39 @@
 def run(scenario: Callable[[], Awaitable[None]], seconds: float = 60.0) -> None:
     """Run an async test; the timeout only stops a test that hangs.
 
-    A failure also says for how long the event loop was held up during the test.
+    A failure also says for how long the event loop was held up during the test, and what was
+    logged last.
     """
 
     async def run_with_timeout() -> None:
-        with measured_lag() as lags:
+        with measured_lag() as lags, last_events() as events:
             try:
                 async with asyncio.timeout(seconds):
                     await scenario()
             except Exception as error:
-                error.add_note(describe_lag(lags))
+                error.add_note("\n".join((describe_lag(lags), *map(render, events))))
                 raise
 
     asyncio.run(run_with_timeout())
 
 
+@contextmanager
+def last_events() -> Iterator[deque[dict[str, Any]]]:
+    """Yield a queue of the `SHOWN_EVENTS` events that were logged last, without debug ones."""
+    events: deque[dict[str, Any]] = deque(maxlen=SHOWN_EVENTS)
+
+    def keep(event: dict[str, Any]) -> None:
+        if event.get("level") != LogLevel.DEBUG:
+            events.append(event)
+
+    eliot.add_destinations(keep)
+    events.clear()  # eliot also delivers the events before the first destination
+    try:
+        yield events
+    finally:
+        eliot.remove_destination(keep)
+
+
 @contextmanager
 def measured_lag() -> Iterator[list[float]]:
     """Yield a list of the seconds by which a timer of `LAG_CHECK_SECONDS` was late."""
