Do not refuse for a limit before the list of a new primary has come

What callers saw: requests below a limit were refused (429) at entries that asked a daemon which has just started: it is listed, so that they ask it first, but has no list yet or one without itself.

Cause: such a daemon is no candidate by its own list and granted nothing, which the entry took for the limit and kept to for up to 0.25 s.

Fix: a daemon that is no candidate by its list passes what others ask on to the primary of its list, as another candidate did; its own bucket stays for its own entry.

SlowService in test_quota_asker has a granter now, which the service asks for a list.

--- a/packages/wheatslip/wheatslip/quota/granter.py
+++ b/packages/wheatslip/wheatslip/quota/granter.py
@@ -127,6 +127,11 @@
         self._update_share(now)
         return new
 
+    @property
+    def has_list(self) -> bool:
+        """Whether a list of daemons was applied."""
+        return bool(self._candidates.members)
+
     @property
     def share(self) -> float:
         """The share of a limit's rate and burst that this daemon grants as the primary."""
@@ -139,16 +144,18 @@
     def relay_target(self, request: TokenRequest, now: float) -> str | None:
         """The daemon to which to pass an ask on; None: grant.
 
-        It is the former primary until that one grants no more. Another candidate than the
-        primary passes on to it what it gets from entries that could not reach it.
+        It is the former primary until that one grants no more. Another daemon than the primary
+        passes on to it what it gets from entries that could not reach it or have another list.
         """
         quota = self._quotas.get(request.workspace) or self._create(request, now)
         is_yielding = now < quota.yields_until
         if quota.succession is Succession.DONE or is_yielding or now < quota.silent_until:
             return None
         if quota.position != 0:
-            passes_on = quota.position < CANDIDATES and not request.failover
-            return self._candidates.of(request.workspace)[0] if passes_on else None
+            is_own_bucket = quota.position >= CANDIDATES and request.sender == self._name
+            if is_own_bucket or request.failover:
+                return None
+            return next(iter(self._candidates.of(request.workspace)), None)
         former = self._former_of(request.workspace, now)
         if former is None:
             quota.succession = Succession.DONE
--- a/packages/wheatslip/wheatslip/quota/messages.py
+++ b/packages/wheatslip/wheatslip/quota/messages.py
@@ -54,7 +54,9 @@
 class AskRefusal(Enum):
     """Why a daemon does not grant what it is asked for; a number on the wire."""
 
-    OTHER_DAEMON = 1  # the ask is for another daemon, whose address this one has now
+    # The ask is for another daemon, whose address this one has now, or this one has started and
+    # has no list yet.
+    OTHER_DAEMON = 1
 
 
 class NumberedAsk(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/wheatslipd/wheatslipd/controllers/quota.py
+++ b/packages/wheatslipd/wheatslipd/controllers/quota.py
@@ -16,6 +16,7 @@
 from wheatslipd.quota.lossstore import LossStore
 from wheatslipd.quota.lostdaemons import LostDaemons
 from wheatslipd.quota.reachprober import ReachProber
+from wheatslipd.quota.service import QuotaService
 
 
 class QuotaController(Component):
@@ -26,6 +27,7 @@
     def __init__(
         self,
         granter: Granter,
+        service: QuotaService,
         asker: OwnerAsker,
         known: KnownDaemons,
         lost: LostDaemons,
@@ -36,6 +38,7 @@
         """`clock` is monotonic, in seconds."""
         super().__init__()
         self._granter = granter
+        self._service = service
         self._asker = asker
         self._known = known
         self._lost = lost
@@ -58,6 +61,8 @@
         self._known.set_listed(known)
         self._granter.set_members(listed, self._clock(), lost)
         self._asker.set_instances(listed)
+        if listed:
+            self._service.on_list()
         if lost:
             self._prober.on_lost()
 
--- a/packages/wheatslipd/wheatslipd/quota/service.py
+++ b/packages/wheatslipd/wheatslipd/quota/service.py
@@ -4,7 +4,9 @@
 and when an ask is passed on to the former owner instead.
 """
 
+import asyncio
 from collections.abc import Callable
+from contextlib import suppress
 
 import grpclib.const
 from grpclib.exceptions import GRPCError
@@ -50,6 +52,7 @@
         self._name = name
         self._granter = granter
         self._clock = clock
+        self._listed = asyncio.Event()
         # Workspaces whose requests this daemon has received as their primary.
         self._primary_of: set[str] = set()
 
@@ -66,6 +69,10 @@
             ),
         }
 
+    def on_list(self) -> None:
+        """This daemon has its first list of daemons."""
+        self._listed.set()
+
     def grant(self, request: TokenRequest) -> TokenGrant:
         """Grant tokens now."""
         return self._granter.grant(request, self._clock())
@@ -98,15 +105,26 @@
 
     async def answer(self, request: TokenRequest) -> Result[TokenGrant, AskRefusal]:
         """Answer the ask of another entry."""
-        if request.owner not in ("", self._name):
+        if request.owner not in ("", self._name) or not await self._has_list():
             return Err(AskRefusal.OTHER_DAEMON)
         return Ok(await self.serve(request))
 
+    async def _has_list(self) -> bool:
+        """Wait for the first list: others may know a daemon that starts before it knows them.
+
+        Without a list it grants as little as one that is not running yet.
+        """
+        if not self._granter.has_list:
+            with suppress(TimeoutError):
+                async with asyncio.timeout(RELAY_TIMEOUT_SECONDS):
+                    await self._listed.wait()
+        return self._granter.has_list
+
     async def _answer_relayed(self, stream: Stream[TokenRequest, RelayedAnswer]) -> None:
         request = await stream.recv_message()
         if request is None:
             return
-        if request.owner != self._name:
+        if request.owner != self._name or not self._granter.has_list:
             raise GRPCError(OTHER_DAEMON_STATUS)
         await stream.send_message(self._granter.grant_relayed(request, self._clock()))
 
--- a/packages/wheatslipd/wheatslipd/quota/wiring.py
+++ b/packages/wheatslipd/wheatslipd/quota/wiring.py
@@ -61,7 +61,9 @@
     asker = OwnerAsker(settings.name, service, granter.candidates_of, channels, clock)
     holder = TokenHolder(settings.quota)
     client = QuotaClient(settings.name, holder, asker, shared.metrics, clock)
-    controller = QuotaController(granter, asker, known, lost, loss_store, prober, clock)
+    controller = QuotaController(
+        granter, service, asker, known, lost, loss_store, prober, clock
+    )
     report = QuotaReport(controller, client, granter, clock)
     return Quota(
         service,
--- a/test/quota_network.py
+++ b/test/quota_network.py
@@ -20,6 +20,7 @@
 
 ASK_TIMEOUT = 0.1  # seconds
 RELAY_TIMEOUT, SETTLING_RELAY_TIMEOUT = 0.06, 0.25  # of asks that are passed on
+LIST_CHECK_SECONDS = 0.005  # between two looks for the first list
 PROBE_SECONDS = 1.0  # between two rounds of connections
 TOLD_SECONDS = 0.5  # after a start; then a daemon has heard of lost ones from another
 UNREACHABLE_SECONDS = 1.0
@@ -84,6 +85,9 @@
 
     def serve(self, request, reply, is_relayed=False):
         """Answers an ask, or passes it on to the former primary."""
+        if not self.granter.has_list and request.sender != self.name:
+            self.await_list(request, reply, is_relayed, self.network.now + RELAY_TIMEOUT)
+            return
         if is_relayed:
             reply(self.granter.grant_relayed(request, self.network.now))
             return
@@ -114,6 +118,18 @@
         timeout = SETTLING_RELAY_TIMEOUT if is_settling else RELAY_TIMEOUT
         self.network.call(self, target, request, timeout, on_answer, is_relayed=True)
 
+    def await_list(self, request, reply, is_relayed, until):
+        """Answers an ask when the first list has come; declines it if that takes long."""
+        if self.granter.has_list:
+            self.serve(request, reply, is_relayed)
+        elif is_relayed or self.network.now >= until:
+            reply(REFUSED)
+        else:
+            time = self.network.now + LIST_CHECK_SECONDS
+            self.network.at(
+                time, self, lambda: self.await_list(request, reply, is_relayed, until)
+            )
+
     def set_members(self, members, has_left=False):
         """Applies a list. `has_left`: those that it lacks were listed as leaving before."""
         lost = () if has_left else self.candidates.members - frozenset(members)
--- a/test/test_quota_asker.py
+++ b/test/test_quota_asker.py
@@ -6,8 +6,9 @@
 from result import Err, Ok
 from wheatslip.distribution.feedcache import FeedCache
 from wheatslip.quota.candidates import Candidates
-from wheatslip.quota.granter import CANDIDATES
+from wheatslip.quota.granter import CANDIDATES, Granter
 from wheatslip.quota.messages import TokenGrant, TokenRequest
+from wheatslip.quota.settings import QuotaSettings
 from wheatslip.store.instances import Instance
 from wheatslipd.feed.relay import RelayServer
 from wheatslipd.quota import channels as channels_module
@@ -196,7 +197,9 @@
         asked = 0
 
         def __init__(self):
-            self._name = "d0"
+            granter = Granter("d0", QuotaSettings())
+            granter.set_members(("d0",), 0.0)
+            super().__init__("d0", granter, lambda: 0.0)
 
         async def serve(self, request):
             self.asked += 1
--- a/test/test_quota_failures.py
+++ b/test/test_quota_failures.py
@@ -221,7 +221,7 @@
         running = [
             daemon
             for name, daemon in self.network.daemons.items()
-            if not daemon.is_dead and name not in self.network.group
+            if not daemon.is_dead and name not in self.network.group and daemon.granter.has_list
         ]
         if running:
             self.random.choice(running).request("alpha")
@@ -238,6 +238,23 @@
         return refused / max(1, refused + self.network.used.get("alpha", 0))
 
 
+@pytest.mark.parametrize("limit", [LIMIT, LIMIT_WITHOUT_BURST])
+@pytest.mark.parametrize("has_old_list", [False, True])
+def test_nothing_is_refused_while_the_list_of_a_new_primary_is_late(limit, has_old_list):
+    """Guards against a daemon that refuses what it is asked for as the primary, because it does
+    not know yet that it is listed, or has no list yet.
+    """
+    new, *others = order()
+    demand = Demand(others, 0.6, limit)
+    demand.network.run_until(FAILURE)
+    daemon = demand.network.start(new, others if has_old_list else (), {"alpha": limit})
+    for name in others:
+        demand.network.daemons[name].set_members(NAMES)
+    assert demand.refused_share(0.05) == 0.0
+    daemon.set_members(NAMES)
+    assert demand.refused_share(3.0) <= MAX_REFUSED_SHARE
+
+
 @pytest.mark.parametrize("limit", [LIMIT, LIMIT_WITHOUT_BURST])
 def test_nothing_is_refused_when_a_limit_is_first_used_beside_a_silent_candidate(limit):
     """Guards against a primary that waits for another candidate for longer than the entries
--- a/test/test_quota_succession.py
+++ b/test/test_quota_succession.py
@@ -6,14 +6,16 @@
 
 import msgspec
 import pytest
+from result import Err, Ok
 from wheatslip.quota.candidates import Candidates
 from wheatslip.quota.granter import SMALL_BURST_SLACK_SHARE, Granter
-from wheatslip.quota.messages import TokenRequest
+from wheatslip.quota.messages import AskRefusal, TokenGrant, TokenRequest
 from wheatslip.quota.reach import REMEMBER_SECONDS, Contact
 from wheatslip.quota.settings import QuotaSettings
 from wheatslip.store.instances import INSTANCE_KIND, Instance, InstanceState
 from wheatslipd.quota.knowndaemons import KnownDaemons
 from wheatslipd.quota.reachprober import REST_SECONDS, ReachProber
+from wheatslipd.quota.service import QuotaService
 
 from standins.backend import Behaviour
 from standins.cluster import HOST
@@ -181,6 +183,28 @@
     run(scenario)
 
 
+@pytest.mark.parametrize("list_after", [0.01, None])
+def test_a_daemon_without_a_list_refuses_nothing_for_the_limit(list_after):
+    """Guards against requests below a limit that are refused because a daemon starts."""
+
+    async def scenario():
+        granter = Granter("a", QuotaSettings())
+        clock = asyncio.get_running_loop().time
+        service = QuotaService("a", granter, clock)
+
+        def set_members():
+            granter.set_members(("a", "b"), clock())
+            service.on_list()
+
+        if list_after is not None:
+            asyncio.get_running_loop().call_later(list_after, set_members)
+        answer = await service.answer(TokenRequest("b", "alpha", 1, 1, RATE, BURST, owner="a"))
+        expected = Err(AskRefusal.OTHER_DAEMON) if list_after is None else Ok(TokenGrant(1))
+        assert answer == expected
+
+    run(scenario)
+
+
 def test_a_daemon_that_left_the_list_is_known_for_a_while():
     """Guards against a former primary, or a lost daemon, that can't be called any more."""
     now = 0.0
