--- a/bench/quota.py
+++ b/bench/quota.py
@@ -10,9 +10,10 @@
 from collections.abc import Callable
 
 from wheatslip.quota.candidates import Candidates
-from wheatslip.quota.granter import CANDIDATES, Granter
+from wheatslip.quota.granter import Granter
 from wheatslip.quota.holder import TokenHolder
 from wheatslip.quota.messages import TokenGrant, TokenRequest
+from wheatslip.quota.parts import CANDIDATES
 from wheatslip.quota.settings import QuotaSettings
 
 from bench.figures import Bound, Figure, add_record_option, report
--- a/packages/wheatslip/wheatslip/quota/granter.py
+++ b/packages/wheatslip/wheatslip/quota/granter.py
@@ -2,14 +2,7 @@
 
 Beyond docs/design/workspace-limits.md, so that the bound holds in the worst case:
 
-- The parts of the margin include what a bucket holds (`Part`).
-- A part of the slack is kept for the tokens that a restarted primary starts with. Those are
-  also at most half a second's refill, so that a restart loop does not multiply them.
-- A primary's bucket holds a part of the slack if the burst is smaller. Requests arrive at
-  random, so a bucket of one or two tokens would refuse many of a workspace below its limit.
-- Of the daemons that are not a candidate, only the next `OWN_BUCKETS` in rendezvous order have
-  a bucket of their own. A bucket holds at least one token, and one token at each daemon would
-  exceed the slack.
+- `parts` decides how much of a limit each daemon may grant.
 - `Granter.candidates_of` serves the entry of the same daemon too, because the first candidates
   of each workspace among 22,000 members take some 15 ms to compute.
 - A new primary passes asks on to the former one (`relay_target`) until that one has declined,
@@ -27,13 +20,11 @@
 from wheatslip.quota.bucket import MIN_BURST, TokenBucket
 from wheatslip.quota.candidates import Candidates
 from wheatslip.quota.messages import RelayedAnswer, TokenGrant, TokenRequest
+from wheatslip.quota.parts import CANDIDATES, GRANTING_DAEMONS, Part, Parts
 from wheatslip.quota.quotastate import (
-    CANDIDATES,
     SETTLE_SECONDS,
     SILENT_SECONDS,
     YIELD_SECONDS,
-    Part,
-    Position,
     Quota,
     QuotaStats,
     Succession,
@@ -43,25 +34,10 @@
 from wheatslip.quota.retryschedule import RetrySchedule
 from wheatslip.quota.settings import QuotaSettings
 
-__all__ = [
-    "CANDIDATES",
-    "GRANTING_DAEMONS",
-    "SETTLE_SECONDS",
-    "Granter",
-    "Position",
-    "QuotaStats",
-]
-
-OWN_BUCKETS = 2  # further daemons that may grant a few tokens to themselves
-GRANTING_DAEMONS = CANDIDATES + OWN_BUCKETS  # the others' buckets stay empty
 NO_POSITION = GRANTING_DAEMONS  # of all others in the rendezvous order
 SETTLING_SHARE = 0.5  # of the rate, for `SETTLE_SECONDS` after a list change
 RECENT_SECONDS = 5.0  # for which a daemon that left the list may be the former primary
 FAILOVER_SHARE = 0.5  # of the rate, for a candidate after a primary that ended
-SECOND_SHARE, THIRD_SHARE, OWN_SHARE = 0.5, 0.25, 0.25  # of the margin
-RESTART_SLACK_SHARE = 0.15  # of the slack, for the first tokens of a restarted primary
-SMALL_BURST_SLACK_SHARE = 0.5  # of the slack: what the bucket of a primary holds at least
-RESTART_SECONDS = 0.5  # of refill, at most, for the same
 FORGET_SECONDS = 60.0  # without a request; only a full bucket is forgotten
 MAX_WORKSPACES = 4096  # limits memory
 
@@ -77,6 +53,7 @@
     def __init__(self, name: str, settings: QuotaSettings, list_lease: float = float("inf")):
         self._name = name
         self._settings = settings
+        self._parts = Parts(settings)
         self._list_lease = list_lease
         self._lapses_at = float("inf")
         self._candidates = Candidates(GRANTING_DAEMONS)
@@ -311,11 +288,7 @@
     def _first_tokens(self, quota: Quota) -> float:
         if quota.position != 0:
             return 0.0
-        return min(
-            self._primary_burst(quota.burst),
-            RESTART_SLACK_SHARE * self._settings.slack,
-            max(1.0, RESTART_SECONDS * quota.rate),
-        )
+        return self._parts.first_tokens(quota.rate, quota.burst)
 
     def _former_of(self, workspace: str, now: float) -> str | None:
         """The first other daemon in rendezvous order that is listed, or was until lately."""
@@ -365,21 +338,21 @@
         position = self._effective_position(quota, now)
         if position == 0:
             return self._primary_part(quota, now)
-        part = self._margin_part(quota, position)
+        part = self._parts.of_margin(position, quota.rate, quota.burst)
         if position < CANDIDATES and now < min(quota.failover_until, self._lapses_at):
             return Part(max(part.rate, FAILOVER_SHARE * quota.rate), part.burst)
         return part
 
     def _primary_part(self, quota: Quota, now: float) -> Part:
         if quota.succession is Succession.SILENT and now < quota.since + YIELD_SECONDS:
-            return self._margin_part(quota, 1)
+            return self._parts.of_margin(1, quota.rate, quota.burst)
         is_settled = (
             now >= quota.since + SETTLE_SECONDS
             or quota.succession is Succession.SILENT
             or quota.yields(now)
         )
         share = self._share * (1.0 if is_settled else SETTLING_SHARE)
-        burst = max(MIN_BURST, self._share * self._primary_burst(quota.burst))
+        burst = max(MIN_BURST, self._share * self._parts.primary_burst(quota.burst))
         return Part(share * quota.rate, burst)
 
     def _effective_position(self, quota: Quota, now: float) -> int:
@@ -393,31 +366,6 @@
             return quota.position + 1
         return quota.position
 
-    def _margin_part(self, quota: Quota, position: int) -> Part:
-        """The part of the margin for a position after the primary's."""
-        margin = self._margin(quota.rate, quota.burst)
-        seconds = self._settings.window + self._settings.token_lifetime
-        if position == 1:
-            return Part.of(SECOND_SHARE * margin, seconds)
-        if position == 2:
-            return Part.of(THIRD_SHARE * margin, seconds)
-        if position < GRANTING_DAEMONS:
-            return Part.of(OWN_SHARE * margin / OWN_BUCKETS, seconds)
-        return Part(0.0, MIN_BURST)
-
-    def _margin(self, rate: float, burst: float) -> float:
-        """Tokens of a window that the bound leaves beside those of the primary."""
-        settings = self._settings
-        bound = (rate * settings.window + burst) * (1 + settings.overage) + settings.slack
-        primary = rate * (settings.window + settings.token_lifetime) + self._primary_burst(
-            burst
-        )
-        return bound - primary - RESTART_SLACK_SHARE * settings.slack
-
-    def _primary_burst(self, burst: float) -> float:
-        """Tokens that the bucket of a primary holds, for a limit with `burst`."""
-        return max(MIN_BURST, burst, SMALL_BURST_SLACK_SHARE * self._settings.slack)
-
     def _forget(self, now: float) -> None:
         """Forgets workspaces whose bucket is full; a new bucket would not hold more."""
         while self._quotas:
--- a/packages/wheatslip/wheatslip/quota/quotastate.py
+++ b/packages/wheatslip/wheatslip/quota/quotastate.py
@@ -3,14 +3,13 @@
 from dataclasses import dataclass
 from enum import Enum, StrEnum, auto
 
-from wheatslip.quota.bucket import MIN_BURST, TokenBucket
+from wheatslip.quota.bucket import TokenBucket
+from wheatslip.quota.parts import CANDIDATES
 from wheatslip.quota.retryschedule import RetrySchedule
 
-CANDIDATES = 3  # daemons that an entry asks, in this order
 SETTLE_SECONDS = 3.0  # by then every entry has the list that made a daemon the primary
 YIELD_SECONDS = 2.0  # for which a former primary grants; by then every entry has the list
 SILENT_SECONDS = 1.0  # for which a silent primary gets no asks from another candidate
-PART_BURST_SHARE = 0.25  # of a part of the margin: what its bucket holds
 
 
 class Position(StrEnum):
@@ -45,21 +44,6 @@
     position: Position
 
 
-@dataclass(frozen=True, slots=True)
-class Part:
-    """Refill and size of a bucket that grants at most `tokens` in a window and a lifetime."""
-
-    rate: float
-    burst: float
-
-    @classmethod
-    def of(cls, tokens: float, seconds: float) -> "Part":
-        if tokens < MIN_BURST:
-            return cls(0.0, MIN_BURST)
-        burst = max(MIN_BURST, PART_BURST_SHARE * tokens)
-        return cls((tokens - burst) / seconds, burst)
-
-
 @dataclass(slots=True)
 class Quota:
     """One workspace.
--- a/test/quota_network.py
+++ b/test/quota_network.py
@@ -12,9 +12,10 @@
 from random import Random
 
 from wheatslip.quota.candidates import Candidates
-from wheatslip.quota.granter import CANDIDATES, Granter
+from wheatslip.quota.granter import Granter
 from wheatslip.quota.holder import TokenHolder
 from wheatslip.quota.messages import TokenRequest
+from wheatslip.quota.parts import CANDIDATES
 from wheatslip.quota.reach import Contact, Lost
 from wheatslip.quota.settings import QuotaSettings
 
--- a/test/test_quota_asker.py
+++ b/test/test_quota_asker.py
@@ -6,8 +6,9 @@
 from result import Err, Ok
 from wheatslip.distribution.feedcache import FeedCache
 from wheatslip.quota.candidates import Candidates
-from wheatslip.quota.granter import CANDIDATES, Granter
+from wheatslip.quota.granter import Granter
 from wheatslip.quota.messages import TokenGrant, TokenRequest
+from wheatslip.quota.parts import CANDIDATES
 from wheatslip.quota.settings import QuotaSettings
 from wheatslip.store.instances import Instance
 from wheatslipd.feed.relay import RelayServer
--- a/test/test_quota_granter.py
+++ b/test/test_quota_granter.py
@@ -5,8 +5,10 @@
 from hypothesis import strategies as st
 from wheatslip.quota import granter as granter_module
 from wheatslip.quota.candidates import Candidates
-from wheatslip.quota.granter import OWN_BUCKETS, SETTLE_SECONDS, Granter, Position
+from wheatslip.quota.granter import Granter
 from wheatslip.quota.messages import TokenRequest
+from wheatslip.quota.parts import OWN_BUCKETS
+from wheatslip.quota.quotastate import SETTLE_SECONDS, Position
 from wheatslip.quota.settings import QuotaSettings
 
 SETTINGS = QuotaSettings()
--- a/test/test_quota_model.py
+++ b/test/test_quota_model.py
@@ -24,8 +24,9 @@
     run_state_machine_as_test,
 )
 from wheatslip.quota.candidates import Candidates
-from wheatslip.quota.granter import SETTLE_SECONDS, Granter
+from wheatslip.quota.granter import Granter
 from wheatslip.quota.holder import TokenHolder
+from wheatslip.quota.quotastate import SETTLE_SECONDS
 from wheatslip.quota.settings import QuotaSettings
 
 from test.quota_network import Limit, Network, NetworkFaults
--- a/test/test_quota_path.py
+++ b/test/test_quota_path.py
@@ -5,7 +5,7 @@
 
 import msgspec
 import pytest
-from wheatslip.quota.granter import SECOND_SHARE, THIRD_SHARE
+from wheatslip.quota.parts import SECOND_SHARE, THIRD_SHARE
 from wheatslipd.quota import channels
 
 from standins.caller import Reported
--- a/test/test_quota_succession.py
+++ b/test/test_quota_succession.py
@@ -8,8 +8,9 @@
 import pytest
 from result import Err, Ok
 from wheatslip.quota.candidates import Candidates
-from wheatslip.quota.granter import SMALL_BURST_SLACK_SHARE, Granter
+from wheatslip.quota.granter import Granter
 from wheatslip.quota.messages import AskRefusal, TokenGrant, TokenRequest
+from wheatslip.quota.parts import SMALL_BURST_SLACK_SHARE
 from wheatslip.quota.reach import REMEMBER_SECONDS, Contact
 from wheatslip.quota.settings import QuotaSettings
 from wheatslip.store.instances import INSTANCE_KIND, Instance, InstanceState
