Use one piece each for own objects, connection checks and repeated asks

Cause: the work on limits wrote again what the daemon had. LossStore and EndStore handled versions and conflicts of an object of their own in the same way, ReachProber and Backend connected and closed, RelayCalls and OwnerChannels asked again after a broken connection, and three histograms took the same arguments.

feed/ownobject, http/connectcheck, `repeat_if_silent` and `histogram` serve both sides of each now.

--- a/packages/wheatslip/wheatslip/quota/reach.py
+++ b/packages/wheatslip/wheatslip/quota/reach.py
@@ -86,8 +86,11 @@
 
         A daemon counts once, because this one finds out by itself if it is in touch again.
         """
-        known = self._listed | self._counted | {self._name}
-        new = {name: one for name, one in lost.items() if name not in known}
+        new = {
+            name: one
+            for name, one in lost.items()
+            if name not in self._listed and name not in self._counted and name != self._name
+        }
         self._counted |= new.keys()
         self._lost |= new
         self._forget_lost(now)
--- a/packages/wheatslipd/wheatslipd/feed/endstore.py
+++ b/packages/wheatslipd/wheatslipd/feed/endstore.py
@@ -17,9 +17,10 @@
     EndReport,
     unexpired_reports,
 )
-from wheatslip.store.objects import Conflict, StoredObject, Unavailable
+from wheatslip.store.objects import StoredObject
 
 from wheatslipd.feed.access import PlatformAccess, log_unavailable
+from wheatslipd.feed.ownobject import OwnObject
 from wheatslipd.telemetry import logs
 
 MAX_STORED_REPORTS = 16  # up to 1.3 kB each; the oldest are dropped first
@@ -41,7 +42,7 @@
         self._access = access
         self._unix = unix
         self._reports: tuple[EndReport, ...] = ()
-        self._version = 0  # of the object; 0 if the object does not exist
+        self._object = OwnObject(access.store, SERVER_ENDS_KIND, name)
         self._changed = asyncio.Event()
 
     def add(self, report: EndReport) -> None:
@@ -84,48 +85,26 @@
     def _apply_stored(self, item: StoredObject) -> None:
         reports = _decode_reports(item)
         if item.name == self._name:
-            self._merge_own_reports(item, reports)
+            self._object.adopt(item)
+            self._merge_own_reports(reports)
         self._access.cache_writer.apply_end_reports(reports, item.name)
 
-    def _merge_own_reports(
-        self, existing: StoredObject, reports: tuple[EndReport, ...]
-    ) -> None:
+    def _merge_own_reports(self, reports: tuple[EndReport, ...]) -> None:
         """Prepend the reports that an earlier process of this daemon stored."""
         current_ids = {report.id for report in self._reports}
         earlier_reports = tuple(report for report in reports if report.id not in current_ids)
         self._reports = (*earlier_reports, *self._reports)[-MAX_STORED_REPORTS:]
-        self._version = existing.version
 
     async def _write(self) -> bool:
         """Write the unexpired reports; return False if a retry is needed."""
         self._reports = unexpired_reports(self._reports, self._unix())
         if not self._reports:
-            return await self._delete()
-        value = StoredEnds(self._reports)
-        match await self._store.put(SERVER_ENDS_KIND, self._name, value, self._version):
-            case Ok(stored):
-                self._version = stored.version
-                return True
-            case Err(Conflict(None)):
-                self._version = 0
-            case Err(Conflict(StoredObject() as existing)):
-                # The response to an earlier write was lost, or an earlier process wrote it.
-                self._merge_own_reports(existing, _decode_reports(existing))
-            case Err(Unavailable() as unavailable):
-                log_unavailable(unavailable)
-        return False
-
-    async def _delete(self) -> bool:
-        if not self._version:
-            return True
-        match await self._store.delete(SERVER_ENDS_KIND, self._name, self._version):
+            return await self._object.delete()
+        match await self._object.write(StoredEnds(self._reports)):
             case Ok(_):
-                self._version = 0
                 return True
-            case Err(Conflict(StoredObject() as existing)):
-                self._version = existing.version
-            case Err(Unavailable() as unavailable):
-                log_unavailable(unavailable)
+            case Err(StoredObject() as existing):
+                self._merge_own_reports(_decode_reports(existing))
         return False
 
 
--- a/packages/wheatslipd/wheatslipd/gate/backend.py
+++ b/packages/wheatslipd/wheatslipd/gate/backend.py
@@ -10,10 +10,10 @@
 
 from wheatslipd.http.body import Body, BodyTruncated
 from wheatslipd.http.client import ClientConnection, Response
+from wheatslipd.http.connectcheck import check_connection
 from wheatslipd.http.messages import RequestHead
 from wheatslipd.http.pool import ConnectionPool
 from wheatslipd.telemetry import logs
-from wheatslipd.timeouts import reply_timeout
 
 # Methods whose requests carry no Content-Length header if their body is empty.
 METHODS_WITHOUT_CONTENT = frozenset({b"GET", b"HEAD"})
@@ -78,19 +78,15 @@
 
     async def refuses_connections(self) -> bool:
         """Whether the server's port is closed, which means that its process has ended."""
-        loop = asyncio.get_running_loop()
         try:
-            async with reply_timeout(self._connect_timeout, "backend-connection"):
-                transport, _ = await loop.create_connection(
-                    asyncio.Protocol, self._address, self._port
-                )
+            await check_connection(
+                self._address, self._port, self._connect_timeout, "backend-connection"
+            )
         except ConnectionRefusedError:
             return True
         except (OSError, TimeoutError) as error:
             # Only a refused connection proves that the port is closed.
             logs.debug("backend-check-failed", error=type(error).__name__)
-            return False
-        transport.abort()
         return False
 
     def set_connection_limit(self, connections: int) -> None:
--- a/packages/wheatslipd/wheatslipd/quota/channels.py
+++ b/packages/wheatslipd/wheatslipd/quota/channels.py
@@ -12,7 +12,7 @@
 from wheatslip.quota.messages import TokenGrant, TokenRequest
 from wheatslip.store.instances import Instance
 
-from wheatslipd.quota.askfailure import AskFailure
+from wheatslipd.quota.askfailure import AskFailure, repeat_if_silent
 from wheatslipd.quota.askstream import AskStream
 from wheatslipd.timeouts import reply_timeout
 from wheatslipd.tls import PeerTls
@@ -54,14 +54,10 @@
         asked_at = asyncio.get_running_loop().time()
         try:
             async with reply_timeout(ASK_TIMEOUT_SECONDS, "quota-owner"):
-                result = await self._ask_once(owner, request)
-                if result == Err(AskFailure.SILENT):
-                    # The stream broke. Only a new one tells whether a process listens.
-                    result = await self._ask_once(owner, request)
+                return await repeat_if_silent(lambda: self._ask_once(owner, request))
         except TimeoutError:
             self._close_if_silent(owner, asked_at)
             return Err(AskFailure.SILENT)
-        return result
 
     def close(self) -> None:
         """Close all streams; open asks fail, and no later one opens a stream."""
--- a/packages/wheatslipd/wheatslipd/quota/lossstore.py
+++ b/packages/wheatslipd/wheatslipd/quota/lossstore.py
@@ -16,9 +16,10 @@
 from wheatslip.store.backoff import Backoff
 from wheatslip.store.instances import LOST_KIND, Instance, InstanceState
 from wheatslip.store.losses import MAX_STORED_LOSSES, StoredLoss, StoredLosses
-from wheatslip.store.objects import Conflict, ObjectStore, StoredObject, Unavailable
+from wheatslip.store.objects import ObjectStore, StoredObject
 
 from wheatslipd.feed.access import log_unavailable
+from wheatslipd.feed.ownobject import OwnObject
 from wheatslipd.telemetry import logs
 
 
@@ -40,7 +41,7 @@
         self._backoff = backoff
         self._unix = unix
         self._losses: tuple[StoredLoss, ...] = ()
-        self._version = 0  # of the object; 0 if it does not exist
+        self._object = OwnObject(store, LOST_KIND, name)
         self._has_limits = asyncio.Event()
 
     def on_limits(self) -> None:
@@ -75,24 +76,21 @@
         """Write the latest losses; return whether the platform has them."""
         oldest = self._unix() - REMEMBER_SECONDS
         self._losses = tuple(one for one in self._losses if one.at > oldest)
-        value = StoredLosses(self._losses[-MAX_STORED_LOSSES:])
-        match await self._store.put(LOST_KIND, self._name, value, self._version):
-            case Ok(stored):
-                self._version = stored.version
+        match await self._object.write(StoredLosses(self._losses[-MAX_STORED_LOSSES:])):
+            case Ok(_):
                 return True
-            case Err(Conflict(None)):
-                self._version = 0
-            case Err(Conflict(StoredObject() as existing)):
-                # The response to an earlier write was lost, or an earlier process wrote it.
+            case Err(StoredObject() as existing):
                 self._merge(existing)
-            case Err(Unavailable() as unavailable):
-                log_unavailable(unavailable)
         return False
 
     async def _read_all(self) -> bool:
         """Apply the losses that daemons have noted; return whether the platform answered."""
         match await self._store.list(LOST_KIND, stale_ok=True):
             case Ok(listing):
+                for item in listing.items:
+                    if item.name == self._name:
+                        self._object.adopt(item)
+                        self._merge(item)
                 losses = [one for item in listing.items for one in _decode(item)]
                 now = self._unix()
                 self._apply(
@@ -110,7 +108,6 @@
         noted = {one.instance.name for one in self._losses}
         earlier = (one for one in _decode(existing) if one.instance.name not in noted)
         self._losses = (*earlier, *self._losses)
-        self._version = existing.version
 
 
 def _decode(item: StoredObject) -> tuple[StoredLoss, ...]:
--- a/packages/wheatslipd/wheatslipd/quota/reachprober.py
+++ b/packages/wheatslipd/wheatslipd/quota/reachprober.py
@@ -10,9 +10,9 @@
 from wheatslip.quota.granter import Granter
 from wheatslip.quota.reach import Contact
 
+from wheatslipd.http.connectcheck import check_connection
 from wheatslipd.quota.knowndaemons import KnownDaemons
 from wheatslipd.telemetry import logs
-from wheatslipd.timeouts import reply_timeout
 
 REST_SECONDS = 1.0  # between two rounds
 DOUBT_SECONDS = 0.5  # the same while the share may change
@@ -70,15 +70,12 @@
         instance = self._known.get(name)
         if instance is None:
             return Contact.SILENT
-        loop = asyncio.get_running_loop()
         try:
-            async with reply_timeout(CONNECT_TIMEOUT_SECONDS, "reach"):
-                transport, _ = await loop.create_connection(
-                    asyncio.Protocol, instance.address, instance.control_port
-                )
+            await check_connection(
+                instance.address, instance.control_port, CONNECT_TIMEOUT_SECONDS, "reach"
+            )
         except ConnectionRefusedError:
             return Contact.REFUSED
         except (OSError, TimeoutError):
             return Contact.SILENT
-        transport.abort()
         return Contact.ACCEPTED
--- a/packages/wheatslipd/wheatslipd/quota/relaycalls.py
+++ b/packages/wheatslipd/wheatslipd/quota/relaycalls.py
@@ -16,7 +16,11 @@
 from wheatslip.store.instances import Instance
 
 from wheatslipd.feed.codec import StructCodec
-from wheatslipd.quota.askfailure import UNSUPPORTED_STATUSES, AskFailure
+from wheatslipd.quota.askfailure import (
+    UNSUPPORTED_STATUSES,
+    AskFailure,
+    repeat_if_silent,
+)
 from wheatslipd.quota.knowndaemons import KnownDaemons
 from wheatslipd.timeouts import reply_timeout
 from wheatslipd.tls import PeerTls
@@ -49,14 +53,10 @@
             return Err(AskFailure.SILENT)
         try:
             async with reply_timeout(seconds, "former-primary"):
-                result = await self._call(instance, request)
-                if result == Err(AskFailure.SILENT):
-                    # The connection broke. Only a new one tells whether a process listens.
-                    result = await self._call(instance, request)
+                return await repeat_if_silent(lambda: self._call(instance, request))
         except TimeoutError:
             self._close(owner)
             return Err(AskFailure.SILENT)
-        return result
 
     def close(self) -> None:
         """Close all connections."""
--- a/packages/wheatslipd/wheatslipd/quota/service.py
+++ b/packages/wheatslipd/wheatslipd/quota/service.py
@@ -131,12 +131,9 @@
     async def _answer_stream(self, stream: Stream[NumberedAsk, NumberedAnswer]) -> None:
         await AnswerStream(stream, self.answer).run()
 
-    def _is_primary(self, workspace: str) -> bool:
-        return next(iter(self._granter.candidates_of(workspace)), "") == self._name
-
     def _log_primary(self, workspace: str) -> None:
         """Log the first request for a workspace since this daemon became its primary."""
-        is_primary = self._is_primary(workspace)
+        is_primary = next(iter(self._granter.candidates_of(workspace)), "") == self._name
         if is_primary and workspace not in self._primary_of:
             self._primary_of.add(workspace)
             logs.info("quota-owner", workspace=workspace, daemon=self._name)
--- a/packages/wheatslipd/wheatslipd/telemetry/metrics.py
+++ b/packages/wheatslipd/wheatslipd/telemetry/metrics.py
@@ -26,15 +26,21 @@
         def gauge(name: str, doc: str) -> Gauge:
             return Gauge(name, doc, const_labels=labels, registry=self.registry)
 
+        def histogram(name: str, doc: str) -> Histogram:
+            return Histogram(
+                name,
+                doc,
+                const_labels=labels,
+                registry=self.registry,
+                buckets=LATENCY_BUCKETS,
+            )
+
         self.requests = counter(
             "wheatslip_requests_total", "Requests by workspace, service, outcome and reason"
         )
-        self.request_seconds = Histogram(
+        self.request_seconds = histogram(
             "wheatslip_request_seconds",
             "Time from a request's head to the end of its answer, by service",
-            const_labels=labels,
-            registry=self.registry,
-            buckets=LATENCY_BUCKETS,
         )
         self.sends = counter(
             "wheatslip_sends_total",
@@ -97,23 +103,17 @@
             "Requests of workspaces with a limit, by workspace and outcome "
             "(used, returned, refused, deadline)",
         )
-        self.quota_ask_seconds = Histogram(
+        self.quota_ask_seconds = histogram(
             "wheatslip_quota_ask_seconds",
             "Time of an ask for tokens, until an owner of the limit has answered",
-            const_labels=labels,
-            registry=self.registry,
-            buckets=LATENCY_BUCKETS,
         )
         self.quota_share = gauge(
             "wheatslip_quota_share",
             "Share of limits that this daemon grants as a primary, by the daemons in touch",
         )
-        self.loop_lag_seconds = Histogram(
+        self.loop_lag_seconds = histogram(
             "wheatslip_loop_lag_seconds",
             "How late the event loop runs a timer, measured four times a second",
-            const_labels=labels,
-            registry=self.registry,
-            buckets=LATENCY_BUCKETS,
         )
         self.key_records = gauge("wheatslip_key_records", "Request keys remembered here")
         self.connections = gauge("wheatslip_connections", "Open connections, by port")
