Say once in tests how a daemon is taken for dead and half a fleet cut off

Cause: three tests marked a peer as dead and two cut off half of a model fleet by the same lines. `mark_dead` and `fleet_with_half_cut_off` do it now.

--- a/test/routed_fleet.py
+++ b/test/routed_fleet.py
@@ -8,9 +8,11 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from math import inf
+from random import Random
 
 import aiohttp
 from wheatslip.admission import ClosedBy
+from wheatslip.upstream import DEAD_AFTER_FAILURES
 from wheatslipd.daemon import Adapters
 from wheatslipd.settings import parse_settings
 
@@ -243,6 +245,14 @@
         }
 
 
+def mark_dead(daemon, name):
+    """Let a daemon take another one for dead, by a clock that is `DEAD_AFTER_SECONDS` later."""
+    peers = (p for p in daemon.view.membership.peers("papers") if p.instance.name == name)
+    for peer in peers:
+        for second in range(DEAD_AFTER_FAILURES):
+            peer.upstream.on_unreachable(float(second), Random(1))
+
+
 @asynccontextmanager
 async def fleet(*names, configured=True, initial_configuration=None, **options):
     """Run daemons of these names.
--- a/test/test_lost_instances.py
+++ b/test/test_lost_instances.py
@@ -5,17 +5,16 @@
 """
 
 import asyncio
-from random import Random
 
 import msgspec
 from wheatslip.store.instances import INSTANCE_KIND, LOST_KIND
 from wheatslip.store.losses import StoredLosses
-from wheatslip.upstream import DEAD_AFTER_FAILURES, DEAD_AFTER_SECONDS
+from wheatslip.upstream import DEAD_AFTER_SECONDS
 
 from fleet_adapter.wire import KINDS
 from standins.cluster import eventually
 from test.helper import run
-from test.routed_fleet import configuration
+from test.routed_fleet import configuration, mark_dead
 from test.test_identity import guarded_fleet
 from test.test_quota_routes import limited_configuration
 
@@ -35,9 +34,7 @@
 async def remove(cluster, name, remover_name="a"):
     """A daemon removes the entry of another one, which it takes for dead."""
     daemon = cluster.daemons[remover_name]
-    peers = {peer.instance.name: peer for peer in daemon.view.membership.peers("papers")}
-    for second in range(DEAD_AFTER_FAILURES):
-        peers[name].upstream.on_unreachable(float(second), Random(1))
+    mark_dead(daemon, name)
     remover = daemon.local_backend.remover
     remover._rank = lambda zone: 0
     remover._clock = lambda: DEAD_AFTER_SECONDS + 1
--- a/test/test_quota_failures.py
+++ b/test/test_quota_failures.py
@@ -144,18 +144,24 @@
     assert cut_off_primary(float("inf")) <= BOUND
 
 
-@pytest.mark.parametrize("restarted", [1, 3, 6])
-def test_successors_of_a_cut_off_primary_that_restart_in_turn_stay_within_the_bound(restarted):
-    """Guards against a restarted primary that forgets the other side of a cut, although others
-    beside it know of it.
-    """
+def fleet_with_half_cut_off():
+    """Cut off the primary and five others until their removal; also returns these."""
     primary, *others = order()
     fleet = Fleet()
     fleet.network.run_until(FAILURE)
     cut_off = frozenset([primary, *others[-5:]])
     fleet.network.group = cut_off
     fleet.network.run_until(FAILURE + REMOVED_SECONDS)
-    connected = [name for name in others if name not in cut_off]
+    return fleet, cut_off
+
+
+@pytest.mark.parametrize("restarted", [1, 3, 6])
+def test_successors_of_a_cut_off_primary_that_restart_in_turn_stay_within_the_bound(restarted):
+    """Guards against a restarted primary that forgets the other side of a cut, although others
+    beside it know of it.
+    """
+    fleet, cut_off = fleet_with_half_cut_off()
+    connected = [name for name in order() if name not in cut_off]
     fleet.set_members(connected, connected)
     fleet.network.run_until(fleet.network.now + 5.0)
     for name in connected[:restarted]:
@@ -168,12 +174,7 @@
 
 def test_successors_of_a_cut_off_primary_that_all_restart_stay_within_the_bound():
     """Guards against a restarted primary that knows nothing of the other side of a cut."""
-    primary, *others = order()
-    fleet = Fleet()
-    fleet.network.run_until(FAILURE)
-    cut_off = frozenset([primary, *others[-5:]])
-    fleet.network.group = cut_off
-    fleet.network.run_until(FAILURE + REMOVED_SECONDS)
+    fleet, cut_off = fleet_with_half_cut_off()
     connected = [name for name in NAMES if name not in cut_off]
     for name in connected:
         fleet.network.kill(name)
--- a/test/test_routed_path.py
+++ b/test/test_routed_path.py
@@ -4,10 +4,9 @@
 
 import asyncio
 import json
-from random import Random
 
 from wheatslip.store.instances import INSTANCE_KIND
-from wheatslip.upstream import DEAD_AFTER_FAILURES, DEAD_AFTER_SECONDS
+from wheatslip.upstream import DEAD_AFTER_SECONDS
 from wheatslipd.registration.removal import RANK_DELAY_SECONDS
 
 from fleet_adapter.wire import KINDS
@@ -15,7 +14,7 @@
 from standins.cluster import HOST, eventually
 from standins.plainbackend import ServerFault
 from test.helper import run
-from test.routed_fleet import configuration, fleet
+from test.routed_fleet import configuration, fleet, mark_dead
 
 
 def test_a_forwarded_request_has_the_headers_that_the_server_needs():
@@ -146,11 +145,8 @@
     async def scenario():
         async with fleet("a", "b") as installation:
             daemon = installation.daemons["a"]
-            (dead_peer,) = (
-                p for p in daemon.view.membership.peers("papers") if p.instance.name == "b"
-            )
-            for second in range(DEAD_AFTER_FAILURES):
-                dead_peer.upstream.on_unreachable(float(second), Random(1))
+            mark_dead(daemon, "b")
+            incarnation = daemon.feed.cache.instances["b"].incarnation
             remover = daemon.local_backend.remover
             remover._rank = lambda zone: 0
             remover._clock = lambda: DEAD_AFTER_SECONDS - 1
@@ -158,7 +154,7 @@
             assert (KINDS[INSTANCE_KIND], "b") in installation.store.objects
             remover._clock = lambda: DEAD_AFTER_SECONDS + 1
             remover._version_of = lambda name: 1  # the version from before the restart
-            await remover._remove("b", dead_peer.instance.incarnation + 1)
+            await remover._remove("b", incarnation + 1)
             assert (KINDS[INSTANCE_KIND], "b") in installation.store.objects
             remover._version_of = daemon.feed.cache.version_of
             call_count = len(installation.store.calls)
@@ -180,10 +176,7 @@
     async def scenario():
         async with fleet(*"abcd") as installation:
             for daemon in installation.daemons.values():
-                for peer in daemon.view.membership.peers("papers"):
-                    for second in range(DEAD_AFTER_FAILURES):
-                        if peer.instance.name == "d":
-                            peer.upstream.on_unreachable(float(second), Random(1))
+                mark_dead(daemon, "d")
             removers = [
                 daemon.local_backend.remover for daemon in installation.daemons.values()
             ]
