Show a health answer that is passed on as a request's answer

A late second answer ends a health check, whose own answer then becomes the answer to the next request on that connection.

--- /dev/null
+++ b/review/__init__.py
@@ -0,0 +1,1 @@
+"""Cases of an independent review; see REPORT.md."""
--- /dev/null
+++ b/review/case.py
@@ -0,0 +1,42 @@
+"""Runs a case: its exit codes, and whether its disruption is left out."""
+
+import asyncio
+import os
+import sys
+import traceback
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+from review.record import Record
+
+HELD = 0
+BROKEN = 1
+COULD_NOT_RUN = 2
+MAX_SECONDS = 115.0
+
+Play = Callable[[Record, bool], Awaitable[bool]]
+
+
+def run_case(folder: Path, play: Play) -> None:
+    """Run `play`, which returns whether the rule held, and exit.
+
+    Its second argument tells whether the disruption happens; `TROUBLE=0` leaves it out.
+    """
+    record = Record(folder)
+    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    code = COULD_NOT_RUN
+    try:
+        code = HELD if asyncio.run(_limited(play, record, has_trouble)) else BROKEN
+    except Exception:
+        record.add(traceback.format_exc())
+        traceback.print_exc()
+    verdict = {HELD: "the rule held", BROKEN: "the rule was broken"}.get(code, "not run")
+    record.add(f"exit code {code}: {verdict}")
+    record.close()
+    print(f"exit code {code}: {verdict}")
+    sys.exit(code)
+
+
+async def _limited(play: Play, record: Record, has_trouble: bool) -> bool:
+    async with asyncio.timeout(MAX_SECONDS):
+        return await play(record, has_trouble)
