--- a/review/case.py
+++ b/review/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import traceback
 from collections.abc import Awaitable, Callable
@@ -25,9 +26,11 @@
     record = Record(folder)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     code = COULD_NOT_RUN
+    # So that the processes that were started are ended also then.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         code = HELD if asyncio.run(_limited(play, record, has_trouble)) else BROKEN
-    except Exception:
+    except (Exception, KeyboardInterrupt):
         record.add(traceback.format_exc())
         traceback.print_exc()
     verdict = {HELD: "the rule held", BROKEN: "the rule was broken"}.get(code, "not run")
