--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,13 +10,15 @@
 from review.fleet import Fleet
 from review.record import Record
 
-HOST = "caisse.example"
+HOST = "vaktmester.example"
+SERVICE = "vaktmester"
+ORDER, LOOKUP = "/work-order/", "/unit-lookup/"
 LOAD_SECONDS = 30.0
 REQUESTS_PER_SECOND = 45.0  # at all machines together
 SURPLUS_SHARE = 0.03  # of the answers of each server that come twice
 UNSAFE_EVERY = 2  # of the requests
-WORK_SECONDS = 0.042
-DEADLINE_SECONDS = 0.6
+WORK_SECONDS = 0.15
+DEADLINE_SECONDS = 2.0
 PROMISES = (408, 421, 429, 503)  # that a request has not run
 
 
@@ -26,14 +28,12 @@
     try:
         await fleet.open_store()
         routes = {
-            "balance": route(HOST, "/balance/", "safe", "caisse", timeout_s=0.6, target_s=0.15),
-            "payment": route(
-                HOST, "/payment/", "unsafe", "caisse", timeout_s=0.6, target_s=0.15
-            ),
+            "lookup": route(HOST, LOOKUP, "safe", SERVICE, timeout_s=1.0, target_s=0.4),
+            "order": route(HOST, ORDER, "unsafe", SERVICE, timeout_s=1.0, target_s=0.4),
         }
-        fleet.store.write("config", "main", configuration(1, routes, ["caisse"]))
-        for zone in ("parc-p1", "parc-p2", "salle-tech"):
-            machine = fleet.add(f"sidecar-{zone}-1", zone, "caisse")
+        fleet.store.write("config", "main", configuration(1, routes, [SERVICE]))
+        for zone in ("sone-a", "sone-b", "sone-c"):
+            machine = fleet.add(f"sidecar-{zone}-1", zone, SERVICE, slots=18)
             machine.upstream.is_noisy = True
             machine.upstream.work_s = WORK_SECONDS
             machine.upstream.surplus_share = SURPLUS_SHARE if has_trouble else 0.0
@@ -56,9 +56,9 @@
             break
         is_unsafe = number % UNSAFE_EVERY == 0
         method, path = (
-            ("POST", f"/payment/{number}") if is_unsafe else ("GET", f"/balance/{number}")
+            ("PUT", f"{ORDER}{number}") if is_unsafe else ("GET", f"{LOOKUP}{number}")
         )
-        body = b"payment" if is_unsafe else b""
+        body = b"order" if is_unsafe else b""
         address = next(machines).outbound
         tasks.append(
             (
@@ -98,10 +98,10 @@
                 f"{reply.headers.get('response-stamp')} and body {reply.body!r}; "
                 f"ran at {servers}"
             )
-        if method == "POST" and servers and reply.status in PROMISES:
+        if method == "PUT" and servers and reply.status in PROMISES:
             refused += 1
             record.add(f"REFUSED: {request_id} got {reply.status}, but ran at {servers}")
-        if method == "POST" and len(servers) > 1:
+        if method == "PUT" and len(servers) > 1:
             twice += 1
             record.add(f"TWICE: {request_id} ran at {servers}")
     surplus = sum(machine.upstream.surplus_sent for machine in fleet.machines)
@@ -112,6 +112,8 @@
     )
     record.add(summary)
     print(summary)
+    if 2 * served < len(replies):
+        raise RuntimeError("too few requests were served to judge the others")
     return mixed == 0
 
 
--- a/review/case.py
+++ b/review/case.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
+from review.processes import end_processes
 from review.record import Record
 
 HELD = 0
@@ -26,13 +27,14 @@
     record = Record(folder)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     code = COULD_NOT_RUN
-    # So that the processes that were started are ended also then.
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    signal.signal(signal.SIGTERM, _stop)
     try:
         code = HELD if asyncio.run(_limited(play, record, has_trouble)) else BROKEN
     except (Exception, KeyboardInterrupt):
         record.add(traceback.format_exc())
         traceback.print_exc()
+    finally:
+        end_processes()
     verdict = {HELD: "the rule held", BROKEN: "the rule was broken"}.get(code, "not run")
     record.add(f"exit code {code}: {verdict}")
     record.close()
@@ -40,6 +42,12 @@
     sys.exit(code)
 
 
+def _stop(number: int, frame: object) -> None:
+    """Stop once, so that the processes that were started are ended."""
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+    raise KeyboardInterrupt
+
+
 async def _limited(play: Play, record: Record, has_trouble: bool) -> bool:
     async with asyncio.timeout(MAX_SECONDS):
         return await play(record, has_trouble)
--- a/review/fleet.py
+++ b/review/fleet.py
@@ -21,6 +21,7 @@
 from wheatslipd.http.server import Server
 
 from fleet_standins.store import StoreStandIn
+from review.processes import add_process, forget_process
 from review.record import Record
 from review.rendering import render
 from review.upstream import Upstream
@@ -150,6 +151,7 @@
             *_command(), cwd=ROOT, env=variables, stdout=log, stderr=log
         )
         log.close()
+        add_process(machine.process.pid)
         machine.watch = asyncio.create_task(self._watch(machine, machine.process))
 
     async def is_ready(self, machine: Machine) -> bool:
@@ -191,6 +193,7 @@
             if process is not None and process.returncode is None:
                 process.kill()
                 await process.wait()
+                forget_process(process.pid)
             await machine.upstream.stop()
         for server in (*self._extra_servers, self.store.server):
             await server.abort()
@@ -203,6 +206,7 @@
     async def _watch(self, machine: Machine, process: asyncio.subprocess.Process) -> None:
         """Start the daemon again after it has ended by itself."""
         code = await process.wait()
+        forget_process(process.pid)
         if machine.is_stopped:
             return
         machine.own_ends.append(time.monotonic())
