--- a/review/fleet.py
+++ b/review/fleet.py
@@ -9,7 +9,6 @@
 import asyncio
 import os
 import random
-import signal
 import socket
 import sys
 import tempfile
@@ -29,7 +28,6 @@
 ROOT = Path(__file__).resolve().parent.parent
 RESTART_SECONDS = 0.5  # from the end of a process to its next start
 START_TIMEOUT_SECONDS = 30.0
-STOP_TIMEOUT_SECONDS = 8.0
 STORE_HOST = "127.0.0.1"
 PORT_NAMES = ("inbound", "outbound", "ready", "control", "app", "inner")
 BOUNDS = {
@@ -65,7 +63,6 @@
     upstream: Upstream
     process: asyncio.subprocess.Process | None = None
     own_ends: list[float] = field(default_factory=list)  # monotonic times
-    is_stopped: bool = False  # by the case
     watch: asyncio.Task[None] | None = None
 
     @property
@@ -146,7 +143,6 @@
             "WHEATSLIP_NODE_FILE": str(settings),
             "PYTHONPATH": str(ROOT / "target/deps"),
         }
-        machine.is_stopped = False
         machine.process = await asyncio.create_subprocess_exec(
             *_command(), cwd=ROOT, env=variables, stdout=log, stderr=log
         )
@@ -168,19 +164,6 @@
             return False
         return b" 200 " in line
 
-    def signal(self, machine: Machine, number: signal.Signals) -> None:
-        """Send a signal to a daemon."""
-        assert machine.process is not None
-        machine.is_stopped = number in (signal.SIGKILL, signal.SIGTERM)
-        self.record.add(f"{number.name} to the daemon of {machine.node}")
-        machine.process.send_signal(number)
-
-    async def kill(self, machine: Machine) -> None:
-        """Kill a daemon and wait for its end."""
-        self.signal(machine, signal.SIGKILL)
-        assert machine.process is not None
-        await machine.process.wait()
-
     def log_of(self, machine: Machine) -> str:
         return (self.folder / f"{machine.node}.log").read_text(errors="replace")
 
@@ -207,13 +190,10 @@
         """Start the daemon again after it has ended by itself."""
         code = await process.wait()
         forget_process(process.pid)
-        if machine.is_stopped:
-            return
         machine.own_ends.append(time.monotonic())
         self.record.add(f"the daemon of {machine.node} ended by itself, exit code {code}")
         await asyncio.sleep(RESTART_SECONDS)
-        if not machine.is_stopped:
-            await self.start_daemon(machine)
+        await self.start_daemon(machine)
 
     def _fields(self, machine: Machine) -> dict[str, object]:
         ports = machine.ports
--- a/review/upstream.py
+++ b/review/upstream.py
@@ -196,7 +196,7 @@
             reader, writer = await asyncio.open_connection(ip, port)
             try:
                 writer.write(
-                    f"{method} /heartbeats/{self.server_id} HTTP/1.1\r\nHost: {ip}:{port}\r\n"
+                    f"PUT /heartbeats/{self.server_id} HTTP/1.1\r\nHost: {ip}:{port}\r\n"
                     "Content-Type: application/json\r\nConnection: close\r\n"
                     f"Content-Length: {len(body)}\r\n\r\n".encode()
                     + body
