Tell which response was taken for which request

Each request to a backend server now says what it is (a request with its name, or a check of the health), and a response without that name is counted (wheatslip_unmatched_responses_total) and logged (response-unmatched, one line a kind in 10 s, with both names), with whether it was taken as the answer. What is taken has not changed.

The calls of two tests follow the new parameters; what they assert is the same.

--- a/packages/wheatslipd/wheatslipd/gate/backend.py
+++ b/packages/wheatslipd/wheatslipd/gate/backend.py
@@ -11,6 +11,7 @@
 from wheatslipd.http.body import Body, BodyTruncated
 from wheatslipd.http.client import ClientConnection, Response
 from wheatslipd.http.connectcheck import check_connection
+from wheatslipd.http.matching import OnUnmatched, Question, ignore_unmatched
 from wheatslipd.http.messages import RequestHead
 from wheatslipd.http.pool import ConnectionPool
 from wheatslipd.telemetry import logs
@@ -33,11 +34,23 @@
 class Backend:
     """Sends requests to the local backend server."""
 
-    def __init__(self, address: str, port: int, connections: int, connect_timeout: float):
-        """`connections` limits the open connections; `connect_timeout` is in seconds."""
+    def __init__(
+        self,
+        address: str,
+        port: int,
+        connections: int,
+        connect_timeout: float,
+        name_header: bytes = b"",
+        on_unmatched: OnUnmatched = ignore_unmatched,
+    ):
+        """`connections` limits the open connections; `connect_timeout` is in seconds.
+        `name_header` is the header that the server's responses repeat, or empty.
+        """
         self._address = address
         self._port = port
-        self._pool = ConnectionPool(address, port, connections)
+        self._pool = ConnectionPool(
+            address, port, connections, name_header=name_header, on_unmatched=on_unmatched
+        )
         self._connect_timeout = connect_timeout
         self._idle_limit = IdleLimit()
 
@@ -45,14 +58,13 @@
         self,
         head: RequestHead,
         body: Body,
-        echo: tuple[bytes, bytes] | None = None,
+        question: Question,
         connect_timeout: float = 0.0,
         on_connected: Callable[[], None] = lambda: None,
     ) -> BackendAnswer | NotRun | Unknown:
         """Send a request. `NotRun` guarantees that no byte of it reached the server.
 
-        `echo` is a header name and value that the server copies into its response, so that a
-        second response to an earlier request is detected. `connect_timeout` (seconds) raises
+        `question` decides which response is taken for it. `connect_timeout` (seconds) raises
         the default connect timeout. `on_connected` is called before the first byte is sent.
         """
         now = asyncio.get_running_loop().time()
@@ -61,7 +73,7 @@
         if connection is None:
             return NO_CONNECTION
         on_connected()
-        connection.expect_echo(echo)
+        connection.expect(question)
         try:
             await self._send_request(connection, head, body)
             return BackendAnswer(await connection.response(), connection)
--- a/packages/wheatslipd/wheatslipd/gate/health.py
+++ b/packages/wheatslipd/wheatslipd/gate/health.py
@@ -2,6 +2,7 @@
 
 from wheatslipd.gate.backend import Backend, BackendAnswer
 from wheatslipd.http.body import Body, BodyTruncated
+from wheatslipd.http.matching import CHECK
 from wheatslipd.http.messages import MILLISECONDS_PER_SECOND, RequestHead, ResponseHead
 from wheatslipd.timeouts import reply_timeout
 
@@ -15,7 +16,7 @@
     head = RequestHead(b"GET", path.encode(), [(b"host", b"localhost")])
     try:
         async with reply_timeout(timeout, "health"):
-            answer = await backend.send(head, body)
+            answer = await backend.send(head, body, CHECK)
             if not isinstance(answer, BackendAnswer):
                 return None
             try:
--- a/packages/wheatslipd/wheatslipd/gate/peerport.py
+++ b/packages/wheatslipd/wheatslipd/gate/peerport.py
@@ -51,6 +51,7 @@
 from wheatslipd.gate.suspects import SuspectGuard
 from wheatslipd.http.body import BodyTruncated
 from wheatslipd.http.exchange import Exchange
+from wheatslipd.http.matching import Kind, Question
 from wheatslipd.http.messages import Headers, RequestHead, ResponseHead
 from wheatslipd.settings import HeaderNames
 from wheatslipd.telemetry.metrics import Metrics, priority_label
@@ -304,12 +305,10 @@
     ) -> Awaitable[BackendAnswer | NotRun | Unknown]:
         """Send the request to the backend server; `remaining` is the time left, in seconds."""
         call = request.call
-        echo = self._names.request_id
-        request_id = call.request_id.encode("latin-1")
         return self._backend.send(
             self._backend_head(request),
             request.exchange.body,
-            (echo, request_id) if echo and request_id else None,
+            Question(Kind.REQUEST, call.request_id.encode("latin-1")),
             # Another send of the key would be refused as running, so connecting may take all
             # of the remaining time.
             remaining if call.is_at_most_once else 0.0,
--- a/packages/wheatslipd/wheatslipd/gate/serverside.py
+++ b/packages/wheatslipd/wheatslipd/gate/serverside.py
@@ -20,6 +20,7 @@
 from wheatslipd.gate.serverend import ServerEndDetector
 from wheatslipd.gate.speedcheck import SpeedCheck
 from wheatslipd.gate.suspects import SuspectGuard
+from wheatslipd.gate.unmatched import UnmatchedResponseLog
 from wheatslipd.identification import HeaderIdentification
 from wheatslipd.settings import CHECKS_DISABLED_PRICE, Interface, Settings
 from wheatslipd.shared import SharedState
@@ -59,6 +60,8 @@
         settings.backend_port,
         DEFAULT_MAX_CONNECTIONS,
         settings.connect_timeout,
+        settings.headers.request_id,
+        UnmatchedResponseLog(shared.metrics).add,
     )
     speed_check = SpeedCheck(
         backend,
--- a/packages/wheatslipd/wheatslipd/http/client.py
+++ b/packages/wheatslipd/wheatslipd/http/client.py
@@ -8,6 +8,13 @@
 
 from wheatslipd.http.body import Body
 from wheatslipd.http.connection import Connection
+from wheatslipd.http.matching import (
+    UNNAMED_REQUEST,
+    OnUnmatched,
+    Question,
+    ResponseMatcher,
+    ignore_unmatched,
+)
 from wheatslipd.http.messages import (
     LAST_CHUNK,
     RequestHead,
@@ -41,8 +48,13 @@
     disagree on where messages start.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, name_header: bytes = b"", on_unmatched: OnUnmatched = ignore_unmatched
+    ) -> None:
+        """`name_header` and `on_unmatched` are those of the `ResponseMatcher`."""
         super().__init__()
+        self._matcher = ResponseMatcher(name_header, on_unmatched)
+        self._question = UNNAMED_REQUEST  # of the next request; see `expect`
         self._parser = httptools.HttpResponseParser(self)
         self._method = b""  # of the current request
         self._response: asyncio.Future[Response] | None = None
@@ -52,7 +64,6 @@
         self._is_request_sent = True  # whether the current request is sent completely
         self._reusable = True  # never set back to True: message boundaries may be lost
         self._body_until_close = False  # whether the end of the connection ends the body
-        self._echo: tuple[bytes, bytes] | None = None  # see `expect_echo`
         self._skips_response = False  # whether the current response answers an earlier request
         self.timed_out = False  # whether the connection ended with ETIMEDOUT
         # Whether it timed out so soon after a request that the request was not received.
@@ -72,13 +83,9 @@
             and (self._body is None or self._body.exhausted)
         )
 
-    def expect_echo(self, echo: tuple[bytes, bytes] | None) -> None:
-        """Skip responses to the next request whose header is present with another value.
-
-        Such a response answers an earlier request a second time. `echo` is the name and the
-        value of the header; None: accept any response.
-        """
-        self._echo = echo
+    def expect(self, question: Question) -> None:
+        """Set what the next request is, which decides which response is taken for it."""
+        self._question = question
 
     async def start(self, head: RequestHead) -> None:
         """Send the head of a request; `write` and `finish` send its body."""
@@ -112,6 +119,8 @@
 
     def _begin(self, head: RequestHead, *, is_request_sent: bool) -> None:
         loop = asyncio.get_running_loop()
+        self._matcher.begin(self._question)
+        self._question = UNNAMED_REQUEST
         self._method = head.method
         self._sent_at = loop.time()
         self._awaits_response = True
@@ -129,6 +138,7 @@
     def data_received(self, data: bytes) -> None:
         """Feed the parser; malformed or unexpected data ends the connection."""
         if not self._awaits_response:
+            self._matcher.on_unasked_bytes()
             self._fail_and_abort()
             return
         try:
@@ -167,10 +177,11 @@
             if status == 100 and self._continue is not None and not self._continue.done():
                 self._continue.set_result(True)
             return
-        if self._is_late_response():
+        if self._body is None and not self._matcher.accepts(self._headers):
             self._skips_response = True
             return
         if self._body is not None or self._response is None:
+            self._matcher.on_unasked_bytes()
             raise ConnectionError("second response to the same request")
         keep_alive = self._parser.should_keep_alive()
         head = ResponseHead(status, self._headers, keep_alive)
@@ -208,13 +219,6 @@
             self._body.finish()
         self._awaits_response = False
 
-    def _is_late_response(self) -> bool:
-        if self._echo is None or self._body is not None:
-            return False
-        name, value = self._echo
-        echoed = next((v for n, v in self._headers if n == name), value)
-        return echoed != value
-
     @staticmethod
     def _has_framing(head: ResponseHead) -> bool:
         return (
--- a/packages/wheatslipd/wheatslipd/http/pool.py
+++ b/packages/wheatslipd/wheatslipd/http/pool.py
@@ -5,6 +5,7 @@
 from collections import deque
 
 from wheatslipd.http.client import ClientConnection
+from wheatslipd.http.matching import OnUnmatched, ignore_unmatched
 from wheatslipd.timeouts import reply_timeout
 
 MAX_IDLE_SECONDS = 30.0  # shorter than the server's `IDLE_TIMEOUT_SECONDS`
@@ -13,12 +14,24 @@
 class ConnectionPool:
     """Connections to one address, reused in last-in, first-out order."""
 
-    def __init__(self, host: str, port: int, limit: int, tls: ssl.SSLContext | None = None):
-        """`limit` bounds the number of open connections."""
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        limit: int,
+        tls: ssl.SSLContext | None = None,
+        name_header: bytes = b"",
+        on_unmatched: OnUnmatched = ignore_unmatched,
+    ):
+        """`limit` bounds the number of open connections. `name_header` and `on_unmatched` are
+        those of the connections' `ResponseMatcher`.
+        """
         self._host = host
         self._port = port
         self.limit = limit
         self._tls = tls
+        self._name_header = name_header
+        self._on_unmatched = on_unmatched
         self._idle: deque[ClientConnection] = deque()
         self._open_count = 0
         self.opened_count = 0
@@ -68,7 +81,7 @@
         try:
             async with reply_timeout(timeout, "connection"):
                 _, connection = await loop.create_connection(
-                    ClientConnection, self._host, self._port, ssl=self._tls
+                    self._make_connection, self._host, self._port, ssl=self._tls
                 )
         except (OSError, TimeoutError):
             self._open_count -= 1
@@ -79,6 +92,9 @@
         self.opened_count += 1
         return connection
 
+    def _make_connection(self) -> ClientConnection:
+        return ClientConnection(self._name_header, self._on_unmatched)
+
     def _discard(self, connection: ClientConnection) -> None:
         self._open_count -= 1
         connection.abort()
--- a/packages/wheatslipd/wheatslipd/telemetry/metrics.py
+++ b/packages/wheatslipd/wheatslipd/telemetry/metrics.py
@@ -75,6 +75,12 @@
             "wheatslip_probe_seconds_total",
             "Time the local backend server spent on them",
         )
+        self.unmatched_responses = counter(
+            "wheatslip_unmatched_responses_total",
+            "Responses of the local backend server without the name of the request that waits, "
+            "by what waits (request, check, nothing), by what they show (a-name, no-name), and "
+            "whether they were taken as the answer",
+        )
         self.platform_calls = counter("wheatslip_platform_calls_total", "Calls to the platform")
         self.relay_bytes = counter(
             "wheatslip_relay_bytes_total", "Bytes of control messages sent to followers"
--- a/test/test_http.py
+++ b/test/test_http.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 from wheatslipd.gate.backend import Backend
 from wheatslipd.http.body import HIGH_WATER_BYTES, Body, BodyTruncated
+from wheatslipd.http.matching import Kind, Question
 from wheatslipd.http.messages import RequestHead, ResponseHead
 from wheatslipd.http.pool import ConnectionPool
 from wheatslipd.http.server import Server
@@ -299,10 +300,11 @@
                     )
 
         server = await asyncio.start_server(serve, HOST, 0)
-        pool = ConnectionPool(HOST, server.sockets[0].getsockname()[1], 4)
+        port = server.sockets[0].getsockname()[1]
+        pool = ConnectionPool(HOST, port, 4, name_header=b"request-id")
         for number in (1, 2, 3):
             connection = await pool.acquire(1.0)
-            connection.expect_echo((b"request-id", b"%d" % number))
+            connection.expect(Question(Kind.REQUEST, b"%d" % number))
             await connection.start_with_body(RequestHead(b"GET", b"/"), b"")
             response = await connection.response()
             assert await response.body.read_up_to(100) == b"answer %d" % number
@@ -327,13 +329,14 @@
                 )
 
         server = await asyncio.start_server(serve, HOST, 0)
-        backend = Backend(HOST, server.sockets[0].getsockname()[1], 1, 1.0)
-        for echo in ((b"request-id", b"7"), None):
+        backend = Backend(HOST, server.sockets[0].getsockname()[1], 1, 1.0, b"request-id")
+        for name in (b"7", b""):
             body = Body(lambda: None, lambda: None)
             body.finish()
-            head = RequestHead(b"GET", b"/", [echo] if echo else [])
+            head = RequestHead(b"GET", b"/", [(b"request-id", name)] if name else [])
+            question = Question(Kind.REQUEST, name)
             async with asyncio.timeout(1.0):
-                answer = await backend.send(head, body, echo, 0.0, lambda: None)
+                answer = await backend.send(head, body, question, 0.0, lambda: None)
             assert answer.response.head.status == 200
             backend.release(answer)
         backend.close()
--- a/test/test_idle_connections.py
+++ b/test/test_idle_connections.py
@@ -8,6 +8,7 @@
 from wheatslipd.gate.backend import Backend, BackendAnswer
 from wheatslipd.http.body import Body
 from wheatslipd.http.client import KEEPALIVE_SECONDS
+from wheatslipd.http.matching import UNNAMED_REQUEST
 from wheatslipd.http.messages import RequestHead, ResponseHead
 from wheatslipd.http.pool import ConnectionPool
 from wheatslipd.http.server import Server
@@ -60,7 +61,8 @@
 async def ask(backend, path):
     body = Body(lambda: None, lambda: None)
     body.finish()
-    answer = await backend.send(RequestHead(b"GET", path, [(b"host", b"a")]), body)
+    head = RequestHead(b"GET", path, [(b"host", b"a")])
+    answer = await backend.send(head, body, UNNAMED_REQUEST)
     if isinstance(answer, BackendAnswer):
         await answer.response.body.read_up_to(100)
         backend.release(answer)
