Take a response only for the request whose name it has

With bad health answers, orders that ran were answered 503, which promises that they have not run.

Cause: requests and checks of the health share connections, and a response was compared with the request's name only if both had one. So a check took the second answer of an earlier request, and the check's own answer, which has no name, was taken for the request after it. By the same gap: a second answer of a check, a whole response without a name, a rejection sent twice to a request that comes again with its name on the same connection, a response whose first part came with the answer before it (only whole heads were noticed there), and a response that is cut off in its head, whose status and headers run into those of the real answer.

Why this fix works: http/matching.py alone decides. Only a response with the request's name answers it; a connection never carries a name twice; a response without a name answers only what has none, and what has none shares a connection only with what such a response can't be taken for; bytes that nothing waits for, and a head with a status line inside, end the connection. A surplus response is skipped and the request behind it served, so nothing is lost to it and no connection is opened.

`request-id-repeated = yes` states that the server names all its responses. Without it a server that repeats no names is still used, a request a connection.

Tests: the stand-ins now repeat the name in all answers, as the users' pages say of servers (421 and 500 did not); requests of a test fleet have a name each, as those of clients do, in place of one for all; the fleet's settings promise names, as the platform's do. No assertion changed.

--- a/packages/wheatslipd/wheatslipd/gate/backend.py
+++ b/packages/wheatslipd/wheatslipd/gate/backend.py
@@ -11,7 +11,7 @@
 from wheatslipd.http.body import Body, BodyTruncated
 from wheatslipd.http.client import ClientConnection, Response
 from wheatslipd.http.connectcheck import check_connection
-from wheatslipd.http.matching import OnUnmatched, Question, ignore_unmatched
+from wheatslipd.http.matching import UNNAMED, Naming, OnUnmatched, Question, ignore_unmatched
 from wheatslipd.http.messages import RequestHead
 from wheatslipd.http.pool import ConnectionPool
 from wheatslipd.telemetry import logs
@@ -40,16 +40,14 @@
         port: int,
         connections: int,
         connect_timeout: float,
-        name_header: bytes = b"",
+        naming: Naming = UNNAMED,
         on_unmatched: OnUnmatched = ignore_unmatched,
     ):
-        """`connections` limits the open connections; `connect_timeout` is in seconds.
-        `name_header` is the header that the server's responses repeat, or empty.
-        """
+        """`connections` limits the open connections; `connect_timeout` is in seconds."""
         self._address = address
         self._port = port
         self._pool = ConnectionPool(
-            address, port, connections, name_header=name_header, on_unmatched=on_unmatched
+            address, port, connections, naming=naming, on_unmatched=on_unmatched
         )
         self._connect_timeout = connect_timeout
         self._idle_limit = IdleLimit()
@@ -69,11 +67,10 @@
         """
         now = asyncio.get_running_loop().time()
         timeout = max(self._connect_timeout, connect_timeout)
-        connection = await self._pool.acquire(timeout, self._idle_limit.max_idle(now))
+        connection = await self._pool.acquire(timeout, self._idle_limit.max_idle(now), question)
         if connection is None:
             return NO_CONNECTION
         on_connected()
-        connection.expect(question)
         try:
             await self._send_request(connection, head, body)
             return BackendAnswer(await connection.response(), connection)
--- a/packages/wheatslipd/wheatslipd/gate/unmatched.py
+++ b/packages/wheatslipd/wheatslipd/gate/unmatched.py
@@ -1,6 +1,6 @@
 """Counts and logs responses of the backend server that answer no request of this daemon."""
 
-from wheatslipd.http.matching import UnmatchedResponse
+from wheatslipd.http.matching import Match, UnmatchedResponse
 from wheatslipd.telemetry import logs
 from wheatslipd.telemetry.metrics import Metrics
 
@@ -18,7 +18,7 @@
         question = response.question
         waiting = question.kind.value if question is not None else "nothing"
         shown = "a-name" if response.name else "no-name"
-        taken = "yes" if response.taken else "no"
+        taken = "yes" if response.match is Match.TAKEN else "no"
         self._metrics.unmatched_responses.inc(
             {"waiting": waiting, "response": shown, "taken": taken}
         )
--- a/packages/wheatslipd/wheatslipd/http/client.py
+++ b/packages/wheatslipd/wheatslipd/http/client.py
@@ -9,7 +9,10 @@
 from wheatslipd.http.body import Body
 from wheatslipd.http.connection import Connection
 from wheatslipd.http.matching import (
+    UNNAMED,
     UNNAMED_REQUEST,
+    Match,
+    Naming,
     OnUnmatched,
     Question,
     ResponseMatcher,
@@ -49,11 +52,10 @@
     """
 
     def __init__(
-        self, name_header: bytes = b"", on_unmatched: OnUnmatched = ignore_unmatched
+        self, naming: Naming = UNNAMED, on_unmatched: OnUnmatched = ignore_unmatched
     ) -> None:
-        """`name_header` and `on_unmatched` are those of the `ResponseMatcher`."""
         super().__init__()
-        self._matcher = ResponseMatcher(name_header, on_unmatched)
+        self._matcher = ResponseMatcher(naming, on_unmatched)
         self._question = UNNAMED_REQUEST  # of the next request; see `expect`
         self._parser = httptools.HttpResponseParser(self)
         self._method = b""  # of the current request
@@ -65,6 +67,7 @@
         self._reusable = True  # never set back to True: message boundaries may be lost
         self._body_until_close = False  # whether the end of the connection ends the body
         self._skips_response = False  # whether the current response answers an earlier request
+        self._reason = b""  # phrase of the current response
         self.timed_out = False  # whether the connection ended with ETIMEDOUT
         # Whether it timed out so soon after a request that the request was not received.
         self.request_unacknowledged = False
@@ -80,9 +83,14 @@
             and not self.closed
             and not self._awaits_response
             and self._is_request_sent
+            and not self._matcher.is_spent
             and (self._body is None or self._body.exhausted)
         )
 
+    def may_carry(self, question: Question) -> bool:
+        """Whether a response to `question` could be told apart from all others here."""
+        return self._matcher.may_carry(question)
+
     def expect(self, question: Question) -> None:
         """Set what the next request is, which decides which response is taken for it."""
         self._question = question
@@ -169,6 +177,17 @@
 
     # httptools callbacks
 
+    def on_message_begin(self) -> None:
+        """Reject a response that follows the awaited one without a pause."""
+        super().on_message_begin()
+        self._reason = b""
+        if not self._awaits_response:
+            self._matcher.on_unasked_bytes()
+            raise ConnectionError("a response that no request waits for")
+
+    def on_status(self, reason: bytes) -> None:
+        self._reason += reason
+
     def on_headers_complete(self) -> None:
         """Handle a complete response head; interim responses are skipped."""
         self._in_head = False
@@ -177,12 +196,13 @@
             if status == 100 and self._continue is not None and not self._continue.done():
                 self._continue.set_result(True)
             return
-        if self._body is None and not self._matcher.accepts(self._headers):
-            self._skips_response = True
-            return
-        if self._body is not None or self._response is None:
-            self._matcher.on_unasked_bytes()
-            raise ConnectionError("second response to the same request")
+        assert self._body is None and self._response is not None
+        match self._matcher.match(self._reason, self._headers):
+            case Match.SKIPPED:
+                self._skips_response = True
+                return
+            case Match.ENDS_CONNECTION:
+                raise ConnectionError("the response may belong to another request")
         keep_alive = self._parser.should_keep_alive()
         head = ResponseHead(status, self._headers, keep_alive)
         # If the response came before the request was sent, the two ends may disagree on where
--- a/packages/wheatslipd/wheatslipd/http/pool.py
+++ b/packages/wheatslipd/wheatslipd/http/pool.py
@@ -5,7 +5,14 @@
 from collections import deque
 
 from wheatslipd.http.client import ClientConnection
-from wheatslipd.http.matching import OnUnmatched, ignore_unmatched
+from wheatslipd.http.matching import (
+    UNNAMED,
+    UNNAMED_REQUEST,
+    Naming,
+    OnUnmatched,
+    Question,
+    ignore_unmatched,
+)
 from wheatslipd.timeouts import reply_timeout
 
 MAX_IDLE_SECONDS = 30.0  # shorter than the server's `IDLE_TIMEOUT_SECONDS`
@@ -20,41 +27,55 @@
         port: int,
         limit: int,
         tls: ssl.SSLContext | None = None,
-        name_header: bytes = b"",
+        naming: Naming = UNNAMED,
         on_unmatched: OnUnmatched = ignore_unmatched,
     ):
-        """`limit` bounds the number of open connections. `name_header` and `on_unmatched` are
-        those of the connections' `ResponseMatcher`.
-        """
+        """`limit` bounds the number of open connections."""
         self._host = host
         self._port = port
         self.limit = limit
         self._tls = tls
-        self._name_header = name_header
+        self._naming = naming
         self._on_unmatched = on_unmatched
         self._idle: deque[ClientConnection] = deque()
         self._open_count = 0
         self.opened_count = 0
 
     async def acquire(
-        self, connect_timeout: float, max_idle_seconds: float = MAX_IDLE_SECONDS
+        self,
+        connect_timeout: float,
+        max_idle_seconds: float = MAX_IDLE_SECONDS,
+        question: Question = UNNAMED_REQUEST,
     ) -> ClientConnection | None:
-        """Return a connection ready for a request; None at the limit or if connecting fails.
+        """Return a connection ready for `question`; None at the limit or if connecting fails.
 
         Connections that were idle for `max_idle_seconds` or longer are closed, not reused.
         """
+        connection = self._take_idle(question, min(max_idle_seconds, MAX_IDLE_SECONDS))
+        if connection is None:
+            connection = await self._open(connect_timeout)
+        if connection is not None:
+            connection.expect(question)
+        return connection
+
+    def _take_idle(
+        self, question: Question, max_idle_seconds: float
+    ) -> ClientConnection | None:
+        """Take the connection used last that may carry `question`; close unusable ones."""
         now = asyncio.get_running_loop().time()
-        while self._idle:
+        passed_over: list[ClientConnection] = []
+        taken = None
+        while taken is None and self._idle:
             connection = self._idle.pop()
             connection.idle_seconds = now - connection.idle_since
-            if connection.reusable and connection.idle_seconds < min(
-                max_idle_seconds, MAX_IDLE_SECONDS
-            ):
-                return connection
-            self._discard(connection)
-        if self._open_count >= self.limit:
-            return None
-        return await self._connect(connect_timeout)
+            if not connection.reusable or connection.idle_seconds >= max_idle_seconds:
+                self._discard(connection)
+            elif connection.may_carry(question):
+                taken = connection
+            else:
+                passed_over.append(connection)
+        self._idle.extend(reversed(passed_over))
+        return taken
 
     def release(self, connection: ClientConnection) -> None:
         """Keep the connection if it is reusable, close it otherwise.
@@ -75,6 +96,13 @@
         while self._idle:
             self._discard(self._idle.pop())
 
+    async def _open(self, timeout: float) -> ClientConnection | None:
+        if self._open_count >= self.limit and self._idle:
+            self._discard(self._idle.popleft())  # none of these may carry the question
+        if self._open_count >= self.limit:
+            return None
+        return await self._connect(timeout)
+
     async def _connect(self, timeout: float) -> ClientConnection | None:
         self._open_count += 1
         loop = asyncio.get_running_loop()
@@ -93,7 +121,7 @@
         return connection
 
     def _make_connection(self) -> ClientConnection:
-        return ClientConnection(self._name_header, self._on_unmatched)
+        return ClientConnection(self._naming, self._on_unmatched)
 
     def _discard(self, connection: ClientConnection) -> None:
         self._open_count -= 1
--- a/packages/wheatslipd/wheatslipd/settings.py
+++ b/packages/wheatslipd/wheatslipd/settings.py
@@ -131,6 +131,7 @@
     log_file: str
     interface: Interface
     headers: HeaderNames
+    request_id_repeated: bool  # whether each response to a request with an id has it
     source: ConfigurationSource
     answer_hold: int  # bytes
     fleet_budget: FleetBudget | None
@@ -231,6 +232,9 @@
         log_file=log.text("file"),
         interface=entry.choice("interface", Interface.WORKSPACE, _choices(Interface)),
         headers=_headers(sections["headers"]),
+        request_id_repeated=sections["headers"].choice(
+            "request-id-repeated", False, {"no": False, "yes": True}
+        ),
         source=source,
         answer_hold=entry.integer("answer-hold", 0, 0, MAX_ANSWER_HOLD),
         fleet_budget=_fleet_budget(sections["retries"]),
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -18,6 +18,7 @@
 
 HOST = "127.0.0.1"
 SERVICE_TIME_SEED = 1
+REQUEST_ID_HEADER = b"x-request-id"
 LIMIT_HEADER = b"server-limit"
 # Of the routes and of the workspace interface; by routes the soak's settings name them so.
 WORKSPACE_HEADERS = (b"tenant", b"wheatslip-workspace")
@@ -108,7 +109,8 @@
             size += len(chunk)
         if behaviour.fail_fast:
             self._record_run(exchange)
-            await exchange.respond(ResponseHead(500, self._limit_headers()), b"failed")
+            headers = [*self._limit_headers(), *_repeated_name(exchange)]
+            await exchange.respond(ResponseHead(500, headers), b"failed")
             return
         async with self._slots:
             self._record_run(exchange)
@@ -116,7 +118,7 @@
         await self._answer(exchange, size)
 
     def _record_run(self, exchange: Exchange) -> None:
-        names = (b"x-request-id", b"wheatslip-key")
+        names = (REQUEST_ID_HEADER, b"wheatslip-key")
         request_id, key = ((exchange.head.get(name) or b"").decode() for name in names)
         workspace = _values(exchange, WORKSPACE_HEADERS)
         credential = _values(exchange, CREDENTIAL_HEADERS)
@@ -134,14 +136,22 @@
 
     async def _answer(self, exchange: Exchange, size: int) -> None:
         head = exchange.head
-        headers = [(b"content-type", b"text/plain"), *self._limit_headers()]
-        request_id = head.get(b"x-request-id") or b""
+        headers = [
+            (b"content-type", b"text/plain"),
+            *self._limit_headers(),
+            *_repeated_name(exchange),
+        ]
+        request_id = head.get(REQUEST_ID_HEADER) or b""
         workspace = _values(exchange, WORKSPACE_HEADERS).encode()
         parts = [self._name.encode(), workspace, request_id, b"%d" % size]
         body = b" ".join(parts) + b"\n"
         await exchange.respond(ResponseHead(200, headers), body)
 
 
+def _repeated_name(exchange: Exchange) -> Headers:
+    return [header for header in exchange.head.headers if header[0] == REQUEST_ID_HEADER]
+
+
 def _values(exchange: Exchange, names: tuple[bytes, ...]) -> str:
     values = [value for name, value in exchange.head.headers if name in names]
     return b", ".join(values).decode("latin-1")
--- a/standins/plainbackend.py
+++ b/standins/plainbackend.py
@@ -79,7 +79,8 @@
         )
         self.received.append(received)
         if request_headers.get("expect-instance", self.server_id) != self.server_id:
-            await exchange.respond(ResponseHead(421, [(b"not-executed", b"1")]))
+            name = (b"request-id", request_headers.get("request-id", "").encode())
+            await exchange.respond(ResponseHead(421, [name, (b"not-executed", b"1")]))
             return
         await self._run(exchange, received)
 
--- a/test/routed_fleet.py
+++ b/test/routed_fleet.py
@@ -4,9 +4,10 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from itertools import count
 from math import inf
 from random import Random
 
@@ -52,6 +53,7 @@
 [headers]
 deadline = Deadline-Remaining
 request-id = Request-Id
+request-id-repeated = yes
 caller = Caller-Service
 instance = Expect-Instance
 not-run = Not-Executed
@@ -126,6 +128,7 @@
     without_extra_headers: frozenset[str] = frozenset()
     clocks: dict[str, Callable[[], float]] = field(default_factory=dict)  # Unix time, by name
     make_backend: Callable[[str], PlainBackend] = lambda name: PlainBackend(f"i-{name}")
+    _request_numbers: Iterator[int] = field(default_factory=lambda: count(1))
 
     async def add(self, name, backend=None):
         backend = backend or self.make_backend(name)
@@ -209,7 +212,8 @@
     async def send_request(self, name, path="/view/1", method="GET", body=b"", **headers):
         """Send a request to a daemon; returns the response's status, body and headers."""
         url = f"http://{HOST}:{self.daemons[name].entry_server.port}{path}"
-        headers = {"Host": "papers.example", "Request-Id": "r-1"} | headers
+        request_id = f"r-{next(self._request_numbers)}"
+        headers = {"Host": "papers.example", "Request-Id": request_id} | headers
         async with self.session.request(method, url, data=body, headers=headers) as answer:
             return answer.status, await answer.read(), answer.headers
 
--- a/test/test_http.py
+++ b/test/test_http.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 from wheatslipd.gate.backend import Backend
 from wheatslipd.http.body import HIGH_WATER_BYTES, Body, BodyTruncated
-from wheatslipd.http.matching import Kind, Question
+from wheatslipd.http.matching import Kind, Naming, Question
 from wheatslipd.http.messages import RequestHead, ResponseHead
 from wheatslipd.http.pool import ConnectionPool
 from wheatslipd.http.server import Server
@@ -301,10 +301,10 @@
 
         server = await asyncio.start_server(serve, HOST, 0)
         port = server.sockets[0].getsockname()[1]
-        pool = ConnectionPool(HOST, port, 4, name_header=b"request-id")
+        pool = ConnectionPool(HOST, port, 4, naming=Naming(b"request-id"))
         for number in (1, 2, 3):
-            connection = await pool.acquire(1.0)
-            connection.expect(Question(Kind.REQUEST, b"%d" % number))
+            question = Question(Kind.REQUEST, b"%d" % number)
+            connection = await pool.acquire(1.0, question=question)
             await connection.start_with_body(RequestHead(b"GET", b"/"), b"")
             response = await connection.response()
             assert await response.body.read_up_to(100) == b"answer %d" % number
@@ -329,7 +329,9 @@
                 )
 
         server = await asyncio.start_server(serve, HOST, 0)
-        backend = Backend(HOST, server.sockets[0].getsockname()[1], 1, 1.0, b"request-id")
+        backend = Backend(
+            HOST, server.sockets[0].getsockname()[1], 1, 1.0, Naming(b"request-id")
+        )
         for name in (b"7", b""):
             body = Body(lambda: None, lambda: None)
             body.finish()
