Check at the entry that an answer has its request's name

What callers saw: during an update, an entry with the new rule passes on what a gate of the version before has confused: a health check's answer, or the answer to another request, as a success.

Cause: the entry took every response that a gate marks as answered for the answer to the request that it forwarded. Between daemons the order alone matches the two, which is right for what the gate sends, but says nothing of what the gate was sent.

Why this fix works: the server's name of the request comes through unchanged, so the entry compares it by the same module (http/matching, `may_answer`); a response with another name, or with none where servers name all, ends as unknown (502) and is retried where that is allowed. A key's kept answer has the name of its first send, by design; requests with keys come by the workspace interface, where the entry knows no name, and are not compared.

The test sets the gates to take any response, as the version before, beside a server that answers with another name or none: it failed on the code before with `(200, b'not yours') == (502, b'')` for both.

--- a/packages/wheatslipd/wheatslipd/entry/forward.py
+++ b/packages/wheatslipd/wheatslipd/entry/forward.py
@@ -29,6 +29,7 @@
 from wheatslipd.entry.sendguard import SendGuard
 from wheatslipd.http.body import BodyTruncated
 from wheatslipd.http.client import ClientConnection, Response
+from wheatslipd.http.matching import UNNAMED, Naming
 from wheatslipd.http.messages import RequestHead, ResponseHead
 from wheatslipd.settings import HeaderNames, LogLevel
 from wheatslipd.telemetry import logs
@@ -57,6 +58,7 @@
     names: HeaderNames
     answer_hold: int = 0  # bytes of a response body buffered before its head is sent
     by_routes: bool = False
+    naming: Naming = UNNAMED  # of the responses of backend servers
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,7 +112,7 @@
         self._unix = unix
         self._quarantine = policy.quarantine
         self._responses = PeerResponseReader(
-            settings.names, policy.chooser, view, clock, on_newer_version
+            settings.names, settings.naming, policy.chooser, view, clock, on_newer_version
         )
 
     async def __call__(self, request: EntryRequest) -> Outcome:
@@ -266,7 +268,8 @@
             peer.upstream.on_failure(self._clock(), self._rng)
             unacknowledged = connection.request_unacknowledged
             return Unknown(Reason.UNACKNOWLEDGED if unacknowledged else Reason.CONNECTION_LOST)
-        refusal = self._responses.read(peer, response.head)
+        request_id = prepared.call.request_id.encode("latin-1")
+        refusal = self._responses.read(peer, response.head, request_id)
         if refusal is not None:
             if refusal.reason in _SERVER_FAILURE_REASONS:
                 peer.upstream.on_failure(self._clock(), self._rng)
--- a/packages/wheatslipd/wheatslipd/entry/peerresponse.py
+++ b/packages/wheatslipd/wheatslipd/entry/peerresponse.py
@@ -22,9 +22,11 @@
 
 from wheatslipd.controllers.view import Peer, View
 from wheatslipd.entry.refusals import RETRY_AFTER_MS_HEADER
+from wheatslipd.http.matching import Naming, may_answer
 from wheatslipd.http.messages import ResponseHead
 from wheatslipd.noticeheaders import read_notice
 from wheatslipd.settings import HeaderNames
+from wheatslipd.telemetry import logs
 
 ANSWERED = b"answered"  # value of the outcome header of a backend server's response
 
@@ -35,6 +37,7 @@
     def __init__(
         self,
         names: HeaderNames,
+        naming: Naming,
         chooser: Chooser,
         view: View,
         clock: Callable[[], float],
@@ -44,17 +47,26 @@
         address of the daemon that has it.
         """
         self._names = names
+        self._naming = naming
         self._chooser = chooser
         self._view = view
         self._clock = clock
         self._on_newer_version = on_newer_version
 
-    def read(self, peer: Peer, head: ResponseHead) -> NotRun | Unknown | None:
+    def read(
+        self, peer: Peer, head: ResponseHead, request_id: bytes
+    ) -> NotRun | Unknown | None:
         """Apply what a response tells. Return the peer's refusal; None if the backend server
-        has responded.
+        has responded to the request `request_id`.
+
+        A gate of the version before may pass on the response to another request.
         """
         self._apply_report(peer, head)
         refusal = _decode_refusal(head)
+        if refusal is None and not may_answer(self._naming, request_id, head.headers):
+            name = peer.instance.name
+            logs.warning("answer-unmatched", daemon=name, repeat_key=name)
+            refusal = Unknown(Reason.CONNECTION_LOST)
         self._apply_notice(peer.upstream, head, refusal)
         return refusal
 
--- a/packages/wheatslipd/wheatslipd/entry/wiring.py
+++ b/packages/wheatslipd/wheatslipd/entry/wiring.py
@@ -36,6 +36,7 @@
         settings.headers,
         settings.answer_hold,
         by_routes,
+        settings.naming,
     )
     budgets = RetryBudgets(
         fleet=settings.fleet_budget,
--- a/packages/wheatslipd/wheatslipd/gate/serverside.py
+++ b/packages/wheatslipd/wheatslipd/gate/serverside.py
@@ -21,7 +21,6 @@
 from wheatslipd.gate.speedcheck import SpeedCheck
 from wheatslipd.gate.suspects import SuspectGuard
 from wheatslipd.gate.unmatched import UnmatchedResponseLog
-from wheatslipd.http.matching import Naming
 from wheatslipd.identification import HeaderIdentification
 from wheatslipd.settings import CHECKS_DISABLED_PRICE, Interface, Settings
 from wheatslipd.shared import SharedState
@@ -61,7 +60,7 @@
         settings.backend_port,
         DEFAULT_MAX_CONNECTIONS,
         settings.connect_timeout,
-        Naming(settings.headers.request_id, settings.request_id_repeated),
+        settings.naming,
         UnmatchedResponseLog(shared.metrics).add,
     )
     speed_check = SpeedCheck(
--- a/packages/wheatslipd/wheatslipd/http/matching.py
+++ b/packages/wheatslipd/wheatslipd/http/matching.py
@@ -174,6 +174,16 @@
         return Match.TAKEN
 
 
+def may_answer(naming: Naming, name: bytes, headers: Headers) -> bool:
+    """Whether a response that another daemon has matched and passed on can be the answer to the
+    request `name`; it is only refuted by its name, or where names are certain by having none.
+    """
+    if not naming.header or not name:
+        return True
+    names = {value for key, value in headers if key == naming.header and value}
+    return names == {name} or not (names or naming.is_certain)
+
+
 def _contains_status_line(reason: bytes, headers: Headers) -> bool:
     texts = [reason, *(value for _, value in headers)]
     return any(b"HTTP/1." in text and _STATUS_LINE.search(text) for text in texts)
--- a/packages/wheatslipd/wheatslipd/settings.py
+++ b/packages/wheatslipd/wheatslipd/settings.py
@@ -28,6 +28,7 @@
 from wheatslip.quota.settings import QuotaSettings
 
 from wheatslipd.feed.feedsettings import FeedSettings
+from wheatslipd.http.matching import Naming
 
 
 class LogLevel(IntEnum):
@@ -153,6 +154,11 @@
         """
         return self.feed.max_unconfirmed
 
+    @property
+    def naming(self) -> Naming:
+        """How responses of backend servers name their requests."""
+        return Naming(self.headers.request_id, self.request_id_repeated)
+
     @property
     def lists_itself(self) -> bool:
         """Whether this daemon writes its own entry in the list of instances.
--- a/test/test_second_answers.py
+++ b/test/test_second_answers.py
@@ -10,6 +10,7 @@
 from weakref import WeakKeyDictionary
 
 import pytest
+from wheatslipd.http.matching import Match, ResponseMatcher
 from wheatslipd.http.messages import ResponseHead, encode_response
 
 from standins.plainbackend import PlainBackend
@@ -160,3 +161,32 @@
             assert len(successes) == REQUESTS
 
     run(scenario)
+
+
+@dataclass
+class WrongNames(PlainBackend):
+    """A server whose responses have the name of another request, or none."""
+
+    name: bytes = b"another"
+
+    async def handle(self, exchange):
+        if exchange.head.target == b"/health":
+            await super().handle(exchange)
+            return
+        headers = [(b"request-id", self.name)] if self.name else []
+        await exchange.respond(ResponseHead(200, headers), b"not yours")
+
+
+@pytest.mark.parametrize("name", [b"another", b""])
+def test_entry_does_not_pass_on_what_an_older_gate_has_confused(monkeypatch, name):
+    """Guards against wrong answers during an update, by gates that take any response."""
+    monkeypatch.setattr(ResponseMatcher, "match", lambda *_: Match.TAKEN)
+
+    async def scenario():
+        make_backend = lambda _: WrongNames("i-a", name=name)  # noqa: E731
+        async with fleet("a", "b", make_backend=make_backend) as installation:
+            for method, path in (("GET", "/view/1"), ("POST", "/submit/1")):
+                status, body, _ = await installation.send_request("a", path, method)
+                assert (status, body) == (502, b"")
+
+    run(scenario)
