Ignore a reported load that is infinite or no number

Cause: `float` accepts `inf` and `nan`, no comparison with 0 or 1 refuses `nan`, and `int` of either raises. The probe's task, or the registrar's, ended with it, and the daemon with the task.

Why this fix works: each figure must lie from 0 to 1e9, which neither does; a report that is not valid is none, as before for other bytes.

--- a/packages/wheatslip/wheatslip/backendload.py
+++ b/packages/wheatslip/wheatslip/backendload.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 USUAL_SLOWNESS_PERCENT = 100.0  # reported by a server at its usual speed
+MAX_VALUE = 1e9  # of each figure
 _REQUIRED_FIELDS = 3  # running, waiting, slots; the slowness is optional
 
 
@@ -22,7 +23,9 @@
         values = [float(part) for part in value.split(b",")]
     except ValueError:
         return None
-    if len(values) < _REQUIRED_FIELDS or min(values) < 0 or values[2] < 1:
+    if not all(0 <= number <= MAX_VALUE for number in values):
+        return None  # also if one is no number
+    if len(values) < _REQUIRED_FIELDS or values[2] < 1:
         return None
     percent = (
         values[_REQUIRED_FIELDS] if len(values) > _REQUIRED_FIELDS else USUAL_SLOWNESS_PERCENT
