Let bytes of another writer cost only the object that they are in

Cause: bytes of another writer raised an error that nobody expected, in a task whose end is the end of the process. 21 places decoded, each with its own idea of what a decoder raises; a page of the list was one value, so that one object decided about all others; and what decoded well could still raise later, where it is encoded again (numbers above 2^64) or connected to (ports above 65,535, addresses that are none).

Why this fix works: wheatslip.decoding is the only module that decodes, which a test checks, and its result is a value. A page that can't be decoded is split without recursion and read object by object; content that can't be read becomes null, so the object keeps its name. CacheWriter, which applies lists from the platform and from other daemons, leaves out entries that can't be used, and takes one that can't be read for none: all daemons agree on it, whenever they first read it. Integers that travel further fit 64 bits. An unreadable own entry is written again; one of another daemon is not removed.

The adapter's and the library's tests keep their assertions.

--- a/packages/wheatslip-cli/wheatslip_cli/daemonquotas.py
+++ b/packages/wheatslip-cli/wheatslip_cli/daemonquotas.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 import msgspec
+from wheatslip.decoding import decode_json
 
 PAGE_TIMEOUT_SECONDS = 3.0  # for the answer of one daemon
 
@@ -88,6 +89,6 @@
         async with session.get(f"http://{page}/status") as response:
             if response.status != 200:
                 return None
-            return msgspec.json.decode(await response.read(), type=_StatusPage)
-    except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError):
+            return decode_json(await response.read(), _StatusPage).ok()
+    except (aiohttp.ClientError, TimeoutError):
         return None
--- a/packages/wheatslip/wheatslip/call.py
+++ b/packages/wheatslip/wheatslip/call.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from wheatslip.decoding import Int64
+
 # Value of a duration or a time in seconds that is not limited.
 UNLIMITED = float("inf")
 
@@ -24,8 +26,8 @@
     The priority of the workspace goes before that of the route.
     """
 
-    workspace_priority: int = 0
-    route_priority: int = 0
+    workspace_priority: Int64 = 0
+    route_priority: Int64 = 0
 
 
 COMMON_RANK = Rank()  # of all requests where the configuration holds no credentials
--- a/packages/wheatslip/wheatslip/config/bundle.py
+++ b/packages/wheatslip/wheatslip/config/bundle.py
@@ -12,6 +12,7 @@
 from result import Err, Ok, Result
 
 from wheatslip.call import CallClass, RequestKind
+from wheatslip.decoding import Int64, decode_json
 
 FORMAT = 1  # of the canonical bytes; any other format is refused
 MAX_BUNDLE_BYTES = 1_000_000  # the platform's limit for the value of an object
@@ -114,7 +115,7 @@
     connections: Count = 220
     queue: Count = 64
     probes_per_second: Rate = 1.0
-    shed_status: int = 0
+    shed_status: Int64 = 0
     health_path: str = ""
     cold: ColdStart | msgspec.UnsetType = msgspec.UNSET
 
@@ -143,19 +144,19 @@
     repeatable: bool = False
     timeout: Seconds = 10.0
     target: Seconds = 0.0
-    priority: int = 0
-    max_attempts: int = 1
+    priority: Int64 = 0
+    max_attempts: Int64 = 1
     open: bool = False
 
 
 class Bundle(msgspec.Struct, frozen=True):
     """One version of the configuration."""
 
-    version: int
+    version: Int64
     workspaces: tuple[Workspace, ...] = ()
     services: tuple[Service, ...] = ()
     pools: tuple[Pool, ...] = ()
-    format: int = FORMAT
+    format: Int64 = FORMAT
     routes: tuple[Route, ...] = ()
 
     @property
@@ -187,10 +188,10 @@
     """Decodes a bundle from its canonical bytes. The error is a message for the operator."""
     if len(data) > max_bytes:
         return Err(f"bundle of {len(data)} bytes is larger than {max_bytes}")
-    try:
-        bundle = msgspec.json.decode(data, type=Bundle)
-    except msgspec.DecodeError as error:
-        return Err(f"not a bundle: {error}")
+    decoded = decode_json(data, Bundle)
+    if isinstance(decoded, Err):
+        return Err(f"not a bundle: {decoded.err_value}")
+    bundle = decoded.ok_value
     if bundle.format != FORMAT:
         return Err(f"bundle format {bundle.format} is not the supported {FORMAT}")
     return Ok(bundle)
--- a/packages/wheatslip/wheatslip/config/head.py
+++ b/packages/wheatslip/wheatslip/config/head.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from wheatslip.decoding import Int64
+
 HEAD_KIND = "head"
 HEAD_NAME = "bundle"
 BUNDLE_KIND = "bundle"
@@ -12,7 +14,7 @@
 class Head(msgspec.Struct, frozen=True):
     """The version in force, and the hex SHA-256 digest of its canonical bytes."""
 
-    version: int
+    version: Int64
     digest: str
 
 
--- a/packages/wheatslip/wheatslip/config/releases.py
+++ b/packages/wheatslip/wheatslip/config/releases.py
@@ -6,7 +6,6 @@
 
 from dataclasses import dataclass
 
-import msgspec
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 from result import Err, Ok, Result
 
@@ -22,6 +21,7 @@
 )
 from wheatslip.config.signedbundle import SignedBundle
 from wheatslip.config.signing import Keyring, sign, verify
+from wheatslip.decoding import decode_json
 from wheatslip.store.objectclient import ObjectClient
 from wheatslip.store.objects import Conflict, StoredObject, Unavailable
 
@@ -69,7 +69,7 @@
     async def head(self) -> Result[Head | None, Unavailable]:
         """Returns the version in force, or None before the first rollout."""
         answer = await self._client.get(HEAD_KIND, HEAD_NAME)
-        return answer.map(lambda stored: _decode_head(stored) if stored else None)
+        return answer.and_then(_decode_head_if_any)
 
     async def proposals(self) -> Result[list[Proposal], Unavailable]:
         """Returns all bundles at the platform, the oldest version first. Objects that are not
@@ -137,7 +137,10 @@
         if isinstance(answer, Err):
             return Err(answer.err_value)
         stored = answer.ok_value
-        current = _decode_head(stored) if stored else Head(0, "")
+        decoded = _decode_head_if_any(stored)
+        if isinstance(decoded, Err):
+            return decoded
+        current = decoded.ok_value or Head(0, "")
         if current == new:
             return Ok(new)
         if new.version != current.version + 1:
@@ -151,8 +154,7 @@
             case Unavailable() as error:
                 return Err(error)
             case Conflict(StoredObject() as newer_object):
-                head_in_force = _decode_head(newer_object)
-                return Ok(new) if head_in_force == new else Err(VersionConflict(head_in_force))
+                return _compare_heads(newer_object, new)
         return Err(Refused("the head was deleted during the rollout"))
 
     async def _store_delta(self, current: Head, new: Head, proposal: Proposal) -> None:
@@ -178,8 +180,22 @@
         return _check_proposal(answer.ok_value, version)
 
 
-def _decode_head(stored: StoredObject) -> Head:
-    return msgspec.json.decode(stored.value, type=Head)
+def _decode_head_if_any(stored: StoredObject | None) -> Result[Head | None, Unavailable]:
+    if stored is None:
+        return Ok(None)
+    return decode_json(stored.value, Head).map_err(
+        lambda reason: Unavailable(f"the head at the platform can't be read: {reason}")
+    )
+
+
+def _compare_heads(stored: StoredObject, new: Head) -> Result[Head, ReleaseError]:
+    """The result of a rollout of `new` that met another head."""
+    match _decode_head_if_any(stored):
+        case Ok(Head() as in_force):
+            return Ok(new) if in_force == new else Err(VersionConflict(in_force))
+        case Err(unavailable):
+            return Err(unavailable)
+    raise AssertionError
 
 
 def _check_proposal(stored: StoredObject, version: int) -> Result[Proposal, ReleaseError]:
@@ -190,11 +206,8 @@
 
 
 def _decode_proposal(stored: StoredObject) -> Proposal | None:
-    try:
-        signed = msgspec.json.decode(stored.value, type=SignedBundle)
-    except msgspec.DecodeError:
-        return None
-    match decode_bundle(signed.body.encode()):
-        case Ok(bundle):
-            return Proposal(bundle, signed, stored)
+    match decode_json(stored.value, SignedBundle):
+        case Ok(signed):
+            decoded = decode_bundle(signed.body.encode())
+            return decoded.map(lambda bundle: Proposal(bundle, signed, stored)).ok()
     return None
--- a/packages/wheatslip/wheatslip/config/zonedrains.py
+++ b/packages/wheatslip/wheatslip/config/zonedrains.py
@@ -8,7 +8,9 @@
 from collections.abc import Iterable
 
 import msgspec
-from result import Err, Ok, Result
+from result import Result
+
+from wheatslip.decoding import decode_json
 
 ZONE_DRAIN_KIND = "zone-drain"
 
@@ -53,12 +55,8 @@
 
 def decode_drain(zone: str, value: bytes | msgspec.Raw) -> Result[ZoneDrain, str]:
     """Decodes the JSON value of a drain's object. The error is the decoder's message."""
-    try:
-        stored_drain = msgspec.json.decode(value, type=StoredDrain)
-    except msgspec.DecodeError as error:
-        return Err(str(error))
-    return Ok(
-        ZoneDrain(zone, stored_drain.asked_by, stored_drain.since, stored_drain.signature)
+    return decode_json(value, StoredDrain).map(
+        lambda stored: ZoneDrain(zone, stored.asked_by, stored.since, stored.signature)
     )
 
 
--- a/packages/wheatslip/wheatslip/hop.py
+++ b/packages/wheatslip/wheatslip/hop.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from wheatslip.call import Rank
+from wheatslip.decoding import MAX_INT64, Int64, decode_json
 from wheatslip.outcome import NotRun, Outcome, Reason, Unknown
 from wheatslip.servernotice import ServerNotice
 
@@ -36,11 +37,13 @@
     kind: str
     repeatable: bool
     remaining: float  # until the call's deadline
-    version: int  # of the bundle in force at the entry
+    version: Int64  # of the bundle in force at the entry
     entry: str  # name of the sending daemon
     urgent: bool = False
     key: str = ""
-    depth: int = 0  # number of calls that led to this one, each made while serving the previous
+    depth: Int64 = (
+        0  # number of calls that led to this one, each made while serving the previous
+    )
     # The gate refuses the request if it would wait longer; None: no limit.
     max_wait: float | None = None
     target: float | None = None  # until the call's `target`; None: no target
@@ -50,11 +53,11 @@
 class LoadReport(msgspec.Struct, frozen=True, array_like=True):
     """The load at the gate of a backend server, sent with every answer."""
 
-    in_flight: int
-    queued: int
-    limit: int  # concurrency limit
+    in_flight: Int64
+    queued: Int64
+    limit: Int64  # concurrency limit
     service: float  # recent mean service time, in seconds
-    version: int  # of the bundle in force at the gate
+    version: Int64  # of the bundle in force at the gate
     leaving: bool = False
     slowness: float = 1.0  # ratio of the current service time to the mean
 
@@ -62,10 +65,6 @@
 _Message = TypeVar("_Message", Hop, LoadReport, ServerNotice, Rank)
 
 _encoder = msgspec.json.Encoder()
-_hop_decoder = msgspec.json.Decoder(Hop)
-_load_decoder = msgspec.json.Decoder(LoadReport)
-_notice_decoder = msgspec.json.Decoder(ServerNotice)
-_rank_decoder = msgspec.json.Decoder(Rank)
 
 
 def encode(message: Hop | LoadReport | ServerNotice | Rank) -> bytes:
@@ -75,25 +74,27 @@
 
 def decode_hop(value: bytes) -> Hop | None:
     """Decodes a header value; None if it is invalid."""
-    return _decode_message(_hop_decoder, value)
+    return _decode_message(value, Hop)
 
 
 def decode_load(value: bytes) -> LoadReport | None:
     """Decodes a header value; None if it is invalid."""
-    return _decode_message(_load_decoder, value)
+    return _decode_message(value, LoadReport)
 
 
 def decode_notice(value: bytes) -> ServerNotice | None:
     """Decodes a header value; None if it is invalid."""
-    notice = _decode_message(_notice_decoder, value)
-    if notice is None or (notice.rate is not None and not 0 < notice.rate < inf):
+    notice = _decode_message(value, ServerNotice)
+    if notice is None or abs(notice.start.born) > MAX_INT64:
+        return None
+    if notice.rate is not None and not 0 < notice.rate < inf:
         return None
     return notice
 
 
 def decode_rank(value: bytes) -> Rank | None:
     """Decodes a header value; None if it is invalid."""
-    rank = _decode_message(_rank_decoder, value)
+    rank = _decode_message(value, Rank)
     return (
         rank
         if rank is not None and min(rank.workspace_priority, rank.route_priority) >= 0
@@ -101,13 +102,10 @@
     )
 
 
-def _decode_message(decoder: msgspec.json.Decoder[_Message], value: bytes) -> _Message | None:
+def _decode_message(value: bytes, type_: type[_Message]) -> _Message | None:
     if len(value) > MAX_HEADER_VALUE_BYTES:
         return None
-    try:
-        return decoder.decode(value)
-    except msgspec.DecodeError:
-        return None
+    return decode_json(value, type_).ok()
 
 
 def encode_outcome(outcome: Outcome) -> bytes:
--- a/packages/wheatslip/wheatslip/store/instances.py
+++ b/packages/wheatslip/wheatslip/store/instances.py
@@ -1,11 +1,13 @@
 """Types of the platform's instance list."""
 
+import ipaddress
 from enum import StrEnum
 
 import msgspec
 from msgspec import UNSET, UnsetType
 from result import Err, Ok, Result
 
+from wheatslip.decoding import MAX_INT64, MAX_PORT, decode_json
 from wheatslip.servernotice import UNKNOWN_START, ServerStart
 
 INSTANCE_KIND = "instance"
@@ -46,8 +48,35 @@
 
 
 def decode_instance(value: bytes | msgspec.Raw) -> Result[Instance, str]:
-    """Decodes an instance from the JSON in the list. The error is the decoder's message."""
+    """Decodes an instance from the JSON in the list. The error is the decoder's message.
+
+    Any program may write to the list; see `find_problem`.
+    """
+    return decode_json(value, Instance)
+
+
+def find_problem(name: str, instance: Instance) -> str | None:
+    """Why the entry of the object `name` can't be used, though it has the form of one."""
+    if instance.name != name:
+        return "it has another name than its object"
     try:
-        return Ok(msgspec.json.decode(value, type=Instance))
-    except msgspec.DecodeError as error:
-        return Err(str(error))
+        ipaddress.ip_address(instance.address)
+    except ValueError:
+        return "its address is no IP address"
+    ports = (instance.entry_port, instance.peer_port, instance.control_port)
+    if not all(0 <= port <= MAX_PORT for port in ports):
+        return f"a port is not from 0 to {MAX_PORT}"
+    if max(abs(instance.incarnation), abs(instance.server_born or 0)) > MAX_INT64:
+        return "a number needs more than 64 bits"
+    return None
+
+
+def decode_usable(name: str, value: bytes | msgspec.Raw) -> Result[Instance, str]:
+    """Decodes the entry of the object `name`; the error says why it can't be used."""
+    match decode_instance(value):
+        case Ok(instance):
+            problem = find_problem(name, instance)
+            return Ok(instance) if problem is None else Err(problem)
+        case Err(reason):
+            return Err(reason)
+    raise AssertionError
--- a/packages/wheatslip/wheatslip/store/objectclient.py
+++ b/packages/wheatslip/wheatslip/store/objectclient.py
@@ -11,6 +11,13 @@
 import msgspec
 from result import Err, Ok, Result
 
+from wheatslip.decoding import (
+    Int64,
+    decode_json,
+    decode_json_or_blank,
+    split_json_array,
+    split_json_object,
+)
 from wheatslip.store.backoff import Backoff
 from wheatslip.store.objects import (
     WATCH_SECONDS,
@@ -28,6 +35,7 @@
 
 IDLE_TIMEOUT_SECONDS = 2.0  # without a byte of the response; a watch adds its wait
 TRANSFER_TIMEOUT_SECONDS = 16.0  # added for the whole response: 16 MB at 1 MB/s
+CONTENT_FIELD = "value"  # of a stored object
 MAX_READ_BACKS = 5  # reads of an object after the response to its update was lost
 
 
@@ -58,7 +66,7 @@
         answer = await self._send_request("GET", f"/objects/{kind}/{name}")
         match answer:
             case Ok((200, body)):
-                return Ok(msgspec.json.decode(body, type=StoredObject))
+                return _decode_stored(body)
             case Ok((404, _)):
                 return Ok(None)
         return Err(_unavailable(answer))
@@ -67,8 +75,9 @@
         answer = await self._send_request("GET", f"/objects/{kind}")
         match answer:
             case Ok((200, body)):
-                listing = msgspec.json.decode(body, type=Listing)
-                return Ok(msgspec.structs.replace(listing, whole=True))
+                return _decode_listing(body).map(
+                    lambda listing: msgspec.structs.replace(listing, whole=True)
+                )
         return Err(_unavailable(answer))
 
     async def changes(
@@ -78,7 +87,7 @@
         answer = await self._send_request("GET", path, timeout=wait + IDLE_TIMEOUT_SECONDS)
         match answer:
             case Ok((200, body)):
-                return Ok(msgspec.json.decode(body, type=Listing))
+                return _decode_listing(body)
             case Ok((410, _)):
                 return Err(TooOld())
         return Err(_unavailable(answer))
@@ -99,9 +108,9 @@
         )
         match answer:
             case Ok((200, data)):
-                return Ok(msgspec.json.decode(data, type=StoredObject))
+                return _decode_stored(data)
             case Ok((409, data)):
-                return Err(Conflict(msgspec.json.decode(data, type=StoredObject | None)))
+                return _decode_conflict(data)
             case Ok((429, _)):
                 return Err(Unavailable("call rate limit exceeded"))
         return await self._read_back(kind, name, write_id, expected)
@@ -115,7 +124,7 @@
             case Ok((204 | 404, _)):
                 return Ok(None)
             case Ok((409, data)):
-                return Err(Conflict(msgspec.json.decode(data, type=StoredObject | None)))
+                return _decode_conflict(data)
         return Err(_unavailable(answer))
 
     async def _read_back(
@@ -166,3 +175,37 @@
         case Ok((status, body)):
             return Unavailable(f"HTTP {status}: {body[:200].decode(errors='replace')}")
     raise AssertionError(answer)
+
+
+def _decode_stored(body: bytes) -> Result[StoredObject, Unavailable]:
+    return decode_json_or_blank(body, StoredObject, CONTENT_FIELD).map_err(_unreadable)
+
+
+def _decode_conflict(body: bytes) -> Err[WriteError]:
+    if body.strip() == b"null":
+        return Err(Conflict(None))
+    match _decode_stored(body):
+        case Ok(current):
+            return Err(Conflict(current))
+        case Err(unavailable):
+            return Err(unavailable)
+    raise AssertionError
+
+
+def _decode_listing(body: bytes) -> Result[Listing, Unavailable]:
+    """Decode a listing; an object that can't be decoded costs itself only."""
+    decoded = decode_json(body, Listing)
+    if isinstance(decoded, Ok):
+        return decoded
+    members = split_json_object(body)
+    version = decode_json(members.get("version", b""), Int64)
+    if isinstance(version, Err):
+        return Err(_unreadable(decoded.err_value))
+    objects = map(_decode_stored, split_json_array(members.get("items", b"[]")))
+    return Ok(
+        Listing(version.ok_value, tuple(one.ok_value for one in objects if isinstance(one, Ok)))
+    )
+
+
+def _unreadable(problem: str) -> Unavailable:
+    return Unavailable(f"unreadable response: {problem}")
--- a/packages/wheatslip/wheatslip/store/registration.py
+++ b/packages/wheatslip/wheatslip/store/registration.py
@@ -16,6 +16,7 @@
 import msgspec
 from msgspec import UNSET, UnsetType
 
+from wheatslip.decoding import Int64
 from wheatslip.servernotice import ServerStart
 
 MAX_RETIRED_IDS = 1000  # ids of former servers whose late heartbeats are ignored
@@ -39,11 +40,11 @@
 
     pool: str
     address: str
-    slots: int
-    sequence: int
+    slots: Int64
+    sequence: Int64
     state: ServerState = ServerState.READY
     warm_in: float = 0.0
-    born: int | UnsetType = UNSET
+    born: Int64 | UnsetType = UNSET
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/wheatslipd/wheatslipd/feed/cachewriter.py
+++ b/packages/wheatslipd/wheatslipd/feed/cachewriter.py
@@ -6,13 +6,13 @@
 
 from collections.abc import Callable
 
-import msgspec
 from result import Err, Ok
 from wheatslip.config.bundle import Bundle
 from wheatslip.config.deltas import BundleDelta
 from wheatslip.config.head import Head
 from wheatslip.config.signedbundle import SignedBundle
 from wheatslip.config.zonedrains import ZoneDrain, ZoneDrains, decode_drain, with_changes
+from wheatslip.decoding import decode_json
 from wheatslip.distribution.feedcache import (
     Confirmation,
     FeedCache,
@@ -20,7 +20,7 @@
     Update,
 )
 from wheatslip.quarantine import EndReport
-from wheatslip.store.instances import decode_instance
+from wheatslip.store.instances import decode_instance, find_problem
 from wheatslip.store.objects import Listing, StoredObject
 
 from wheatslipd.controllers.bus import Bus
@@ -61,6 +61,7 @@
         self._bus = bus
         self._unix = unix
         self._on_delta_mismatch = on_delta_mismatch
+        self.unreadable = 0  # entries of the list that could not be used, each time counted
         # Called after new end reports were added.
         self.on_end_reports: Callable[[], None] = lambda: None
 
@@ -105,9 +106,7 @@
         """Apply the complete list or changes of it."""
         if listing.version < self.cache.listed:
             return  # another daemon has already sent a newer list
-        changes = [
-            change for change in map(_decode_list_change, listing.items) if change is not None
-        ]
+        changes = [self._decode_list_change(item) for item in listing.items]
         self._apply_list(listing.version, changes, whole=listing.whole)
 
     def apply_drain_listing(self, listing: Listing) -> None:
@@ -168,14 +167,14 @@
 
     def apply_stored_bundle(self, head: Head, stored: StoredObject) -> None:
         """Apply a bundle in the form in which the platform stores it."""
-        try:
-            signed = msgspec.json.decode(stored.value, type=SignedBundle)
-        except msgspec.DecodeError as error:
-            logs.error("bundle-refused", version=head.version, why=str(error))
-            return
-        self._apply_signed_bundle(head, signed)
+        match decode_json(stored.value, SignedBundle):
+            case Ok(signed):
+                self._apply_signed_bundle(head, signed)
+            case Err(reason):
+                logs.error("bundle-refused", version=head.version, why=reason)
 
     def _apply_list(self, listed: int, changes: list[ListChange], *, whole: bool) -> None:
+        changes = [self._without_unusable(change) for change in changes]
         changes = self.cache.apply_list(listed, changes, whole=whole)
         listed_instances = tuple(c.instance for c in changes if c.instance is not None)
         removed = tuple(c.name for c in changes if c.instance is None)
@@ -184,6 +183,32 @@
             self._position.update(self.cache.instances.values())
         self._relay.notify_followers()
 
+    def _without_unusable(self, change: ListChange) -> ListChange:
+        """Return the change without its instance if another writer made it unusable.
+
+        Daemons of the version before pass such entries on.
+        """
+        problem = find_problem(change.name, change.instance) if change.instance else None
+        if problem is None:
+            return change
+        self._record_unreadable(change.name, problem)
+        return ListChange(change.version, change.name, None)
+
+    def _decode_list_change(self, item: StoredObject) -> ListChange:
+        """Return the change of an entry; one that can't be read names no instance."""
+        if item.deleted:
+            return ListChange(item.version, item.name, None)
+        match decode_instance(item.value):
+            case Ok(instance):
+                return ListChange(item.version, item.name, instance)
+            case Err(reason):
+                self._record_unreadable(item.name, reason)
+        return ListChange(item.version, item.name, None)
+
+    def _record_unreadable(self, name: str, reason: str) -> None:
+        self.unreadable += 1
+        logs.error("instance-unreadable", name=name, error=reason, repeat_key=name)
+
     def _apply_drains(self, drains: ZoneDrains) -> None:
         if self.cache.store_drains(drains):
             self._relay.notify_followers()
@@ -221,14 +246,3 @@
 
 def _matches_head(bundle: Bundle, head: Head) -> bool:
     return bundle.version == head.version and bundle.digest() == head.digest
-
-
-def _decode_list_change(item: StoredObject) -> ListChange | None:
-    if item.deleted:
-        return ListChange(item.version, item.name, None)
-    match decode_instance(item.value):
-        case Ok(instance):
-            return ListChange(item.version, item.name, instance)
-        case Err(reason):
-            logs.error("instance-unreadable", name=item.name, error=reason)
-    return None
--- a/packages/wheatslipd/wheatslipd/feed/codec.py
+++ b/packages/wheatslipd/wheatslipd/feed/codec.py
@@ -4,10 +4,12 @@
 
 import msgspec
 from grpclib.encoding.base import CodecBase
+from result import Err, Ok
+from wheatslip.decoding import decode_msgpack
 
 
 class StructCodec(CodecBase):
-    """Encodes and decodes msgspec structs; raises msgspec.DecodeError on a type mismatch."""
+    """Encodes and decodes msgspec structs; raises only msgspec.DecodeError."""
 
     __content_subtype__ = "msgpack"
 
@@ -20,4 +22,8 @@
         return data
 
     def decode(self, data: bytes, message_type: Any) -> Any:
-        return msgspec.msgpack.decode(data, type=message_type)
+        match decode_msgpack(data, message_type):
+            case Ok(message):
+                return message
+            case Err(reason):
+                raise msgspec.DecodeError(reason)
--- a/packages/wheatslipd/wheatslipd/feed/endstore.py
+++ b/packages/wheatslipd/wheatslipd/feed/endstore.py
@@ -11,6 +11,7 @@
 
 import msgspec
 from result import Err, Ok
+from wheatslip.decoding import decode_json
 from wheatslip.quarantine import (
     REPORT_TTL_SECONDS,
     SERVER_ENDS_KIND,
@@ -110,8 +111,9 @@
 
 def _decode_reports(item: StoredObject) -> tuple[EndReport, ...]:
     """Return the reports in an object, or none if it cannot be decoded."""
-    try:
-        return msgspec.json.decode(item.value, type=StoredEnds).reports
-    except msgspec.DecodeError as error:
-        logs.warning("server-ends-unreadable", name=item.name, error=str(error))
-        return ()
+    match decode_json(item.value, StoredEnds):
+        case Ok(stored):
+            return stored.reports
+        case Err(reason):
+            logs.warning("server-ends-unreadable", name=item.name, error=reason)
+    return ()
--- a/packages/wheatslipd/wheatslipd/feed/feed.py
+++ b/packages/wheatslipd/wheatslipd/feed/feed.py
@@ -140,6 +140,12 @@
         as_of = self.cache.as_of
         return self._unix() - as_of if as_of else None
 
+    @property
+    def unreadable_entries(self) -> int:
+        """How often an entry at the platform could not be read or used."""
+        # An embedder's store need not count.
+        return self.cache_writer.unreadable + getattr(self.client, "unreadable", 0)
+
     def removal_rank(self, zone: str) -> int | None:
         """Return how many daemons precede this one in removing dead entries of `zone`.
 
--- a/packages/wheatslipd/wheatslipd/feed/reader.py
+++ b/packages/wheatslipd/wheatslipd/feed/reader.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-import msgspec
 from result import Err, Ok
 from wheatslip.config.deltas import BundleDelta
 from wheatslip.config.head import (
@@ -14,6 +13,7 @@
     bundle_name,
 )
 from wheatslip.config.zonedrains import ZONE_DRAIN_KIND
+from wheatslip.decoding import decode_json
 from wheatslip.store.instances import INSTANCE_KIND
 from wheatslip.store.objects import StoredObject, TooOld, Unavailable
 
@@ -155,11 +155,11 @@
 
     async def fetch_newer_bundle(self, stored: StoredObject) -> None:
         """Fetch the bundle that a stored head names, if it is newer than the cached one."""
-        try:
-            head = msgspec.json.decode(stored.value, type=Head)
-        except msgspec.DecodeError as error:
-            logs.error("head-unreadable", error=str(error))
+        decoded = decode_json(stored.value, Head)
+        if isinstance(decoded, Err):
+            logs.error("head-unreadable", error=decoded.err_value)
             return
+        head = decoded.ok_value
         if head.version == self._cache_writer.version + 1 and await self._fetch_delta(head):
             return
         backoff = self._access.backoff()
@@ -182,9 +182,8 @@
         stored = answer.ok_value if isinstance(answer, Ok) else None
         if stored is None:
             return False
-        try:
-            delta = msgspec.json.decode(stored.value, type=BundleDelta)
-        except msgspec.DecodeError:
+        decoded = decode_json(stored.value, BundleDelta)
+        if isinstance(decoded, Err):
             return False
-        self._cache_writer.apply_deltas(head, (delta,))
+        self._cache_writer.apply_deltas(head, (decoded.ok_value,))
         return self._cache_writer.version >= head.version
--- a/packages/wheatslipd/wheatslipd/feed/relay.py
+++ b/packages/wheatslipd/wheatslipd/feed/relay.py
@@ -16,7 +16,8 @@
 from grpclib.client import Channel, UnaryStreamMethod, UnaryUnaryMethod
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Server, Stream
-from result import Err, Ok
+from result import Err, Ok, Result
+from wheatslip.decoding import decode_msgpack
 from wheatslip.distribution.chunks import Chunk, Joiner, split_message
 from wheatslip.distribution.feedcache import (
     Confirmation,
@@ -245,9 +246,8 @@
                     chunk = await stream.recv_message()
                 if chunk is None:
                     return
-                match joiner.add(chunk):
-                    case Ok(message) if message is not None:
-                        update = msgspec.msgpack.decode(message, type=Update)
+                match _decode_update(joiner.add(chunk)):
+                    case Ok(Update() as update):
                         heartbeat = heartbeat or update.heartbeat or DEFAULT_HEARTBEAT_SECONDS
                         silence_timeout = MISSED_HEARTBEATS * heartbeat
                         if update.clock is not None:
@@ -269,6 +269,13 @@
         channel.close()
 
 
+def _decode_update(joined: Result[bytes | None, str]) -> Result[Update | None, str]:
+    """Decode a message; None while it is not complete."""
+    if isinstance(joined, Err) or joined.ok_value is None:
+        return joined.map(lambda _: None)
+    return decode_msgpack(joined.ok_value, Update)
+
+
 def _convert_confirmation(
     update: Update, asked_at: float, parent_clock: float | None
 ) -> Update:
--- a/packages/wheatslipd/wheatslipd/quota/lossstore.py
+++ b/packages/wheatslipd/wheatslipd/quota/lossstore.py
@@ -9,12 +9,12 @@
 import asyncio
 from collections.abc import Callable, Sequence
 
-import msgspec
 from result import Err, Ok
+from wheatslip.decoding import decode_json
 from wheatslip.distribution.feedcache import LostInstance
 from wheatslip.quota.reach import REMEMBER_SECONDS
 from wheatslip.store.backoff import Backoff
-from wheatslip.store.instances import LOST_KIND, Instance, InstanceState
+from wheatslip.store.instances import LOST_KIND, Instance, InstanceState, find_problem
 from wheatslip.store.losses import MAX_STORED_LOSSES, StoredLoss, StoredLosses
 from wheatslip.store.objects import ObjectStore, StoredObject
 
@@ -114,8 +114,13 @@
     """The losses in an object; none if it was deleted or can't be read."""
     if item.deleted:
         return ()
-    try:
-        return msgspec.json.decode(item.value, type=StoredLosses).losses
-    except msgspec.DecodeError as error:
-        logs.warning("losses-unreadable", name=item.name, error=str(error))
-        return ()
+    match decode_json(item.value, StoredLosses):
+        case Ok(stored):
+            return tuple(one for one in stored.losses if _is_usable(one))
+        case Err(reason):
+            logs.warning("losses-unreadable", name=item.name, error=reason)
+    return ()
+
+
+def _is_usable(loss: StoredLoss) -> bool:
+    return find_problem(loss.instance.name, loss.instance) is None
--- a/packages/wheatslipd/wheatslipd/registration/publisher.py
+++ b/packages/wheatslipd/wheatslipd/registration/publisher.py
@@ -11,7 +11,7 @@
 import msgspec
 from result import Err, Ok
 from wheatslip.store.backoff import Backoff
-from wheatslip.store.instances import INSTANCE_KIND, Instance, InstanceState, decode_instance
+from wheatslip.store.instances import INSTANCE_KIND, Instance, InstanceState, decode_usable
 from wheatslip.store.objects import Conflict, ObjectStore, StoredObject
 
 from wheatslipd.telemetry import logs
@@ -161,7 +161,7 @@
         if current is None:
             self._adopt(None, 0)
             return
-        match decode_instance(current.value):
+        match decode_usable(current.name, current.value):
             case Ok(stored):
                 self._adopt(stored, current.version)
             case Err(reason):
--- a/packages/wheatslipd/wheatslipd/registration/registrar.py
+++ b/packages/wheatslipd/wheatslipd/registration/registrar.py
@@ -7,8 +7,8 @@
 import asyncio
 from collections.abc import Callable
 
-import msgspec
 from wheatslip.backendload import BackendLoad, decode_backend_load
+from wheatslip.decoding import decode_json
 from wheatslip.servernotice import ServerNotice, ServerStart
 from wheatslip.store.registration import Heartbeat, RegisteredServer, Registration
 
@@ -34,10 +34,7 @@
 
 def decode_heartbeat(body: bytes) -> Heartbeat | None:
     """Decode a heartbeat in wheatslip's JSON format; None if it is malformed."""
-    try:
-        return msgspec.json.decode(body, type=Heartbeat)
-    except msgspec.DecodeError:
-        return None
+    return decode_json(body, Heartbeat).ok()
 
 
 class Registrar:
--- a/packages/wheatslipd/wheatslipd/registration/removal.py
+++ b/packages/wheatslipd/wheatslipd/registration/removal.py
@@ -75,8 +75,8 @@
         match answer:
             case Err(Conflict(current)) if current is not None:
                 # The list may come from a daemon that has read a newer version.
-                listed = decode_instance(current.value)
-                if isinstance(listed, Ok) and listed.ok_value.incarnation != incarnation:
-                    return  # it has restarted since
+                listed = decode_instance(current.value).ok()
+                if listed is None or listed.incarnation != incarnation:
+                    return  # it has restarted since, or another program wrote there
                 answer = await self._store.delete(INSTANCE_KIND, name, current.version)
         logs.info("dead-entry-removed", name=name, done=isinstance(answer, Ok))
--- a/packages/wheatslipd/wheatslipd/telemetry/metrics.py
+++ b/packages/wheatslipd/wheatslipd/telemetry/metrics.py
@@ -82,6 +82,10 @@
             "whether they were taken as the answer",
         )
         self.platform_calls = counter("wheatslip_platform_calls_total", "Calls to the platform")
+        self.unreadable_entries = counter(
+            "wheatslip_unreadable_entries_total",
+            "Entries at the platform that could not be read or used, at each read of them",
+        )
         self.relay_bytes = counter(
             "wheatslip_relay_bytes_total", "Bytes of control messages sent to followers"
         )
--- a/packages/wheatslipd/wheatslipd/telemetry/statereport.py
+++ b/packages/wheatslipd/wheatslipd/telemetry/statereport.py
@@ -92,6 +92,7 @@
         metrics.named_limit.set({}, self._server_side.notices.rate or 0.0)
         metrics.key_records.set({}, len(self._server_side.keys.ledger))
         metrics.platform_calls.set({}, self._feed.client.calls)
+        metrics.unreadable_entries.set({}, self._feed.unreadable_entries)
         metrics.relay_bytes.set({}, self._feed.relay.sent_bytes)
         metrics.head_age.set({}, self._feed.head_age or 0.0)
         metrics.quota_share.set({}, self._quotas.share)
