Get past heads whose bundles can't be had any more

Cause: the answer to a watch holds a head for each version that was missed. The reader fetched the bundles in order, from the first one; the adapter keeps the last 16, so that one was gone, and the loop around it asked for exactly that bundle until a newer version came another way. Its log says `bundle-missing` for ever. The class: a reader that waits for something that can't come any more.

Why this fix works: a head is a state, so only the latest of a listing matters; an earlier one counts only if the latest is refused. And the loop has a way out: if the platform answers that it does not have the bundle, its present head is asked for, which names what it has.

--- a/packages/wheatslipd/wheatslipd/feed/reader.py
+++ b/packages/wheatslipd/wheatslipd/feed/reader.py
@@ -15,7 +15,7 @@
 from wheatslip.config.zonedrains import ZONE_DRAIN_KIND
 from wheatslip.decoding import decode_json
 from wheatslip.store.instances import INSTANCE_KIND
-from wheatslip.store.objects import StoredObject, TooOld, Unavailable
+from wheatslip.store.objects import Listing, StoredObject, TooOld, Unavailable
 
 from wheatslipd.feed.access import PlatformAccess, log_unavailable
 from wheatslipd.telemetry import logs
@@ -105,8 +105,7 @@
         asked_at = self._access.monotonic()
         match await self._store.changes(HEAD_KIND, self._cache_writer.cache.head_at, 0.0):
             case Ok(listing):
-                for item in listing.items:
-                    await self.fetch_newer_bundle(item)
+                await self.apply_heads(listing)
                 self._cache_writer.confirm_head()
                 self._confirm_bundle(asked_at)
                 self._cache_writer.advance_head_position(listing.version)
@@ -153,13 +152,23 @@
         if self._access.settings.max_unconfirmed:
             self._cache_writer.confirm_bundle(asked_at)
 
+    async def apply_heads(self, listing: Listing) -> None:
+        """Fetch the bundle of the latest head in a listing; of an earlier one if it is refused.
+
+        The bundles of heads that were replaced since may not be had any more.
+        """
+        for item in reversed(listing.items):
+            await self.fetch_newer_bundle(item)
+
     async def fetch_newer_bundle(self, stored: StoredObject) -> None:
-        """Fetch the bundle that a stored head names, if it is newer than the cached one."""
-        decoded = decode_json(stored.value, Head)
-        if isinstance(decoded, Err):
-            logs.error("head-unreadable", error=decoded.err_value)
+        """Fetch the bundle that a stored head names, if it is newer than the cached one.
+
+        Retries until the platform has answered. If it does not have the bundle, its present
+        head is asked for, which may be another one.
+        """
+        head = _decode_head(stored)
+        if head is None:
             return
-        head = decoded.ok_value
         if head.version == self._cache_writer.version + 1 and await self._fetch_delta(head):
             return
         backoff = self._access.backoff()
@@ -170,11 +179,24 @@
                     self._cache_writer.apply_stored_bundle(head, stored_bundle)
                     return
                 case Ok(_):
-                    logs.error("bundle-missing", version=head.version)
+                    logs.error("bundle-missing", version=head.version, repeat_key=name)
+                    present = await self._read_present_head()
+                    if present is not None and present != head:
+                        head = present
+                        continue
                 case Err(unavailable):
                     log_unavailable(unavailable)
             await asyncio.sleep(backoff.next())
 
+    async def _read_present_head(self) -> Head | None:
+        """The head that the platform has now; None if it does not answer or has none."""
+        match await self._store.get(HEAD_KIND, HEAD_NAME):
+            case Ok(StoredObject() as stored):
+                return _decode_head(stored)
+            case Err(unavailable):
+                log_unavailable(unavailable)
+        return None
+
     async def _fetch_delta(self, head: Head) -> bool:
         """Apply the stored delta for `head`; return whether the cache is current then."""
         name = bundle_name(head.version, head.digest)
@@ -187,3 +209,12 @@
             return False
         self._cache_writer.apply_deltas(head, (decoded.ok_value,))
         return self._cache_writer.version >= head.version
+
+
+def _decode_head(stored: StoredObject) -> Head | None:
+    match decode_json(stored.value, Head):
+        case Ok(head):
+            return head
+        case Err(reason):
+            logs.error("head-unreadable", error=reason)
+    return None
--- a/packages/wheatslipd/wheatslipd/feed/watching.py
+++ b/packages/wheatslipd/wheatslipd/feed/watching.py
@@ -123,8 +123,7 @@
             wait=self._access.settings.watch,
             since=self._cache_writer.cache.head_at or None,
         ):
-            for item in listing.items:
-                await self._reader.fetch_newer_bundle(item)
+            await self._reader.apply_heads(listing)
             if self._has_head_watch_failed:
                 self._has_head_watch_failed = False
                 self._head_watch_recovered.set()
