Refuse at a stop what it would cut off

Cause: clients that go on sending keep a stop from being quiet, and nothing compared the time that a request may take with the time that is left.

Why this fix works: once the ports have stopped listening, the entry refuses a request whose deadline lies behind the end of the stop as not run (503, and the connection is closed). What is taken ends by its deadline, so it ends before the stop. The gate refuses new work from then on already.

The new test (18 kept connections, an order each 0.1 s, a stop of 2 s) failed before: `{200, 502} <= {200, 503}`. Now the orders that ran are exactly those that were answered.

--- a/packages/wheatslip/wheatslip/retryafter.py
+++ b/packages/wheatslip/wheatslip/retryafter.py
@@ -6,7 +6,8 @@
 
 | refusal | reason, seconds | where: when |
 |---|---|---|
-| `STOPPING` | draining, 1 | its daemon stops before the request has arrived |
+| `STOPPING` | draining, 1 | its daemon stops before the request has arrived, or could be \
+answered |
 | `NOT_CONFIGURED` | no-configuration, 1 | entry: its daemon has no configuration yet |
 | `UNCONFIRMED` | unconfirmed, 1 | entry: the platform has not confirmed the \
 configuration for so long that no credential is accepted |
--- a/packages/wheatslipd/wheatslipd/controllers/view.py
+++ b/packages/wheatslipd/wheatslipd/controllers/view.py
@@ -61,7 +61,8 @@
 
     `leaving`: the local backend server accepts no new requests; the entry still forwards
     requests to other backend servers. `stopping`: the health page and a "connection: close"
-    header on each response ask callers to use another daemon.
+    header on each response ask callers to use another daemon. At `stop_ends_at` (monotonic
+    seconds) all connections are closed; infinite until the ports stop listening.
     """
 
     configuration: Configuration | None = None
@@ -69,6 +70,7 @@
     drains: ZoneDrains | None = None
     leaving: bool = False
     stopping: bool = False
+    stop_ends_at: float = float("inf")
     startup_deadline: float = float("-inf")
     initialized: asyncio.Event = field(default_factory=asyncio.Event)
 
--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -281,6 +281,7 @@
             self._close_gate()
         if self.local_backend is not None:
             await self.local_backend.wait_published()
+        self.view.stop_ends_at = self._shared.monotonic() + grace
         # The peer port serves until the entry, which sends requests to it, has finished.
         await asyncio.gather(self.entry_server.drain(grace), self.peer_server.drain(grace))
         results = await asyncio.gather(self.entry_server.close(), self.peer_server.close())
--- a/packages/wheatslipd/wheatslipd/entry/filters.py
+++ b/packages/wheatslipd/wheatslipd/entry/filters.py
@@ -9,7 +9,7 @@
 from wheatslip.config.bundle import Service
 from wheatslip.ledger import key_time
 from wheatslip.outcome import Answered, NotRun, Outcome, Reason
-from wheatslip.retryafter import NOT_CONFIGURED
+from wheatslip.retryafter import NOT_CONFIGURED, STOPPING
 
 from wheatslipd.chain import EntryRequest, Filter, Proceed
 from wheatslipd.controllers.view import View
@@ -167,6 +167,22 @@
         return await proceed(request)
 
 
+@dataclass(slots=True)
+class StopFilter:
+    """Refuses requests that may outlast the stop of this daemon, which would cut them off.
+
+    They come on connections that were open when it stopped listening.
+    """
+
+    view: View
+
+    async def __call__(self, request: EntryRequest, proceed: Proceed) -> Outcome:
+        assert request.call is not None
+        if request.call.deadline > self.view.stop_ends_at:
+            return STOPPING
+        return await proceed(request)
+
+
 def common_filters(
     view: View, metrics: Metrics, tracer: HopTracer, clock: Callable[[], float]
 ) -> list[Filter]:
--- a/packages/wheatslipd/wheatslipd/entry/wiring.py
+++ b/packages/wheatslipd/wheatslipd/entry/wiring.py
@@ -7,7 +7,7 @@
 from wheatslipd.chain import build_chain
 from wheatslipd.confirmation import ConfirmationLimit
 from wheatslipd.entry.entry import Entry
-from wheatslipd.entry.filters import common_filters, workspace_filters
+from wheatslipd.entry.filters import StopFilter, common_filters, workspace_filters
 from wheatslipd.entry.forward import Forwarder, ForwardSettings, RoutingPolicy
 from wheatslipd.entry.quotafilter import QuotaFilter
 from wheatslipd.entry.routefilter import route_filters
@@ -59,5 +59,6 @@
         filters += route_filters(names, by_header, shared.rng)
     else:
         filters += workspace_filters(BearerIdentification(confirmation_limit), clock)
+    filters.append(StopFilter(shared.view))
     filters.append(QuotaFilter(quota, shared.metrics, clock))
     return Entry(build_chain(filters, forwarder), clock, by_routes=by_routes)
--- a/test/routed_fleet.py
+++ b/test/routed_fleet.py
@@ -32,6 +32,7 @@
 zone = {zone}
 pool = papers
 loop = asyncio
+{extra_daemon_settings}
 [entry]
 interface = routes
 answer-hold = 65536
@@ -120,6 +121,7 @@
     has_control_links: bool = False
     control_links: dict[str, ThrottledLink] = field(default_factory=dict)
     zones: dict[str, str] = field(default_factory=dict)
+    extra_daemon_settings: str = ""
     extra_backend_settings: str = ""  # more lines of the daemons' settings
     extra_header_settings: str = ""
     extra_entry_settings: str = ""
@@ -147,6 +149,7 @@
             list_settle=self.list_settle,
             watch=self.watch,
             watch_check=self.watch_check,
+            extra_daemon_settings=self.extra_daemon_settings,
             extra_backend_settings=self.extra_backend_settings,
             extra_header_settings=(
                 "" if name in self.without_extra_headers else self.extra_header_settings
--- a/test/test_routed_path.py
+++ b/test/test_routed_path.py
@@ -341,3 +341,39 @@
             await eventually(lambda: has_in_flight(0))
 
     run(scenario)
+
+
+def test_requests_that_outlast_a_stop_are_refused_before_they_run():
+    """Guards against work that begins on kept connections and is cut off by a stop."""
+
+    async def scenario():
+        options = {"extra_daemon_settings": "stop-grace = 2s\nstop-listening-after = 200ms"}
+        async with fleet("a", "b", **options) as installation:
+            port = installation.daemons["a"].entry_server.port
+            for backend in installation.backends.values():
+                backend.service = 0.4
+            callers = [await asyncio.open_connection(HOST, port) for _ in range(18)]
+            installation.daemons["a"].stop()
+            sent = asyncio.get_running_loop().time()
+
+            async def ask(number, reader, writer):
+                await asyncio.sleep(sent + 0.1 * number - asyncio.get_running_loop().time())
+                writer.write(
+                    b"POST /submit/1 HTTP/1.1\r\nHost: papers.example\r\nRequest-Id: r-%d\r\n"
+                    b"Deadline-Remaining: 600\r\nContent-Length: 0\r\n\r\n" % number
+                )
+                head = await reader.read(65536)
+                writer.close()
+                return int(head.split(b" ")[1]) if head else 0
+
+            statuses = await asyncio.gather(
+                *(ask(number, *caller) for number, caller in enumerate(callers))
+            )
+            ran = [b.run_request_ids for b in installation.backends.values()]
+            ran = {name for names in ran for name in names}
+            answered = {f"r-{n}" for n, status in enumerate(statuses) if status == 200}
+            assert set(statuses) <= {200, 503}
+            assert statuses[:10] == [200] * 10 and 503 in statuses
+            assert ran == answered
+
+    run(scenario)
