Apply a deregistration to the start that it names

What callers saw: a late DELETE of an earlier start under the same id marked the running server as leaving for the rest of its life, and its room was missing.

Cause: heartbeats are told apart by `born`, but the body of a DELETE was not read.

Why this fix works: a `born` there that is older than the present start's changes nothing.

The two new tests failed before: the registration knew no `born` there, and the gate was closed by the DELETE of the earlier start.

--- a/packages/wheatslip/wheatslip/store/registration.py
+++ b/packages/wheatslip/wheatslip/store/registration.py
@@ -47,6 +47,12 @@
     born: Int64 | UnsetType = UNSET
 
 
+class Deregistration(msgspec.Struct, frozen=True):
+    """What a server says when it deregisters, if anything; `born` as in a `Heartbeat`."""
+
+    born: Int64 = 0
+
+
 @dataclass(frozen=True, slots=True)
 class RegisteredServer:
     """The backend server that is registered with the daemon.
@@ -113,8 +119,14 @@
                 return False
         return self._take_over(server, heartbeat, now)
 
-    def on_deregistration(self, server: str) -> bool:
-        """The server deregisters and will not come back; returns whether `current` changed."""
+    def on_deregistration(self, server: str, born: int = 0) -> bool:
+        """The server deregisters and will not come back; returns whether `current` changed.
+
+        `born` is when the start that deregisters was born, in Unix milliseconds; 0: not stated.
+        A late one of an earlier start changes nothing.
+        """
+        if born > 0 and self._is_current(server) and self._is_born_after(born):
+            return False
         self._retire_id(server)
         if self._claim is not None and self._claim.server == server:
             self._claim = None
@@ -183,6 +195,11 @@
         assert self.current is not None
         return 0 < self.current.born < born
 
+    def _is_born_after(self, born: int) -> bool:
+        """Whether the current start is known to be later than one that was born then."""
+        assert self.current is not None
+        return born < self.current.born
+
     def _update_current(self, heartbeat: Heartbeat, now: float) -> bool:
         assert self.current is not None
         if heartbeat.sequence <= self._sequence:
--- a/packages/wheatslipd/wheatslipd/registration/registrar.py
+++ b/packages/wheatslipd/wheatslipd/registration/registrar.py
@@ -10,7 +10,12 @@
 from wheatslip.backendload import BackendLoad, decode_backend_load
 from wheatslip.decoding import decode_json
 from wheatslip.servernotice import ServerNotice, ServerStart
-from wheatslip.store.registration import Heartbeat, RegisteredServer, Registration
+from wheatslip.store.registration import (
+    Deregistration,
+    Heartbeat,
+    RegisteredServer,
+    Registration,
+)
 
 from wheatslipd.controllers.bus import Bus
 from wheatslipd.controllers.events import backend_registered
@@ -78,7 +83,8 @@
         except BodyTruncated:
             return
         if head.method == b"DELETE":
-            self._fire_change(self._registration.on_deregistration(server))
+            said = decode_json(body, Deregistration).unwrap_or(Deregistration())
+            self._fire_change(self._registration.on_deregistration(server, said.born))
             await exchange.respond(ResponseHead(200))
             return
         heartbeat = self._decode(body) if head.method == b"PUT" else None
--- a/test/test_registration.py
+++ b/test/test_registration.py
@@ -141,6 +141,18 @@
     assert not registration.current.leaving
 
 
+def test_a_late_deregistration_of_an_earlier_start_changes_nothing():
+    """Guards against a running server that counts as leaving until it ends."""
+    registration = new_registration()
+    registration.on_heartbeat("a", heartbeat(8, born=1000), 0.0)
+    assert registration.on_heartbeat("a", heartbeat(1, born=2000), 2.0)
+    assert not registration.on_deregistration("a", born=1000)
+    assert not registration.current.leaving
+    assert not registration.on_heartbeat("a", heartbeat(9, born=1000), 3.0)
+    assert registration.on_deregistration("a", born=2000)
+    assert registration.current.leaving
+
+
 def test_a_server_whose_responses_said_that_it_leaves_stays_away():
     registration = new_registration()
     registration.on_heartbeat("a", heartbeat(1), 0.0)
--- a/test/test_routed_path.py
+++ b/test/test_routed_path.py
@@ -5,6 +5,8 @@
 import asyncio
 import json
 
+import pytest
+from wheatslip.admission import ClosedBy
 from wheatslip.store.instances import INSTANCE_KIND
 from wheatslip.upstream import DEAD_AFTER_SECONDS
 from wheatslipd.registration.removal import RANK_DELAY_SECONDS
@@ -343,6 +345,25 @@
     run(scenario)
 
 
+@pytest.mark.parametrize("born, leaves", [(1000, False), (2000, True), (0, True), ("x", True)])
+def test_a_deregistration_counts_for_the_start_that_it_names(born, leaves):
+    """Guards against a late `DELETE` of an earlier start under the same id."""
+
+    async def scenario():
+        async with fleet("a") as installation:
+            await installation.send_heartbeat("a", 8, born=1000)
+            await installation.send_heartbeat("a", 1, born=2000)
+            daemon = installation.daemons["a"]
+            port = daemon.local_backend.registration_server.port
+            url = f"http://{HOST}:{port}/heartbeats/i-a"
+            body = {"born": born} if born else None
+            async with installation.session.delete(url, json=body) as answer:
+                assert answer.status == 200
+            assert daemon.server_side.gate.is_closed_by(ClosedBy.SERVER_LEAVES) is leaves
+
+    run(scenario)
+
+
 def test_requests_that_outlast_a_stop_are_refused_before_they_run():
     """Guards against work that begins on kept connections and is cut off by a stop."""
 
