Count only names against the length of a connection's life

What callers would have paid: connections to other daemons, to the store and to servers without names were closed after 1,000 requests, though nothing is remembered there; and a server that gives checks names of its own had a log line and a count for each of them.

Cause: requests were counted in the place of names, and each name that is not the request's was reported, also where it is expected.

Why this fix works: the bound is on the names that are remembered, none of which there are without a header; of unnamed requests only responses that are skipped are reported. The new test and one more assertion failed before.

--- a/packages/wheatslipd/wheatslipd/http/matching.py
+++ b/packages/wheatslipd/wheatslipd/http/matching.py
@@ -30,9 +30,9 @@
 
 from wheatslipd.http.messages import Headers
 
-# Of one connection, which is closed then. It bounds the memory for the names; a smaller number
-# would open connections more often.
-MAX_REQUESTS = 1000
+# That one connection carries before it is closed. It bounds the memory for the names; a smaller
+# number would open connections more often.
+MAX_NAMES = 1000
 
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] [0-9]{3}")
 
@@ -116,7 +116,7 @@
     @property
     def is_spent(self) -> bool:
         """Whether the connection must not carry another request."""
-        return self._is_spent or self._request_count >= MAX_REQUESTS
+        return self._is_spent or len(self._names) >= MAX_NAMES
 
     def may_carry(self, question: Question) -> bool:
         """Whether the response to `question` could be told apart from those to all before."""
@@ -134,9 +134,11 @@
         """Record that a request is sent."""
         self._question = question
         self._request_count += 1
+        if not self._naming.header:
+            return
         if question.name:
             self._names.add(hash(question.name))
-        elif self._naming.header and question.kind is Kind.REQUEST:
+        elif question.kind is Kind.REQUEST:
             self._is_spent = True
 
     def match(self, reason: bytes, headers: Headers) -> Match:
@@ -150,11 +152,12 @@
         names = {value for name, value in headers if name == self._naming.header and value}
         if question.name:
             match = self._match_named(question.name, names)
+            is_expected = names == {question.name}
         else:
             # A server may name responses to unnamed requests too, by names of its own.
-            is_earlier = any(hash(name) in self._names for name in names)
-            match = Match.SKIPPED if is_earlier else Match.TAKEN
-        if names != ({question.name} - {b""}):
+            is_expected = not any(hash(name) in self._names for name in names)
+            match = Match.TAKEN if is_expected else Match.SKIPPED
+        if not is_expected:
             self._on_unmatched(UnmatchedResponse(question, match, min(names, default=b"")))
         return match
 
--- a/test/test_shared_connections.py
+++ b/test/test_shared_connections.py
@@ -11,7 +11,16 @@
 from wheatslip.outcome import Unknown
 from wheatslipd.gate.backend import Backend, BackendAnswer
 from wheatslipd.http.body import Body
-from wheatslipd.http.matching import CHECK, Kind, Match, Naming, Question
+from wheatslipd.http.matching import (
+    CHECK,
+    MAX_NAMES,
+    Kind,
+    Match,
+    Naming,
+    Question,
+    ResponseMatcher,
+    ignore_unmatched,
+)
 from wheatslipd.http.messages import RequestHead
 
 from test.helper import run
@@ -293,8 +302,9 @@
 
 def test_server_that_names_checks_by_itself_is_checked():
     """Guards against checks that fail because a server gives each request a name."""
-    got, _ = play(Server(late=response(b"/second", b"made-up")), FIRST, CHECK)
+    got, unmatched = play(Server(late=response(b"/second", b"made-up")), FIRST, CHECK)
     assert got == (200, b"/second")
+    assert unmatched == []
 
 
 def test_requests_and_checks_share_one_connection_to_a_sound_server():
@@ -312,3 +322,16 @@
         assert not connected.unmatched
 
     run(scenario)
+
+
+def test_the_names_of_a_connection_need_bounded_memory():
+    """Guards against a connection that remembers names for as long as it lives."""
+    named, unnamed = (
+        ResponseMatcher(naming, ignore_unmatched) for naming in (CERTAIN, Naming())
+    )
+    for number in range(MAX_NAMES):
+        assert not named.is_spent
+        for matcher in (named, unnamed):
+            matcher.begin(Question(Kind.REQUEST, b"%d" % number))
+    assert named.is_spent
+    assert not unnamed.is_spent  # without names nothing is remembered
