--- a/test/test_long_answers.py
+++ b/test/test_long_answers.py
@@ -4,7 +4,7 @@
 from wheatslip.store.instances import INSTANCE_KIND
 from wheatslip.store.objects import TooOld
 
-from fleet_adapter import store as fleet_store
+from fleet_adapter import calls
 from fleet_adapter.store import FleetStore
 from fleet_adapter.wire import KINDS
 from fleet_standins.store import StoreStandIn
@@ -14,7 +14,7 @@
 
 def test_changes_longer_than_a_daemon_reads_are_passed_by_a_whole_read(monkeypatch):
     """Guards against a watch that asks for the same long answer again and again."""
-    monkeypatch.setattr(fleet_store, "MAX_RESPONSE_BYTES", 20_000)
+    monkeypatch.setattr(calls, "MAX_RESPONSE_BYTES", 20_000)
 
     async def scenario():
         stand_in = StoreStandIn()
