Move the relay of answers out of the peer port

gate/peerport.py had 394 lines: what a forwarded request passes before it is sent, and what the server's response tells. Moved without a change.

--- a/packages/wheatslipd/wheatslipd/gate/peerport.py
+++ b/packages/wheatslipd/wheatslipd/gate/peerport.py
@@ -10,11 +10,9 @@
 
 from wheatslip.admission import Ticket
 from wheatslip.attempts import SERVER_ERROR
-from wheatslip.backendload import decode_backend_load
 from wheatslip.call import COMMON_RANK, UNLIMITED, Call, CallClass
 from wheatslip.hop import (
     HOP_HEADER,
-    LOAD_HEADER,
     NOTICE_HEADER,
     OUTCOME_HEADER,
     RANK_HEADER,
@@ -23,15 +21,14 @@
     decode_hop,
     decode_notice,
     decode_rank,
-    encode,
 )
 from wheatslip.ledger import Claim, KeptAnswer, KeyState, key_time
 from wheatslip.outcome import Answered, NotRun, Outcome, Reason, Unknown
-from wheatslip.retryafter import SHED_BY_SERVER
 from wheatslip.runtracker import Run
 
 from wheatslipd.controllers.view import View
 from wheatslipd.entry.refusals import send_refusal
+from wheatslipd.gate.answerrelay import AnswerRelay
 from wheatslipd.gate.backend import Backend, BackendAnswer
 from wheatslipd.gate.backendhead import (
     build_backend_head,
@@ -52,7 +49,7 @@
 from wheatslipd.http.body import BodyTruncated
 from wheatslipd.http.exchange import Exchange
 from wheatslipd.http.matching import Kind, Question
-from wheatslipd.http.messages import Headers, RequestHead, ResponseHead
+from wheatslipd.http.messages import RequestHead, ResponseHead
 from wheatslipd.settings import HeaderNames
 from wheatslipd.telemetry.metrics import Metrics, priority_label
 from wheatslipd.telemetry.outcometext import describe
@@ -65,7 +62,6 @@
 # Buffered before a request takes a slot, so that a slow upload does not hold a slot. A larger
 # buffer would use memory for each request; this is as much as an entry buffers.
 BUFFERED_BODY_BYTES = 64 * 1024
-MISDIRECTED_STATUS = 421  # HTTP 421 Misdirected Request: the server is not the registered one
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,6 +114,7 @@
         self._backend = stages.backend
         self._end_detector = stages.end_detector
         self._notices = stages.notices
+        self._answers = AnswerRelay(settings.names, view, stages.gate, stages.notices)
         self._older_entries = stages.older_entries
         self._settings = settings
         self._names = settings.names
@@ -135,7 +132,7 @@
         try:
             outcome = await self._process(exchange, trace)
             if not isinstance(outcome, Answered) and not exchange.started:
-                await send_refusal(exchange, outcome, self._report_headers())
+                await send_refusal(exchange, outcome, self._answers.report_headers())
         finally:
             self._metrics.admissions.inc({"outcome": describe(outcome)})
             trace.set("wheatslip.outcome", describe(outcome))
@@ -220,7 +217,7 @@
         # What the server announced then no longer applies.
         dropped_names = {b"content-length", self._names.limit, self._names.leaving}
         headers = [header for header in kept.headers if header[0] not in dropped_names]
-        headers += [(OUTCOME_HEADER, b"answered"), *self._report_headers()]
+        headers += [(OUTCOME_HEADER, b"answered"), *self._answers.report_headers()]
         await exchange.respond(ResponseHead(kept.status, headers), kept.body)
         return Answered(kept.status)
 
@@ -265,7 +262,7 @@
             self._gate.on_answer()
             worked = True
             try:
-                outcome = await self._relay_answer(request, answer, kept)
+                outcome = await self._answers.relay(request, answer.response, kept)
             finally:
                 self._backend.release(answer)
             return await self._record_outcome(run, outcome)
@@ -315,36 +312,6 @@
             lambda: self._end_detector.exposure.begin(run),
         )
 
-    async def _relay_answer(
-        self, request: ForwardedRequest, answer: BackendAnswer, kept: KeptAnswer | None
-    ) -> Outcome:
-        response = answer.response
-        is_not_run = self._reports_not_run(response.head, request.call)
-        if is_not_run and self._server and response.head.status == MISDIRECTED_STATUS:
-            # Another server responds, so its load and announcements are not read.
-            self._gate.on_server_replaced()
-            return SHED_BY_SERVER
-        self._update_load(response.head)
-        self._notices.on_response(response.head)
-        if is_not_run:
-            return SHED_BY_SERVER
-        headers = [
-            (name, value)
-            for name, value in response.head.forwarded()
-            if name != self._names.load
-        ]
-        if kept is not None:
-            kept.headers = list(headers)
-        headers += [(OUTCOME_HEADER, b"answered"), *self._report_headers()]
-        request.exchange.start(ResponseHead(response.head.status, headers))
-        try:
-            await request.exchange.relay(response.body, kept.add if kept is not None else None)
-        except BodyTruncated:
-            return Unknown(Reason.CONNECTION_LOST)
-        if kept is not None:
-            kept.status = response.head.status
-        return Answered(response.head.status)
-
     @property
     def _server(self) -> str:
         """The registered id of the backend server, or empty."""
@@ -365,30 +332,3 @@
             request.trace.outgoing,
             self._identity_headers,
         )
-
-    def _update_load(self, head: ResponseHead) -> None:
-        load = decode_backend_load(head.get(self._names.load) or b"")
-        if load is not None:
-            self._gate.update_load(load)
-        else:
-            self._gate.on_missing_load()
-
-    def _reports_not_run(self, head: ResponseHead, call: Call) -> bool:
-        """Whether the backend server reports that it did not run the request."""
-        if self._names.not_run and head.get(self._names.not_run) is not None:
-            return True
-        return head.status == self._shed_status(call.service)
-
-    def _shed_status(self, service_name: str) -> int:
-        configuration = self._view.configuration
-        service = configuration.services.get(service_name) if configuration else None
-        if configuration is None or service is None:
-            return 0
-        return configuration.pools[service.pool].shed_status
-
-    def _report_headers(self) -> Headers:
-        headers = [(LOAD_HEADER, encode(self._gate.load_report()))]
-        notice = self._notices.notice()
-        if notice is not None:
-            headers.append((NOTICE_HEADER, encode(notice)))
-        return headers
