Choose servers without a report by their cost again

Cause, inferred and not traced: "Draw a server of which nothing is known by its share" sends to a server that has not reported. One that never answers never reports, and a request that ends with its deadline is no failure to the chooser, so it is drawn again for a share of all picks.

--- a/packages/wheatslip/wheatslip/chooser.py
+++ b/packages/wheatslip/wheatslip/chooser.py
@@ -118,9 +118,6 @@
         limited_pick = self._draw_limited(available, now)
         if limited_pick is not None:
             return limited_pick
-        unknown_pick = self._draw_unknown(available, now)
-        if unknown_pick is not None:
-            return unknown_pick
         willing = [u for u in available if self._takes_part(u, now)]
         candidates = self._draw_candidates(willing or available)
         if len(candidates) == 1:
@@ -183,19 +180,6 @@
                     return upstream
         return None
 
-    def _draw_unknown(self, available: list[Upstream], now: float) -> Upstream | None:
-        """Draws an upstream that has not reported yet, by its share; None in the other cases.
-
-        It is not compared by cost: at light load the others have just reported that they are
-        idle, and none would ever get its first request. It gets one at a time.
-        """
-        same_zone = [u for u in available if u.zone == self.zone]
-        eligible = same_zone or available
-        unknown = [u for u in eligible if _is_unknown(u, now) and self._takes_part(u, now)]
-        if not unknown or self.rng.random() * len(eligible) >= len(unknown):
-            return None
-        return self.rng.choice(unknown)
-
     def _takes_part(self, upstream: Upstream, now: float) -> bool:
         """Whether an upstream takes part in the comparison by cost."""
         if upstream.notices.rate is not None and upstream.zone == self.zone:
@@ -290,10 +274,3 @@
     if utilization <= 1.0:
         return FULL_WAIT_SERVICE_TIMES * utilization**WAIT_EXPONENT
     return FULL_WAIT_SERVICE_TIMES + OVERLOAD_WAIT_SERVICE_TIMES * (utilization - 1.0)
-
-
-def _is_unknown(upstream: Upstream, now: float) -> bool:
-    """Whether nothing is known of an upstream, neither by a report nor by a failure."""
-    if upstream.report is not None or upstream.failures or upstream.in_flight:
-        return False
-    return upstream.healthy or upstream.healthy_until >= now
