Draw a server that was sent nothing yet by its share

What callers saw: nothing while the others were free. A server that joins at light load stayed unused, and its room was missing when load rose.

Cause: a server without a report counts as loaded like the mean of its pool, and costs some 5 in 100 more than one that has just answered and counts as idle, where chance adds at most 2.

Why this works: the first request does not depend on costs any more. A server that was sent nothing is drawn by its share of its zone's servers, once; its answer brings a report, and costs are compared from then on. A server that does not answer gets no second request this way.

--- a/packages/wheatslip/wheatslip/chooser.py
+++ b/packages/wheatslip/wheatslip/chooser.py
@@ -20,9 +20,10 @@
    random.
 3. It draws an upstream that names a limit in a share of the picks that depends on how often
    its gate refuses (`NoticeMemory`).
-4. It includes an upstream that joined recently in a growing share of the picks.
-5. It draws candidates at random: `candidates` from its own zone, a few from other zones.
-6. It picks the candidate with the lowest `cost`. Jitter breaks ties.
+4. It draws an upstream that was sent nothing yet in its share of the picks.
+5. It includes an upstream that joined recently in a growing share of the picks.
+6. It draws candidates at random: `candidates` from its own zone, a few from other zones.
+7. It picks the candidate with the lowest `cost`. Jitter breaks ties.
 
 `Chooser.cost` is the expected time until an answer plus penalties, in seconds: the current
 service time of the upstream, increased with its estimated utilization and doubled if only the
@@ -118,6 +119,9 @@
         limited_pick = self._draw_limited(available, now)
         if limited_pick is not None:
             return limited_pick
+        unasked_pick = self._draw_unasked(available, now)
+        if unasked_pick is not None:
+            return unasked_pick
         willing = [u for u in available if self._takes_part(u, now)]
         candidates = self._draw_candidates(willing or available)
         if len(candidates) == 1:
@@ -180,6 +184,20 @@
                     return upstream
         return None
 
+    def _draw_unasked(self, available: list[Upstream], now: float) -> Upstream | None:
+        """Draws an upstream that was sent nothing yet, by its share; None in the other cases.
+
+        It is not compared by cost: at light load the others have just reported that they are
+        idle, and none would ever get its first request. It gets no second one this way before
+        it reports: it may be one that does not answer.
+        """
+        same_zone = [u for u in available if u.zone == self.zone]
+        eligible = same_zone or available
+        unasked = [u for u in eligible if _is_unasked(u, now) and self._takes_part(u, now)]
+        if not unasked or self.rng.random() * len(eligible) >= len(unasked):
+            return None
+        return self.rng.choice(unasked)
+
     def _takes_part(self, upstream: Upstream, now: float) -> bool:
         """Whether an upstream takes part in the comparison by cost."""
         if upstream.notices.rate is not None and upstream.zone == self.zone:
@@ -274,3 +292,10 @@
     if utilization <= 1.0:
         return FULL_WAIT_SERVICE_TIMES * utilization**WAIT_EXPONENT
     return FULL_WAIT_SERVICE_TIMES + OVERLOAD_WAIT_SERVICE_TIMES * (utilization - 1.0)
+
+
+def _is_unasked(upstream: Upstream, now: float) -> bool:
+    """Whether an upstream was sent nothing, and the list does not say that it is unhealthy."""
+    if upstream.report is not None or upstream.sent_since_report:
+        return False
+    return upstream.healthy or upstream.healthy_until >= now
--- a/test/test_chooser.py
+++ b/test/test_chooser.py
@@ -33,6 +33,42 @@
     assert chooser.pick(upstreams, 0.0, frozenset({"b"})) is None
 
 
+def run_requests(chooser, upstreams, now, silent=""):
+    """Sixty requests, one at a time, each of 10 ms; the names that were picked.
+
+    No request to the upstream `silent` gets an answer.
+    """
+    picked = []
+    for n in range(60):
+        sent_at = now + 0.011 * n
+        upstream = chooser.pick(upstreams, sent_at)
+        picked.append(upstream.name)
+        upstream.on_sent()
+        if upstream.name != silent:
+            chooser.on_report(upstream, LoadReport(1, 0, 4, 0.01, 1), sent_at + 0.01)
+        upstream.on_done()
+    return picked
+
+
+def test_upstream_without_a_report_gets_requests_beside_one_that_reports_to_be_idle():
+    """Guards against a server that never gets its first request, as each other is free."""
+    for seed in range(20):
+        chooser = Chooser("one", Random(seed))
+        new, old = Upstream("new", "one"), make_upstream("old")
+        run_requests(chooser, [old], 100.0)
+        assert "new" in run_requests(chooser, [new, old], 101.0)
+
+
+def test_upstream_that_has_not_answered_its_first_request_is_not_drawn_again():
+    for seed in range(20):
+        chooser = Chooser("one", Random(seed))
+        silent, old = Upstream("silent", "one"), make_upstream("old")
+        run_requests(chooser, [old], 100.0)
+        # While the last report of the other one is new, it is the cheaper one.
+        picked = run_requests(chooser, [silent, old], 100.661, silent="silent")
+        assert picked.count("silent") == 1
+
+
 def test_new_upstream_gets_a_growing_share_of_the_picks():
     rng = Random(1)
     chooser = Chooser("one", rng)
