--- a/standins/backend.py
+++ b/standins/backend.py
@@ -38,6 +38,7 @@
     slow: float = 1.0
     fail_fast: bool = False
     limit: float = 0.0
+    answer_bytes: int = 0  # before the usual text of an answer
 
 
 class Run(msgspec.Struct, frozen=True):
@@ -144,7 +145,7 @@
         request_id = head.get(REQUEST_ID_HEADER) or b""
         workspace = _values(exchange, WORKSPACE_HEADERS).encode()
         parts = [self._name.encode(), workspace, request_id, b"%d" % size]
-        body = b" ".join(parts) + b"\n"
+        body = b"." * self._behaviour.answer_bytes + b" ".join(parts) + b"\n"
         await exchange.respond(ResponseHead(200, headers), body)
 
 
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -6,6 +6,7 @@
 import asyncio
 import os
 import re
+import resource
 import signal
 import sys
 from collections.abc import Awaitable, Callable, Iterable
@@ -108,10 +109,18 @@
 
 
 async def start_process(
-    name: str, *arguments: str, checkout: Path | None = None
+    name: str, *arguments: str, checkout: Path | None = None, descriptors: int = 0
 ) -> StartedProcess:
-    """Run a Python module with arguments, from another checkout if one is given."""
+    """Run a Python module with arguments, from another checkout if one is given.
+
+    `descriptors` is the most that it may have open; 0: as many as this process.
+    """
     environment = {} if checkout is None else {"PYTHONPATH": python_path(checkout)}
+
+    def limit_descriptors() -> None:
+        if descriptors:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
+
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
@@ -119,6 +128,7 @@
         stdout=asyncio.subprocess.PIPE,
         stderr=asyncio.subprocess.STDOUT,
         env=os.environ | environment,
+        preexec_fn=limit_descriptors,
     )
     return StartedProcess(process, name)
 
@@ -171,6 +181,7 @@
     loop: str = "asyncio"
     has_links: bool = True
     has_request_links: bool = False
+    descriptors: int = 0  # that each daemon may have open; 0: no limit of its own
     session: aiohttp.ClientSession = field(init=False)
     platform: StartedProcess = field(init=False)
     platform_address: str = field(init=False)
@@ -479,6 +490,7 @@
             "--settings",
             str(path),
             checkout=plan.checkout,
+            descriptors=self.descriptors,
         )
 
 
