Carry the operator's limits on callers with the configuration

What callers saw: nothing yet; the limits (size of heads and bodies, time for a head and of rest) stand in the platform's configuration, and the adapter read none of them. Cause: `_Configuration` had no such field, and a bundle no place for it.

A bundle may have `limits` (`[limits]` in its file). They are signed with its canonical bytes, but not part of the digest: `_matches_head` of the version before computes the digest of what it has decoded, so it would refuse each bundle with a field that it does not know, and a fleet with both versions would stop following changes. Deltas carry them too.

The new tests of test_fleet_adapter failed before (no such attribute).

--- a/packages/wheatslip/wheatslip/config/bundle.py
+++ b/packages/wheatslip/wheatslip/config/bundle.py
@@ -25,6 +25,8 @@
 Weight = Annotated[float, Meta(ge=0.0, le=1e9)]
 MAX_COUNT = 1_000_000
 Count = Annotated[int, Meta(ge=0, le=MAX_COUNT)]
+MAX_BYTES = 1 << 50
+Bytes = Annotated[int, Meta(ge=0, le=MAX_BYTES)]
 
 
 class RateLimit(msgspec.Struct, frozen=True):
@@ -149,8 +151,25 @@
     open: bool = False
 
 
+class CallerLimits(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What callers may send to an entry, and for how long; 0: the daemon's default applies.
+
+    `header_timeout` (seconds) is the time from the first byte of a request's head to its last,
+    `idle_timeout` (seconds) that of a connection without a request.
+    """
+
+    header_bytes: Count = 0
+    body_bytes: Bytes = 0
+    header_timeout: Seconds = 0.0
+    idle_timeout: Seconds = 0.0
+
+
 class Bundle(msgspec.Struct, frozen=True):
-    """One version of the configuration."""
+    """One version of the configuration.
+
+    `limits` are part of the canonical bytes, which operators sign, but not of the digest:
+    daemons of the version before do not know them, and compare the digest of what they know.
+    """
 
     version: Int64
     workspaces: tuple[Workspace, ...] = ()
@@ -158,6 +177,7 @@
     pools: tuple[Pool, ...] = ()
     format: Int64 = FORMAT
     routes: tuple[Route, ...] = ()
+    limits: CallerLimits | msgspec.UnsetType = msgspec.UNSET
 
     @property
     def requires_credentials(self) -> bool:
@@ -175,8 +195,11 @@
         return msgspec.json.encode(self, order="sorted")
 
     def digest(self) -> str:
-        """Returns the SHA-256 of the canonical bytes, in hex."""
-        return hashlib.sha256(self.canonical()).hexdigest()
+        """Returns the SHA-256 of the canonical bytes without `limits`, in hex."""
+        digested = self
+        if self.limits is not msgspec.UNSET:
+            digested = msgspec.structs.replace(self, limits=msgspec.UNSET)
+        return hashlib.sha256(digested.canonical()).hexdigest()
 
 
 def credential_digest(credential: str) -> str:
--- a/packages/wheatslip/wheatslip/config/bundleini.py
+++ b/packages/wheatslip/wheatslip/config/bundleini.py
@@ -10,9 +10,11 @@
 
 from wheatslip.config.bundle import (
     FORMAT,
+    MAX_BYTES,
     MAX_COUNT,
     MAX_RATE,
     Bundle,
+    CallerLimits,
     ColdStart,
     Kind,
     Pool,
@@ -60,6 +62,7 @@
         self._kinds: dict[str, list[Kind]] = {}
         self._pools: dict[str, Pool] = {}
         self._routes: dict[str, Route] = {}
+        self._limits: CallerLimits | msgspec.UnsetType = msgspec.UNSET
         self._readers: dict[str, Callable[[str, Section], None]] = {
             "workspace": self._read_workspace,
             "service": self._read_service,
@@ -74,11 +77,14 @@
         section_type, _, name = title.partition(" ")
         if title == "bundle":
             self._read_bundle_section(section)
+        elif title == "limits":
+            self._read_limits(section)
         elif section_type in self._readers and name:
             self._readers[section_type](name, section)
         else:
             expected = (
-                "[bundle], [workspace N], [service N], [kind SERVICE/N], [pool N], [route N]"
+                "[bundle], [limits], [workspace N], [service N], [kind SERVICE/N], [pool N], "
+                "[route N]"
             )
             self._problems.add(title, "-", title, expected)
             return
@@ -101,6 +107,7 @@
             services=tuple(services),
             pools=tuple(self._pools[name] for name in sorted(self._pools)),
             routes=tuple(self._routes[name] for name in sorted(self._routes)),
+            limits=self._limits,
         )
 
     def _read_bundle_section(self, section: Section) -> None:
@@ -127,6 +134,16 @@
             burst=burst or msgspec.UNSET,
         )
 
+    def _read_limits(self, section: Section) -> None:
+        limits = CallerLimits(
+            header_bytes=section.integer("header-bytes", 0, 0, MAX_COUNT),
+            body_bytes=section.integer("body-bytes", 0, 0, MAX_BYTES),
+            header_timeout=section.duration("header-timeout", 0.0),
+            idle_timeout=section.duration("idle-timeout", 0.0),
+        )
+        # A section that limits nothing means the same as none, so the digest is equal too.
+        self._limits = msgspec.UNSET if limits == CallerLimits() else limits
+
     def _read_service(self, name: str, section: Section) -> None:
         self._services[name] = Service(
             name=name,
--- a/packages/wheatslip/wheatslip/config/changes.py
+++ b/packages/wheatslip/wheatslip/config/changes.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from wheatslip.config.bundle import Bundle, Pool, Route, Service, Workspace
+from wheatslip.config.bundle import Bundle, CallerLimits, Pool, Route, Service, Workspace
 
 
 class ChangeKind(StrEnum):
@@ -25,6 +25,7 @@
 
 
 Item = Workspace | Service | Pool | Route
+LIMITS_LABEL = "limits"
 
 
 def changes_between(old: Bundle, new: Bundle) -> list[Change]:
@@ -34,10 +35,24 @@
         *_compare_items("service", old.services, new.services),
         *_compare_items("pool", old.pools, new.pools),
         *_compare_items("route", old.routes, new.routes),
+        *_compare_limits(old.limits, new.limits),
     ]
     return sorted(changes, key=lambda change: change.item)
 
 
+def _compare_limits(
+    old: CallerLimits | msgspec.UnsetType, new: CallerLimits | msgspec.UnsetType
+) -> Iterable[Change]:
+    if old == new:
+        return
+    if isinstance(old, msgspec.UnsetType):
+        yield Change(ChangeKind.ADDED, LIMITS_LABEL)
+    elif isinstance(new, msgspec.UnsetType):
+        yield Change(ChangeKind.REMOVED, LIMITS_LABEL)
+    else:
+        yield Change(ChangeKind.CHANGED, LIMITS_LABEL, _changed_fields(old, new))
+
+
 def _compare_items(
     item_type: str, old: Iterable[Item], new: Iterable[Item]
 ) -> Iterable[Change]:
@@ -55,6 +70,6 @@
             )
 
 
-def _changed_fields(old: Item, new: Item) -> tuple[str, ...]:
+def _changed_fields(old: msgspec.Struct, new: msgspec.Struct) -> tuple[str, ...]:
     names = old.__struct_fields__
     return tuple(name for name in names if getattr(old, name) != getattr(new, name))
--- a/packages/wheatslip/wheatslip/config/deltas.py
+++ b/packages/wheatslip/wheatslip/config/deltas.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from wheatslip.config.bundle import Bundle, Pool, Route, Service, Workspace
+from wheatslip.config.bundle import Bundle, CallerLimits, Pool, Route, Service, Workspace
 from wheatslip.config.head import Head
 from wheatslip.config.signedbundle import Signature
 
@@ -31,6 +31,7 @@
     gone_pools: tuple[str, ...] = ()
     routes: tuple[Route, ...] = ()
     gone_routes: tuple[str, ...] = ()
+    limits: CallerLimits | msgspec.UnsetType = msgspec.UNSET  # of the new bundle
 
 
 def delta_between(
@@ -48,6 +49,7 @@
         gone_pools=_removed_names(old.pools, new.pools),
         routes=_changed_items(old.routes, new.routes),
         gone_routes=_removed_names(old.routes, new.routes),
+        limits=new.limits,
     )
 
 
@@ -59,6 +61,7 @@
         services=_apply_changes(old.services, delta.services, delta.gone_services),
         pools=_apply_changes(old.pools, delta.pools, delta.gone_pools),
         routes=_apply_changes(old.routes, delta.routes, delta.gone_routes),
+        limits=delta.limits,
     )
 
 
--- a/test/test_fleet_adapter.py
+++ b/test/test_fleet_adapter.py
@@ -6,8 +6,10 @@
 from random import Random
 
 import msgspec
+import pytest
 from result import Err, Ok
 from wheatslip.config.bundle import (
+    CallerLimits,
     ColdStart,
     Split,
     decode_bundle,
@@ -95,6 +97,35 @@
     ]
 
 
+def test_the_limits_of_callers_are_read():
+    limits = CONFIGURATION["limits"] | {
+        "max_body_bytes": 67108864,
+        "header_timeout_s": 3,
+        "idle_timeout_s": 15.5,
+    }
+    text = json.dumps(CONFIGURATION | {"limits": limits}).encode()
+    expected = CallerLimits(16384, 67108864, 3.0, 15.5)
+    assert read_configuration(text).unwrap().limits == expected
+
+
+@pytest.mark.parametrize("limits", [{"max_header_bytes": "many"}, {"idle_timeout_s": -1}, 7])
+def test_limits_that_cannot_be_read_limit_nothing(limits):
+    """Guards against a configuration that is lost because of its limits."""
+    text = json.dumps(CONFIGURATION | {"limits": limits}).encode()
+    bundle = read_configuration(text).unwrap()
+    assert bundle.limits is msgspec.UNSET
+    assert bundle.version == CONFIGURATION["version"]
+
+
+def test_limits_are_no_part_of_the_digest():
+    """A daemon of the version before does not know them, and compares digests."""
+    with_limits = read_configuration(json.dumps(CONFIGURATION).encode()).unwrap()
+    rest = {name: value for name, value in CONFIGURATION.items() if name != "limits"}
+    without = read_configuration(json.dumps(rest).encode()).unwrap()
+    assert with_limits.digest() == without.digest()
+    assert with_limits.canonical() != without.canonical()
+
+
 def test_cold_start_limits_are_read_where_configured():
     cold = {"cold_start_s": 3.0, "cold_per_s": 8.0}
     services = CONFIGURATION["services"]
