Bound what a connection may send, hold and take

What callers saw: crowds ended a daemon or took all of its time. A legal head of 2,900 short fields got 431, and the operator's limits were not enforced.

Cause: one read of 256 KB was parsed whole, into 14,000 requests or 37,000 chunks with objects of their own, before a pause counted; no bound on fields' memory, connections, time or the system's buffers.

`http/bounds` has all bounds, the same for each port. A read gets 32 KiB into a buffer that all connections share and is parsed in pieces that complete at most one head; behind a waiting request it stays bytes. Parts of a body are joined. Heads and bodies above a small allowance reserve from one budget (503, not run, if it is spent). Heads and bodies above the operator's limits get 431 and 413, slow ones 408; connections at rest are closed after the operator's time, and callers that read nothing after 5 s. At the most connections another one makes room (`serverconnections`). Long reads, requests sent ahead and long heads go in turns.

It works because the worst that one turn can build is bounded by the piece, not by the read, and the sum of all connections by allowance times number plus budget.

`write_eof` on a connection that its peer has reset raised OSError; it is logged at level debug and the connection aborted. A caller that leaves is noticed while up to 4 KiB wait behind its request.

test_planned_stop sets the time between checks and the idle limit where they are now; what it checks is unchanged. Of test_request_limits 22 cases can't be run on the code before (no bounds to set), of test_operator_limits the first failed there (200 where 431 is due).

--- a/packages/wheatslip/wheatslip/outcome.py
+++ b/packages/wheatslip/wheatslip/outcome.py
@@ -39,6 +39,8 @@
     SERVER_ENDED = "server-ended"  # the backend server ended while it ran the request
     ENDS_SERVERS = "ends-servers"  # held back because each server that ran the request ended
     CANCELLED = "cancelled"
+    TOO_LARGE = "too-large"  # above the operator's limits
+    TOO_SLOW = "too-slow"  # the caller took longer than the limits allow
 
 
 # Reasons after which the request may be sent to another upstream; see the table in `attempts`.
--- a/packages/wheatslip/wheatslip/retryafter.py
+++ b/packages/wheatslip/wheatslip/retryafter.py
@@ -8,6 +8,8 @@
 |---|---|---|
 | `STOPPING` | draining, 1 | its daemon stops before the request has arrived, or could be \
 answered |
+| `NO_MEMORY` | overloaded, 1 | entry, gate: the requests in progress hold all memory for \
+large heads and bodies |
 | `NOT_CONFIGURED` | no-configuration, 1 | entry: its daemon has no configuration yet |
 | `UNCONFIRMED` | unconfirmed, 1 | entry: the platform has not confirmed the \
 configuration for so long that no credential is accepted |
@@ -58,6 +60,7 @@
 DEFAULT_RETRY_AFTER_SECONDS = 0.1
 
 STOPPING = NotRun(Reason.DRAINING, 1.0)
+NO_MEMORY = NotRun(Reason.OVERLOADED, 1.0)
 NOT_CONFIGURED = NotRun(Reason.NO_CONFIGURATION, 1.0)
 UNCONFIRMED = NotRun(Reason.UNCONFIRMED, 1.0)
 NO_SUCH_SERVICE = NotRun(Reason.NO_UPSTREAM, 0.1)
--- a/packages/wheatslipd/wheatslipd/controllers/view.py
+++ b/packages/wheatslipd/wheatslipd/controllers/view.py
@@ -8,14 +8,18 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from wheatslip.config.bundle import Bundle, Pool, Service, Workspace
+from msgspec import UnsetType
+from wheatslip.config.bundle import Bundle, CallerLimits, Pool, Service, Workspace
 from wheatslip.config.routes import RouteTable
 from wheatslip.config.zonedrains import ZoneDrains
 from wheatslip.store.instances import Instance
 from wheatslip.upstream import Upstream
 
+from wheatslipd.http.bounds import RequestLimits
 from wheatslipd.http.pool import ConnectionPool
 
+DEFAULT_LIMITS = RequestLimits()
+
 
 @dataclass(slots=True, eq=False)
 class Peer:
@@ -36,6 +40,7 @@
         self.routes = RouteTable(bundle.routes)
         self._by_credential = {c: w for w in bundle.workspaces for c in w.credentials}
         self.requires_credentials = bundle.requires_credentials
+        self.limits = _convert_limits(bundle.limits)
 
     def workspace_of(self, credential_sha256: str) -> Workspace | None:
         return self._by_credential.get(credential_sha256)
@@ -87,7 +92,24 @@
         zones = self.drains.zones
         return tuple(peer for peer in peers if peer.upstream.zone not in zones)
 
+    @property
+    def limits(self) -> RequestLimits:
+        """What callers may send, by the configuration in force."""
+        return self.configuration.limits if self.configuration else DEFAULT_LIMITS
+
     @property
     def version(self) -> int:
         """Version of the bundle in force; 0 if there is none."""
         return self.configuration.version if self.configuration else 0
+
+
+def _convert_limits(limits: CallerLimits | UnsetType) -> RequestLimits:
+    """The limits to enforce; what the bundle does not limit has the default."""
+    if isinstance(limits, UnsetType):
+        return DEFAULT_LIMITS
+    return RequestLimits(
+        limits.header_bytes or DEFAULT_LIMITS.head_bytes,
+        limits.body_bytes or DEFAULT_LIMITS.body_bytes,
+        limits.header_timeout or DEFAULT_LIMITS.head_seconds,
+        limits.idle_timeout or DEFAULT_LIMITS.idle_seconds,
+    )
--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -27,6 +27,7 @@
 from wheatslipd.feed.feed import Feed, FeedDependencies, LocalDaemon
 from wheatslipd.feed.verifier import create_verifier
 from wheatslipd.gate.serverside import build_server_side
+from wheatslipd.http.bounds import DaemonBounds, PortBounds, descriptor_limit
 from wheatslipd.http.server import Server
 from wheatslipd.quota.wiring import build_quota
 from wheatslipd.registration.localbackend import ListedPorts, LocalBackend
@@ -88,6 +89,7 @@
         self._stopping = asyncio.Event()
         self._shared = shared
         self._chooser = Chooser(settings.zone, rng, settings.chooser)
+        bounds = self._bounds = DaemonBounds(lambda: self.view.limits, descriptor_limit())
         self._tracer = HopTracer(settings.name, settings.trace_sample, settings.trace_file, rng)
 
         self.quota = build_quota(settings, shared, tls, store)
@@ -107,14 +109,18 @@
         entry = build_entry(
             settings, shared, self._chooser, self._tracer, cache, limit, self.quota.client
         )
-        self.entry_server = Server(entry.handle)
+        self.entry_server = Server(entry.handle, bounds=bounds.entry, name="entry")
         self.server_side = build_server_side(
             settings, shared, self._tracer, owners, cache, limit
         )
-        self.peer_server = Server(self.server_side.peer_port.handle, tls.server)
+        self.peer_server = Server(
+            self.server_side.peer_port.handle, tls.server, bounds.peer, "peer"
+        )
         # The backend server registers here only if the platform does not list instances.
         self.local_backend = (
-            self._build_local_backend(store, adapters) if settings.lists_itself else None
+            self._build_local_backend(store, adapters, bounds.registration)
+            if settings.lists_itself
+            else None
         )
         # The controllers handle the events fired on the bus.
         self.quarantine = QuarantineController(
@@ -208,7 +214,9 @@
         """Return the content of the status page."""
         return self._report.status()
 
-    def _build_local_backend(self, store: ObjectStore, adapters: Adapters) -> LocalBackend:
+    def _build_local_backend(
+        self, store: ObjectStore, adapters: Adapters, bounds: PortBounds
+    ) -> LocalBackend:
         return LocalBackend(
             self.settings,
             self._shared,
@@ -218,6 +226,7 @@
             adapters.decode_heartbeat,
             self._ports,
             self.quota.loss_store.note,
+            bounds,
         )
 
     def _register(self, *controllers: Component) -> None:
--- a/packages/wheatslipd/wheatslipd/entry/forward.py
+++ b/packages/wheatslipd/wheatslipd/entry/forward.py
@@ -126,8 +126,8 @@
                 max(0.0, call.remaining(self._clock()))
             ) as deadline_timeout:
                 prepared = await self._prepare(request, call, attempts, deadline_timeout)
-                if prepared is None:
-                    return NotRun(Reason.BAD_REQUEST)
+                if isinstance(prepared, NotRun):
+                    return prepared
                 await self._send_until_done(prepared)
         except TimeoutError:
             return attempts.deadline_outcome()
@@ -139,15 +139,16 @@
         call: Call,
         attempts: Attempts,
         deadline_timeout: asyncio.Timeout,
-    ) -> _PreparedRequest | None:
-        """Buffer the body up to the replay limit; None if the caller disconnected."""
+    ) -> _PreparedRequest | NotRun:
+        """Buffer the body up to the replay limit; a refusal if the rest of it does not come."""
         body = request.exchange.body
         if not body.exhausted:
             await request.exchange.send_continue()
         try:
             body_prefix = await body.read_up_to(REPLAY_LIMIT_BYTES)
         except BodyTruncated:
-            return None
+            return body.refusal or NotRun(Reason.BAD_REQUEST)
+        request.exchange.admitted = True
         assert request.configuration is not None
         pool = request.configuration.services[call.service].pool
         has_more = not body.exhausted
@@ -263,7 +264,8 @@
             await self._send_request(prepared, next_try, connection)
             response = await connection.response()
         except BodyTruncated:
-            return Unknown(Reason.CANCELLED)
+            reason = prepared.request.exchange.body.refusal
+            return Unknown(Reason.CANCELLED if reason is None else reason.reason)
         except ConnectionError:
             peer.upstream.on_failure(self._clock(), self._rng)
             unacknowledged = connection.request_unacknowledged
--- a/packages/wheatslipd/wheatslipd/entry/refusals.py
+++ b/packages/wheatslipd/wheatslipd/entry/refusals.py
@@ -17,11 +17,14 @@
     Reason.OVER_SHARE: 429,
     Reason.OVER_LIMIT: 429,
     Reason.DEADLINE: 504,
+    Reason.TOO_LARGE: 413,
+    Reason.TOO_SLOW: 408,
 }
 _UNKNOWN_STATUS = {
     Reason.DEADLINE: 504,
     Reason.DUPLICATE: 409,
     Reason.KEY_TOO_OLD: 409,
+    Reason.TOO_LARGE: 413,
 }
 DEFAULT_NOT_RUN_STATUS = 503
 DEFAULT_UNKNOWN_STATUS = 502
--- a/packages/wheatslipd/wheatslipd/gate/peerport.py
+++ b/packages/wheatslipd/wheatslipd/gate/peerport.py
@@ -154,9 +154,13 @@
             call, workspace = identified
         if not exchange.expects_continue:
             try:
-                await exchange.body.buffer_up_to(BUFFERED_BODY_BYTES)
+                async with asyncio.timeout(max(0.0, hop.remaining)):
+                    await exchange.body.buffer_up_to(BUFFERED_BODY_BYTES)
             except BodyTruncated:
-                return Unknown(Reason.CANCELLED)
+                return exchange.body.refusal or Unknown(Reason.CANCELLED)
+            except TimeoutError:
+                return NotRun(Reason.DEADLINE)
+        exchange.admitted = True
         request = ForwardedRequest(
             exchange, hop, call, trace, fingerprint_of_request(exchange, hop), workspace
         )
--- /dev/null
+++ b/packages/wheatslipd/wheatslipd/http/bounds.py
@@ -0,0 +1,192 @@
+"""What the connections of a port may send, hold and take: the only place with these bounds.
+
+docs/design/memory-of-connections.md has the sum that keeps a daemon below the memory of its
+machine. `RequestLimits` are those of the operator's configuration, everything else is the same
+for all deployments.
+"""
+
+import resource
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from math import inf
+
+from wheatslipd.http.turns import Turns
+
+# Received at once; it is parsed before anything else happens.
+READ_BYTES = 32 * 1024
+# Of the system's buffers of an accepted connection. Linux doubles it, for its own records.
+SOCKET_BUFFER_BYTES = 32 * 1024
+WRITE_BUFFER_BYTES = 32 * 1024  # of a response, above it the handler waits
+BODY_BUFFER_BYTES = 64 * 1024  # received and not yet read; above it the socket is not read
+MAX_QUEUED = 1  # requests that wait behind the current one of their connection
+# Received and not parsed, as requests wait; above it the socket is not read, and it is not
+# noticed when a caller leaves.
+AHEAD_BYTES = 4096
+
+# Memory of a header field beside its bytes: a tuple, two objects and their place in lists.
+FIELD_BYTES = 200
+# Copies of a buffered body at once: received, kept for a retry, and on their way.
+BODY_COPIES = 4
+# What each request may hold without a share of the budget.
+FREE_BYTES = 12 * 1024
+RESERVED_STEP_BYTES = 16 * 1024
+# For all requests with more than that: 200 bodies of 64 KiB, or 50 heads of 3,000 fields.
+REQUEST_BUDGET_BYTES = 40 * 1024 * 1024
+
+# Most connections of a port, and their part of the descriptors of the process, so that enough
+# are left for those to the platform, to other daemons and to the backend server.
+MAX_CONNECTIONS = 1024
+MAX_CONNECTIONS_PART = 0.25
+MAX_DESCRIPTORS = 1 << 20  # counted where the system has no limit
+MAX_OWN_CONNECTIONS = 128  # of the ports for the backend server and for operators
+# Longer than `pool.MAX_IDLE_SECONDS`, so that wheatslip's own clients close first.
+PEER_IDLE_SECONDS = 60.0
+# Headers that an entry adds to a caller's.
+PEER_HEAD_BYTES = 8 * 1024
+OWN_HEAD_BYTES = 32 * 1024  # of a question for a page, or a heartbeat
+OWN_BODY_BYTES = 64 * 1024
+
+# Connections to the control port that have carried no call yet; a crowd gets no others.
+MAX_UNPROVEN = 256
+# What a daemon may send ahead of its reading at the control port.
+GRPC_CONNECTION_WINDOW_BYTES = 128 * 1024
+GRPC_STREAM_WINDOW_BYTES = 65_535
+# Of an answer on its way to its caller: in the buffers of both connections.
+SENT_ANSWER_BYTES = 128 * 1024
+# For answers that an entry holds until they are complete: some 40 of 256 KiB.
+ANSWER_BUDGET_BYTES = 16 * 1024 * 1024
+
+# Without progress: after that a connection that has something to send or to read is closed.
+STALL_SECONDS = 5.0
+# The same, where its memory or its slot of a server is needed for others.
+PATIENCE_SECONDS = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class RequestLimits:
+    """What a caller may send, and how long it may take; the defaults hold where the operator's
+    configuration has no limits.
+
+    `head_seconds` is the time from the first byte of a head to its last, `idle_seconds` that of
+    a connection without a request.
+    """
+
+    head_bytes: int = 32 * 1024
+    body_bytes: float = inf
+    head_seconds: float = 10.0
+    idle_seconds: float = 60.0
+
+
+class MemoryBudget:
+    """Bytes that all connections of a daemon may hold together beyond `FREE_BYTES` each."""
+
+    def __init__(self, size: int = REQUEST_BUDGET_BYTES):
+        self.size = size
+        self.reserved = 0
+        self.refused = 0  # reservations that did not fit
+
+    def reserve(self, size: int) -> bool:
+        """Reserve bytes; False, with nothing reserved, if they do not fit."""
+        if self.reserved + size > self.size:
+            self.refused += 1
+            return False
+        self.reserved += size
+        return True
+
+    def release(self, size: int) -> None:
+        self.reserved -= size
+
+
+class Share:
+    """The part of the budget that one request holds."""
+
+    __slots__ = ("_budget", "_reserved", "_used")
+
+    def __init__(self, budget: MemoryBudget):
+        self._budget = budget
+        self._reserved = 0
+        self._used = 0
+
+    def grow(self, size: int) -> bool:
+        """Hold more bytes; False if the budget does not allow it."""
+        self._used += size
+        missing = self._used - FREE_BYTES - self._reserved
+        if missing <= 0:
+            return True
+        steps = -(-missing // RESERVED_STEP_BYTES) * RESERVED_STEP_BYTES
+        if not self._budget.reserve(steps):
+            return False
+        self._reserved += steps
+        return True
+
+    def release(self) -> None:
+        """Return all that was reserved."""
+        self._budget.release(self._reserved)
+        self._reserved = 0
+        self._used = 0
+
+
+def default_limits() -> RequestLimits:
+    """The limits without a configuration."""
+    return RequestLimits()
+
+
+def own_limits() -> RequestLimits:
+    """The limits of ports that callers have no business at."""
+    return RequestLimits(OWN_HEAD_BYTES, OWN_BODY_BYTES)
+
+
+@dataclass(slots=True)
+class PortBounds:
+    """The bounds of one port.
+
+    `limits` is asked for each request, as they may change. `connections` is the most that the
+    port has open. `extra_head_bytes` may come on top of a caller's head, for the headers that
+    daemons add.
+    """
+
+    limits: Callable[[], RequestLimits] = default_limits
+    connections: float = inf
+    extra_head_bytes: int = 0
+    memory: MemoryBudget = field(default_factory=MemoryBudget)
+    turns: Turns = field(default_factory=Turns)
+    # How often a bound was met, by what `serverconnections.Closing` names.
+    closings: Counter[str] = field(default_factory=Counter)
+
+
+class DaemonBounds:
+    """The bounds of all ports of a daemon, which share its memory and its event loop."""
+
+    def __init__(self, limits: Callable[[], RequestLimits], descriptors: int):
+        """`limits` are those of the operator. `descriptors` is the most that the process may
+        have open.
+        """
+        memory = MemoryBudget()
+        turns = Turns()
+        most = min(MAX_CONNECTIONS, int(descriptors * MAX_CONNECTIONS_PART))
+        own = min(MAX_OWN_CONNECTIONS, most)
+
+        def peer_limits() -> RequestLimits:
+            return replace(limits(), idle_seconds=PEER_IDLE_SECONDS)
+
+        self.memory = memory
+        self.entry = PortBounds(limits, most, 0, memory, turns)
+        self.peer = PortBounds(peer_limits, most, PEER_HEAD_BYTES, memory, turns)
+        self.registration = PortBounds(own_limits, own, 0, memory, turns)
+        # Where many daemons ask this one for tokens, each has a connection here.
+        control = int(descriptors * MAX_CONNECTIONS_PART)
+        self.control = PortBounds(own_limits, control, 0, memory, turns)
+        self.pages = PortBounds(own_limits, own, 0, memory, turns)
+
+    @property
+    def closings(self) -> dict[str, Counter[str]]:
+        """How often a bound was met, by port."""
+        ports = ("entry", "peer", "control", "registration", "pages")
+        return {port: getattr(self, port).closings for port in ports}
+
+
+def descriptor_limit() -> int:
+    """The most descriptors that this process may have open."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return MAX_DESCRIPTORS if soft == resource.RLIM_INFINITY else soft
--- a/packages/wheatslipd/wheatslipd/http/client.py
+++ b/packages/wheatslipd/wheatslipd/http/client.py
@@ -205,6 +205,7 @@
                 raise ConnectionError("the response may belong to another request")
         keep_alive = self._parser.should_keep_alive()
         head = ResponseHead(status, self._headers, keep_alive)
+        self._headers = []  # the connection may rest for long
         # If the response came before the request was sent, the two ends may disagree on where
         # the next request begins.
         self._reusable = self._reusable and keep_alive and self._is_request_sent
--- a/packages/wheatslipd/wheatslipd/http/connection.py
+++ b/packages/wheatslipd/wheatslipd/http/connection.py
@@ -1,24 +1,44 @@
 """Base class of server and client connections: flow control and header parsing."""
 
 import asyncio
+from enum import IntFlag
 from typing import cast
 
-# Limits of a message head, which bound its memory use.
+from wheatslipd.http.bounds import READ_BYTES, WRITE_BUFFER_BYTES
+
+# Limit of a response's head, which bounds its memory use.
 MAX_HEAD_BYTES = 32 * 1024
-MAX_HEADERS = 100
+MAX_HEADERS = 1000
+# A name, a colon and a line break at least.
+FIELD_FRAME_BYTES = 3
 
 
 class HeadTooLarge(Exception):
-    """A message head exceeds `MAX_HEAD_BYTES` or `MAX_HEADERS`."""
+    """A message head exceeds a limit."""
+
+
+class Pause(IntFlag):
+    """Why a connection's socket is not read."""
+
+    NONE = 0
+    BODY = 1  # the reader of a body has not kept up
+    QUEUE = 2  # requests wait behind the current one
+    TURN = 4  # others have their turn
+
 
+# What a read receives is parsed before the next read, so that all connections share the memory.
+_read_buffer = memoryview(bytearray(READ_BYTES))
 
-class Connection(asyncio.Protocol):
+
+class Connection(asyncio.BufferedProtocol):
     """A connection that applies write flow control and collects headers."""
 
     def __init__(self) -> None:
         self.transport: asyncio.Transport | None = None
         self.closed = False
         self._writable: asyncio.Future[None] | None = None
+        self._blocked_since = 0.0  # by the loop's clock; while `_writable` is set
+        self._pauses = Pause.NONE
         self._headers: list[tuple[bytes, bytes]] = []
         self._head_bytes = 0
         self._in_head = True
@@ -26,6 +46,19 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop transports do not derive from asyncio.Transport, so isinstance would fail.
         self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(WRITE_BUFFER_BYTES)
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read."""
+        return _read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Pass on what a read has received."""
+        self.data_received(bytes(_read_buffer[:nbytes]))
+
+    def data_received(self, data: bytes) -> None:
+        """Feed the parser."""
+        raise NotImplementedError
 
     @property
     def peer_address(self) -> str:
@@ -39,7 +72,9 @@
         self.resume_writing()
 
     def pause_writing(self) -> None:
-        self._writable = asyncio.get_running_loop().create_future()
+        loop = asyncio.get_running_loop()
+        self._writable = loop.create_future()
+        self._blocked_since = loop.time()
 
     def resume_writing(self) -> None:
         if self._writable is not None and not self._writable.done():
@@ -56,6 +91,10 @@
             if self.closed:
                 raise ConnectionResetError
 
+    def blocked_seconds(self, now: float) -> float:
+        """For how long the peer has not read enough to write on; 0 if it has."""
+        return now - self._blocked_since if self._writable is not None else 0.0
+
     def close(self) -> None:
         """Close after the send buffer is flushed."""
         if self.transport is not None:
@@ -66,14 +105,18 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def pause(self) -> None:
-        """Pause reading from the socket."""
-        if not self.closed and self.transport is not None:
+    def pause(self, why: Pause = Pause.BODY) -> None:
+        """Pause reading from the socket, until `resume` for each reason."""
+        was_paused = bool(self._pauses)
+        self._pauses |= why
+        if not was_paused and not self.closed and self.transport is not None:
             self.transport.pause_reading()
 
-    def resume(self) -> None:
-        """Resume reading from the socket."""
-        if not self.closed and self.transport is not None:
+    def resume(self, why: Pause = Pause.BODY) -> None:
+        """Resume reading from the socket, unless there is another reason for a pause."""
+        was_paused = bool(self._pauses)
+        self._pauses &= ~why
+        if was_paused and not self._pauses and not self.closed and self.transport is not None:
             self.transport.resume_reading()
 
     # httptools callbacks
@@ -84,10 +127,10 @@
         self._in_head = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header; trailers are dropped."""
+        """Collect a header of a response; trailers are dropped."""
         if not self._in_head:
             return
-        self._head_bytes += len(name) + len(value)
+        self._head_bytes += len(name) + len(value) + FIELD_FRAME_BYTES
         if self._head_bytes > MAX_HEAD_BYTES or len(self._headers) >= MAX_HEADERS:
             raise HeadTooLarge
         self._headers.append((name.lower(), value))
--- a/packages/wheatslipd/wheatslipd/http/exchange.py
+++ b/packages/wheatslipd/wheatslipd/http/exchange.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from wheatslipd.http.body import Body
+from wheatslipd.http.bounds import MemoryBudget, Share
 from wheatslipd.http.connection import Connection
 from wheatslipd.http.messages import (
     LAST_CHUNK,
@@ -16,6 +17,7 @@
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 MAX_BUFFERED_BYTES = 16 * 1024  # of a response, before it is flushed
+MAX_WRITE_BYTES = 32 * 1024  # passed to the transport at once
 
 
 @dataclass(slots=True, eq=False)
@@ -26,6 +28,9 @@
     head: RequestHead
     body: Body
     expects_continue: bool
+    # Of the memory for requests.
+    share: Share = field(default_factory=lambda: Share(MemoryBudget()))
+    admitted: bool = False  # whether it is passed on, so that its caller may be waited for
     started: bool = False  # whether the response has begun
     finished: bool = False  # whether the response is complete
     _is_chunked: bool = False
@@ -60,9 +65,12 @@
         """Add a chunk of the body; it is buffered until `MAX_BUFFERED_BYTES` or `flush`."""
         if self._has_no_body or not chunk:
             return
-        self._buffer(encode_chunk(chunk) if self._is_chunked else chunk)
-        if self._buffered_bytes >= MAX_BUFFERED_BYTES:
-            await self.flush()
+        # In parts: the transport copies what it can't send at once.
+        for start in range(0, len(chunk), MAX_WRITE_BYTES):
+            part = chunk[start : start + MAX_WRITE_BYTES]
+            self._buffer(encode_chunk(part) if self._is_chunked else part)
+            if self._buffered_bytes >= MAX_BUFFERED_BYTES:
+                await self.flush()
 
     async def flush(self) -> None:
         """Send the buffered data; buffering saves packets and wake-ups of the client."""
--- a/packages/wheatslipd/wheatslipd/http/listener.py
+++ b/packages/wheatslipd/wheatslipd/http/listener.py
@@ -10,6 +10,7 @@
 import ssl
 from collections.abc import Callable
 
+from wheatslipd.http.bounds import SOCKET_BUFFER_BYTES
 from wheatslipd.telemetry import logs
 
 BACKLOG = 1024  # connections that wait to be accepted
@@ -23,7 +24,7 @@
     """Listens on one address and creates a protocol for each connection."""
 
     def __init__(
-        self, create_protocol: Callable[[], asyncio.Protocol], tls: ssl.SSLContext | None
+        self, create_protocol: Callable[[], asyncio.BaseProtocol], tls: ssl.SSLContext | None
     ):
         self._create_protocol = create_protocol
         self._tls = tls
@@ -37,6 +38,9 @@
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         self._socket = socket.create_server((host, port), family=family, backlog=BACKLOG)
         self._socket.setblocking(False)
+        # Accepted connections inherit both. The system would let them grow to megabytes.
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            self._socket.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES)
         self.port = self._socket.getsockname()[1]
         self._resume()
 
--- a/packages/wheatslipd/wheatslipd/http/pool.py
+++ b/packages/wheatslipd/wheatslipd/http/pool.py
@@ -15,7 +15,7 @@
 )
 from wheatslipd.timeouts import reply_timeout
 
-MAX_IDLE_SECONDS = 30.0  # shorter than the server's `IDLE_TIMEOUT_SECONDS`
+MAX_IDLE_SECONDS = 30.0  # shorter than `bounds.PEER_IDLE_SECONDS`
 
 
 class ConnectionPool:
--- a/packages/wheatslipd/wheatslipd/http/server.py
+++ b/packages/wheatslipd/wheatslipd/http/server.py
@@ -8,28 +8,32 @@
 import ssl
 from math import inf
 
+from wheatslipd.http.bounds import PortBounds
 from wheatslipd.http.listener import Listener
 from wheatslipd.http.serverconnection import Handler, ServerConnection, ServerConnections
+from wheatslipd.http.serverconnections import CheckTask, read_arrived
 from wheatslipd.telemetry import logs
 
-# Longer than `pool.MAX_IDLE_SECONDS`, so that wheatslip's own clients close first.
-IDLE_TIMEOUT_SECONDS = 60.0
-IDLE_CHECK_SECONDS = 10.0  # between two checks for idle connections
 STOP_CHECK_SECONDS = 0.02  # between two checks for requests in flight during a stop
 # For which closed connections are still read at the end of a stop.
 STOP_LINGER_SECONDS = 0.25
-# Turns of the event loop from accepting a connection to reading what it holds.
-READ_TURNS = 4
 
 
 class Server:
     """A listening socket and its open connections."""
 
-    def __init__(self, handler: Handler, tls: ssl.SSLContext | None = None):
+    def __init__(
+        self,
+        handler: Handler,
+        tls: ssl.SSLContext | None = None,
+        bounds: PortBounds | None = None,
+        name: str = "",
+    ):
+        """`name` is that of the port in logs. Without `bounds` those of `PortBounds` apply."""
         self._handler = handler
-        self._connections = ServerConnections()
+        self.connections = ServerConnections(bounds or PortBounds(), name)
         self._listener = Listener(self._create_connection, tls)
-        self._idle_check: asyncio.Task[None] | None = None
+        self._check = CheckTask(self.connections)
         self._deadline = inf  # of a stop, by the loop's clock
 
     @property
@@ -40,16 +44,16 @@
     async def listen(self, host: str, port: int) -> None:
         """Listen; `port` 0 picks a free port. Raises OSError."""
         await self._listener.open(host, port)
-        self._idle_check = asyncio.get_running_loop().create_task(self._close_idle())
+        self._check.start()
 
     @property
     def open_connections(self) -> int:
         """Number of open connections."""
-        return len(self._connections.open)
+        return len(self.connections.open)
 
     def announce_stop(self) -> None:
         """Announce in each response from now on that its connection closes."""
-        self._connections.is_stopping = True
+        self.connections.is_stopping = True
 
     async def drain(self, grace: float) -> None:
         """Stop listening, and wait up to `grace` seconds until all that arrived is answered.
@@ -59,10 +63,9 @@
         loop = asyncio.get_running_loop()
         self._deadline = loop.time() + grace
         self.announce_stop()
-        if self._idle_check is not None:
-            self._idle_check.cancel()
+        self._check.stop()
         await self._listener.close(grace)
-        self._connections.quiet_from = loop.time()
+        self.connections.quiet_from = loop.time()
         await self._wait_until_quiet()
 
     async def close(self) -> bool:
@@ -72,15 +75,15 @@
         run, or that its head did not arrive.
         """
         await self._wait_until_quiet()
-        all_finished = all(connection.is_idle for connection in self._connections.open)
-        for connection in list(self._connections.open):
+        all_finished = all(connection.is_idle for connection in self.connections.open)
+        for connection in list(self.connections.open):
             connection.end()
         loop = asyncio.get_running_loop()
         deadline = loop.time() + STOP_LINGER_SECONDS
-        while self._connections.open and loop.time() < deadline:
+        while self.connections.open and loop.time() < deadline:
             await asyncio.sleep(STOP_CHECK_SECONDS)
-        if self._connections.crossed:
-            logs.warning("stop-crossed-by-requests", connections=self._connections.crossed)
+        if self.connections.crossed:
+            logs.warning("stop-crossed-by-requests", connections=self.connections.crossed)
         return all_finished
 
     async def stop(self, grace: float) -> bool:
@@ -94,45 +97,25 @@
     async def abort(self) -> None:
         """Stop listening and close all connections at once, as if the process had ended."""
         await self.drain(0.0)
-        for connection in list(self._connections.open):
+        for connection in list(self.connections.open):
             connection.abort()
 
     def _create_connection(self) -> ServerConnection:
-        return ServerConnection(self._handler, self._connections)
+        return ServerConnection(self._handler, self.connections)
 
     async def _wait_until_quiet(self) -> None:
         loop = asyncio.get_running_loop()
         await read_arrived()
         while loop.time() < self._deadline:
             now = loop.time()
-            if all(connection.is_quiet(now) for connection in self._connections.open):
+            if all(connection.is_quiet(now) for connection in self.connections.open):
                 return
             await asyncio.sleep(STOP_CHECK_SECONDS)
             await read_arrived()
 
     def _close_at_once(self) -> bool:
-        all_finished = all(connection.is_idle for connection in self._connections.open)
-        for connection in list(self._connections.open):
+        all_finished = all(connection.is_idle for connection in self.connections.open)
+        for connection in list(self.connections.open):
             if connection.transport is not None:
                 connection.transport.close()
         return all_finished
-
-    async def _close_idle(self) -> None:
-        """Close connections that were idle for `IDLE_TIMEOUT_SECONDS`, until cancelled."""
-        loop = asyncio.get_running_loop()
-        while True:
-            await asyncio.sleep(IDLE_CHECK_SECONDS)
-            await read_arrived()
-            idle_cutoff = loop.time() - IDLE_TIMEOUT_SECONDS
-            for connection in list(self._connections.open):
-                if connection.is_idle and connection.idle_since < idle_cutoff:
-                    connection.close()
-
-
-async def read_arrived() -> None:
-    """Let the event loop read what is in the sockets.
-
-    After the loop was held up, timers may run before the sockets are read.
-    """
-    for _ in range(READ_TURNS):
-        await asyncio.sleep(0)
--- a/packages/wheatslipd/wheatslipd/registration/localbackend.py
+++ b/packages/wheatslipd/wheatslipd/registration/localbackend.py
@@ -20,6 +20,7 @@
 from wheatslipd.feed.feed import Feed
 from wheatslipd.gate.recoveryprobe import RecoveryProbe
 from wheatslipd.gate.serverside import ServerSide
+from wheatslipd.http.bounds import PortBounds
 from wheatslipd.http.server import Server
 from wheatslipd.registration.publisher import Publisher
 from wheatslipd.registration.registrar import HeartbeatDecoder, Registrar
@@ -51,6 +52,7 @@
         decode: HeartbeatDecoder,
         ports: Callable[[], ListedPorts],
         note_lost: Callable[[Sequence[Instance], int], Awaitable[bool]],
+        bounds: PortBounds,
     ):
         """`ports` is called when the entry is written, after all ports are bound. `note_lost`
         is that of `DeadEntryRemover`.
@@ -90,7 +92,9 @@
             feed.cache.version_of,
             note_lost,
         )
-        self.registration_server = Server(self._registrar.handle)
+        self.registration_server = Server(
+            self._registrar.handle, bounds=bounds, name="registration"
+        )
 
     async def listen(self) -> None:
         """Listen for heartbeats. Raises OSError."""
--- /dev/null
+++ b/test/test_operator_limits.py
@@ -0,0 +1,62 @@
+"""The operator's limits, from the store to an entry's connections, and uploads at a gate."""
+
+import asyncio
+from contextlib import suppress
+
+import aiohttp
+
+from standins.cluster import HOST
+from test.helper import run
+from test.routed_fleet import configuration, fleet
+
+LIMITS = {
+    "max_header_bytes": 16384,
+    "max_body_bytes": 67108864,
+    "header_timeout_s": 3,
+    "idle_timeout_s": 15,
+}
+LOWER_LIMITS = {
+    "max_header_bytes": 4096,
+    "max_body_bytes": 524288,
+    "header_timeout_s": 0.5,
+    "idle_timeout_s": 1.0,
+}
+
+
+def limited(limits, version=1):
+    return configuration(version=version) | {"limits": limits}
+
+
+async def put(installation, size, chunked=False):
+    async def parts():
+        for _ in range(size // 65536):
+            yield b"x" * 65536
+
+    body = parts() if chunked else b"x" * size
+    status, *_ = await installation.send_request("a", "/submit/", "PUT", body)
+    return status
+
+
+def test_limits_reach_the_daemons_and_may_be_lowered_while_they_run():
+    async def scenario():
+        async with fleet("a", "b", initial_configuration=limited(LIMITS)) as installation:
+            # Kept in place of what the operator's limit allows, below 8 KiB for the client.
+            header = {"Padding": "x" * 6000}
+            assert (await installation.send_request("a", **header))[0] == 200
+            assert await put(installation, 768 << 10) == 200
+            assert await put(installation, 768 << 10, chunked=True) == 200
+            installation.store.write("config", "main", limited(LOWER_LIMITS, 2))
+            await installation.ready(2)
+            assert (await installation.send_request("a", **header))[0] == 431
+            for chunked in (False, True):
+                # The connection may be closed while the body is sent.
+                with suppress(aiohttp.ClientError):
+                    assert await put(installation, 768 << 10, chunked) == 413
+            assert await put(installation, 512 << 10) == 200
+            port = installation.daemons["a"].entry_server.port
+            reader, writer = await asyncio.open_connection(HOST, port)
+            async with asyncio.timeout(3.0):
+                assert await reader.read() == b""
+            writer.close()
+
+    run(scenario)
--- a/test/test_planned_stop.py
+++ b/test/test_planned_stop.py
@@ -9,7 +9,8 @@
 from collections import Counter
 
 import pytest
-from wheatslipd.http import server as server_module
+from wheatslipd.http import serverconnections as connections_module
+from wheatslipd.http.bounds import PortBounds, RequestLimits
 from wheatslipd.http.messages import ResponseHead
 from wheatslipd.http.server import Server
 from wheatslipd.tls import peer_tls
@@ -35,8 +36,8 @@
     await exchange.respond(ResponseHead(200), exchange.head.target)
 
 
-async def listening(handler=answer_slowly, tls=None):
-    server = Server(handler, tls)
+async def listening(handler=answer_slowly, tls=None, bounds=None):
+    server = Server(handler, tls, bounds)
     await server.listen(HOST, 0)
     return server
 
@@ -212,11 +213,11 @@
     run_on_loop, monkeypatch
 ):
     """Guards against a timer of idle connections that runs before the sockets are read."""
-    monkeypatch.setattr(server_module, "IDLE_CHECK_SECONDS", 0.2)
-    monkeypatch.setattr(server_module, "IDLE_TIMEOUT_SECONDS", 0.1)
+    monkeypatch.setattr(connections_module, "MIN_CHECK_SECONDS", 0.2)
+    bounds = PortBounds(lambda: RequestLimits(idle_seconds=0.1))
 
     async def scenario():
-        server = await listening()
+        server = await listening(bounds=bounds)
         caller = connect(server)
         await accepted(server)
         hold_until = asyncio.get_running_loop().time() + 0.3
