Let bodies on their way hold half of a server's slots at most

Cause: a request takes its slot once 64 KiB of its body are buffered; the rest comes as fast as its caller sends, and the slot waits. A body can't be received whole before (64 MiB), so uploads need slots; but nothing kept any for others.

`UploadLimit` at the gate refuses, as not run, a request whose body is incomplete when such requests have half of the slots; one always may. Bodies up to 64 KiB are received before a slot is asked for and are not concerned.

--- a/packages/wheatslip/wheatslip/retryafter.py
+++ b/packages/wheatslip/wheatslip/retryafter.py
@@ -10,6 +10,8 @@
 answered |
 | `NO_MEMORY` | overloaded, 1 | entry, gate: the requests in progress hold all memory for \
 large heads and bodies |
+| `TOO_MANY_UPLOADS` | overloaded, 0.2 | gate: as many requests as may do so hold slots while \
+their bodies are received |
 | `NOT_CONFIGURED` | no-configuration, 1 | entry: its daemon has no configuration yet |
 | `UNCONFIRMED` | unconfirmed, 1 | entry: the platform has not confirmed the \
 configuration for so long that no credential is accepted |
@@ -61,6 +63,7 @@
 
 STOPPING = NotRun(Reason.DRAINING, 1.0)
 NO_MEMORY = NotRun(Reason.OVERLOADED, 1.0)
+TOO_MANY_UPLOADS = NotRun(Reason.OVERLOADED, 0.2)
 NOT_CONFIGURED = NotRun(Reason.NO_CONFIGURATION, 1.0)
 UNCONFIRMED = NotRun(Reason.UNCONFIRMED, 1.0)
 NO_SUCH_SERVICE = NotRun(Reason.NO_UPSTREAM, 0.1)
--- a/packages/wheatslipd/wheatslipd/gate/peerport.py
+++ b/packages/wheatslipd/wheatslipd/gate/peerport.py
@@ -24,6 +24,7 @@
 )
 from wheatslip.ledger import Claim, KeptAnswer, KeyState, key_time
 from wheatslip.outcome import Answered, NotRun, Outcome, Reason, Unknown
+from wheatslip.retryafter import TOO_MANY_UPLOADS
 from wheatslip.runtracker import Run
 
 from wheatslipd.controllers.view import View
@@ -46,6 +47,7 @@
 from wheatslipd.gate.olderentry import OlderEntryRequests
 from wheatslipd.gate.serverend import ServerEndDetector
 from wheatslipd.gate.suspects import SuspectGuard
+from wheatslipd.gate.uploads import UploadLimit
 from wheatslipd.http.body import BodyTruncated
 from wheatslipd.http.exchange import Exchange
 from wheatslipd.http.matching import Kind, Question
@@ -111,6 +113,7 @@
         self._keys = stages.keys
         self._suspects = stages.suspects
         self._gate = stages.gate
+        self._uploads = UploadLimit(lambda: stages.gate.admission.limit.value)
         self._backend = stages.backend
         self._end_detector = stages.end_detector
         self._notices = stages.notices
@@ -234,12 +237,21 @@
         ) as refusal:
             if refusal is not None:
                 return refusal
-            ticket = await self._gate.start_call(request.call, max_wait)
-            if self._gate.admission.settings.has_ranks:
-                self._count_by_priority(request.call, ticket)
-            if isinstance(ticket, NotRun):
-                return ticket
-            return await self._run_started(request, ticket, kept)
+            is_complete = request.exchange.body.complete
+            with self._uploads.reserve(is_complete=is_complete) as may_start:
+                if not may_start:
+                    return TOO_MANY_UPLOADS
+                return await self._run_at_gate(request, max_wait, kept)
+
+    async def _run_at_gate(
+        self, request: ForwardedRequest, max_wait: float, kept: KeptAnswer | None
+    ) -> Outcome:
+        ticket = await self._gate.start_call(request.call, max_wait)
+        if self._gate.admission.settings.has_ranks:
+            self._count_by_priority(request.call, ticket)
+        if isinstance(ticket, NotRun):
+            return ticket
+        return await self._run_started(request, ticket, kept)
 
     def _count_by_priority(self, call: Call, ticket: Ticket | NotRun) -> None:
         is_urgent = call.call_class is CallClass.URGENT
--- a/test/test_operator_limits.py
+++ b/test/test_operator_limits.py
@@ -5,7 +5,7 @@
 
 import aiohttp
 
-from standins.cluster import HOST
+from standins.cluster import HOST, eventually
 from test.helper import run
 from test.routed_fleet import configuration, fleet
 
@@ -60,3 +60,34 @@
             writer.close()
 
     run(scenario)
+
+
+def test_bodies_on_their_way_hold_half_of_the_slots_at_most():
+    """Guards against ordinary requests that find all slots held by callers who send slowly."""
+
+    async def scenario():
+        async with fleet("a", initial_configuration=limited(LIMITS)) as installation:
+            port = installation.daemons["a"].entry_server.port
+            gate = installation.daemons["a"].server_side.gate
+            writers = []
+            for number in range(8):
+                _, writer = await asyncio.open_connection(HOST, port)
+                writers.append(writer)
+                writer.write(
+                    b"PUT /submit/ HTTP/1.1\r\nhost: papers.example\r\n"
+                    b"request-id: slow-%d\r\ncontent-length: 200000\r\n\r\n" % number
+                )
+                writer.write(b"x" * 100_000)
+
+            async def are_running():
+                return gate.admission.in_flight >= 2
+
+            await eventually(are_running)
+            assert gate.admission.limit.value == 4
+            for _ in range(5):
+                assert (await installation.send_request("a"))[0] == 200
+                assert gate.admission.in_flight <= 2
+            for writer in writers:
+                writer.transport.abort()
+
+    run(scenario)
