Take a body that is cut off at a bound for no failure of the server

Cause: `Backend.send` reports a truncated body as a lost connection to the server, and `PeerPort` counts that; three in a row close the gate as "lost", and the request may count as one that ends servers. Until now this was not met: when a caller breaks off, its handler is cancelled first. With the bounds a body may be cut off while its connection is open (too large, too slow, no memory).

--- a/packages/wheatslipd/wheatslipd/gate/backend.py
+++ b/packages/wheatslipd/wheatslipd/gate/backend.py
@@ -64,6 +64,8 @@
 
         `question` decides which response is taken for it. `connect_timeout` (seconds) raises
         the default connect timeout. `on_connected` is called before the first byte is sent.
+        The outcome is "cancelled" if the rest of the body does not come, which says nothing of
+        the server.
         """
         now = asyncio.get_running_loop().time()
         timeout = max(self._connect_timeout, connect_timeout)
@@ -80,7 +82,7 @@
             return Unknown(Reason.CONNECTION_LOST)
         except BodyTruncated:
             self._pool.release(connection)
-            return Unknown(Reason.CONNECTION_LOST)
+            return Unknown(Reason.CANCELLED)
         except BaseException:
             self._pool.release(connection)
             raise
--- a/packages/wheatslipd/wheatslipd/gate/peerport.py
+++ b/packages/wheatslipd/wheatslipd/gate/peerport.py
@@ -64,6 +64,7 @@
 # Buffered before a request takes a slot, so that a slow upload does not hold a slot. A larger
 # buffer would use memory for each request; this is as much as an entry buffers.
 BUFFERED_BODY_BYTES = 64 * 1024
+CALLER_LEFT = Unknown(Reason.CANCELLED)
 
 
 @dataclass(frozen=True, slots=True)
@@ -272,6 +273,8 @@
             async with asyncio.timeout(max(0.0, remaining)):
                 await request.exchange.send_continue()
                 answer = await self._send(request, remaining, run)
+            if answer == CALLER_LEFT:
+                return answer
             if not isinstance(answer, BackendAnswer):
                 self._gate.on_connection_failure()
                 return await self._handle_loss(run, answer)
--- a/test/test_operator_limits.py
+++ b/test/test_operator_limits.py
@@ -4,6 +4,7 @@
 from contextlib import suppress
 
 import aiohttp
+from wheatslip.admission import ClosedBy
 
 from standins.cluster import HOST, eventually
 from test.helper import run
@@ -62,6 +63,36 @@
     run(scenario)
 
 
+def test_callers_that_break_their_bodies_off_do_not_close_the_gate():
+    """Guards against a body that its caller broke off counting as a failure of the server."""
+
+    async def scenario():
+        async with fleet("a", initial_configuration=limited(LIMITS)) as installation:
+            port = installation.daemons["a"].entry_server.port
+            gate = installation.daemons["a"].server_side.gate
+            for number in range(6):
+                _, writer = await asyncio.open_connection(HOST, port)
+                writer.write(
+                    b"PUT /submit/ HTTP/1.1\r\nhost: papers.example\r\n"
+                    b"request-id: broken-%d\r\ncontent-length: 200000\r\n\r\n" % number
+                )
+                writer.write(b"x" * 100_000)
+
+                async def is_running():
+                    return gate.admission.in_flight == 1
+
+                async def has_left():
+                    return gate.admission.in_flight == 0
+
+                await eventually(is_running)
+                writer.transport.abort()
+                await eventually(has_left)
+                assert not gate.is_closed_by(ClosedBy.SERVER_LOST)
+            assert (await installation.send_request("a"))[0] == 200
+
+    run(scenario)
+
+
 def test_bodies_on_their_way_hold_half_of_the_slots_at_most():
     """Guards against ordinary requests that find all slots held by callers who send slowly."""
 
