Serve the operators' pages by the daemon's own HTTP server

What callers saw: a crowd at the port of the health page made the daemon unready, or larger than its machine: 80 bodies of 64 MiB 657 MB, 250 connections with chunks of two bytes 176 MB and 7 questions of the platform missed in a row, then no clients come. Anybody there could also let a request run again that had ended servers (`POST /lift`; its fingerprint stands in `/status`).

Cause: the pages came by the HTTP server of circuits.web, in a thread, which has no bounds and reads bodies whole.

circuits.web still finds the page and builds the response, by its WSGI application; the request comes by `http/server`, with the bounds of a port of its own. The thread, its calls into the loop and the workarounds for its poller are gone.

`PageSource` has no loop any more, so its tests make it without one; what they check is unchanged.

--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -257,11 +257,13 @@
         await asyncio.sleep(0)
         from wheatslipd.telemetry.pages import PageServer
 
-        loop = asyncio.get_running_loop()
         source = PageSource(
-            loop, self._report.status, self._report.metrics, self.quarantine.lift
+            self._report.status,
+            self._report.metrics,
+            self.quarantine.lift,
+            self.settings.may_lift,
         )
-        pages = PageServer(settings.address, settings.pages_port, source)
+        pages = PageServer(settings.address, settings.pages_port, source, self._bounds.pages)
         pages_port = await pages.start()
         self._set_startup_deadline()
         logs.info(
--- a/packages/wheatslipd/wheatslipd/settings.py
+++ b/packages/wheatslipd/wheatslipd/settings.py
@@ -126,6 +126,7 @@
     platform: str
     keyring: Path
     pages_port: int
+    may_lift: bool  # whether the pages let held requests run again
     trace_sample: float
     trace_file: str
     log_level: LogLevel
@@ -232,6 +233,7 @@
         ),
         keyring=Path(sections["operators"].text("keyring", required=source is _SIGNED)),
         pages_port=_port(sections["pages"]),
+        may_lift=sections["pages"].choice("lift", True, {"no": False, "yes": True}),
         trace_sample=sections["traces"].number("sample", 0.0, 0.0, 1.0),
         trace_file=sections["traces"].text("file"),
         log_level=log.choice("level", LogLevel.INFO, LOG_LEVELS),
--- a/packages/wheatslipd/wheatslipd/telemetry/pages.py
+++ b/packages/wheatslipd/wheatslipd/telemetry/pages.py
@@ -1,24 +1,29 @@
-"""The operators' pages, served by circuits.web: health, status, metrics and lift.
+"""The operators' pages: health, status, metrics and lift.
 
-The pages run in a thread, because circuits.web has its own event loop, and get their content by
-calls into the daemon's loop. The daemon imports this module last: circuits.web loads slowly.
+circuits.web finds the page of a request and builds its response. The requests come by the
+daemon's own HTTP server, whose bounds hold here too: anyone who reaches the port may ask. The
+daemon imports this module last: circuits.web loads slowly.
 """
 
 import asyncio
-import atexit
-import os
-from threading import Event as ThreadEvent
-from threading import Thread
+from io import BytesIO, StringIO
+from typing import Any
 
 import msgspec
-from circuits import Component, handler
-from circuits.core.pollers import EPoll
-from circuits.web import Controller, Server
-
+from circuits.web import Controller
+from circuits.web.wsgi import Application
+
+from wheatslipd.http.body import BodyTruncated
+from wheatslipd.http.bounds import OWN_BODY_BYTES, PortBounds, own_limits
+from wheatslipd.http.exchange import Exchange
+from wheatslipd.http.messages import Headers, ResponseHead
+from wheatslipd.http.server import Server
+from wheatslipd.telemetry import logs
 from wheatslipd.telemetry.pagesource import PageSource
 
-START_TIMEOUT_SECONDS = 10.0  # for the server to listen
-STOP_TIMEOUT_SECONDS = 2.0  # for the thread to end
+BODY_TIMEOUT_SECONDS = 2.0  # for the whole body of a question
+STOP_GRACE_SECONDS = 0.5  # for answers in progress
+_SET_BY_SERVER = frozenset({"connection", "content-length", "transfer-encoding"})
 
 
 class _Pages(Controller):
@@ -32,78 +37,113 @@
 
     def health(self) -> str:
         """Respond 200 while the daemon accepts callers (see `StateReport`), 503 otherwise."""
-        status = self._source.call_in_loop(self._source.status)
+        status = self._source.status()
         self.response.status = 200 if status.ready else 503
         return "ready\n" if status.ready else "not ready\n"
 
     def status(self) -> str:
         """Respond with the daemon's `Status` as JSON."""
         self.response.headers["Content-Type"] = "application/json"
-        return msgspec.json.encode(self._source.call_in_loop(self._source.status)).decode()
+        return msgspec.json.encode(self._source.status()).decode()
 
     def metrics(self) -> str:
         """Respond with the metrics in the Prometheus text format."""
         self.response.headers["Content-Type"] = "text/plain; version=0.0.4"
-        return self._source.call_in_loop(self._source.metrics).decode()
+        return self._source.metrics().decode()
 
     def lift(self, fingerprint: str = "") -> str:
         """Let a held request run again on all daemons; POST only."""
         if self.request.method != "POST":
             self.response.status = 405
             return "only POST\n"
-        was_held = self._source.call_in_loop(lambda: self._source.lift(fingerprint))
+        if not self._source.may_lift:
+            self.response.status = 403
+            return "not allowed here\n"
+        was_held = self._source.lift(fingerprint)
         self.response.status = 200 if was_held else 404
         return "lifted\n" if was_held else "no such request is held here\n"
 
 
-class _PortWatcher(Component):
-    """Records the port on which the server listens."""
-
-    channel = "*"
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.listening = ThreadEvent()
-        self.port = 0
-
-    @handler("ready", channel="*")
-    def _on_ready(self, server: object, bind: tuple[str, int], *rest: object) -> None:
-        self.port = bind[1]
-        self.listening.set()
-
-
 class PageServer:
-    """Runs the pages in a thread."""
-
-    def __init__(self, address: str, port: int, source: PageSource):
-        self._server = Server((address, port), display_banner=False)
-        # The default poller uses select, which spins on descriptors of 1024 and above: a
-        # daemon with that many connections would not serve its health page.
-        self._poller = EPoll().register(self._server)
-        self._port_watcher = _PortWatcher().register(self._server)
-        _Pages(source).register(self._server)
-        self._thread: Thread | None = None
+    """Serves the pages on a port of their own."""
+
+    def __init__(
+        self, address: str, port: int, source: PageSource, bounds: PortBounds | None = None
+    ):
+        self._address = address
+        self._port = port
+        self._application = Application()
+        _Pages(source).register(self._application)
+        self.server = Server(
+            self._handle, bounds=bounds or PortBounds(own_limits), name="pages"
+        )
 
     async def start(self) -> int:
-        """Start the thread and return the port."""
-        self._thread, _ = self._server.start()
-        await asyncio.to_thread(self._port_watcher.listening.wait, START_TIMEOUT_SECONDS)
-        return int(self._port_watcher.port)
+        """Listen; returns the port. Raises OSError."""
+        await self.server.listen(self._address, self._port)
+        return self.server.port
 
     async def stop(self) -> None:
-        await asyncio.to_thread(self._stop_server)
-        # circuits registers it and would keep the whole daemon until the process ends.
-        atexit.unregister(self._server.stop)
-        self._close_poller()
-
-    def _stop_server(self) -> None:
-        """Stop the server, and wait for its thread, which still uses the poller."""
-        self._server.stop()
-        if self._thread is not None:
-            self._thread.join(STOP_TIMEOUT_SECONDS)
-
-    def _close_poller(self) -> None:
-        """Close the poller's descriptors, which circuits leaves open."""
-        self._poller._poller.close()
-        os.close(self._poller._ctrl_recv)
-        os.close(self._poller._ctrl_send)
+        await self.server.stop(STOP_GRACE_SECONDS)
+
+    async def _handle(self, exchange: Exchange) -> None:
+        try:
+            async with asyncio.timeout(BODY_TIMEOUT_SECONDS):
+                body = await exchange.body.read_up_to(OWN_BODY_BYTES)
+        except (BodyTruncated, TimeoutError):
+            await exchange.respond(ResponseHead(408))
+            return
+        try:
+            head, content = self._answer(exchange, body)
+        except Exception as error:
+            # circuits.web meets whatever a client sends.
+            logs.warning("page-failed", error=repr(error), repeat_key="pages")
+            head, content = ResponseHead(500), b""
+        await exchange.respond(head, content)
+
+    def _answer(self, exchange: Exchange, body: bytes) -> tuple[ResponseHead, bytes]:
+        """Let circuits.web answer a request."""
+        head = ResponseHead(500)
+
+        def start_response(
+            status: str, headers: list[tuple[str, str]], exc_info: object = None
+        ) -> None:
+            head.status = int(status.split(" ", 1)[0])
+            head.headers = _encode_headers(headers)
+
+        content = self._application(_environment(exchange, body), start_response)
+        return head, _join(content)
+
+
+def _environment(exchange: Exchange, body: bytes) -> dict[str, Any]:
+    """The request as WSGI has it, without headers that no page reads."""
+    path, _, query = exchange.head.target.partition(b"?")
+    content_type = exchange.head.get(b"content-type") or b""
+    return {
+        "REQUEST_METHOD": exchange.head.method.decode("latin-1"),
+        "SCRIPT_NAME": "",
+        "PATH_INFO": path.decode("latin-1"),
+        "QUERY_STRING": query.decode("latin-1"),
+        "SERVER_PROTOCOL": "HTTP/1.1",
+        "REMOTE_ADDR": exchange.connection.peer_address,
+        "CONTENT_TYPE": content_type.decode("latin-1"),
+        "CONTENT_LENGTH": str(len(body)),
+        "HTTP_HOST": (exchange.head.get(b"host") or b"").decode("latin-1"),
+        "wsgi.url_scheme": "http",
+        "wsgi.input": BytesIO(body),
+        "wsgi.errors": StringIO(),
+    }
+
+
+def _encode_headers(headers: list[tuple[str, str]]) -> Headers:
+    return [
+        (name.lower().encode("latin-1"), str(value).encode("latin-1"))
+        for name, value in headers
+        if name.lower() not in _SET_BY_SERVER
+    ]
+
+
+def _join(content: Any) -> bytes:
+    """The body of a response of circuits.web, which has texts or bytes, or a list of them."""
+    parts = content if isinstance(content, list) else [content]
+    return b"".join(part.encode() if isinstance(part, str) else part for part in parts)
--- a/packages/wheatslipd/wheatslipd/telemetry/pagesource.py
+++ b/packages/wheatslipd/wheatslipd/telemetry/pagesource.py
@@ -1,16 +1,10 @@
-"""Content of the operators' pages, read in the daemon's event loop."""
+"""Content of the operators' pages."""
 
-import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import TypeVar
 
 import msgspec
 
-T = TypeVar("T")
-
-CALL_TIMEOUT_SECONDS = 2.0  # for a call from the pages' thread into the daemon's loop
-
 
 class HeldRequest(msgspec.Struct, frozen=True):
     """A request that is refused because servers ended while running it."""
@@ -64,18 +58,10 @@
 
 @dataclass(slots=True)
 class PageSource:
-    """Functions that the pages call in the daemon's loop."""
+    """Functions that the pages call."""
 
-    loop: asyncio.AbstractEventLoop
     status: Callable[[], Status]
     metrics: Callable[[], bytes]
     # Takes a fingerprint and lets the held request run again; returns whether it was held.
     lift: Callable[[str], bool] = lambda fingerprint: False
-
-    def call_in_loop(self, read: Callable[[], T]) -> T:
-        """Call `read` in the daemon's loop and return its result. Raises TimeoutError."""
-
-        async def call() -> T:
-            return read()
-
-        return asyncio.run_coroutine_threadsafe(call(), self.loop).result(CALL_TIMEOUT_SECONDS)
+    may_lift: bool = True  # for anyone who reaches the port
--- a/test/test_many_descriptors.py
+++ b/test/test_many_descriptors.py
@@ -37,7 +37,7 @@
 
 def test_pages_answer_without_spinning_beyond_the_descriptors_that_select_supports():
     async def scenario():
-        source = PageSource(asyncio.get_running_loop(), lambda: None, lambda: b"metrics")
+        source = PageSource(lambda: None, lambda: b"metrics")
         with exhausted_select_descriptors():
             pages = PageServer(HOST, 0, source)
             port = await pages.start()
@@ -57,7 +57,7 @@
 
 def test_a_stopped_page_server_leaves_no_descriptor_open():
     async def scenario():
-        source = PageSource(asyncio.get_running_loop(), lambda: None, lambda: b"")
+        source = PageSource(lambda: None, lambda: b"")
         await _start_and_stop(source)  # opens what is kept for the life of the process
         count_before = count_open_pollers()
         for _ in range(3):
