Bound the connections to the control port

What callers saw: with 4,500 silent connections to the port for other daemons, its process had no descriptor left: the health page missed 3 questions in a row, and the daemon held 152 MB.

Cause: grpclib's server takes any number of connections, keeps those without a call for ever, and lets a peer send 4 MiB ahead.

`BoundedServer` counts them as the other ports do: at most a quarter of the descriptors, of which 256 that have carried no call, the oldest of these makes room, and 10 s until the first call. Daemons call at once, so they are not among these for long. Windows are 128 KiB a connection, 64 KiB a call.

--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -98,7 +98,14 @@
         self.feed = Feed(
             LocalDaemon(settings.name, settings.zone, settings.feed),
             FeedDependencies(
-                store, tls, rng, unix, monotonic, (self.quota.service,), self.quota.lost
+                store,
+                tls,
+                rng,
+                unix,
+                monotonic,
+                (self.quota.service,),
+                self.quota.lost,
+                self._bounds.control,
             ),
             create_verifier(settings),
             self.bus,
--- a/packages/wheatslipd/wheatslipd/feed/feed.py
+++ b/packages/wheatslipd/wheatslipd/feed/feed.py
@@ -35,6 +35,7 @@
 from wheatslipd.feed.verifier import Verifier
 from wheatslipd.feed.watchcheck import HEAD_REFRESH_SECONDS
 from wheatslipd.feed.watching import ListWatch, StateWatch
+from wheatslipd.http.bounds import PortBounds
 from wheatslipd.telemetry import logs
 from wheatslipd.tls import PeerTls
 
@@ -63,6 +64,7 @@
     monotonic: Callable[[], float] = time.monotonic  # in seconds
     services: tuple[ControlService, ...] = ()  # that the control port offers too
     lost: LostSource = NO_LOSSES
+    bounds: PortBounds | None = None  # of the control port; None: the defaults
 
 
 class Feed:
@@ -87,6 +89,7 @@
             monotonic,
             dependencies.services,
             dependencies.lost,
+            dependencies.bounds,
         )
         self._position = RelayPosition(name, daemon.zone, daemon.settings.watchers)
         self.cache_writer = CacheWriter(
--- a/packages/wheatslipd/wheatslipd/feed/relay.py
+++ b/packages/wheatslipd/wheatslipd/feed/relay.py
@@ -15,7 +15,7 @@
 import msgspec
 from grpclib.client import Channel, UnaryStreamMethod, UnaryUnaryMethod
 from grpclib.exceptions import GRPCError, StreamTerminatedError
-from grpclib.server import Server, Stream
+from grpclib.server import Stream
 from result import Err, Ok, Result
 from wheatslip.decoding import decode_msgpack
 from wheatslip.distribution.chunks import Chunk, Joiner, split_message
@@ -30,6 +30,8 @@
 from wheatslip.store.instances import Instance
 
 from wheatslipd.feed.codec import StructCodec
+from wheatslipd.http.bounds import PortBounds, own_limits
+from wheatslipd.http.grpcserver import BoundedServer
 from wheatslipd.telemetry import logs
 from wheatslipd.timeouts import reply_timeout
 from wheatslipd.tls import PeerTls
@@ -107,10 +109,12 @@
         monotonic: Callable[[], float] = time.monotonic,
         services: Sequence[ControlService] = (),
         lost: LostSource = NO_LOSSES,
+        bounds: PortBounds | None = None,
     ):
         """`on_reports` is called with the end reports that a follower sends, and its name. The
         server offers `services` too, and tells followers of `lost`.
         """
+        bounds = bounds or PortBounds(own_limits)
         self._lost = lost
         self._monotonic = monotonic
         self._cache = cache
@@ -119,7 +123,7 @@
         self._changed = asyncio.Event()
         self._is_leaving = False
         self._codec = StructCodec()
-        self._server = Server([self, *services], codec=self._codec)
+        self._server = BoundedServer([self, *services], self._codec, bounds, "control")
         self.followers = 0
         self.port = 0
 
