Bound what is held of answers that callers do not read

What callers saw: nothing at first; the daemon held 873 MB beside 300 connections that send requests ahead for answers of 250 kB and read nothing (killed on each machine of the sites).

Cause: an entry holds up to `answer-hold` of an answer, and the transport what it can't send, for as long as the caller does not read.

`AnswerMemory` has one budget for held answers. Where it is spent, an answer waits unread, in order, for up to a second (then 502: it has run), and callers that have not read for 0.1 s are cut off, the slowest first. At a gate whose slots are all taken, answers that are not read keep a quarter of the slots.

--- a/packages/wheatslipd/wheatslipd/entry/forward.py
+++ b/packages/wheatslipd/wheatslipd/entry/forward.py
@@ -25,6 +25,7 @@
 
 from wheatslipd.chain import EntryRequest
 from wheatslipd.controllers.view import Peer, View
+from wheatslipd.entry.answermemory import AnswerMemory
 from wheatslipd.entry.peerresponse import PeerResponseReader
 from wheatslipd.entry.sendguard import SendGuard
 from wheatslipd.http.body import BodyTruncated
@@ -37,6 +38,8 @@
 from wheatslipd.telemetry.outcometext import describe
 from wheatslipd.telemetry.tracing import TRACEPARENT
 
+# The server has answered, but there was no memory to pass the answer on.
+NO_ANSWER_MEMORY = Unknown(Reason.OVERLOADED)
 WIRE_TIME_DECIMALS = 3  # of times in seconds in the hop header
 # Largest body that is buffered; a larger one is sent only once. Each request in progress may
 # buffer as much.
@@ -56,7 +59,6 @@
     daemon: str  # this daemon's name
     caller: bytes  # value of the `names.caller` header
     names: HeaderNames
-    answer_hold: int = 0  # bytes of a response body buffered before its head is sent
     by_routes: bool = False
     naming: Naming = UNNAMED  # of the responses of backend servers
 
@@ -96,6 +98,7 @@
         clock: Callable[[], float],
         unix: Callable[[], float],
         on_newer_version: Callable[[int, str], None],
+        answer_memory: AnswerMemory,
     ):
         """Both clocks are in seconds; `clock` is monotonic. `on_newer_version` is called with a
         bundle version newer than this daemon's, and the address of the daemon that has it.
@@ -111,6 +114,7 @@
         self._clock = clock
         self._unix = unix
         self._quarantine = policy.quarantine
+        self._answer_memory = answer_memory
         self._responses = PeerResponseReader(
             settings.names, settings.naming, policy.chooser, view, clock, on_newer_version
         )
@@ -278,14 +282,17 @@
             return refusal
         if prepared.attempts.discard_answer(response.head.status):
             return ANSWER_DISCARDED
-        try:
-            buffered = await response.body.read_up_to(self._settings.answer_hold)
-        except BodyTruncated:
-            # Nothing was sent to the caller yet, so another try may still answer.
-            return Unknown(Reason.CONNECTION_LOST)
-        # The deadline applies to the response head only; the body is streamed without one.
-        prepared.deadline_timeout.reschedule(None)
-        outcome = await self._relay(prepared.request, response, buffered)
+        async with self._answer_memory.hold(response) as hold:
+            if hold is None:
+                return NO_ANSWER_MEMORY
+            try:
+                buffered = await response.body.read_up_to(hold)
+            except BodyTruncated:
+                # Nothing was sent to the caller yet, so another try may still answer.
+                return Unknown(Reason.CONNECTION_LOST)
+            # The deadline applies to the response head only; the body is streamed without one.
+            prepared.deadline_timeout.reschedule(None)
+            outcome = await self._relay(prepared.request, response, buffered)
         if isinstance(outcome, Answered) and outcome.status < SERVER_ERROR:
             prepared.guard.on_answer()
         return outcome
--- a/packages/wheatslipd/wheatslipd/entry/wiring.py
+++ b/packages/wheatslipd/wheatslipd/entry/wiring.py
@@ -1,11 +1,14 @@
 """Builds the entry of a daemon and its filter chain from the settings."""
 
+from collections.abc import Callable
+
 from wheatslip.budget import RetryBudgets
 from wheatslip.chooser import Chooser
 from wheatslip.distribution.feedcache import FeedCache
 
 from wheatslipd.chain import build_chain
 from wheatslipd.confirmation import ConfirmationLimit
+from wheatslipd.entry.answermemory import AnswerMemory
 from wheatslipd.entry.entry import Entry
 from wheatslipd.entry.filters import StopFilter, common_filters, workspace_filters
 from wheatslipd.entry.forward import Forwarder, ForwardSettings, RoutingPolicy
@@ -26,15 +29,18 @@
     cache: FeedCache,
     confirmation_limit: ConfirmationLimit,
     quota: QuotaClient,
+    close_stalled: Callable[[int], None],
 ) -> Entry:
-    """Build the entry; the retry budgets depend on the number of listed instances."""
+    """Build the entry. `close_stalled` is that of `AnswerMemory`.
+
+    The retry budgets depend on the number of listed instances.
+    """
     by_routes = settings.interface is Interface.ROUTES
     clock = shared.monotonic
     forward_settings = ForwardSettings(
         settings.name,
         settings.pool.encode(),
         settings.headers,
-        settings.answer_hold,
         by_routes,
         settings.naming,
     )
@@ -51,6 +57,7 @@
         clock,
         shared.unix,
         shared.hint_newer_version,
+        AnswerMemory(settings.answer_hold, close_stalled),
     )
     filters = common_filters(shared.view, shared.metrics, tracer, clock)
     if by_routes:
--- a/packages/wheatslipd/wheatslipd/gate/peerport.py
+++ b/packages/wheatslipd/wheatslipd/gate/peerport.py
@@ -46,6 +46,7 @@
 from wheatslipd.gate.noticereader import NoticeReader
 from wheatslipd.gate.olderentry import OlderEntryRequests
 from wheatslipd.gate.serverend import ServerEndDetector
+from wheatslipd.gate.slowreaders import SlowReaders
 from wheatslipd.gate.suspects import SuspectGuard
 from wheatslipd.gate.uploads import UploadLimit
 from wheatslipd.http.body import BodyTruncated
@@ -64,6 +65,7 @@
 # Buffered before a request takes a slot, so that a slow upload does not hold a slot. A larger
 # buffer would use memory for each request; this is as much as an entry buffers.
 BUFFERED_BODY_BYTES = 64 * 1024
+
 CALLER_LEFT = Unknown(Reason.CANCELLED)
 
 
@@ -115,6 +117,7 @@
         self._suspects = stages.suspects
         self._gate = stages.gate
         self._uploads = UploadLimit(lambda: stages.gate.admission.limit.value)
+        self._slow_readers = SlowReaders(lambda: stages.gate.admission.limit.value)
         self._backend = stages.backend
         self._end_detector = stages.end_detector
         self._notices = stages.notices
@@ -247,6 +250,9 @@
     async def _run_at_gate(
         self, request: ForwardedRequest, max_wait: float, kept: KeptAnswer | None
     ) -> Outcome:
+        admission = self._gate.admission
+        if admission.in_flight >= admission.limit.value:
+            self._slow_readers.make_room()
         ticket = await self._gate.start_call(request.call, max_wait)
         if self._gate.admission.settings.has_ranks:
             self._count_by_priority(request.call, ticket)
@@ -281,7 +287,8 @@
             self._gate.on_answer()
             worked = True
             try:
-                outcome = await self._answers.relay(request, answer.response, kept)
+                with self._slow_readers.watch(request.exchange):
+                    outcome = await self._answers.relay(request, answer.response, kept)
             finally:
                 self._backend.release(answer)
             return await self._record_outcome(run, outcome)
