Let crowds of clients that do not behave come in the soak

`rude-clients`: for 2 to 4 s, 100 clients of one conduct come to the entry of one daemon, both drawn from the seed by a sequence of their own, so that the other faults of a seed stay what they were. A crowd takes no daemon out: it may come beside other faults of that daemon, and the checks of a schedule count it as little as a named limit. One that opens no connection is a fault without effect.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -200,7 +200,7 @@
 
 def _lock_name(step: Step) -> str:
     """Faults with the same name follow each other."""
-    if step.fault is Fault.LIMITED_SERVER:
+    if step.fault in (Fault.LIMITED_SERVER, Fault.RUDE_CLIENTS):
         return f"{step.fault} {step.where}"
     return step.where or step.fault
 
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -15,6 +15,7 @@
 from soak.configuration import (
     HOT,
     LOWERED_LIMIT,
+    OPEN_KIND,
     SPARE_SECRET,
     Configuration,
     RoutedConfiguration,
@@ -31,9 +32,19 @@
 from soak.schedule import Fault, Step
 from soak.workspaces import Isolation, Outage, RemovedCredential, WorkspaceLimit
 from standins.backend import Behaviour
-from standins.cluster import Cluster, Member, Plan, eventually
+from standins.caller import ROUTES_HOST
+from standins.cluster import (
+    HOST,
+    Cluster,
+    Member,
+    Plan,
+    StartedProcess,
+    eventually,
+    start_process,
+)
 from standins.operators import CommandFailed, Operators
 from standins.platform import Faults
+from standins.rude import Crowd, Summary, rude_arguments
 from standins.verdict import DRAIN_SECONDS
 
 SLOTS = 4
@@ -44,6 +55,8 @@
 PLATFORM_DELAY_SECONDS = 0.5
 LOST_WRITE_ANSWERS = 3  # consecutive writes without an answer
 STATUS_TIMEOUT_SECONDS = 0.5
+CROWD_CONNECTIONS = 100
+CROWD_END_SECONDS = 15.0  # for a crowd to end after its time
 RECOVERY_TIMEOUT_SECONDS = 60.0  # for the recovery after the last fault
 
 # Faults in which a daemon does not run or does not reach the platform, or no daemon does.
@@ -91,6 +104,7 @@
     _withheld_before: dict[Step, int] = field(default_factory=dict)
     _withheld_by_port: dict[Step, dict[str, int]] = field(default_factory=dict)
     _began_at: dict[Step, float] = field(default_factory=dict)
+    _crowds: dict[Step, StartedProcess] = field(default_factory=dict)
 
     @property
     def now(self) -> float:
@@ -156,6 +170,8 @@
             case Fault.FREEZE_SERVER:
                 assert member is not None
                 member.backend.send(signal.SIGSTOP)
+            case Fault.RUDE_CLIENTS:
+                await self._send_crowd(step)
             case Fault.OVERLOAD:
                 await self._change_all_service_times(OVERLOAD_SERVICE_SECONDS)
                 self.is_overloaded = True
@@ -202,6 +218,8 @@
                 frozen = FrozenServer(step.where, self._began_at[step], self.now)
                 self.history.frozen_servers.append(frozen)
                 member.backend.send(signal.SIGCONT)
+            case Fault.RUDE_CLIENTS:
+                await self._end_crowd(step)
             case Fault.OVERLOAD:
                 self.is_overloaded = False
                 await self._change_all_service_times(SERVICE_TIME_SECONDS)
@@ -235,6 +253,34 @@
             Isolation(step.where, step.at, {p: counts[p] - before[p] for p in counts})
         )
 
+    async def _send_crowd(self, step: Step) -> None:
+        """Let a crowd come to the port of a daemon's entry, without a link between."""
+        assert step.conduct is not None
+        status = await self._status(step.where)
+        if status is None:
+            return  # the daemon has another fault
+        crowd = Crowd(
+            step.conduct,
+            HOST,
+            _as_int(status["entry_port"]),
+            CROWD_CONNECTIONS,
+            f"/papers/{OPEN_KIND}/",
+            f"Host: {ROUTES_HOST}",
+        )
+        arguments = rude_arguments(crowd, step.seconds)
+        self._crowds[step] = await start_process("crowd", *arguments)
+
+    async def _end_crowd(self, step: Step) -> None:
+        process = self._crowds.pop(step, None)
+        if process is None:
+            return
+        async with asyncio.timeout(CROWD_END_SECONDS):
+            await process.process.wait()
+        await process.end()
+        summary = msgspec.json.decode(process.lines[-1], type=Summary)
+        if not summary.connected:
+            self.history.ineffective_faults.append(f"{step.conduct} at {step.at:.1f} s")
+
     def _silence_and_cut_off(self, step: Step) -> None:
         """Silence the open control connections, and cut off the control of a step's daemon."""
         self.cluster.silence_connections()
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -9,6 +9,8 @@
 from enum import StrEnum
 from random import Random
 
+from standins.rude import Conduct
+
 INITIAL_CALM_SECONDS = 2.0  # seconds before the first fault
 FINAL_CALM_SECONDS = 6.0  # seconds after the last fault, in which the cluster must recover
 MEAN_FAULT_INTERVAL_SECONDS = 1.5  # between the starts of two faults
@@ -34,6 +36,7 @@
     ZONE_DRAIN = "zone-drain"  # an operator drains a zone, and restores it at the end
     LIMITED_SERVER = "limited-server"  # names a rate; its daemon may have other faults
     SILENCE = "silence"  # open connections between daemons and to the platform go silent
+    RUDE_CLIENTS = "rude-clients"  # a crowd that does not behave comes to a daemon's entry
     # With the routes interface only:
     PARTITION = "partition"  # a daemon's control port and its way to the platform say nothing
     LOWER_LIMIT = "lower-limit"  # during a partition of the daemon that grants its tokens
@@ -65,10 +68,16 @@
 )
 # Drawn from a separate random sequence, so that adding them did not change the other faults of
 # a seed.
-SEPARATELY_DRAWN_FAULTS = ROUTES_FAULTS | {Fault.SILENCE, Fault.LIMITED_SERVER}
+SEPARATELY_DRAWN_FAULTS = ROUTES_FAULTS | {
+    Fault.SILENCE,
+    Fault.LIMITED_SERVER,
+    Fault.RUDE_CLIENTS,
+}
 MEAN_SILENCE_INTERVAL_SECONDS = 20.0
 MEAN_LIMIT_INTERVAL_SECONDS = 6.0  # between the starts of two limits
 LIMIT_SECONDS = 9.0  # longer than the windows in which the requests are counted
+MEAN_CROWD_INTERVAL_SECONDS = 6.0  # between the starts of two crowds
+CROWD_SECONDS = (2.0, 4.0)  # shortest and longest
 MEAN_PARTITION_INTERVAL_SECONDS = 12.0
 # Shortest and longest cuts, in seconds. A short isolation meets few requests. A frozen server
 # goes on before the requests that it got exceed the timeout of their routes, 2 s.
@@ -83,13 +92,14 @@
 @dataclass(frozen=True, slots=True)
 class Step:
     """One fault that starts at `at` and lasts `seconds`. `where` names the affected instance or
-    zone; it is empty for other faults.
+    zone; it is empty for other faults. `conduct` is that of the clients of a crowd.
     """
 
     at: float
     fault: Fault
     where: str
     seconds: float
+    conduct: Conduct | None = None
 
     @property
     def end(self) -> float:
@@ -117,7 +127,11 @@
         if step is not None:
             steps.append(step)
         at += rng.expovariate(1 / MEAN_FAULT_INTERVAL_SECONDS)
-    separate_steps = [*_draw_silences(seed, seconds), *_draw_limits(seed, seconds, instances)]
+    separate_steps = [
+        *_draw_silences(seed, seconds),
+        *_draw_limits(seed, seconds, instances),
+        *_draw_crowds(seed, seconds, instances),
+    ]
     return sorted([*steps, *separate_steps], key=lambda step: step.at)
 
 
@@ -131,6 +145,19 @@
     return steps
 
 
+def _draw_crowds(seed: int, seconds: float, instances: Sequence[str]) -> list[Step]:
+    """Crowds, one after the other, whatever else happens to the daemons they come to."""
+    rng = Random(f"soak crowds {seed}")
+    steps: list[Step] = []
+    at = INITIAL_CALM_SECONDS + rng.expovariate(1 / MEAN_CROWD_INTERVAL_SECONDS)
+    while at < seconds - FINAL_CALM_SECONDS - CROWD_SECONDS[1]:
+        duration = rng.uniform(*CROWD_SECONDS)
+        where, conduct = rng.choice(list(instances)), rng.choice(list(Conduct))
+        steps.append(Step(at, Fault.RUDE_CLIENTS, where, duration, conduct))
+        at += duration + rng.expovariate(1 / MEAN_CROWD_INTERVAL_SECONDS)
+    return steps
+
+
 def _draw_limits(seed: int, seconds: float, instances: Sequence[str]) -> list[Step]:
     """Limits of servers; one server has one at a time, whatever happens to its daemon."""
     rng = Random(f"soak limits {seed}")
