Show operators what clients that do not behave look like

The counter is a gauge set at each reading of the page, as others of that kind, since `http/` does not know the metrics.

--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -156,6 +156,7 @@
             self.server_side,
             self.feed,
             self.quota.report,
+            bounds,
         )
 
     async def run(self) -> int:
--- a/packages/wheatslipd/wheatslipd/telemetry/metrics.py
+++ b/packages/wheatslipd/wheatslipd/telemetry/metrics.py
@@ -127,6 +127,14 @@
         )
         self.key_records = gauge("wheatslip_key_records", "Request keys remembered here")
         self.connections = gauge("wheatslip_connections", "Open connections, by port")
+        self.out_of_bounds = gauge(
+            "wheatslip_out_of_bounds_total",
+            "Connections closed and requests refused because of a bound, by port and why",
+        )
+        self.request_memory = gauge(
+            "wheatslip_request_memory_bytes",
+            "Memory reserved for requests with large heads or bodies",
+        )
 
     def render(self) -> bytes:
         """Render all collectors in the Prometheus text format."""
--- a/packages/wheatslipd/wheatslipd/telemetry/statereport.py
+++ b/packages/wheatslipd/wheatslipd/telemetry/statereport.py
@@ -4,6 +4,7 @@
 
 from wheatslipd.feed.feed import Feed
 from wheatslipd.gate.serverside import ServerSide
+from wheatslipd.http.bounds import DaemonBounds
 from wheatslipd.http.server import Server
 from wheatslipd.quota.report import QuotaReport
 from wheatslipd.settings import Settings
@@ -23,6 +24,7 @@
         server_side: ServerSide,
         feed: Feed,
         quotas: QuotaReport,
+        bounds: DaemonBounds,
     ):
         self._settings = settings
         self._shared = shared
@@ -32,6 +34,7 @@
         self._server_side = server_side
         self._feed = feed
         self._quotas = quotas
+        self._bounds = bounds
 
     def status(self) -> Status:
         """Return the content of the status page."""
@@ -101,6 +104,10 @@
         metrics.held_requests.set({}, len(quarantine.held(self._shared.unix())))
         metrics.connections.set({"port": "entry"}, self._entry_server.open_connections)
         metrics.connections.set({"port": "peer"}, self._peer_server.open_connections)
+        for port, closings in self._bounds.closings.items():
+            for why, count in closings.items():
+                metrics.out_of_bounds.set({"port": port, "why": why}, count)
+        metrics.request_memory.set({}, self._bounds.memory.reserved)
         return metrics.render()
 
     def _is_ready(self) -> bool:
