Let each crowd end after its time

A client of a crowd that was cancelled while it waited for its own sending task swallowed the cancellation (`suppress(CancelledError)`), so that the crowd's process never ended; six such loaded the machine beside other plays. The task is no longer waited for, and a play fails if its crowd has not ended 20 s after its time.

--- a/standins/rude.py
+++ b/standins/rude.py
@@ -262,12 +262,12 @@
 async def _until_closed(connection: _Connection, sending: Awaitable[None]) -> None:
     """Send until the connection is closed by the other end."""
     task = asyncio.ensure_future(sending)
+    # It fails when the connection is closed.
+    task.add_done_callback(lambda done: done.cancelled() or done.exception())
     try:
         await connection.read_until_closed()
     finally:
         task.cancel()
-        with suppress(asyncio.CancelledError, OSError):
-            await task
 
 
 _CONDUCTS: dict[Conduct, Callable[[_Connection], Awaitable[None]]] = {
--- a/test/rude_fleet.py
+++ b/test/rude_fleet.py
@@ -27,6 +27,7 @@
 ORDINARY_SECONDS = 2.0  # for which an ordinary caller waits
 READY_INTERVAL_SECONDS = 1.0
 READY_SECONDS = 1.0  # for which the platform waits for an answer of the health page
+CROWD_END_SECONDS = 20.0  # for a crowd to end after its time
 NO_ROUTE = "/nowhere/"
 READ_PATH, WRITE_PATH = "/papers/view/", "/papers/submit/"
 
@@ -208,7 +209,8 @@
         asking = asyncio.create_task(readiness.run())
         process = await start_process("crowd", *rude_arguments(crowd, seconds))
         await asyncio.gather(*(traffic.send(seconds) for traffic in ordinary))
-        await process.process.wait()
+        async with asyncio.timeout(CROWD_END_SECONDS):
+            await process.process.wait()
         await process.end()
         asking.cancel()
         await watch.stop()
