Write nothing more on a connection that is closing

A handler that passes on an answer in parts wrote on after its connection had been aborted, until the loop had run its end (asyncio: "socket.send() raised exception", seen beside callers that do not read). `send` raises ConnectionResetError then, as it does afterwards.

--- a/packages/wheatslipd/wheatslipd/http/connection.py
+++ b/packages/wheatslipd/wheatslipd/http/connection.py
@@ -83,7 +83,7 @@
 
     async def send(self, data: bytes) -> None:
         """Write, then wait while the send buffer is full; raises ConnectionError if closed."""
-        if self.closed or self.transport is None:
+        if self.closed or self.transport is None or self.transport.is_closing():
             raise ConnectionResetError
         self.transport.write(data)
         if self._writable is not None:
