Give the memory of answers to callers that read

Cause: where the memory for answers was spent, each new answer waited until a look every 50 ms had found callers to cut off and their handlers had ended; meanwhile it held a slot of its server.

`AnswerMemory` knows which answers it holds. A new one takes the place of the caller that has not read for the longest time (0.05 s at least), at once. Only where all read does it wait.

--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -114,14 +114,7 @@
         cache = self.feed.cache
         limit = ConfirmationLimit(settings.max_unconfirmed, cache, monotonic, metrics)
         entry = build_entry(
-            settings,
-            shared,
-            self._chooser,
-            self._tracer,
-            cache,
-            limit,
-            self.quota.client,
-            lambda count: self.entry_server.connections.close_stalled(count),
+            settings, shared, self._chooser, self._tracer, cache, limit, self.quota.client
         )
         self.entry_server = Server(entry.handle, bounds=bounds.entry, name="entry")
         self.server_side = build_server_side(
--- a/packages/wheatslipd/wheatslipd/entry/forward.py
+++ b/packages/wheatslipd/wheatslipd/entry/forward.py
@@ -282,7 +282,8 @@
             return refusal
         if prepared.attempts.discard_answer(response.head.status):
             return ANSWER_DISCARDED
-        async with self._answer_memory.hold(response) as hold:
+        caller = prepared.request.exchange.connection
+        async with self._answer_memory.hold(response, caller) as hold:
             if hold is None:
                 return NO_ANSWER_MEMORY
             try:
--- a/packages/wheatslipd/wheatslipd/entry/wiring.py
+++ b/packages/wheatslipd/wheatslipd/entry/wiring.py
@@ -1,7 +1,5 @@
 """Builds the entry of a daemon and its filter chain from the settings."""
 
-from collections.abc import Callable
-
 from wheatslip.budget import RetryBudgets
 from wheatslip.chooser import Chooser
 from wheatslip.distribution.feedcache import FeedCache
@@ -29,12 +27,8 @@
     cache: FeedCache,
     confirmation_limit: ConfirmationLimit,
     quota: QuotaClient,
-    close_stalled: Callable[[int], None],
 ) -> Entry:
-    """Build the entry. `close_stalled` is that of `AnswerMemory`.
-
-    The retry budgets depend on the number of listed instances.
-    """
+    """Build the entry; the retry budgets depend on the number of listed instances."""
     by_routes = settings.interface is Interface.ROUTES
     clock = shared.monotonic
     forward_settings = ForwardSettings(
@@ -57,7 +51,7 @@
         clock,
         shared.unix,
         shared.hint_newer_version,
-        AnswerMemory(settings.answer_hold, close_stalled),
+        AnswerMemory(settings.answer_hold),
     )
     filters = common_filters(shared.view, shared.metrics, tracer, clock)
     if by_routes:
--- a/packages/wheatslipd/wheatslipd/http/serverconnections.py
+++ b/packages/wheatslipd/wheatslipd/http/serverconnections.py
@@ -113,14 +113,6 @@
         for connection in list(self.open):
             connection.check(now)
 
-    def close_stalled(self, count: int) -> None:
-        """Close the connections that have not read their answers for the longest time."""
-        now = asyncio.get_running_loop().time()
-        stalled = [item for item in self._expendable(now) if item[0].rank is Rank.DONE]
-        for _, connection in sorted(stalled, key=itemgetter(0))[:count]:
-            self.count(Closing.SLOW_READER)
-            connection.abort()
-
     def _make_room(self) -> bool:
         now = asyncio.get_running_loop().time()
         if not self._victims:
