--- a/packages/wheatslipd/wheatslipd/http/serverconnection.py
+++ b/packages/wheatslipd/wheatslipd/http/serverconnection.py
@@ -270,8 +270,9 @@
 
     def _is_body_stalled(self, now: float, seconds: float) -> bool:
         """Whether a body that is waited for does not come."""
-        is_awaited = self._incoming is not None and not self._pauses
-        return is_awaited and now - self._received_at > seconds
+        if self._incoming is None or self._incoming.expects_continue or self._pauses:
+            return False
+        return now - self._received_at > seconds
 
     def expendability(self, now: float) -> Expendability | None:
         """How readily this connection makes room for another; None while it is served."""
--- a/test/test_request_limits.py
+++ b/test/test_request_limits.py
@@ -287,6 +287,28 @@
     run(scenario)
 
 
+def test_a_body_that_waits_for_100_continue_is_not_taken_for_stopped():
+    """Guards against requests that are refused while they wait for a slot of the server."""
+
+    class Late(Held):
+        async def handle(self, exchange):
+            await asyncio.sleep(1.5 * LIMITS.idle_seconds)
+            await exchange.send_continue()
+            await super().handle(exchange)
+
+    async def scenario():
+        async with served(handler=Late()) as (_, handler, connect):
+            caller = await connect()
+            head = b"PUT /a HTTP/1.1\r\nexpect: 100-continue\r\ncontent-length: 3\r\n\r\n"
+            await caller.send(head)
+            assert (await caller.reader.readuntil(b"\r\n\r\n")).split(b" ")[1] == b"100"
+            await caller.send(b"abc")
+            assert await caller.status() == 200
+            assert handler.sizes == [3]
+
+    run(scenario)
+
+
 @pytest.mark.parametrize("is_used", [False, True], ids=["unused", "used"])
 def test_a_connection_at_rest_is_closed_after_the_idle_time(is_used):
     async def scenario():
