--- a/packages/wheatslipd/wheatslipd/http/serverconnections.py
+++ b/packages/wheatslipd/wheatslipd/http/serverconnections.py
@@ -4,6 +4,7 @@
 from collections import deque
 from collections.abc import Iterator
 from enum import IntEnum, StrEnum
+from math import inf
 from operator import itemgetter
 from typing import Generic, NamedTuple, Protocol, TypeVar
 
@@ -17,6 +18,8 @@
 # Turns of the event loop from accepting a connection to reading what it holds.
 READ_TURNS = 4
 
+# Between two log lines of the same cause: a crowd closes thousands of connections a second.
+LOG_SECONDS = 10.0
 FRESH_SECONDS = 1.0
 VICTIMS_AT_ONCE = 32  # that are looked for together, as each look costs time
 
@@ -81,6 +84,7 @@
         self.port_name = port_name
         self.open: set[AnyConnection] = set()
         self.closings = bounds.closings
+        self._logged_at: dict[Closing, float] = {}  # by the loop's clock
         self._victims: deque[AnyConnection] = deque()
 
     def add(self, connection: AnyConnection) -> None:
@@ -99,13 +103,12 @@
         self.closings[closing] += 1
         if closing is Closing.IDLE:
             return  # calm callers rest for long, too
-        logs.info(
-            "caller-out-of-bounds",
-            port=self.port_name,
-            why=closing,
-            total=self.closings[closing],
-            repeat_key=f"{self.port_name} {closing}",
-        )
+        now = asyncio.get_running_loop().time()
+        if now - self._logged_at.get(closing, -inf) < LOG_SECONDS:
+            return
+        self._logged_at[closing] = now
+        total = self.closings[closing]
+        logs.info("caller-out-of-bounds", port=self.port_name, why=closing, total=total)
 
     def check(self) -> None:
         """Close the connections that take longer than the bounds allow."""
