--- a/packages/wheatslipd/wheatslipd/telemetry/pages.py
+++ b/packages/wheatslipd/wheatslipd/telemetry/pages.py
@@ -22,7 +22,6 @@
 from wheatslipd.telemetry.pagesource import PageSource
 
 BODY_TIMEOUT_SECONDS = 2.0  # for the whole body of a question
-STOP_GRACE_SECONDS = 0.5  # for answers in progress
 _SET_BY_SERVER = frozenset({"connection", "content-length", "transfer-encoding"})
 
 
@@ -84,7 +83,7 @@
         return self.server.port
 
     async def stop(self) -> None:
-        await self.server.stop(STOP_GRACE_SECONDS)
+        await self.server.abort()
 
     async def _handle(self, exchange: Exchange) -> None:
         try:
