Keep the connections of other daemons beside a crowd

What daemons saw: at the size of the target a gate may be known to some 2,600 entries within the 30 s for which these keep a connection; a bound of 1,024 would have closed resting connections of daemons all the time, each a request that may cross the close. Found by reading the sum against docs/CAPACITY.md, not met.

The peer port has 0.4 of the descriptors now. Connections that have carried no request of a daemon are 256 at most, the oldest makes room, as at the control port, which now shares this rule (`OpenConnections.prove`).

--- a/packages/wheatslipd/wheatslipd/http/bounds.py
+++ b/packages/wheatslipd/wheatslipd/http/bounds.py
@@ -47,7 +47,9 @@
 OWN_HEAD_BYTES = 32 * 1024  # of a question for a page, or a heartbeat
 OWN_BODY_BYTES = 64 * 1024
 
-# Connections to the control port that have carried no call yet; a crowd gets no others.
+# The same for the ports of other daemons: in a large fleet thousands of them may keep one here.
+MAX_PEERS_PART = 0.4
+# Of these, connections that have carried no request of a daemon yet; a crowd gets no others.
 MAX_UNPROVEN = 256
 # What a daemon may send ahead of its reading at the control port.
 GRPC_CONNECTION_WINDOW_BYTES = 128 * 1024
@@ -142,8 +144,8 @@
     """The bounds of one port.
 
     `limits` is asked for each request, as they may change. `connections` is the most that the
-    port has open. `extra_head_bytes` may come on top of a caller's head, for the headers that
-    daemons add.
+    port has open, `unproven` the most that have not carried what the port is for.
+    `extra_head_bytes` may come on top of a caller's head, for the headers that daemons add.
     """
 
     limits: Callable[[], RequestLimits] = default_limits
@@ -153,6 +155,7 @@
     turns: Turns = field(default_factory=Turns)
     # How often a bound was met, by what `serverconnections.Closing` names.
     closings: Counter[str] = field(default_factory=Counter)
+    unproven: float = inf
 
 
 class DaemonBounds:
@@ -172,12 +175,16 @@
 
         self.memory = memory
         self.entry = PortBounds(limits, most, 0, memory, turns)
-        self.peer = PortBounds(peer_limits, most, PEER_HEAD_BYTES, memory, turns)
+        self.peer = PortBounds(
+            peer_limits, int(descriptors * MAX_PEERS_PART), PEER_HEAD_BYTES, memory, turns
+        )
         self.registration = PortBounds(own_limits, own, 0, memory, turns)
-        # Where many daemons ask this one for tokens, each has a connection here.
-        control = int(descriptors * MAX_CONNECTIONS_PART)
-        self.control = PortBounds(own_limits, control, 0, memory, turns)
+        self.control = PortBounds(
+            own_limits, int(descriptors * MAX_CONNECTIONS_PART), 0, memory, turns
+        )
         self.pages = PortBounds(own_limits, own, 0, memory, turns)
+        for port in (self.peer, self.control):
+            port.unproven = MAX_UNPROVEN
 
     @property
     def closings(self) -> dict[str, Counter[str]]:
--- a/packages/wheatslipd/wheatslipd/http/grpcserver.py
+++ b/packages/wheatslipd/wheatslipd/http/grpcserver.py
@@ -14,7 +14,6 @@
 from wheatslipd.http.bounds import (
     GRPC_CONNECTION_WINDOW_BYTES,
     GRPC_STREAM_WINDOW_BYTES,
-    MAX_UNPROVEN,
     PortBounds,
 )
 from wheatslipd.http.serverconnections import (
@@ -40,7 +39,6 @@
         )
         super().__init__(handlers, codec=codec, config=config)
         self.connections: OpenConnections[_Connection] = OpenConnections(bounds, name)
-        self._unproven: dict[_Connection, None] = {}  # the oldest first
         self._check = CheckTask(self.connections)
 
     async def start(self, *args: Any, **options: Any) -> None:
@@ -55,20 +53,14 @@
 
     def _protocol_factory(self) -> H2Protocol:
         made = super()._protocol_factory()
-        return _Connection(made, self.connections, self._unproven)
+        return _Connection(made, self.connections)
 
 
 class _Connection(H2Protocol):
     """A connection; it is proven once it has carried a call."""
 
-    def __init__(
-        self,
-        made: H2Protocol,
-        connections: "OpenConnections[_Connection]",
-        unproven: "dict[_Connection, None]",
-    ):
+    def __init__(self, made: H2Protocol, connections: "OpenConnections[_Connection]"):
         super().__init__(made.handler, made.config, made.h2_config)
-        self._unproven = unproven
         self._connections = connections
         self._transport: asyncio.Transport | None = None
         self._made_at = inf
@@ -81,14 +73,9 @@
         self._made_at = self._received_at = asyncio.get_running_loop().time()
         super().connection_made(transport)
         self._connections.add(self)
-        self._unproven[self] = None
-        if len(self._unproven) > MAX_UNPROVEN:
-            self._connections.count(Closing.CROWDED_OUT)
-            next(iter(self._unproven)).abort()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         self._connections.discard(self)
-        self._unproven.pop(self, None)
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
@@ -96,7 +83,7 @@
         self._received_at = asyncio.get_running_loop().time()
         if self.processor.streams:
             self._is_proven = True
-            self._unproven.pop(self, None)
+            self._connections.prove(self)
 
     def check(self, now: float) -> None:
         """Close a connection that carries no call for too long."""
@@ -120,6 +107,5 @@
 
     def abort(self) -> None:
         """Close at once."""
-        self._unproven.pop(self, None)
         if self._transport is not None:
             self._transport.abort()
--- a/packages/wheatslipd/wheatslipd/http/serverconnection.py
+++ b/packages/wheatslipd/wheatslipd/http/serverconnection.py
@@ -527,6 +527,8 @@
         self._current = None
         self._task = None
         self.has_served = True
+        if exchange.admitted:
+            self._connections.prove(self)
         if not exchange.finished:
             self.abort()
         elif not exchange.head.keep_alive or not exchange.body.complete:
--- a/packages/wheatslipd/wheatslipd/http/serverconnections.py
+++ b/packages/wheatslipd/wheatslipd/http/serverconnections.py
@@ -86,17 +86,27 @@
         self.closings = bounds.closings
         self._logged_at: dict[Closing, float] = {}  # by the loop's clock
         self._victims: deque[AnyConnection] = deque()
+        self._unproven: dict[AnyConnection, None] = {}  # the oldest first
 
     def add(self, connection: AnyConnection) -> None:
         """Add a new connection; at the most that there may be, another one makes room."""
-        if len(self.open) >= self.bounds.connections and not self._make_room():
+        is_full = len(self.open) >= self.bounds.connections
+        if is_full and not self._make_room():
             self.count(Closing.CROWDED)
             connection.abort()
             return
+        if len(self._unproven) >= self.bounds.unproven:
+            self._close_to_make_room(next(iter(self._unproven)))
         self.open.add(connection)
+        self._unproven[connection] = None
 
     def discard(self, connection: AnyConnection) -> None:
         self.open.discard(connection)
+        self._unproven.pop(connection, None)
+
+    def prove(self, connection: AnyConnection) -> None:
+        """Record that a connection has carried what the port is for."""
+        self._unproven.pop(connection, None)
 
     def count(self, closing: Closing) -> None:
         """Count a connection that was closed, or a request that was refused."""
@@ -123,12 +133,15 @@
         while self._victims:
             victim = self._victims.popleft()
             if victim in self.open and victim.expendability(now) is not None:
-                self.count(Closing.CROWDED_OUT)
-                self.open.discard(victim)
-                victim.crowd_out()
+                self._close_to_make_room(victim)
                 return True
         return False
 
+    def _close_to_make_room(self, victim: AnyConnection) -> None:
+        self.count(Closing.CROWDED_OUT)
+        self.discard(victim)
+        victim.crowd_out()
+
     def _find_victims(self, now: float) -> None:
         expendable = sorted(self._expendable(now), key=itemgetter(0))
         self._victims.extend(connection for _, connection in expendable[:VICTIMS_AT_ONCE])
--- a/test/test_request_limits.py
+++ b/test/test_request_limits.py
@@ -459,6 +459,34 @@
     run(scenario)
 
 
+def test_unproven_connections_make_room_for_each_other_and_proven_ones_stay():
+    """Guards against a crowd that takes the connections of other daemons."""
+
+    class Admitting(Held):
+        async def handle(self, exchange):
+            exchange.admitted = exchange.head.target == b"/a"
+            await super().handle(exchange)
+
+    async def scenario():
+        limits = replace(LIMITS, idle_seconds=30.0, head_seconds=30.0)
+        bounds = PortBounds(lambda: limits, unproven=2)
+        async with served(bounds, Admitting()) as (server, _, connect):
+            proven = [await connect() for _ in range(2)]
+            for caller in proven:
+                await caller.send(GET)
+                assert await caller.status() == 200
+            crowd = [await connect() for _ in range(4)]
+            await crowd[3].send(b"GET /b HTTP/1.1\r\n\r\n")
+            assert await crowd[3].status() == 200
+            assert [await caller.status() for caller in crowd[:2]] == [0, 0]
+            assert server.open_connections == 4
+            for caller in proven:
+                await caller.send(GET)
+                assert await caller.status() == 200
+
+    run(scenario)
+
+
 def test_connections_with_requests_make_no_room():
     async def scenario():
         async with served(PortBounds(lambda: LIMITS, connections=2)) as (
