--- a/test/test_operator_limits.py
+++ b/test/test_operator_limits.py
@@ -122,3 +122,25 @@
                 writer.transport.abort()
 
     run(scenario)
+
+
+def test_heartbeats_are_taken_beside_a_crowd_at_their_port():
+    """Guards against a server that is taken for gone because others hold its daemon's port."""
+
+    async def scenario():
+        async with fleet("a", initial_configuration=limited(LIMITS)) as installation:
+            server = installation.daemons["a"].local_backend.registration_server
+            most = server.connections.bounds.connections
+            crowd = [
+                await asyncio.open_connection(HOST, server.port) for _ in range(int(most) + 50)
+            ]
+            assert server.open_connections <= most
+            for sequence in range(1, 4):
+                assert await installation.send_heartbeat("a", sequence) == 200
+            reader, writer = crowd[-1]
+            writer.write(b"PUT /heartbeats/i-a HTTP/1.1\r\ncontent-length: 100000\r\n\r\n")
+            assert b" 413 " in await reader.readline()
+            for _, writer in crowd:
+                writer.transport.abort()
+
+    run(scenario)
