Refuse a body in chunks whose framing never ends

What callers saw: one connection could end a daemon: a trailer that never ends was collected by the parser, which reports only complete ones. 26 MB of it made a process 23 MB larger, without a bound, and each piece was copied with all before it. An extension of a chunk that never ends was read for as long as it came.

Cause: bounds counted bytes of heads and of bodies; what comes between chunks and after the last one is neither.

Bytes that bring no byte of a body are counted from the last one that did, with the limit of a head: 431, as not run. A chunk of two bytes with an extension, and trailers, are served as before.

--- a/packages/wheatslipd/wheatslipd/http/serverconnection.py
+++ b/packages/wheatslipd/wheatslipd/http/serverconnection.py
@@ -131,6 +131,7 @@
         self._unreserved_bytes = 0  # memory of the head that `_share` does not include yet
         self._body_bytes = 0  # received of the current body
         self._body_left = 0  # of a body with a length: bytes that are still to come
+        self._framing_bytes = 0  # received since the last bytes of a body in chunks
         self._waiting: deque[Exchange] = deque()  # queued behind the current request
         self._current: Exchange | None = None  # the request being handled
         self._incoming: Exchange | None = None  # the request whose body is being received
@@ -350,6 +351,7 @@
             self._body_left -= len(piece)
         try:
             self._parser.feed_data(piece)
+            self._check_framing_size(len(piece))
             self._take_body_parts()
         except httptools.HttpParserUpgrade:
             self._reject(NOT_SUPPORTED)
@@ -565,6 +567,17 @@
         self._headers = []
         self._target = b""
 
+    def _check_framing_size(self, received_bytes: int) -> None:
+        """Reject a body in chunks whose framing never ends: the parser collects a trailer, and
+        reports only complete ones.
+        """
+        if self._incoming is None or self._body_parts:
+            self._framing_bytes = 0
+            return
+        self._framing_bytes += received_bytes
+        if self._framing_bytes > self._max_head_bytes:
+            raise _Rejected(HEAD_TOO_LARGE)
+
     def _check_head_size(self, received_bytes: int) -> None:
         """Reject a head that never ends: the parser reports only complete headers."""
         if self._incoming is None and self._has_partial_head:
--- a/test/test_request_limits.py
+++ b/test/test_request_limits.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import socket
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from dataclasses import replace
 
 import pytest
@@ -192,6 +192,39 @@
     run(scenario)
 
 
+@pytest.mark.parametrize(
+    "end", [b"0\r\nx: ", b"2;x=", b"0;x="], ids=["trailer", "extension", "last-extension"]
+)
+def test_framing_of_a_body_that_never_ends_is_refused(end):
+    """Guards against a trailer that the parser collects without a bound."""
+
+    async def scenario():
+        async with served() as (server, handler, connect):
+            caller = await connect()
+            with suppress(ConnectionError):
+                await caller.send(chunked(b"ab") + end)
+                for _ in range(20):
+                    await caller.send(b"a" * 10_000)
+                    await asyncio.sleep(0.01)
+            assert await caller.status() in (0, 431)
+            assert handler.sizes == []
+            assert server.connections.closings["large-head"] == 1
+
+    run(scenario)
+
+
+def test_a_body_with_extensions_and_trailers_is_served():
+    async def scenario():
+        async with served() as (_, handler, connect):
+            caller = await connect()
+            head = b"PUT /a HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n"
+            await caller.send(head + b"2;x=y\r\nab\r\n" * 5000 + b"0\r\nx: y\r\n\r\n" + GET)
+            assert [await caller.status() for _ in range(2)] == [200, 200]
+            assert handler.sizes == [10_000, 0]
+
+    run(scenario)
+
+
 def test_requests_sent_ahead_are_answered_in_order_and_at_most_two_are_parsed():
     """Guards against thousands of requests that one read turned into objects."""
 
