Close no connection of a daemon that has a request

Cause: at 256 connections without a proven request the oldest was closed whatever it did, and a daemon's new connection is unproven until its first request is answered. The last answer, 408 "too-slow", is none that an entry repeats.

The oldest that has no request in progress makes room now; if all have one, the newcomer is closed unread. What makes room with a request that has not begun gets 503 "overloaded": it has not run, and an entry sends it elsewhere. Both new tests failed before.

--- a/packages/wheatslipd/wheatslipd/http/serverconnection.py
+++ b/packages/wheatslipd/wheatslipd/http/serverconnection.py
@@ -81,7 +81,8 @@
 BODY_TOO_LARGE = Rejection(413, NotRun(Reason.TOO_LARGE), Closing.LARGE_BODY)
 TOO_SLOW = Rejection(408, NotRun(Reason.TOO_SLOW), Closing.SLOW_HEAD)
 BODY_TOO_SLOW = Rejection(408, NotRun(Reason.TOO_SLOW), Closing.SLOW_BODY)
-CROWDED_OUT = Rejection(408, NotRun(Reason.TOO_SLOW), Closing.CROWDED_OUT)
+# Another daemon sends it to another server then.
+CROWDED_OUT = Rejection(REFUSED_STATUS, NO_MEMORY, Closing.CROWDED_OUT)
 NO_MEMORY_LEFT = Rejection(REFUSED_STATUS, NO_MEMORY, Closing.MEMORY)
 
 
--- a/packages/wheatslipd/wheatslipd/http/serverconnections.py
+++ b/packages/wheatslipd/wheatslipd/http/serverconnections.py
@@ -91,12 +91,13 @@
     def add(self, connection: AnyConnection) -> None:
         """Add a new connection; at the most that there may be, another one makes room."""
         is_full = len(self.open) >= self.bounds.connections
-        if is_full and not self._make_room():
+        has_crowd = len(self._unproven) >= self.bounds.unproven
+        if (is_full and not self._make_room()) or (
+            has_crowd and not self._close_oldest_unproven()
+        ):
             self.count(Closing.CROWDED)
             connection.abort()
             return
-        if len(self._unproven) >= self.bounds.unproven:
-            self._close_to_make_room(next(iter(self._unproven)))
         self.open.add(connection)
         self._unproven[connection] = None
 
@@ -137,6 +138,15 @@
                 return True
         return False
 
+    def _close_oldest_unproven(self) -> bool:
+        """Close the oldest unproven connection that has no request in progress."""
+        now = asyncio.get_running_loop().time()
+        for connection in self._unproven:
+            if connection.expendability(now) is not None:
+                self._close_to_make_room(connection)
+                return True
+        return False
+
     def _close_to_make_room(self, victim: AnyConnection) -> None:
         self.count(Closing.CROWDED_OUT)
         self.discard(victim)
--- a/test/test_request_limits.py
+++ b/test/test_request_limits.py
@@ -484,7 +484,7 @@
                 await newcomer.send(GET)
                 assert await newcomer.status() == 200
             assert await silent.status() == 0
-            assert await partial.status() in (0, 408)
+            assert await partial.status() in (0, 503)
             await kept.send(GET)
             assert await kept.status() == 200
             assert server.connections.closings["crowded-out"] == 2
@@ -520,6 +520,38 @@
     run(scenario)
 
 
+def test_an_unproven_connection_with_a_request_makes_no_room():
+    """Guards against a crowd that costs the first request of another daemon's connection."""
+
+    async def scenario():
+        limits = replace(LIMITS, idle_seconds=30.0, head_seconds=30.0)
+        async with served(PortBounds(lambda: limits, unproven=2)) as (_, handler, connect):
+            handler.may_answer.clear()
+            busy = await connect()
+            await busy.send(GET)
+            await until(lambda: handler.sizes)
+            crowd = [await connect() for _ in range(3)]
+            assert [await caller.status() for caller in crowd[:2]] == [0, 0]
+            handler.may_answer.set()
+            assert await busy.status() == 200
+
+    run(scenario)
+
+
+def test_a_connection_that_is_crowded_out_says_so_in_a_way_that_daemons_repeat():
+    async def scenario():
+        limits = replace(LIMITS, idle_seconds=30.0, head_seconds=30.0)
+        async with served(PortBounds(lambda: limits, connections=1)) as (_, _, connect):
+            partial = await connect()
+            await partial.send(GET[:-2])
+            await asyncio.sleep(0.05)
+            await connect()
+            head = await partial.reader.readuntil(b"\r\n\r\n")
+            assert b" 503 " in head and b"not-run; overloaded" in head
+
+    run(scenario)
+
+
 def test_connections_with_requests_make_no_room():
     async def scenario():
         async with served(PortBounds(lambda: LIMITS, connections=2)) as (
