Bound the heads of responses as before the bounds on callers

The limit on requests, which counts a field with its colon and line break, is its own (`ServerConnection.on_header`) and stays. test_http and test_request_limits pass; no test met either bound.

--- a/packages/wheatslipd/wheatslipd/http/connection.py
+++ b/packages/wheatslipd/wheatslipd/http/connection.py
@@ -8,7 +8,7 @@
 
 # Limit of a response's head, which bounds its memory use.
 MAX_HEAD_BYTES = 32 * 1024
-MAX_HEADERS = 1000
+MAX_HEADERS = 100
 # A name, a colon and a line break at least.
 FIELD_FRAME_BYTES = 3
 
@@ -130,7 +130,7 @@
         """Collect a header of a response; trailers are dropped."""
         if not self._in_head:
             return
-        self._head_bytes += len(name) + len(value) + FIELD_FRAME_BYTES
+        self._head_bytes += len(name) + len(value)
         if self._head_bytes > MAX_HEAD_BYTES or len(self._headers) >= MAX_HEADERS:
             raise HeadTooLarge
         self._headers.append((name.lower(), value))
