Count callers that are cut off, and uploads that are refused, at their port

What operators saw: nothing in the metrics when a caller that did not read was cut off for the memory of answers or for a slot, or when an upload was refused for the others on their way; two log events of their own, built for each one.

Cause: each place looked for slow readers by itself (twice the same lines) and ended connections on its own, beside `OpenConnections.count`, which counts and logs at most once in 10 s.

`Connection.cut_off` counts and closes, `slow_readers` finds and sorts, for the check of all ports, the memory of answers and the gate. `AnswerMemory` keeps a share by connection, which waits for one answer at a time. All times without reading stand in `http/bounds`.

test_bodies_on_their_way_* now asserts that the six other uploads of eight were refused and counted, which failed before (no count). The fake connection of test_answer_memory has `cut_off` in place of `abort`; its assertions are the same.

--- a/packages/wheatslipd/wheatslipd/entry/answermemory.py
+++ b/packages/wheatslipd/wheatslipd/entry/answermemory.py
@@ -4,32 +4,21 @@
 from collections import deque
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
 
 from wheatslipd.http.bounds import (
     ANSWER_BUDGET_BYTES,
+    ANSWER_PATIENCE_SECONDS,
     SENT_ANSWER_BYTES,
+    Closing,
     MemoryBudget,
     Share,
 )
 from wheatslipd.http.client import Response
-from wheatslipd.http.connection import Connection
-from wheatslipd.telemetry import logs
+from wheatslipd.http.connection import Connection, slow_readers
 
-# Without reading: after that a caller makes room for the answers of others. It is short, since
-# the answers that wait hold slots of their servers.
-PATIENCE_SECONDS = 0.05
 WAIT_SECONDS = 1.0  # for memory, at most
 
 
-@dataclass(slots=True, eq=False)
-class _Held:
-    """An answer in memory, and the connection that it goes to."""
-
-    connection: Connection
-    share: Share
-
-
 class AnswerMemory:
     """The memory for answers that are held back until they are complete.
 
@@ -41,9 +30,9 @@
         """`hold` is the most that is held of an answer, in bytes."""
         self._hold = hold
         self._budget = budget or MemoryBudget(ANSWER_BUDGET_BYTES)
-        self._held: dict[_Held, None] = {}
+        # Of the answers in memory, by the connection to the caller: it waits for one at a time.
+        self._shares: dict[Connection, Share] = {}
         self._waiting: deque[tuple[Share, asyncio.Future[None]]] = deque()
-        self.cut_off = 0  # callers that did not read
 
     @asynccontextmanager
     async def hold(
@@ -57,28 +46,22 @@
         length = response.head.get(b"content-length") or b""
         size = int(length) if length.isdigit() else self._hold + SENT_ANSWER_BYTES
         hold = min(self._hold, size)
-        held = _Held(connection, Share(self._budget))
+        share = Share(self._budget)
         try:
-            fits = held.share.grow(hold + min(SENT_ANSWER_BYTES, size))
-            fits = fits or self._make_room(held.share) or await self._wait(held.share, response)
-            self._held[held] = None
+            fits = share.grow(hold + min(SENT_ANSWER_BYTES, size))
+            fits = fits or self._make_room(share) or await self._wait(share, response)
+            self._shares[connection] = share
             yield hold if fits else None
         finally:
-            self._held.pop(held, None)
-            held.share.release()
+            self._shares.pop(connection, None)
+            share.release()
             self._grant()
 
     def _make_room(self, share: Share) -> bool:
         """Cut off callers that do not read until `share` fits; returns whether it does."""
-        now = asyncio.get_running_loop().time()
-        slow = [h for h in self._held if h.connection.blocked_seconds(now) > PATIENCE_SECONDS]
-        slow.sort(key=lambda held: -held.connection.blocked_seconds(now))
-        for held in slow:
-            self.cut_off += 1
-            logs.info("answer-not-read", total=self.cut_off, repeat_key="")
-            held.connection.abort()
-            held.share.release()
-            del self._held[held]
+        for connection in slow_readers(self._shares, ANSWER_PATIENCE_SECONDS):
+            connection.cut_off(Closing.SLOW_READER)
+            self._shares.pop(connection).release()
             if share.grow(0):
                 return True
         return False
--- a/packages/wheatslipd/wheatslipd/gate/peerport.py
+++ b/packages/wheatslipd/wheatslipd/gate/peerport.py
@@ -50,6 +50,7 @@
 from wheatslipd.gate.suspects import SuspectGuard
 from wheatslipd.gate.uploads import UploadLimit
 from wheatslipd.http.body import BodyTruncated
+from wheatslipd.http.bounds import Closing
 from wheatslipd.http.exchange import Exchange
 from wheatslipd.http.matching import Kind, Question
 from wheatslipd.http.messages import RequestHead, ResponseHead
@@ -244,6 +245,7 @@
             is_complete = request.exchange.body.complete
             with self._uploads.reserve(is_complete=is_complete) as may_start:
                 if not may_start:
+                    request.exchange.connection.count(Closing.UPLOADS)
                     return TOO_MANY_UPLOADS
                 return await self._run_at_gate(request, max_wait, kept)
 
@@ -287,7 +289,7 @@
             self._gate.on_answer()
             worked = True
             try:
-                with self._slow_readers.watch(request.exchange):
+                with self._slow_readers.watch(request.exchange.connection):
                     outcome = await self._answers.relay(request, answer.response, kept)
             finally:
                 self._backend.release(answer)
--- a/packages/wheatslipd/wheatslipd/http/bounds.py
+++ b/packages/wheatslipd/wheatslipd/http/bounds.py
@@ -9,6 +9,7 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from enum import StrEnum
 from math import inf
 
 from wheatslipd.http.turns import Turns
@@ -63,6 +64,23 @@
 STALL_SECONDS = 5.0
 # The same, where its memory or its slot of a server is needed for others.
 PATIENCE_SECONDS = 0.1
+# The same, where its memory is needed for the answers of others, which hold slots meanwhile.
+ANSWER_PATIENCE_SECONDS = 0.05
+
+
+class Closing(StrEnum):
+    """Why a connection was closed, or its request refused, because of a bound."""
+
+    SLOW_HEAD = "slow-head"
+    SLOW_BODY = "slow-body"
+    SLOW_READER = "slow-reader"
+    IDLE = "idle"
+    LARGE_HEAD = "large-head"
+    LARGE_BODY = "large-body"
+    MEMORY = "memory"
+    CROWDED_OUT = "crowded-out"  # closed to make room for another one
+    CROWDED = "crowded"  # not taken, as all others have requests that are served
+    UPLOADS = "uploads"  # bodies on their way hold as many slots of the server as they may
 
 
 @dataclass(frozen=True, slots=True)
@@ -153,8 +171,7 @@
     extra_head_bytes: int = 0
     memory: MemoryBudget = field(default_factory=MemoryBudget)
     turns: Turns = field(default_factory=Turns)
-    # How often a bound was met, by what `serverconnections.Closing` names.
-    closings: Counter[str] = field(default_factory=Counter)
+    closings: Counter[Closing] = field(default_factory=Counter)  # how often a bound was met
     unproven: float = inf
 
 
@@ -187,7 +204,7 @@
             port.unproven = MAX_UNPROVEN
 
     @property
-    def closings(self) -> dict[str, Counter[str]]:
+    def closings(self) -> dict[str, Counter[Closing]]:
         """How often a bound was met, by port."""
         ports = ("entry", "peer", "control", "registration", "pages")
         return {port: getattr(self, port).closings for port in ports}
--- a/packages/wheatslipd/wheatslipd/http/connection.py
+++ b/packages/wheatslipd/wheatslipd/http/connection.py
@@ -1,10 +1,11 @@
 """Base class of server and client connections: flow control and header parsing."""
 
 import asyncio
+from collections.abc import Iterable
 from enum import IntFlag
 from typing import cast
 
-from wheatslipd.http.bounds import READ_BYTES, WRITE_BUFFER_BYTES
+from wheatslipd.http.bounds import READ_BYTES, WRITE_BUFFER_BYTES, Closing
 
 # Limit of a response's head, which bounds its memory use.
 MAX_HEAD_BYTES = 32 * 1024
@@ -105,6 +106,14 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def count(self, closing: Closing) -> None:
+        """Count that a bound was met; only the port of a server counts."""
+
+    def cut_off(self, closing: Closing) -> None:
+        """Close immediately because a bound was met."""
+        self.count(closing)
+        self.abort()
+
     def pause(self, why: Pause = Pause.BODY) -> None:
         """Pause reading from the socket, until `resume` for each reason."""
         was_paused = bool(self._pauses)
@@ -134,3 +143,12 @@
         if self._head_bytes > MAX_HEAD_BYTES or len(self._headers) >= MAX_HEADERS:
             raise HeadTooLarge
         self._headers.append((name.lower(), value))
+
+
+def slow_readers(connections: Iterable[Connection], patience: float) -> list[Connection]:
+    """The connections whose peers have not read for more than `patience` seconds, those that
+    have not for the longest time first.
+    """
+    now = asyncio.get_running_loop().time()
+    slow = [c for c in connections if c.blocked_seconds(now) > patience]
+    return sorted(slow, key=lambda connection: connection.blocked_seconds(now), reverse=True)
--- a/packages/wheatslipd/wheatslipd/http/grpcserver.py
+++ b/packages/wheatslipd/wheatslipd/http/grpcserver.py
@@ -14,12 +14,12 @@
 from wheatslipd.http.bounds import (
     GRPC_CONNECTION_WINDOW_BYTES,
     GRPC_STREAM_WINDOW_BYTES,
+    Closing,
     PortBounds,
 )
 from wheatslipd.http.serverconnections import (
     FRESH_SECONDS,
     CheckTask,
-    Closing,
     Expendability,
     OpenConnections,
     Rank,
--- a/packages/wheatslipd/wheatslipd/http/serverconnection.py
+++ b/packages/wheatslipd/wheatslipd/http/serverconnection.py
@@ -26,6 +26,7 @@
     PATIENCE_SECONDS,
     READ_BYTES,
     STALL_SECONDS,
+    Closing,
     PortBounds,
     RequestLimits,
     Share,
@@ -35,7 +36,6 @@
 from wheatslipd.http.messages import RequestHead, ResponseHead, encode_response
 from wheatslipd.http.serverconnections import (
     FRESH_SECONDS,
-    Closing,
     Expendability,
     OpenConnections,
     Rank,
@@ -247,14 +247,16 @@
             raise ConnectionResetError
         await super().send(data)
 
+    def count(self, closing: Closing) -> None:
+        self._connections.count(closing)
+
     def check(self, now: float) -> None:
         """Close the connection if it takes longer than the bounds allow."""
         limits = self._bounds.limits()
         if self._linger_timer is not None:
             return
         if self.blocked_seconds(now) > STALL_SECONDS:
-            self._connections.count(Closing.SLOW_READER)
-            self.abort()
+            self.cut_off(Closing.SLOW_READER)
         elif self._rejection is not None:
             return
         elif self._has_partial_head and now - self._head_since > limits.head_seconds:
@@ -262,7 +264,7 @@
         elif self._is_body_stalled(now, limits.idle_seconds):
             self._reject(BODY_TOO_SLOW)
         elif self.is_unused and now - self.idle_since > limits.idle_seconds:
-            self._connections.count(Closing.IDLE)
+            self.count(Closing.IDLE)
             self.close()
 
     @property
@@ -553,7 +555,7 @@
         """Stop parsing; respond after the responses to all earlier requests."""
         self._rejection = rejection
         if rejection.closing is not None:
-            self._connections.count(rejection.closing)
+            self.count(rejection.closing)
         self._rejected_exchange = self._incoming
         self._has_partial_head = False
         self._forget_head()
--- a/packages/wheatslipd/wheatslipd/http/serverconnections.py
+++ b/packages/wheatslipd/wheatslipd/http/serverconnections.py
@@ -3,12 +3,12 @@
 import asyncio
 from collections import deque
 from collections.abc import Iterator
-from enum import IntEnum, StrEnum
+from enum import IntEnum
 from math import inf
 from operator import itemgetter
 from typing import Generic, NamedTuple, Protocol, TypeVar
 
-from wheatslipd.http.bounds import PortBounds
+from wheatslipd.http.bounds import Closing, PortBounds
 from wheatslipd.telemetry import logs
 
 # Between two checks of how long connections take.
@@ -24,20 +24,6 @@
 VICTIMS_AT_ONCE = 32  # that are looked for together, as each look costs time
 
 
-class Closing(StrEnum):
-    """Why a connection was closed, or its request refused, because of a bound."""
-
-    SLOW_HEAD = "slow-head"
-    SLOW_BODY = "slow-body"
-    SLOW_READER = "slow-reader"
-    IDLE = "idle"
-    LARGE_HEAD = "large-head"
-    LARGE_BODY = "large-body"
-    MEMORY = "memory"
-    CROWDED_OUT = "crowded-out"  # closed to make room for another one
-    CROWDED = "crowded"  # not taken, as all others have requests that are served
-
-
 class Rank(IntEnum):
     """Which connections make room for others; the lowest go first."""
 
--- a/test/test_answer_memory.py
+++ b/test/test_answer_memory.py
@@ -3,9 +3,9 @@
 import asyncio
 from contextlib import asynccontextmanager
 
-from wheatslipd.entry.answermemory import PATIENCE_SECONDS, AnswerMemory
+from wheatslipd.entry.answermemory import AnswerMemory
 from wheatslipd.http.body import Body
-from wheatslipd.http.bounds import MemoryBudget
+from wheatslipd.http.bounds import ANSWER_PATIENCE_SECONDS, Closing, MemoryBudget
 from wheatslipd.http.client import Response
 from wheatslipd.http.messages import ResponseHead
 
@@ -21,13 +21,14 @@
 
     def __init__(self, blocked_seconds=0.0):
         self._blocked_seconds = blocked_seconds
-        self.aborted = False
+        self.is_cut_off = False
 
     def blocked_seconds(self, now):
         return self._blocked_seconds
 
-    def abort(self):
-        self.aborted = True
+    def cut_off(self, closing):
+        assert closing is Closing.SLOW_READER
+        self.is_cut_off = True
 
 
 def answer(length=ANSWER_BYTES):
@@ -76,7 +77,7 @@
             memory.hold(answer(), Caller()) as size,
         ):
             assert size == ANSWER_BYTES
-            assert slower.aborted and not slow.aborted and not reading.aborted
+            assert slower.is_cut_off and not slow.is_cut_off and not reading.is_cut_off
         assert budget.reserved == 0
 
     run(scenario)
@@ -85,12 +86,12 @@
 def test_callers_that_read_are_not_cut_off_and_the_answer_waits_for_them():
     async def scenario():
         memory, budget = room_for(1)
-        reading = Caller(PATIENCE_SECONDS / 2)
+        reading = Caller(ANSWER_PATIENCE_SECONDS / 2)
         async with held(memory, reading) as done:
             asyncio.get_running_loop().call_later(0.1, done.set)
             async with memory.hold(answer(), Caller()) as size:
                 assert done.is_set() and size == ANSWER_BYTES
-        assert not reading.aborted
+        assert not reading.is_cut_off
         assert budget.reserved == 0
 
     run(scenario)
--- a/test/test_operator_limits.py
+++ b/test/test_operator_limits.py
@@ -118,6 +118,12 @@
             for _ in range(5):
                 assert (await installation.send_request("a"))[0] == 200
                 assert gate.admission.in_flight <= 2
+            peer_port = installation.daemons["a"].peer_server.connections
+
+            async def others_are_refused():
+                return peer_port.closings["uploads"] == 6
+
+            await eventually(others_are_refused)
             for writer in writers:
                 writer.transport.abort()
 
