Keep the name and the defaults of a port's bounds in one place

What a reader met: the name of a port was passed beside its bounds through four classes and listed a fifth time for the metrics; the limits without a configuration stood in two modules; a counter of the budget was read by nobody; a rejection could have an unknown outcome that none has; a gRPC connection kept for itself whether it was proven.

Cause: added one after the other while the series grew. `PortBounds` has the name, `DaemonBounds.ports` all ports, `http/bounds` the default limits, `OpenConnections` who is proven. The accounting for memory (`MemoryBudget`, `Share`) is a module of its own, so that `http/bounds` has bounds only. A comment said that the budget holds 200 bodies; it is 160 of 4 x 64 KiB.

--- a/packages/wheatslipd/wheatslipd/controllers/view.py
+++ b/packages/wheatslipd/wheatslipd/controllers/view.py
@@ -15,11 +15,9 @@
 from wheatslip.store.instances import Instance
 from wheatslip.upstream import Upstream
 
-from wheatslipd.http.bounds import RequestLimits
+from wheatslipd.http.bounds import DEFAULT_LIMITS, RequestLimits
 from wheatslipd.http.pool import ConnectionPool
 
-DEFAULT_LIMITS = RequestLimits()
-
 
 @dataclass(slots=True, eq=False)
 class Peer:
--- a/packages/wheatslipd/wheatslipd/daemon.py
+++ b/packages/wheatslipd/wheatslipd/daemon.py
@@ -105,7 +105,7 @@
                 monotonic,
                 (self.quota.service,),
                 self.quota.lost,
-                self._bounds.control,
+                bounds.control,
             ),
             create_verifier(settings),
             self.bus,
@@ -116,13 +116,11 @@
         entry = build_entry(
             settings, shared, self._chooser, self._tracer, cache, limit, self.quota.client
         )
-        self.entry_server = Server(entry.handle, bounds=bounds.entry, name="entry")
+        self.entry_server = Server(entry.handle, bounds=bounds.entry)
         self.server_side = build_server_side(
             settings, shared, self._tracer, owners, cache, limit
         )
-        self.peer_server = Server(
-            self.server_side.peer_port.handle, tls.server, bounds.peer, "peer"
-        )
+        self.peer_server = Server(self.server_side.peer_port.handle, tls.server, bounds.peer)
         # The backend server registers here only if the platform does not list instances.
         self.local_backend = (
             self._build_local_backend(store, adapters, bounds.registration)
--- a/packages/wheatslipd/wheatslipd/entry/answermemory.py
+++ b/packages/wheatslipd/wheatslipd/entry/answermemory.py
@@ -10,11 +10,10 @@
     ANSWER_PATIENCE_SECONDS,
     SENT_ANSWER_BYTES,
     Closing,
-    MemoryBudget,
-    Share,
 )
 from wheatslipd.http.client import Response
 from wheatslipd.http.connection import Connection, slow_readers
+from wheatslipd.http.memory import MemoryBudget, Share
 
 WAIT_SECONDS = 1.0  # for memory, at most
 
--- a/packages/wheatslipd/wheatslipd/feed/relay.py
+++ b/packages/wheatslipd/wheatslipd/feed/relay.py
@@ -30,7 +30,7 @@
 from wheatslip.store.instances import Instance
 
 from wheatslipd.feed.codec import StructCodec
-from wheatslipd.http.bounds import PortBounds, own_limits
+from wheatslipd.http.bounds import OWN_LIMITS, PortBounds
 from wheatslipd.http.grpcserver import BoundedServer
 from wheatslipd.telemetry import logs
 from wheatslipd.timeouts import reply_timeout
@@ -114,7 +114,7 @@
         """`on_reports` is called with the end reports that a follower sends, and its name. The
         server offers `services` too, and tells followers of `lost`.
         """
-        bounds = bounds or PortBounds(own_limits)
+        bounds = bounds or PortBounds(lambda: OWN_LIMITS)
         self._lost = lost
         self._monotonic = monotonic
         self._cache = cache
@@ -123,7 +123,7 @@
         self._changed = asyncio.Event()
         self._is_leaving = False
         self._codec = StructCodec()
-        self._server = BoundedServer([self, *services], self._codec, bounds, "control")
+        self._server = BoundedServer([self, *services], self._codec, bounds)
         self.followers = 0
         self.port = 0
 
--- a/packages/wheatslipd/wheatslipd/http/bounds.py
+++ b/packages/wheatslipd/wheatslipd/http/bounds.py
@@ -12,6 +12,7 @@
 from enum import StrEnum
 from math import inf
 
+from wheatslipd.http.memory import MemoryBudget
 from wheatslipd.http.turns import Turns
 
 # Received at once; it is parsed before anything else happens.
@@ -29,10 +30,8 @@
 FIELD_BYTES = 200
 # Copies of a buffered body at once: received, kept for a retry, and on their way.
 BODY_COPIES = 4
-# What each request may hold without a share of the budget.
-FREE_BYTES = 12 * 1024
-RESERVED_STEP_BYTES = 16 * 1024
-# For all requests with more than that: 200 bodies of 64 KiB, or 50 heads of 3,000 fields.
+# For all requests with more than `memory.FREE_BYTES`: 160 bodies of 64 KiB, or some 65 heads of
+# 3,000 fields.
 REQUEST_BUDGET_BYTES = 40 * 1024 * 1024
 
 # Most connections of a port, and their part of the descriptors of the process, so that enough
@@ -98,81 +97,28 @@
     idle_seconds: float = 60.0
 
 
-class MemoryBudget:
-    """Bytes that all connections of a daemon may hold together beyond `FREE_BYTES` each."""
-
-    def __init__(self, size: int = REQUEST_BUDGET_BYTES):
-        self.size = size
-        self.reserved = 0
-        self.refused = 0  # reservations that did not fit
-
-    def reserve(self, size: int) -> bool:
-        """Reserve bytes; False, with nothing reserved, if they do not fit."""
-        if self.reserved + size > self.size:
-            self.refused += 1
-            return False
-        self.reserved += size
-        return True
-
-    def release(self, size: int) -> None:
-        self.reserved -= size
-
-
-class Share:
-    """The part of the budget that one request holds."""
-
-    __slots__ = ("_budget", "_reserved", "_used")
-
-    def __init__(self, budget: MemoryBudget):
-        self._budget = budget
-        self._reserved = 0
-        self._used = 0
-
-    def grow(self, size: int) -> bool:
-        """Hold more bytes; False if the budget does not allow it."""
-        self._used += size
-        missing = self._used - FREE_BYTES - self._reserved
-        if missing <= 0:
-            return True
-        steps = -(-missing // RESERVED_STEP_BYTES) * RESERVED_STEP_BYTES
-        if not self._budget.reserve(steps):
-            return False
-        self._reserved += steps
-        return True
-
-    def release(self) -> None:
-        """Return all that was reserved."""
-        self._budget.release(self._reserved)
-        self._reserved = 0
-        self._used = 0
-
-
-def default_limits() -> RequestLimits:
-    """The limits without a configuration."""
-    return RequestLimits()
-
-
-def own_limits() -> RequestLimits:
-    """The limits of ports that callers have no business at."""
-    return RequestLimits(OWN_HEAD_BYTES, OWN_BODY_BYTES)
+DEFAULT_LIMITS = RequestLimits()
+# Of the ports that callers have no business at.
+OWN_LIMITS = RequestLimits(OWN_HEAD_BYTES, OWN_BODY_BYTES)
 
 
 @dataclass(slots=True)
 class PortBounds:
-    """The bounds of one port.
+    """The bounds of one port; `name` is that in logs and metrics.
 
     `limits` is asked for each request, as they may change. `connections` is the most that the
     port has open, `unproven` the most that have not carried what the port is for.
     `extra_head_bytes` may come on top of a caller's head, for the headers that daemons add.
     """
 
-    limits: Callable[[], RequestLimits] = default_limits
+    limits: Callable[[], RequestLimits] = lambda: DEFAULT_LIMITS
+    name: str = ""
     connections: float = inf
+    unproven: float = inf
     extra_head_bytes: int = 0
-    memory: MemoryBudget = field(default_factory=MemoryBudget)
+    memory: MemoryBudget = field(default_factory=lambda: MemoryBudget(REQUEST_BUDGET_BYTES))
     turns: Turns = field(default_factory=Turns)
     closings: Counter[Closing] = field(default_factory=Counter)  # how often a bound was met
-    unproven: float = inf
 
 
 class DaemonBounds:
@@ -182,32 +128,30 @@
         """`limits` are those of the operator. `descriptors` is the most that the process may
         have open.
         """
-        memory = MemoryBudget()
+        self.memory = MemoryBudget(REQUEST_BUDGET_BYTES)
         turns = Turns()
-        most = min(MAX_CONNECTIONS, int(descriptors * MAX_CONNECTIONS_PART))
-        own = min(MAX_OWN_CONNECTIONS, most)
+        part = int(descriptors * MAX_CONNECTIONS_PART)
+        own = min(MAX_OWN_CONNECTIONS, part)
 
         def peer_limits() -> RequestLimits:
             return replace(limits(), idle_seconds=PEER_IDLE_SECONDS)
 
-        self.memory = memory
-        self.entry = PortBounds(limits, most, 0, memory, turns)
-        self.peer = PortBounds(
-            peer_limits, int(descriptors * MAX_PEERS_PART), PEER_HEAD_BYTES, memory, turns
-        )
-        self.registration = PortBounds(own_limits, own, 0, memory, turns)
-        self.control = PortBounds(
-            own_limits, int(descriptors * MAX_CONNECTIONS_PART), 0, memory, turns
-        )
-        self.pages = PortBounds(own_limits, own, 0, memory, turns)
-        for port in (self.peer, self.control):
-            port.unproven = MAX_UNPROVEN
-
-    @property
-    def closings(self) -> dict[str, Counter[Closing]]:
-        """How often a bound was met, by port."""
-        ports = ("entry", "peer", "control", "registration", "pages")
-        return {port: getattr(self, port).closings for port in ports}
+        def own_limits() -> RequestLimits:
+            return OWN_LIMITS
+
+        def port(
+            name: str, limits: Callable[[], RequestLimits], connections: int
+        ) -> PortBounds:
+            return PortBounds(limits, name, connections, memory=self.memory, turns=turns)
+
+        self.entry = port("entry", limits, min(MAX_CONNECTIONS, part))
+        self.peer = port("peer", peer_limits, int(descriptors * MAX_PEERS_PART))
+        self.peer.extra_head_bytes = PEER_HEAD_BYTES
+        self.control = port("control", own_limits, part)
+        self.peer.unproven = self.control.unproven = MAX_UNPROVEN
+        self.registration = port("registration", own_limits, own)
+        self.pages = port("pages", own_limits, own)
+        self.ports = (self.entry, self.peer, self.control, self.registration, self.pages)
 
 
 def descriptor_limit() -> int:
--- a/packages/wheatslipd/wheatslipd/http/exchange.py
+++ b/packages/wheatslipd/wheatslipd/http/exchange.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass, field
 
 from wheatslipd.http.body import Body
-from wheatslipd.http.bounds import MemoryBudget, Share
 from wheatslipd.http.connection import Connection
+from wheatslipd.http.memory import Share
 from wheatslipd.http.messages import (
     LAST_CHUNK,
     NO_BODY_STATUSES,
@@ -28,8 +28,7 @@
     head: RequestHead
     body: Body
     expects_continue: bool
-    # Of the memory for requests.
-    share: Share = field(default_factory=lambda: Share(MemoryBudget()))
+    share: Share  # of the memory for requests
     admitted: bool = False  # whether it is passed on, so that its caller may be waited for
     started: bool = False  # whether the response has begun
     finished: bool = False  # whether the response is complete
--- a/packages/wheatslipd/wheatslipd/http/grpcserver.py
+++ b/packages/wheatslipd/wheatslipd/http/grpcserver.py
@@ -29,16 +29,13 @@
 class BoundedServer(Server):
     """A server for the daemons that call this one."""
 
-    def __init__(
-        self, handlers: Collection[IServable], codec: CodecBase, bounds: PortBounds, name: str
-    ):
-        """`name` is that of the port in logs."""
+    def __init__(self, handlers: Collection[IServable], codec: CodecBase, bounds: PortBounds):
         config = Configuration(
             http2_connection_window_size=GRPC_CONNECTION_WINDOW_BYTES,
             http2_stream_window_size=GRPC_STREAM_WINDOW_BYTES,
         )
         super().__init__(handlers, codec=codec, config=config)
-        self.connections: OpenConnections[_Connection] = OpenConnections(bounds, name)
+        self.connections: OpenConnections[_Connection] = OpenConnections(bounds)
         self._check = CheckTask(self.connections)
 
     async def start(self, *args: Any, **options: Any) -> None:
@@ -57,7 +54,7 @@
 
 
 class _Connection(H2Protocol):
-    """A connection; it is proven once it has carried a call."""
+    """A connection, which is proven once it has carried a call."""
 
     def __init__(self, made: H2Protocol, connections: "OpenConnections[_Connection]"):
         super().__init__(made.handler, made.config, made.h2_config)
@@ -65,7 +62,6 @@
         self._transport: asyncio.Transport | None = None
         self._made_at = inf
         self._received_at = inf  # by the loop's clock
-        self._is_proven = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport) or hasattr(transport, "abort")
@@ -82,13 +78,12 @@
         super().data_received(data)
         self._received_at = asyncio.get_running_loop().time()
         if self.processor.streams:
-            self._is_proven = True
             self._connections.prove(self)
 
     def check(self, now: float) -> None:
         """Close a connection that carries no call for too long."""
         limits = self._connections.bounds.limits()
-        if not self._is_proven and now - self._made_at > limits.head_seconds:
+        if not self._connections.is_proven(self) and now - self._made_at > limits.head_seconds:
             self._connections.count(Closing.SLOW_HEAD)
             self.crowd_out()
 
@@ -96,7 +91,7 @@
         """How readily this connection makes room for another; None while it has calls."""
         if self.processor.streams:
             return None
-        if self._is_proven:
+        if self._connections.is_proven(self):
             return Expendability(Rank.KEPT, self._received_at)
         is_fresh = now - self._made_at < FRESH_SECONDS
         return Expendability(Rank.FRESH if is_fresh else Rank.WAITING, self._made_at)
--- a/packages/wheatslipd/wheatslipd/http/server.py
+++ b/packages/wheatslipd/wheatslipd/http/server.py
@@ -27,11 +27,10 @@
         handler: Handler,
         tls: ssl.SSLContext | None = None,
         bounds: PortBounds | None = None,
-        name: str = "",
     ):
-        """`name` is that of the port in logs. Without `bounds` those of `PortBounds` apply."""
+        """Without `bounds` the defaults of `PortBounds` apply."""
         self._handler = handler
-        self.connections = ServerConnections(bounds or PortBounds(), name)
+        self.connections = ServerConnections(bounds or PortBounds())
         self._listener = Listener(self._create_connection, tls)
         self._check = CheckTask(self.connections)
         self._deadline = inf  # of a stop, by the loop's clock
--- a/packages/wheatslipd/wheatslipd/http/serverconnection.py
+++ b/packages/wheatslipd/wheatslipd/http/serverconnection.py
@@ -29,10 +29,10 @@
     Closing,
     PortBounds,
     RequestLimits,
-    Share,
 )
 from wheatslipd.http.connection import FIELD_FRAME_BYTES, Connection, Pause
 from wheatslipd.http.exchange import Exchange
+from wheatslipd.http.memory import Share
 from wheatslipd.http.messages import RequestHead, ResponseHead, encode_response
 from wheatslipd.http.serverconnections import (
     FRESH_SECONDS,
@@ -71,7 +71,7 @@
     """The answer to a request that is not passed to the handler, and what is counted."""
 
     status: int
-    outcome: NotRun | Unknown
+    outcome: NotRun
     closing: Closing | None = None
 
 
@@ -101,8 +101,8 @@
     under way. `crossed` counts idle connections that sent something after they were closed.
     """
 
-    def __init__(self, bounds: PortBounds, port_name: str):
-        super().__init__(bounds, port_name)
+    def __init__(self, bounds: PortBounds):
+        super().__init__(bounds)
         self.is_stopping = False
         self.quiet_from = -inf
         self.crossed = 0
@@ -561,8 +561,7 @@
         self._forget_head()
         self._share.release()
         if self._incoming is not None:
-            refusal = rejection.outcome if isinstance(rejection.outcome, NotRun) else None
-            self._incoming.body.mark_truncated(refusal)
+            self._incoming.body.mark_truncated(rejection.outcome)
         self._start_next()
 
     def _forget_head(self) -> None:
--- a/packages/wheatslipd/wheatslipd/http/serverconnections.py
+++ b/packages/wheatslipd/wheatslipd/http/serverconnections.py
@@ -60,14 +60,10 @@
 
 
 class OpenConnections(Generic[AnyConnection]):
-    """The open connections of a port, and how often its bounds were met.
+    """The open connections of a port."""
 
-    `port_name` is that in logs and metrics.
-    """
-
-    def __init__(self, bounds: PortBounds, port_name: str):
+    def __init__(self, bounds: PortBounds):
         self.bounds = bounds
-        self.port_name = port_name
         self.open: set[AnyConnection] = set()
         self.closings = bounds.closings
         self._logged_at: dict[Closing, float] = {}  # by the loop's clock
@@ -95,6 +91,10 @@
         """Record that a connection has carried what the port is for."""
         self._unproven.pop(connection, None)
 
+    def is_proven(self, connection: AnyConnection) -> bool:
+        """Whether a connection has carried what the port is for."""
+        return connection not in self._unproven
+
     def count(self, closing: Closing) -> None:
         """Count a connection that was closed, or a request that was refused."""
         self.closings[closing] += 1
@@ -105,7 +105,7 @@
             return
         self._logged_at[closing] = now
         total = self.closings[closing]
-        logs.info("caller-out-of-bounds", port=self.port_name, why=closing, total=total)
+        logs.info("caller-out-of-bounds", port=self.bounds.name, why=closing, total=total)
 
     def check(self) -> None:
         """Close the connections that take longer than the bounds allow."""
--- a/packages/wheatslipd/wheatslipd/registration/localbackend.py
+++ b/packages/wheatslipd/wheatslipd/registration/localbackend.py
@@ -92,9 +92,7 @@
             feed.cache.version_of,
             note_lost,
         )
-        self.registration_server = Server(
-            self._registrar.handle, bounds=bounds, name="registration"
-        )
+        self.registration_server = Server(self._registrar.handle, bounds=bounds)
 
     async def listen(self) -> None:
         """Listen for heartbeats. Raises OSError."""
--- a/packages/wheatslipd/wheatslipd/telemetry/pages.py
+++ b/packages/wheatslipd/wheatslipd/telemetry/pages.py
@@ -14,7 +14,7 @@
 from circuits.web.wsgi import Application
 
 from wheatslipd.http.body import BodyTruncated
-from wheatslipd.http.bounds import OWN_BODY_BYTES, PortBounds, own_limits
+from wheatslipd.http.bounds import OWN_BODY_BYTES, OWN_LIMITS, PortBounds
 from wheatslipd.http.exchange import Exchange
 from wheatslipd.http.messages import Headers, ResponseHead
 from wheatslipd.http.server import Server
@@ -73,9 +73,7 @@
         self._port = port
         self._application = Application()
         _Pages(source).register(self._application)
-        self.server = Server(
-            self._handle, bounds=bounds or PortBounds(own_limits), name="pages"
-        )
+        self.server = Server(self._handle, bounds=bounds or PortBounds(lambda: OWN_LIMITS))
 
     async def start(self) -> int:
         """Listen; returns the port. Raises OSError."""
--- a/packages/wheatslipd/wheatslipd/telemetry/statereport.py
+++ b/packages/wheatslipd/wheatslipd/telemetry/statereport.py
@@ -104,9 +104,9 @@
         metrics.held_requests.set({}, len(quarantine.held(self._shared.unix())))
         metrics.connections.set({"port": "entry"}, self._entry_server.open_connections)
         metrics.connections.set({"port": "peer"}, self._peer_server.open_connections)
-        for port, closings in self._bounds.closings.items():
-            for why, count in closings.items():
-                metrics.out_of_bounds.set({"port": port, "why": why}, count)
+        for port in self._bounds.ports:
+            for why, count in port.closings.items():
+                metrics.out_of_bounds.set({"port": port.name, "why": why}, count)
         metrics.request_memory.set({}, self._bounds.memory.reserved)
         return metrics.render()
 
--- a/test/test_answer_memory.py
+++ b/test/test_answer_memory.py
@@ -5,8 +5,9 @@
 
 from wheatslipd.entry.answermemory import AnswerMemory
 from wheatslipd.http.body import Body
-from wheatslipd.http.bounds import ANSWER_PATIENCE_SECONDS, Closing, MemoryBudget
+from wheatslipd.http.bounds import ANSWER_PATIENCE_SECONDS, Closing
 from wheatslipd.http.client import Response
+from wheatslipd.http.memory import MemoryBudget
 from wheatslipd.http.messages import ResponseHead
 
 from standins.cluster import eventually
--- a/test/test_forms.py
+++ b/test/test_forms.py
@@ -59,6 +59,7 @@
 from wheatslipd.feed.relay import EndReports
 from wheatslipd.http.body import Body
 from wheatslipd.http.exchange import Exchange
+from wheatslipd.http.memory import MemoryBudget, Share
 from wheatslipd.http.messages import RequestHead
 from wheatslipd.main import Wheatslipd
 from wheatslipd.main import main as daemon_main
@@ -197,7 +198,8 @@
     body = Body(lambda: None, lambda: None)
     body.finish()
     connection = Recorder()
-    exchange = Exchange(connection, RequestHead(b"GET", b"/"), body, False)
+    share = Share(MemoryBudget(0))
+    exchange = Exchange(connection, RequestHead(b"GET", b"/"), body, False, share)
     await send_refusal(exchange, outcome, extra, by_routes=port == "entry-by-routes")
     return connection.sent.decode()
 
--- a/test/test_request_limits.py
+++ b/test/test_request_limits.py
@@ -8,14 +8,8 @@
 
 import pytest
 from wheatslipd.http import serverconnection
-from wheatslipd.http.bounds import (
-    BODY_BUFFER_BYTES,
-    FREE_BYTES,
-    MemoryBudget,
-    PortBounds,
-    RequestLimits,
-    Share,
-)
+from wheatslipd.http.bounds import BODY_BUFFER_BYTES, PortBounds, RequestLimits
+from wheatslipd.http.memory import FREE_BYTES, MemoryBudget, Share
 from wheatslipd.http.messages import ResponseHead
 from wheatslipd.http.server import Server
 from wheatslipd.http.turns import WORK_PER_TURN, Turns
