--- a/packages/wheatslipd/wheatslipd/http/client.py
+++ b/packages/wheatslipd/wheatslipd/http/client.py
@@ -20,12 +20,16 @@
 )
 from wheatslipd.http.messages import (
     LAST_CHUNK,
+    Headers,
     RequestHead,
     ResponseHead,
     encode_chunk,
     encode_request,
 )
 
+# Limits of a response's head, which bound its memory use.
+MAX_HEAD_BYTES = 32 * 1024
+MAX_HEADERS = 100
 FIRST_FINAL_STATUS = 200  # lower HTTP statuses are interim responses
 # For sent bytes. It must outlast a few lost packets, which would otherwise end a connection
 # whose request may have run; with a longer one requests wait longer for a lost machine.
@@ -34,6 +38,10 @@
 KEEPALIVE_PROBES = 2  # unanswered probes after which the connection is closed
 
 
+class HeadTooLarge(Exception):
+    """A response's head exceeds `MAX_HEAD_BYTES` or `MAX_HEADERS`."""
+
+
 class Response:
     """A response head and its body."""
 
@@ -58,6 +66,9 @@
         self._matcher = ResponseMatcher(naming, on_unmatched)
         self._question = UNNAMED_REQUEST  # of the next request; see `expect`
         self._parser = httptools.HttpResponseParser(self)
+        self._headers: Headers = []  # of the response being received
+        self._head_bytes = 0
+        self._is_in_head = False
         self._method = b""  # of the current request
         self._response: asyncio.Future[Response] | None = None
         self._continue: asyncio.Future[bool] | None = None  # see `wait_continue`
@@ -179,7 +190,9 @@
 
     def on_message_begin(self) -> None:
         """Reject a response that follows the awaited one without a pause."""
-        super().on_message_begin()
+        self._headers = []
+        self._head_bytes = 0
+        self._is_in_head = True
         self._reason = b""
         if not self._awaits_response:
             self._matcher.on_unasked_bytes()
@@ -188,9 +201,18 @@
     def on_status(self, reason: bytes) -> None:
         self._reason += reason
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header; trailers are dropped."""
+        if not self._is_in_head:
+            return
+        self._head_bytes += len(name) + len(value)
+        if self._head_bytes > MAX_HEAD_BYTES or len(self._headers) >= MAX_HEADERS:
+            raise HeadTooLarge
+        self._headers.append((name.lower(), value))
+
     def on_headers_complete(self) -> None:
         """Handle a complete response head; interim responses are skipped."""
-        self._in_head = False
+        self._is_in_head = False
         status = self._parser.get_status_code()
         if status < FIRST_FINAL_STATUS:
             if status == 100 and self._continue is not None and not self._continue.done():
--- a/packages/wheatslipd/wheatslipd/http/connection.py
+++ b/packages/wheatslipd/wheatslipd/http/connection.py
@@ -1,4 +1,4 @@
-"""Base class of server and client connections: flow control and header parsing."""
+"""Base class of server and client connections: flow control."""
 
 import asyncio
 from collections.abc import Iterable
@@ -7,16 +7,6 @@
 
 from wheatslipd.http.bounds import READ_BYTES, WRITE_BUFFER_BYTES, Closing
 
-# Limit of a response's head, which bounds its memory use.
-MAX_HEAD_BYTES = 32 * 1024
-MAX_HEADERS = 100
-# A name, a colon and a line break at least.
-FIELD_FRAME_BYTES = 3
-
-
-class HeadTooLarge(Exception):
-    """A message head exceeds a limit."""
-
 
 class Pause(IntFlag):
     """Why a connection's socket is not read."""
@@ -32,7 +22,7 @@
 
 
 class Connection(asyncio.BufferedProtocol):
-    """A connection that applies write flow control and collects headers."""
+    """A connection that applies flow control."""
 
     def __init__(self) -> None:
         self.transport: asyncio.Transport | None = None
@@ -40,9 +30,6 @@
         self._writable: asyncio.Future[None] | None = None
         self._blocked_since = 0.0  # by the loop's clock; while `_writable` is set
         self._pauses = Pause.NONE
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._head_bytes = 0
-        self._in_head = True
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop transports do not derive from asyncio.Transport, so isinstance would fail.
@@ -128,22 +115,6 @@
         if was_paused and not self._pauses and not self.closed and self.transport is not None:
             self.transport.resume_reading()
 
-    # httptools callbacks
-
-    def on_message_begin(self) -> None:
-        self._headers = []
-        self._head_bytes = 0
-        self._in_head = True
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header of a response; trailers are dropped."""
-        if not self._in_head:
-            return
-        self._head_bytes += len(name) + len(value)
-        if self._head_bytes > MAX_HEAD_BYTES or len(self._headers) >= MAX_HEADERS:
-            raise HeadTooLarge
-        self._headers.append((name.lower(), value))
-
 
 def slow_readers(connections: Iterable[Connection], patience: float) -> list[Connection]:
     """The connections whose peers have not read for more than `patience` seconds, those that
