--- a/packages/wheatslipd/wheatslipd/http/requestparser.py
+++ b/packages/wheatslipd/wheatslipd/http/requestparser.py
@@ -77,7 +77,9 @@
         self._share = Share(bounds.memory)
         self._unreserved_bytes = 0  # of its memory, that `_share` does not include yet
         self._is_in_head = False
-        self._limits = bounds.limits()  # of the request being received
+        # Of the request being received:
+        self._limits = bounds.limits()
+        self._max_head_bytes = 0
         # Of the body being received:
         self._body_bytes = 0
         self._body_left = 0  # bytes that are still to come, if it has a length
@@ -135,10 +137,6 @@
         end = data.find(END_OF_HEAD, position + skipped)
         return len(data) if end < 0 else end + len(END_OF_HEAD)
 
-    @property
-    def _max_head_bytes(self) -> int:
-        return self._limits.head_bytes + self._bounds.extra_head_bytes
-
     def _has_endless_head(self, received_bytes: int) -> bool:
         """Whether a head goes on above its limit: the parser reports only complete headers."""
         if self.incoming is not None or not self.has_partial_head:
@@ -195,6 +193,7 @@
         self.has_partial_head = True
         self.head_since = asyncio.get_running_loop().time()
         self._limits = self._bounds.limits()
+        self._max_head_bytes = self._limits.head_bytes + self._bounds.extra_head_bytes
 
     def on_url(self, url: bytes) -> None:
         self._target += url
