Start the processes of tests and benches in one place

Cause: `Operators` and `Cluster` had no step in common. `standins.operators.running` has it, and closes the cluster; the crowds, the two suites of processes and the bench of quotas use it.

--- a/bench/quotapath.py
+++ b/bench/quotapath.py
@@ -33,7 +33,7 @@
 from standins.caller import Caller, Reported
 from standins.cluster import HOST, Cluster, Plan
 from standins.link import ThrottledLink
-from standins.operators import Operators
+from standins.operators import running
 
 REPETITIONS = 5
 DAEMONS = ("papers-1", "papers-2")
@@ -127,14 +127,8 @@
     text, limited, free = bundle_text()
     with tempfile.TemporaryDirectory() as folder:
         cluster = Cluster(Path(folder), loop="uvloop", has_links=False)
-        await cluster.open()
-        try:
-            desk = Operators(Path(folder))
-            await desk.prepare(cluster.platform_address)
-            await cluster.add([Plan(name, "papers", "one") for name in DAEMONS])
-            await desk.release(1, text)
-            await cluster.wait_for_version(1)
-            await cluster.wait_for_members(len(DAEMONS))
+        plans = [Plan(name, "papers", "one") for name in DAEMONS]
+        async with running(cluster, plans, text):
             bench = PathBench(cluster, limited, free)
             await bench.measure(SEED)  # warms up; not counted
             bench.percentiles.clear()
@@ -145,8 +139,6 @@
             granted = sum(quota["granted"] for quota in status["quotas"])
             assert granted >= REPETITIONS * REQUESTS, "the owner was not asked"
             return bench
-        finally:
-            await cluster.close()
 
 
 async def measure_bytes() -> float:
--- a/standins/operators.py
+++ b/standins/operators.py
@@ -2,9 +2,13 @@
 
 import asyncio
 import sys
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from pathlib import Path
 
+from standins.cluster import Cluster, Plan
+
 OPERATOR_NAMES = ("anna", "moussa")
 
 
@@ -69,6 +73,24 @@
         await run_wheatslip("bundle", command, str(path), "--settings", settings)
 
 
+@asynccontextmanager
+async def running(
+    cluster: Cluster, plans: Sequence[Plan], bundle: str
+) -> AsyncIterator[Operators]:
+    """Run a cluster whose daemons know each other and have version 1, the text `bundle`."""
+    await cluster.open()
+    try:
+        operators = Operators(cluster.folder)
+        await operators.prepare(cluster.platform_address)
+        await cluster.add(list(plans))
+        await operators.release(1, bundle)
+        await cluster.wait_for_version(1)
+        await cluster.wait_for_members(len(plans))
+        yield operators
+    finally:
+        await cluster.close()
+
+
 async def run_wheatslip(*arguments: str) -> str:
     """Run the `wheatslip` command; returns its output."""
     process = await asyncio.create_subprocess_exec(
--- a/test/rude_fleet.py
+++ b/test/rude_fleet.py
@@ -16,7 +16,7 @@
 from standins.caller import ROUTES_HOST
 from standins.childmemory import MemoryWatch
 from standins.cluster import HOST, Cluster, Member, Plan, start_process
-from standins.operators import Operators
+from standins.operators import running
 from standins.rude import Conduct, Crowd, Summary, rude_arguments
 
 SMALLEST_MACHINE_MB = 200
@@ -234,14 +234,5 @@
         Plan(f"papers-{number}", "papers", "one", SLOTS, SERVICE_SECONDS, checkout)
         for number in (1, 2)
     ]
-    await cluster.open()
-    try:
-        desk = Operators(folder)
-        await desk.prepare(cluster.platform_address)
-        await cluster.add(plans)
-        await desk.release(1, bundle)
-        await cluster.wait_for_version(1)
-        await cluster.wait_for_members(len(plans))
+    async with running(cluster, plans, bundle):
         yield RudeFleet(cluster)
-    finally:
-        await cluster.close()
--- a/test/test_processes.py
+++ b/test/test_processes.py
@@ -14,7 +14,7 @@
 from standins.backend import Behaviour
 from standins.caller import Caller, Reported, make_key
 from standins.cluster import Cluster, Plan, eventually
-from standins.operators import Operators
+from standins.operators import Operators, running
 from standins.platform import Faults
 from standins.verdict import judge
 from test.helper import BUNDLE, SEED, run
@@ -30,17 +30,8 @@
     def run_with(scenario):
         async def main():
             cluster = Cluster(tmp_path)
-            await cluster.open()
-            try:
-                desk = Operators(tmp_path)
-                await desk.prepare(cluster.platform_address)
-                await cluster.add(PLANS)
-                await desk.release(1, BUNDLE)
-                await cluster.wait_for_version(1)
-                await cluster.wait_for_members(len(PLANS))
+            async with running(cluster, PLANS, BUNDLE):
                 await scenario(cluster)
-            finally:
-                await cluster.close()
 
         run(main, seconds=120.0)
 
--- a/test/test_quota_processes.py
+++ b/test/test_quota_processes.py
@@ -14,7 +14,7 @@
 
 from standins.caller import Caller, Reported
 from standins.cluster import Cluster, Plan, eventually
-from standins.operators import Operators
+from standins.operators import running
 from test.helper import BUNDLE, SEED, run
 from test.quota_fleet import allowed, answered, most_in_window, refused
 
@@ -90,20 +90,14 @@
     def run_with(scenario):
         async def main():
             cluster = Cluster(tmp_path, has_links=False)
-            await cluster.open()
-            try:
-                desk = Operators(tmp_path)
-                await desk.prepare(cluster.platform_address)
-                await cluster.add([Plan(name, "papers", "one") for name in NAMES])
-                await desk.release(1, LIMITED)
-                await cluster.wait_for_version(1)
-                await cluster.wait_for_members(len(NAMES))
+            plans = [Plan(name, "papers", "one") for name in NAMES]
+            async with running(cluster, plans, LIMITED):
                 caller = Caller(cluster.session, "alpha", "alpha-secret", Random(SEED))
-                await scenario(cluster, caller)
-            finally:
-                for member in cluster.members.values():
-                    member.daemon.send(signal.SIGCONT)
-                await cluster.close()
+                try:
+                    await scenario(cluster, caller)
+                finally:
+                    for member in cluster.members.values():
+                        member.daemon.send(signal.SIGCONT)
 
         run(main, seconds=120.0)
 
