Let the bench of the path start its daemons again

What a developer saw: `make bench` ended at once, on too: "[daemon] pool = '': expected a text" and so on for each setting.

Cause: `Cluster` got a field before `loop`, and `bench/path` passes the loop by position, so that "uvloop" became a line of the settings file. No test runs the benches.

--- a/bench/path.py
+++ b/bench/path.py
@@ -23,7 +23,7 @@
 
 from bench.figures import Bound, Figure, add_record_option, report
 from standins.cluster import HOST, Cluster, Plan
-from standins.operators import Operators
+from standins.operators import running
 
 TURN_SECONDS = 4.0
 TURNS = 5  # per route
@@ -110,20 +110,10 @@
 ) -> list[Route]:
     """Run `run` on a cluster of two backend servers that answer without delay."""
     with tempfile.TemporaryDirectory() as name:
-        folder = Path(name)
-        cluster = Cluster(folder, extra_settings, loop)
-        await cluster.open()
-        try:
-            operators = Operators(folder)
-            await operators.prepare(cluster.platform_address)
-            plans = [Plan(f"echo-{i}", "echo", "one", 64, 0.0) for i in (1, 2)]
-            await cluster.add(plans)
-            await operators.release(1, BUNDLE)
-            await cluster.wait_for_version(1)
-            await cluster.wait_for_members(len(plans))
+        cluster = Cluster(Path(name), extra_settings, loop=loop)
+        plans = [Plan(f"echo-{i}", "echo", "one", 64, 0.0) for i in (1, 2)]
+        async with running(cluster, plans, BUNDLE):
             return await run(cluster)
-        finally:
-            await cluster.close()
 
 
 def make_routes(cluster: Cluster, label: str) -> list[Route]:
