--- a/soak/injector.py
+++ b/soak/injector.py
@@ -44,7 +44,7 @@
 )
 from standins.operators import CommandFailed, Operators
 from standins.platform import Faults
-from standins.rude import Crowd, Summary, rude_arguments
+from standins.rude import Crowd, rude_arguments, summary_of
 from standins.verdict import DRAIN_SECONDS
 
 SLOTS = 4
@@ -275,9 +275,7 @@
         if process is None:
             return
         async with asyncio.timeout(CROWD_END_SECONDS):
-            await process.process.wait()
-        await process.end()
-        summary = msgspec.json.decode(process.lines[-1], type=Summary)
+            summary = await summary_of(process)
         if not summary.connected:
             self.history.ineffective_faults.append(f"{step.conduct} at {step.at:.1f} s")
 
--- a/standins/rude.py
+++ b/standins/rude.py
@@ -17,6 +17,8 @@
 
 import msgspec
 
+from standins.cluster import StartedProcess
+
 RECONNECT_SECONDS = 0.05  # from the end of a connection to the next one
 CONNECT_TIMEOUT_SECONDS = 5.0
 CONNECTS_PER_TURN = 50  # so that the crowd does not come in a single burst of SYN packets
@@ -300,6 +302,13 @@
     ]
 
 
+async def summary_of(process: StartedProcess) -> Summary:
+    """Wait for the end of a crowd that was started as a process; returns what it did."""
+    await process.process.wait()
+    await process.end()
+    return msgspec.json.decode(process.lines[-1], type=Summary)
+
+
 async def _main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--conduct", type=Conduct, choices=list(Conduct), required=True)
--- a/test/rude_fleet.py
+++ b/test/rude_fleet.py
@@ -9,7 +9,6 @@
 from dataclasses import dataclass, field
 
 import aiohttp
-import msgspec
 from wheatslip.config.bundle import credential_digest
 
 from standins.backend import Behaviour
@@ -17,7 +16,7 @@
 from standins.childmemory import MemoryWatch
 from standins.cluster import HOST, Cluster, Member, Plan, start_process
 from standins.operators import running
-from standins.rude import Conduct, Crowd, Summary, rude_arguments
+from standins.rude import Conduct, Crowd, Summary, rude_arguments, summary_of
 
 SMALLEST_MACHINE_MB = 200
 DESCRIPTORS = 4100
@@ -152,12 +151,12 @@
 
     served: list[float]
     outcomes: list[Counter[str]]
-    longest_seconds: float
+    longest_seconds: list[float]
     most_misses: int
     peaks_mb: dict[str, float]
     killed: dict[str, float]
     ended: list[str]
-    crowd: Summary
+    crowds: list[Summary]
 
 
 @dataclass(slots=True)
@@ -181,25 +180,26 @@
         }
         return ports[name]
 
+    def crowd(
+        self, conduct: Conduct, connections: int, path: str = READ_PATH, port: str = "entry"
+    ) -> Crowd:
+        """A crowd that comes to a port of the first daemon."""
+        headers = f"Host: {ROUTES_HOST}\nx-padding: usual"
+        return Crowd(conduct, HOST, self.port(port), connections, path, headers)
+
     async def play(
         self,
-        conduct: Conduct,
-        connections: int,
+        *crowds: Crowd,
         seconds: float,
-        *,
-        path: str = READ_PATH,
-        port: str = "entry",
         memory_mb: float = SMALLEST_MACHINE_MB,
         answer_bytes: int = 0,
     ) -> Result:
-        """Let a crowd come beside ordinary traffic to both daemons, whose servers' answers have
+        """Let crowds come beside ordinary traffic to both daemons, whose servers' answers have
         `answer_bytes` more.
         """
         behaviour = Behaviour(SLOTS, SERVICE_SECONDS, answer_bytes=answer_bytes)
         for member in self.members:
             await self.cluster.set_behaviour(member.plan.name, behaviour)
-        headers = f"Host: {ROUTES_HOST}\nx-padding: usual"
-        crowd = Crowd(conduct, HOST, self.port(port), connections, path, headers)
         watch = MemoryWatch(
             memory_mb, {m.plan.name: m.daemon.process.pid for m in self.members}
         )
@@ -207,22 +207,23 @@
         ordinary = [Ordinary(m.instance.entry_port) for m in self.members]
         watch.start()
         asking = asyncio.create_task(readiness.run())
-        process = await start_process("crowd", *rude_arguments(crowd, seconds))
+        processes = [
+            await start_process("crowd", *rude_arguments(crowd, seconds)) for crowd in crowds
+        ]
         await asyncio.gather(*(traffic.send(seconds) for traffic in ordinary))
         async with asyncio.timeout(CROWD_END_SECONDS):
-            await process.process.wait()
-        await process.end()
+            summaries = [await summary_of(process) for process in processes]
         asking.cancel()
         await watch.stop()
         return Result(
             [traffic.served_share for traffic in ordinary],
             [traffic.outcomes for traffic in ordinary],
-            max(traffic.longest_seconds for traffic in ordinary),
+            [round(traffic.longest_seconds, 2) for traffic in ordinary],
             readiness.most_misses,
             {name: round(peak) for name, peak in watch.peaks.items()},
             watch.killed,
             [m.plan.name for m in self.members if m.daemon.process.returncode is not None],
-            msgspec.json.decode(process.lines[-1], type=Summary),
+            summaries,
         )
 
 
--- /dev/null
+++ b/test/test_connection_bounds.py
@@ -0,0 +1,285 @@
+"""What connections may hold, how many there are, and which one makes room for others."""
+
+import asyncio
+import itertools
+import socket
+from dataclasses import replace
+
+import pytest
+from wheatslipd.http import serverconnection
+from wheatslipd.http.bounds import PortBounds
+from wheatslipd.http.memory import FREE_BYTES, MemoryBudget, Share
+from wheatslipd.http.turns import WORK_PER_TURN, Turns
+
+from test.bounded_server import (
+    GET,
+    LIMITS,
+    Held,
+    served,
+    the_connection,
+    until,
+)
+from test.helper import run
+
+
+@pytest.mark.parametrize("is_used", [False, True], ids=["unused", "used"])
+def test_a_connection_at_rest_is_closed_after_the_idle_time(is_used):
+    async def scenario():
+        async with served() as (_, _, connect):
+            caller = await connect()
+            if is_used:
+                await caller.send(GET)
+                assert await caller.status() == 200
+            loop = asyncio.get_running_loop()
+            began_at = loop.time()
+            assert await caller.status() == 0
+            assert loop.time() - began_at >= 0.9 * LIMITS.idle_seconds
+
+    run(scenario)
+
+
+def test_a_connection_that_rests_for_four_fifths_of_the_idle_time_is_served():
+    async def scenario():
+        async with served() as (_, _, connect):
+            caller = await connect()
+            for _ in range(3):
+                await caller.send(GET)
+                assert await caller.status() == 200
+                await asyncio.sleep(0.8 * LIMITS.idle_seconds)
+
+    run(scenario)
+
+
+def test_a_caller_that_does_not_read_is_cut_off(monkeypatch):
+    """Guards against answers that are held for a caller that never reads them."""
+    monkeypatch.setattr(serverconnection, "STALL_SECONDS", 0.5)
+
+    async def scenario():
+        async with served() as (server, handler, connect):
+            handler.answer = b"x" * 1_000_000
+            caller = await connect(limit=1024)
+            caller.writer.transport.pause_reading()
+            await caller.send(GET)
+            await until(lambda: server.connections.closings["slow-reader"])
+            assert not server.connections.open
+
+    run(scenario)
+
+
+def test_a_caller_that_reads_slowly_but_steadily_gets_its_answer(monkeypatch):
+    monkeypatch.setattr(serverconnection, "STALL_SECONDS", 0.5)
+
+    async def scenario():
+        async with served() as (_, handler, connect):
+            handler.answer = b"x" * 1_000_000
+            caller = await connect(limit=1024)
+            await caller.send(GET)
+            received = 0
+            while received < len(handler.answer):
+                received += len(await caller.reader.read(20_000))
+                await asyncio.sleep(0.02)
+
+    run(scenario)
+
+
+def test_memory_for_large_requests_is_bounded_and_small_ones_need_none():
+    async def scenario():
+        memory = MemoryBudget(300_000)
+        bounds = PortBounds(lambda: LIMITS, memory=memory)
+        async with served(bounds) as (server, handler, connect):
+            handler.may_answer.clear()
+            put = b"PUT /a HTTP/1.1\r\ncontent-length: 60000\r\n\r\n" + b"x" * 60_000
+            first = await connect()
+            await first.send(put)
+            await until(lambda: handler.sizes)
+            second = await connect()
+            await second.send(put)
+            assert await second.status() in (0, 503)
+            assert server.connections.closings["memory"] == 1
+            small = await connect()
+            await small.send(GET)
+            await until(lambda: len(handler.sizes) == 2)
+            handler.may_answer.set()
+            assert await small.status() == 200
+            assert await first.status() == 200
+            third = await connect()
+            await third.send(put)
+            assert await third.status() == 200
+            await until(lambda: not memory.reserved)
+
+    run(scenario)
+
+
+def test_heads_count_by_what_they_hold_and_give_it_back():
+    async def scenario():
+        memory = MemoryBudget(1_000_000)
+        limits = replace(LIMITS, head_bytes=16_384, head_seconds=0.3)
+        async with served(PortBounds(lambda: limits, memory=memory)) as (_, _, connect):
+            head = GET[:-2] + b"a:b\r\n" * 3000
+            caller = await connect()
+            await caller.send(head)
+            await until(lambda: memory.reserved > 400_000)
+            assert await caller.status() == 408
+            await until(lambda: not memory.reserved)
+            await (broken := await connect()).send(head)
+            await until(lambda: memory.reserved)
+            broken.writer.transport.abort()
+            await until(lambda: not memory.reserved)
+
+    run(scenario)
+
+
+def test_at_the_most_connections_one_that_waits_makes_room():
+    """Guards against silent connections that take every descriptor of a daemon."""
+
+    async def scenario():
+        limits = replace(LIMITS, idle_seconds=30.0, head_seconds=30.0)
+        bounds = PortBounds(lambda: limits, connections=3)
+        async with served(bounds) as (server, _handler, connect):
+            kept = await connect()
+            await kept.send(GET)
+            assert await kept.status() == 200
+            silent, partial = await connect(), await connect()
+            await partial.send(GET[:-2])
+            await until(lambda: server.open_connections == 3)
+            for _ in range(2):
+                newcomer = await connect()
+                await newcomer.send(GET)
+                assert await newcomer.status() == 200
+            assert await silent.status() == 0
+            assert await partial.status() in (0, 503)
+            await kept.send(GET)
+            assert await kept.status() == 200
+            assert server.connections.closings["crowded-out"] == 2
+
+    run(scenario)
+
+
+def test_unproven_connections_make_room_for_each_other_and_proven_ones_stay():
+    """Guards against a crowd that takes the connections of other daemons."""
+
+    class Admitting(Held):
+        async def handle(self, exchange):
+            exchange.admitted = exchange.head.target == b"/a"
+            await super().handle(exchange)
+
+    async def scenario():
+        limits = replace(LIMITS, idle_seconds=30.0, head_seconds=30.0)
+        bounds = PortBounds(lambda: limits, unproven=2)
+        async with served(bounds, Admitting()) as (server, _, connect):
+            proven = [await connect() for _ in range(2)]
+            for caller in proven:
+                await caller.send(GET)
+                assert await caller.status() == 200
+            crowd = [await connect() for _ in range(4)]
+            await crowd[3].send(b"GET /b HTTP/1.1\r\n\r\n")
+            assert await crowd[3].status() == 200
+            assert [await caller.status() for caller in crowd[:2]] == [0, 0]
+            assert server.open_connections == 4
+            for caller in proven:
+                await caller.send(GET)
+                assert await caller.status() == 200
+
+    run(scenario)
+
+
+def test_an_unproven_connection_with_a_request_makes_no_room():
+    """Guards against a crowd that costs the first request of another daemon's connection."""
+
+    async def scenario():
+        limits = replace(LIMITS, idle_seconds=30.0, head_seconds=30.0)
+        async with served(PortBounds(lambda: limits, unproven=2)) as (_, handler, connect):
+            handler.may_answer.clear()
+            busy = await connect()
+            await busy.send(GET)
+            await until(lambda: handler.sizes)
+            crowd = [await connect() for _ in range(3)]
+            assert [await caller.status() for caller in crowd[:2]] == [0, 0]
+            handler.may_answer.set()
+            assert await busy.status() == 200
+
+    run(scenario)
+
+
+def test_a_connection_that_is_crowded_out_says_so_in_a_way_that_daemons_repeat():
+    async def scenario():
+        limits = replace(LIMITS, idle_seconds=30.0, head_seconds=30.0)
+        async with served(PortBounds(lambda: limits, connections=1)) as (_, _, connect):
+            partial = await connect()
+            await partial.send(GET[:-2])
+            await asyncio.sleep(0.05)
+            await connect()
+            head = await partial.reader.readuntil(b"\r\n\r\n")
+            assert b" 503 " in head and b"not-run; overloaded" in head
+
+    run(scenario)
+
+
+def test_connections_with_requests_make_no_room():
+    async def scenario():
+        async with served(PortBounds(lambda: LIMITS, connections=2)) as (
+            _server,
+            handler,
+            connect,
+        ):
+            handler.may_answer.clear()
+            busy = [await connect(), await connect()]
+            for caller in busy:
+                await caller.send(GET)
+            await until(lambda: len(handler.sizes) == 2)
+            newcomer = await connect()
+            assert await newcomer.status() == 0
+            handler.may_answer.set()
+            for caller in busy:
+                assert await caller.status() == 200
+
+    run(scenario)
+
+
+def test_an_end_of_a_connection_that_its_caller_has_reset_is_no_error():
+    """Guards against an exception where the sending side of a reset connection is closed."""
+
+    async def scenario():
+        async with served() as (server, _, connect):
+            caller = await connect()
+            await until(lambda: server.open_connections)
+            sock = caller.writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+            connection = the_connection(server)
+            connection.pause()
+            caller.writer.transport.abort()
+            await asyncio.sleep(0.05)
+            connection.close()
+
+    run(scenario)
+
+
+def test_long_work_of_many_goes_in_turns():
+    async def scenario():
+        turns = Turns()
+        done = []
+        assert [turns.take() for _ in range(WORK_PER_TURN + 1)] == [True] * WORK_PER_TURN + [
+            False
+        ]
+        for number in range(2 * WORK_PER_TURN):
+            turns.wait(lambda number=number: done.append(number))
+        counts = []
+        while len(done) < 2 * WORK_PER_TURN:
+            await asyncio.sleep(0)
+            counts.append(len(done))
+        assert done == list(range(2 * WORK_PER_TURN))
+        assert max(b - a for a, b in itertools.pairwise(counts)) <= WORK_PER_TURN
+
+    run(scenario)
+
+
+def test_a_share_of_the_memory_is_returned_once():
+    memory = MemoryBudget(100_000)
+    share = Share(memory)
+    assert share.grow(FREE_BYTES)
+    assert not memory.reserved
+    assert share.grow(1)
+    assert not share.grow(200_000)
+    share.release()
+    share.release()
+    assert memory.reserved == 0
--- a/test/test_operator_limits.py
+++ b/test/test_operator_limits.py
@@ -28,6 +28,17 @@
     return configuration(version=version) | {"limits": limits}
 
 
+async def begin_upload(port, request_id):
+    """Send half of a body of 200,000 bytes; returns the writer."""
+    _, writer = await asyncio.open_connection(HOST, port)
+    writer.write(
+        b"PUT /submit/ HTTP/1.1\r\nhost: papers.example\r\n"
+        b"request-id: %s\r\ncontent-length: 200000\r\n\r\n" % request_id.encode()
+    )
+    writer.write(b"x" * 100_000)
+    return writer
+
+
 async def put(installation, size, chunked=False):
     async def parts():
         for _ in range(size // 65536):
@@ -71,12 +82,7 @@
             port = installation.daemons["a"].entry_server.port
             gate = installation.daemons["a"].server_side.gate
             for number in range(6):
-                _, writer = await asyncio.open_connection(HOST, port)
-                writer.write(
-                    b"PUT /submit/ HTTP/1.1\r\nhost: papers.example\r\n"
-                    b"request-id: broken-%d\r\ncontent-length: 200000\r\n\r\n" % number
-                )
-                writer.write(b"x" * 100_000)
+                writer = await begin_upload(port, f"broken-{number}")
 
                 async def is_running():
                     return gate.admission.in_flight == 1
@@ -100,15 +106,7 @@
         async with fleet("a", initial_configuration=limited(LIMITS)) as installation:
             port = installation.daemons["a"].entry_server.port
             gate = installation.daemons["a"].server_side.gate
-            writers = []
-            for number in range(8):
-                _, writer = await asyncio.open_connection(HOST, port)
-                writers.append(writer)
-                writer.write(
-                    b"PUT /submit/ HTTP/1.1\r\nhost: papers.example\r\n"
-                    b"request-id: slow-%d\r\ncontent-length: 200000\r\n\r\n" % number
-                )
-                writer.write(b"x" * 100_000)
+            writers = [await begin_upload(port, f"slow-{number}") for number in range(8)]
 
             async def are_running():
                 return gate.admission.in_flight >= 2
--- a/test/test_rude_clients.py
+++ b/test/test_rude_clients.py
@@ -35,48 +35,41 @@
         return f"{self.conduct}-{self.connections}-{self.port}-{place}{size}"
 
 
-AT_DOOR = [
-    Case(conduct, connections, path)
-    for conduct, connections in (
-        (Conduct.BODIES, 80),
-        (Conduct.PIECES, 80),
-        (Conduct.CHUNKS, 250),
-        (Conduct.OVER_LIMIT, 80),
-        (Conduct.FIELDS, 150),
-        (Conduct.AHEAD, 400),
-        (Conduct.USUAL_AHEAD, 300),
-        (Conduct.SLOW_HEAD, 1500),
-        (Conduct.STOPPED_HEAD, 1500),
-        (Conduct.SLOW_BODY, 1500),
-        (Conduct.STOPPED_BODY, 1500),
-        (Conduct.SLOW_READER, 300),
-        (Conduct.SILENT, 4500),
-    )
-    for path in (READ_PATH, WRITE_PATH, NO_ROUTE)
-    if path != WRITE_PATH or conduct in (Conduct.CHUNKS, Conduct.BODIES, Conduct.STOPPED_BODY)
-]
-AT_OTHER_PORTS = [
+# Connections of the crowds: few of those that send without a pause, many of the quiet ones.
+CROWDS = {
+    Conduct.BODIES: 80,
+    Conduct.PIECES: 80,
+    Conduct.CHUNKS: 250,
+    Conduct.OVER_LIMIT: 80,
+    Conduct.FIELDS: 150,
+    Conduct.AHEAD: 400,
+    Conduct.USUAL_AHEAD: 300,
+    Conduct.SLOW_HEAD: 1500,
+    Conduct.STOPPED_HEAD: 1500,
+    Conduct.SLOW_BODY: 1500,
+    Conduct.STOPPED_BODY: 1500,
+    Conduct.SLOW_READER: 300,
+    Conduct.SILENT: 4500,
+}
+PLACES = [("entry", READ_PATH), ("entry", NO_ROUTE), ("pages", HEALTH), ("peer", READ_PATH)]
+EACH_AT_EACH_PLACE = [
     Case(conduct, connections, path, port)
-    for port, path in (("pages", HEALTH), ("peer", READ_PATH))
-    for conduct, connections in (
-        (Conduct.BODIES, 80),
-        (Conduct.CHUNKS, 250),
-        (Conduct.OVER_LIMIT, 80),
-        (Conduct.FIELDS, 150),
-        (Conduct.AHEAD, 400),
-        (Conduct.STOPPED_HEAD, 1500),
-        (Conduct.STOPPED_BODY, 1500),
-        (Conduct.SILENT, 4500),
+    for port, path in PLACES
+    for conduct, connections in CROWDS.items()
+]
+OTHERS = [
+    Case(conduct, CROWDS[conduct], path, port)
+    for conduct, path, port in (
+        (Conduct.BODIES, WRITE_PATH, "entry"),
+        (Conduct.CHUNKS, WRITE_PATH, "entry"),
+        (Conduct.STOPPED_BODY, WRITE_PATH, "entry"),
+        (Conduct.SLOW_READER, STATUS, "pages"),
+        (Conduct.AHEAD, STATUS, "pages"),
+        (Conduct.SILENT, "/", "control"),
+        (Conduct.AHEAD, "/", "control"),
+        (Conduct.OVER_LIMIT, "/", "control"),
     )
-] + [
-    Case(Conduct.SLOW_READER, 300, STATUS, "pages"),
-    Case(Conduct.AHEAD, 400, STATUS, "pages"),
-    Case(Conduct.SILENT, 4500, "/", "control"),
-    Case(Conduct.AHEAD, 400, "/", "control"),
-    Case(Conduct.OVER_LIMIT, 80, "/", "control"),
 ]
-
-
 LONG_ANSWERS = [
     Case(Conduct.SLOW_READER, 300, answer_bytes=250_000),
     Case(Conduct.USUAL_AHEAD, 300, answer_bytes=250_000),
@@ -84,27 +77,50 @@
 ]
 
 
-@pytest.mark.parametrize("case", AT_DOOR + LONG_ANSWERS + AT_OTHER_PORTS, ids=str)
+@pytest.mark.parametrize("case", EACH_AT_EACH_PLACE + OTHERS + LONG_ANSWERS, ids=str)
 def test_ordinary_callers_are_served_beside_a_crowd(case, tmp_path):
     """Guards against processes that ran out of memory, and callers that got no turn."""
 
     async def scenario():
         async with rude_fleet(tmp_path) as fleet:
+            crowd = fleet.crowd(case.conduct, case.connections, case.path, case.port)
             result = await fleet.play(
-                case.conduct,
-                case.connections,
-                PLAY_SECONDS,
-                path=case.path,
-                port=case.port,
-                answer_bytes=case.answer_bytes,
+                crowd, seconds=PLAY_SECONDS, answer_bytes=case.answer_bytes
             )
         print(f"{case}: {result}")
-        crowd = result.crowd
-        assert crowd.connected + crowd.refused >= 0.9 * case.connections, crowd
-        assert case.conduct is Conduct.SILENT or crowd.sent_bytes, crowd
+        (came,) = result.crowds
+        assert came.connected + came.refused >= 0.9 * case.connections, came
+        assert case.conduct is Conduct.SILENT or came.sent_bytes, came
+        assert_ordinary_callers_were_served(result)
+
+    run(scenario, seconds=120.0)
+
+
+def test_the_most_that_all_connections_can_hold_is_below_the_memory(tmp_path):
+    """Crowds that fill all connections of each port: bytes, requests, bodies and answers."""
+
+    async def scenario():
+        async with rude_fleet(tmp_path) as fleet:
+            crowds = [
+                fleet.crowd(Conduct.AHEAD, 350),
+                fleet.crowd(Conduct.CHUNKS, 350),
+                fleet.crowd(Conduct.STOPPED_BODY, 400),
+                fleet.crowd(Conduct.FIELDS, 100),
+                fleet.crowd(Conduct.CHUNKS, 300, port="peer"),
+                fleet.crowd(Conduct.AHEAD, 150, HEALTH, "pages"),
+                fleet.crowd(Conduct.SILENT, 300, "/", "control"),
+            ]
+            result = await fleet.play(*crowds, seconds=2 * PLAY_SECONDS)
+        print(f"all at once: {result}")
+        assert all(crowd.connected for crowd in result.crowds)
         assert not result.killed and not result.ended, result
-        assert result.served[0] >= MIN_SERVED, result
-        assert result.served[1] >= MIN_SERVED_ELSEWHERE, result
         assert result.most_misses <= MAX_MISSES, result
 
     run(scenario, seconds=120.0)
+
+
+def assert_ordinary_callers_were_served(result):
+    assert not result.killed and not result.ended, result
+    assert result.served[0] >= MIN_SERVED, result
+    assert result.served[1] >= MIN_SERVED_ELSEWHERE, result
+    assert result.most_misses <= MAX_MISSES, result
