Look for the servers of the own zone once for both draws

What it cost: each pick filtered all servers by zone twice, once for those that name a limit and once for those that were sent nothing yet, by the same two lines.

Cause: the second draw was written after the first one's pattern. `pick` makes the list and both draw from it, in the same order of random numbers, so that every choice is the same.

--- a/packages/wheatslip/wheatslip/chooser.py
+++ b/packages/wheatslip/wheatslip/chooser.py
@@ -116,12 +116,10 @@
         available = [u for u in eligible if u.paused_until <= now]
         if not available:
             return self.rng.choice(eligible)
-        limited_pick = self._draw_limited(available, now)
-        if limited_pick is not None:
-            return limited_pick
-        unasked_pick = self._draw_unasked(available, now)
-        if unasked_pick is not None:
-            return unasked_pick
+        near = [u for u in available if u.zone == self.zone] or available
+        drawn = self._draw_limited(near, now) or self._draw_unasked(near, now)
+        if drawn is not None:
+            return drawn
         willing = [u for u in available if self._takes_part(u, now)]
         candidates = self._draw_candidates(willing or available)
         if len(candidates) == 1:
@@ -168,33 +166,29 @@
             return self.pick(upstreams, now)
         return min(eligible, key=lambda u: self._queue_cost(u, now, target) * self._jitter())
 
-    def _draw_limited(self, available: list[Upstream], now: float) -> Upstream | None:
+    def _draw_limited(self, near: list[Upstream], now: float) -> Upstream | None:
         """Draws an upstream that names a limit, by its share; None in the other cases.
 
         It is not compared by cost: at light load any small difference in cost would keep all
         requests away from it, and it could not tell that its limit has ended.
         """
-        same_zone = [u for u in available if u.zone == self.zone]
-        eligible = same_zone or available
-        draw = self.rng.random() * len(eligible)
-        for upstream in eligible:
+        draw = self.rng.random() * len(near)
+        for upstream in near:
             if upstream.notices.rate is not None:
                 draw -= upstream.notices.share(now)
                 if draw < 0:
                     return upstream
         return None
 
-    def _draw_unasked(self, available: list[Upstream], now: float) -> Upstream | None:
+    def _draw_unasked(self, near: list[Upstream], now: float) -> Upstream | None:
         """Draws an upstream that was sent nothing yet, by its share; None in the other cases.
 
         It is not compared by cost: at light load the others have just reported that they are
         idle, and none would ever get its first request. It gets no second one this way before
         it reports: it may be one that does not answer.
         """
-        same_zone = [u for u in available if u.zone == self.zone]
-        eligible = same_zone or available
-        unasked = [u for u in eligible if _is_unasked(u, now) and self._takes_part(u, now)]
-        if not unasked or self.rng.random() * len(eligible) >= len(unasked):
+        unasked = [u for u in near if _is_unasked(u, now) and self._takes_part(u, now)]
+        if not unasked or self.rng.random() * len(near) >= len(unasked):
             return None
         return self.rng.choice(unasked)
 
