Free closed connections at once, with their requests

Cause: connection, parser, request and body refer to each other; only the cycle with httptools was cut. All end in `connection_lost` and `RequestParser.close` now.

The five cases of the new test, with the collector off, failed before.

--- a/packages/wheatslipd/wheatslipd/http/requestparser.py
+++ b/packages/wheatslipd/wheatslipd/http/requestparser.py
@@ -104,13 +104,14 @@
         self._share.release()
 
     def close(self) -> None:
-        """End the reference cycle with the parser: without it closed connections are freed at
-        once, which counts when they come in their thousands.
+        """End the reference cycles with parser, request and connection: without them closed
+        connections are freed at once, which counts when they come in their thousands.
         """
         self.stop()
         if self.incoming is not None:
             self.incoming.body.mark_truncated()
-        del self._parser
+            self.incoming = None
+        del self._parser, self._connection, self._on_request
 
     def _feed(self, piece: bytes) -> Rejection | None:
         if self._body_left:
--- a/packages/wheatslipd/wheatslipd/http/serverconnection.py
+++ b/packages/wheatslipd/wheatslipd/http/serverconnection.py
@@ -125,6 +125,8 @@
             self._task.cancel()
         if self._current is not None:
             self._current.share.release()
+            self._current = None  # it refers to this connection
+        self._rejected_exchange = None
         self._drop_queued()
 
     def data_received(self, data: bytes) -> None:
--- a/test/test_connection_bounds.py
+++ b/test/test_connection_bounds.py
@@ -1,8 +1,10 @@
 """What connections may hold, how many there are, and which one makes room for others."""
 
 import asyncio
+import gc
 import itertools
 import socket
+import weakref
 from dataclasses import replace
 
 import pytest
@@ -254,6 +256,34 @@
     run(scenario)
 
 
+@pytest.mark.parametrize(
+    "sent",
+    [b"", GET[:-2], GET, GET + GET, b"PUT /a HTTP/1.1\r\ncontent-length: 9\r\n\r\nabc"],
+    ids=["nothing", "half-a-head", "request", "two-requests", "half-a-body"],
+)
+def test_a_closed_connection_is_freed_without_the_garbage_collector(sent):
+    """Guards against crowds whose closed connections hold memory until the next collection."""
+
+    async def scenario():
+        async with served() as (server, handler, connect):
+            handler.may_answer.clear()
+            caller = await connect()
+            await caller.send(sent)
+            await until(lambda: server.open_connections)
+            await asyncio.sleep(0.05)
+            connection = weakref.ref(the_connection(server))
+            caller.writer.transport.abort()
+            await until(lambda: not server.open_connections)
+            await asyncio.sleep(0.05)
+            assert connection() is None
+
+    gc.disable()
+    try:
+        run(scenario)
+    finally:
+        gc.enable()
+
+
 def test_long_work_of_many_goes_in_turns():
     async def scenario():
         turns = Turns()
