Hold little of responses that are not read

What was seen: an entry or gate whose caller does not read had up to 6 MB of a response in the system's buffer of its connection to the server, and connections that ended within a response were held until the next full garbage collection.

Cause: the system lets the buffer of a connection grow while its reader is fast; body and connection, and connection and parser, referred to each other. The buffer is set now (128 KiB), and a connection that ends drops its parser and the body its callbacks.

Both new tests failed before, each with its line taken out.

--- a/packages/wheatslipd/wheatslipd/http/body.py
+++ b/packages/wheatslipd/wheatslipd/http/body.py
@@ -75,6 +75,10 @@
         self.complete = True
         self._wake()
 
+    def detach(self) -> None:
+        """Refer to the connection no longer, which has ended: both are then freed at once."""
+        self._pause = self._resume = _do_nothing
+
     def mark_truncated(self, refusal: NotRun | None = None) -> None:
         """Record that nothing more comes; reading an incomplete body then fails."""
         if not self._is_truncated:
@@ -139,3 +143,7 @@
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
+
+
+def _do_nothing() -> None:
+    pass
--- a/packages/wheatslipd/wheatslipd/http/bounds.py
+++ b/packages/wheatslipd/wheatslipd/http/bounds.py
@@ -19,6 +19,8 @@
 READ_BYTES = 32 * 1024
 # Of the system's buffers of an accepted connection. Linux doubles it, for its own records.
 SOCKET_BUFFER_BYTES = 32 * 1024
+# The same of a connection to a server or another daemon, for responses.
+RESPONSE_BUFFER_BYTES = 128 * 1024
 WRITE_BUFFER_BYTES = 32 * 1024  # of a response, above it the handler waits
 BODY_BUFFER_BYTES = 64 * 1024  # received and not yet read; above it the socket is not read
 MAX_QUEUED = 1  # requests that wait behind the current one of their connection
--- a/packages/wheatslipd/wheatslipd/http/client.py
+++ b/packages/wheatslipd/wheatslipd/http/client.py
@@ -7,6 +7,7 @@
 import httptools
 
 from wheatslipd.http.body import Body
+from wheatslipd.http.bounds import RESPONSE_BUFFER_BYTES
 from wheatslipd.http.connection import Connection
 from wheatslipd.http.matching import (
     UNNAMED,
@@ -152,7 +153,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
-        _set_tcp_timeouts(transport.get_extra_info("socket"))
+        _set_socket_options(transport.get_extra_info("socket"))
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser; malformed or unexpected data ends the connection."""
@@ -185,6 +186,10 @@
             else:
                 self._body.mark_truncated()
         self._fail_pending()
+        # Without the reference cycles all is freed at once, also what was received.
+        if self._body is not None:
+            self._body.detach()
+        del self._parser
 
     # httptools callbacks
 
@@ -285,10 +290,13 @@
             self._continue.set_result(False)
 
 
-def _set_tcp_timeouts(sock: socket.socket | None) -> None:
-    """Detect an unreachable peer: set the acknowledgement timeout and keepalive probes."""
+def _set_socket_options(sock: socket.socket | None) -> None:
+    """Bound what the system holds of a response that is not read, and detect an unreachable
+    peer: set the acknowledgement timeout and keepalive probes.
+    """
     if sock is None or sock.family not in (socket.AF_INET, socket.AF_INET6):
         return
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RESPONSE_BUFFER_BYTES)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS)
--- a/test/test_connection_bounds.py
+++ b/test/test_connection_bounds.py
@@ -5,14 +5,21 @@
 import itertools
 import socket
 import weakref
+from contextlib import suppress
 from dataclasses import replace
 
 import pytest
 from wheatslipd.http import serverconnection
-from wheatslipd.http.bounds import PortBounds
+from wheatslipd.http.bounds import (
+    RESPONSE_BUFFER_BYTES,
+    PortBounds,
+)
 from wheatslipd.http.memory import FREE_BYTES, MemoryBudget, Share
+from wheatslipd.http.messages import RequestHead
+from wheatslipd.http.pool import ConnectionPool
 from wheatslipd.http.turns import WORK_PER_TURN, Turns
 
+from standins.cluster import HOST
 from test.bounded_server import (
     GET,
     LIMITS,
@@ -284,6 +291,63 @@
         gc.enable()
 
 
+async def begin_response(pool):
+    """Leave a connection within a response; returns references to it and to what came."""
+    connection = await pool.acquire(5.0)
+    await connection.start_with_body(RequestHead(b"GET", b"/a", []), b"")
+    response = await connection.response()
+    while not response.body.is_paused:
+        await asyncio.sleep(0.01)
+    pool.release(connection)
+    return weakref.ref(connection), weakref.ref(response.body)
+
+
+def test_a_closed_connection_to_a_server_is_freed_without_the_garbage_collector():
+    """Guards against what was received and is held until the next collection."""
+
+    async def scenario():
+        async with served() as (server, handler, _):
+            handler.answer = b"x" * 200_000
+            freed, body = await begin_response(ConnectionPool(HOST, server.port, 1))
+            await asyncio.sleep(0.05)
+            assert freed() is None and body() is None
+
+    gc.disable()
+    try:
+        run(scenario)
+    finally:
+        gc.enable()
+
+
+def test_the_system_holds_little_of_a_response_that_is_not_read():
+    """Guards against the megabytes that the system offers to a reader that was fast so far."""
+    length = 20_000_000
+
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % length)
+        writer.write(b"x" * length)
+        with suppress(ConnectionError):
+            await writer.drain()
+        writer.transport.abort()
+
+    async def scenario():
+        backend = await asyncio.start_server(answer, HOST, 0)
+        pool = ConnectionPool(HOST, backend.sockets[0].getsockname()[1], 1)
+        connection = await pool.acquire(5.0)
+        await connection.start_with_body(RequestHead(b"GET", b"/a", []), b"")
+        response = await connection.response()
+        await response.body.read_up_to(length // 2)
+        sock = connection.transport.get_extra_info("socket")
+        size = sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+        assert size <= 2 * RESPONSE_BUFFER_BYTES  # Linux doubles it
+        pool.release(connection)
+        backend.close()
+        await backend.wait_closed()
+
+    run(scenario)
+
+
 def test_long_work_of_many_goes_in_turns():
     async def scenario():
         turns = Turns()
