Close connections whose callers do not read, and hold nothing of them

What was seen (three tests of callers with the smallest buffers): a connection that had to make room, or whose time after its end was over, stayed open with its descriptor until its caller read what was left of the answer. Where a caller was cut off, the system kept the rest of the answer (up to 64 KiB), without a descriptor, for as long as the caller's end answered that it can't read yet.

Cause: the transport's `close` waits until its buffer is sent, and such a connection was in no list any more that is checked. `close` of a socket with unsent bytes leaves them to the system, which asks a closed window again and again.

A connection with unsent bytes is now reset where it makes room, at the end of its lingering and where it is cut off, which discards them (SO_LINGER with no time). The caller sees a reset, as it would have after reading. Each of the three tests failed without its part: without the reset in `crowd_out`, in the linger, and with `abort` in place of `reset`.

--- a/packages/wheatslipd/wheatslipd/http/connection.py
+++ b/packages/wheatslipd/wheatslipd/http/connection.py
@@ -1,12 +1,16 @@
 """Base class of server and client connections: flow control."""
 
 import asyncio
+import socket
+import struct
 from collections.abc import Iterable
 from enum import IntFlag
 from typing import cast
 
 from wheatslipd.http.bounds import READ_BYTES, WRITE_BUFFER_BYTES, Closing
 
+_DISCARD_AT_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: on, for no time
+
 
 class Pause(IntFlag):
     """Why a connection's socket is not read."""
@@ -93,13 +97,23 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def reset(self) -> None:
+        """Close immediately, and let the system discard what it holds too.
+
+        After `abort` it would hold that for as long as the peer says that it can't read yet.
+        """
+        sock = self.transport.get_extra_info("socket") if self.transport is not None else None
+        if sock is not None and not self.closed:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _DISCARD_AT_CLOSE)
+        self.abort()
+
     def count(self, closing: Closing) -> None:
         """Count that a bound was met; only the port of a server counts."""
 
     def cut_off(self, closing: Closing) -> None:
         """Close immediately because a bound was met."""
         self.count(closing)
-        self.abort()
+        self.reset()
 
     def pause(self, why: Pause = Pause.BODY) -> None:
         """Pause reading from the socket, until `resume` for each reason."""
--- a/packages/wheatslipd/wheatslipd/http/serverconnection.py
+++ b/packages/wheatslipd/wheatslipd/http/serverconnection.py
@@ -164,7 +164,7 @@
             self.transport.abort()
             return
         self._linger_timer = asyncio.get_running_loop().call_later(
-            LINGER_SECONDS, self.transport.close
+            LINGER_SECONDS, self._close_now
         )
         self.resume(Pause.BODY | Pause.QUEUE)  # an unread body may have paused it
 
@@ -254,10 +254,17 @@
 
     def crowd_out(self) -> None:
         """Close at once, to make room for another connection."""
-        assert self.transport is not None
         if not self.is_unused and self._linger_timer is None and self._writable is None:
             self._send_last(CROWDED_OUT.status, CROWDED_OUT.outcome)
-        self.transport.close()
+        self._close_now()
+
+    def _close_now(self) -> None:
+        """Close, without waiting for a peer that does not read."""
+        assert self.transport is not None
+        if self.transport.get_write_buffer_size():
+            self.reset()
+        else:
+            self.transport.close()
 
     def _drop_queued(self) -> None:
         """Discard what waits behind the current request."""
--- a/test/test_connection_bounds.py
+++ b/test/test_connection_bounds.py
@@ -5,13 +5,16 @@
 import itertools
 import socket
 import weakref
-from contextlib import suppress
+from contextlib import asynccontextmanager, suppress
 from dataclasses import replace
+from pathlib import Path
 
 import pytest
 from wheatslipd.http import serverconnection
 from wheatslipd.http.bounds import (
+    PATIENCE_SECONDS,
     RESPONSE_BUFFER_BYTES,
+    Closing,
     PortBounds,
 )
 from wheatslipd.http.memory import FREE_BYTES, MemoryBudget, Share
@@ -263,6 +266,95 @@
     run(scenario)
 
 
+class SlowCaller:
+    """A caller that reads nothing, with the smallest buffer that the system gives."""
+
+    def __init__(self, port):
+        self._socket = socket.socket()
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1)
+        self._socket.connect((HOST, port))
+        self._socket.setblocking(False)
+        self.port = self._socket.getsockname()[1]
+
+    async def send(self, data):
+        await asyncio.get_running_loop().sock_sendall(self._socket, data)
+
+    def close(self):
+        self._socket.close()
+
+
+@asynccontextmanager
+async def slow_callers(server, number):
+    callers = [SlowCaller(server.port) for _ in range(number)]
+    try:
+        yield callers
+    finally:
+        for caller in callers:
+            caller.close()
+
+
+def test_a_connection_that_makes_room_is_closed_also_if_its_caller_does_not_read():
+    """Guards against descriptors that are held until a caller reads its answer."""
+
+    async def scenario():
+        limits = replace(LIMITS, idle_seconds=30.0)
+        bounds = PortBounds(lambda: limits, connections=1)
+        async with (
+            served(bounds) as (server, handler, connect),
+            slow_callers(server, 1) as (slow,),
+        ):
+            handler.answer = b"x" * 100_000
+            await slow.send(GET)
+            await until(lambda: server.open_connections)
+            blocked = the_connection(server)
+            await until(lambda: blocked.blocked_seconds(0.0))
+            await asyncio.sleep(2 * PATIENCE_SECONDS)
+            await connect()
+            await until(lambda: blocked.closed)
+
+    run(scenario)
+
+
+def test_a_closed_connection_ends_also_if_its_caller_does_not_read(monkeypatch):
+    """Guards against descriptors that are held until a caller reads its answer."""
+    monkeypatch.setattr(serverconnection, "LINGER_SECONDS", 0.1)
+
+    async def scenario():
+        async with served() as (server, _, _), slow_callers(server, 1):
+            await until(lambda: server.open_connections)
+            connection = the_connection(server)
+            connection.transport.write(b"x" * 100_000)
+            connection.close()
+            await until(lambda: connection.closed)
+
+    run(scenario)
+
+
+def test_the_system_holds_nothing_of_a_caller_that_was_cut_off():
+    """Guards against answers that the system keeps for as long as the caller does not read."""
+
+    def unsent_bytes(port):
+        for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
+            columns = line.split()
+            if int(columns[2].rpartition(":")[2], 16) == port:
+                return int(columns[4].partition(":")[0], 16)
+        return 0
+
+    async def scenario():
+        async with served() as (server, handler, _), slow_callers(server, 1) as (slow,):
+            handler.answer = b"x" * 100_000
+            await slow.send(GET)
+            await until(lambda: server.open_connections)
+            connection = the_connection(server)
+            await until(lambda: connection.blocked_seconds(0.0))
+            assert unsent_bytes(slow.port)
+            connection.cut_off(Closing.SLOW_READER)
+            await until(lambda: connection.closed)
+            assert not unsent_bytes(slow.port)
+
+    run(scenario)
+
+
 @pytest.mark.parametrize(
     "sent",
     [b"", GET[:-2], GET, GET + GET, b"PUT /a HTTP/1.1\r\ncontent-length: 9\r\n\r\nabc"],
