Hold little for callers that send ahead and read nothing

Such a connection holds both: 64 KiB received in the system, 36 KiB received in the daemon, answers of 64 KiB in the system and 32 in the daemon, some 200 KiB times 1,024 connections. All figures of the crowds so far were of 300 and 400 connections, or of short answers.

A connection counts as blocked with the first byte that the system does not take, and the system takes little that it can't send (TCP_NOTSENT_LOWAT, 4 KiB), so the next request waits. Above 128 blocked connections of all ports the one without progress for the longest time is reset. Anything but a long body is read in 8 KiB, and the system's buffer is 16 KiB outside of long bodies.

The new unit tests fail without their part.

--- a/packages/wheatslipd/wheatslipd/http/bounds.py
+++ b/packages/wheatslipd/wheatslipd/http/bounds.py
@@ -12,16 +12,23 @@
 from enum import StrEnum
 from math import inf
 
+from wheatslipd.http.blocked import BlockedConnections
 from wheatslipd.http.memory import MemoryBudget
 from wheatslipd.http.turns import Turns
 
 # Received at once; it is parsed before anything else happens.
-READ_BYTES = 32 * 1024
+READ_BYTES = 32 * 1024  # of a body
+HEAD_READ_BYTES = 8 * 1024  # of anything else
 # Of the system's buffers of an accepted connection. Linux doubles it, for its own records.
-SOCKET_BUFFER_BYTES = 32 * 1024
+SOCKET_BUFFER_BYTES = 16 * 1024  # to receive
+SEND_SOCKET_BYTES = 32 * 1024
+# The same for what is received of a body that needs more than one read.
+BODY_SOCKET_BYTES = 32 * 1024
 # The same of a connection to a server or another daemon, for responses.
 RESPONSE_BUFFER_BYTES = 128 * 1024
-WRITE_BUFFER_BYTES = 32 * 1024  # of a response, above it the handler waits
+# Sent and not yet on its way, in the system's buffer; above it a connection counts as blocked.
+UNSENT_BYTES = 4 * 1024
+WRITE_BUFFER_BYTES = 32 * 1024  # of a request to a server or another daemon
 BODY_BUFFER_BYTES = 64 * 1024  # received and not yet read; above it the socket is not read
 MAX_QUEUED = 1  # requests that wait behind the current one of their connection
 # Received and not parsed, as requests wait; above it the socket is not read, and it is not
@@ -69,6 +76,11 @@
 ANSWER_PATIENCE_SECONDS = 0.05
 
 
+# Whose peers do not read, at all ports; above it the one that has waited for the longest time
+# is reset. Each may fill the buffers of both directions, some 190 KiB.
+MAX_BLOCKED = 128
+
+
 class Closing(StrEnum):
     """Why a connection was closed, or its request refused, because of a bound."""
 
@@ -119,6 +131,7 @@
     unproven: float = inf
     extra_head_bytes: int = 0
     memory: MemoryBudget = field(default_factory=lambda: MemoryBudget(REQUEST_BUDGET_BYTES))
+    blocked: BlockedConnections = field(default_factory=lambda: BlockedConnections(MAX_BLOCKED))
     turns: Turns = field(default_factory=Turns)
     closings: Counter[Closing] = field(default_factory=Counter)  # how often a bound was met
 
@@ -132,6 +145,7 @@
         """
         self.memory = MemoryBudget(REQUEST_BUDGET_BYTES)
         turns = Turns()
+        blocked = BlockedConnections(MAX_BLOCKED)
         part = int(descriptors * MAX_CONNECTIONS_PART)
         own = min(MAX_OWN_CONNECTIONS, part)
 
@@ -144,7 +158,9 @@
         def port(
             name: str, limits: Callable[[], RequestLimits], connections: int
         ) -> PortBounds:
-            return PortBounds(limits, name, connections, memory=self.memory, turns=turns)
+            return PortBounds(
+                limits, name, connections, memory=self.memory, blocked=blocked, turns=turns
+            )
 
         self.entry = port("entry", limits, min(MAX_CONNECTIONS, part))
         self.peer = port("peer", peer_limits, int(descriptors * MAX_PEERS_PART))
--- a/packages/wheatslipd/wheatslipd/http/connection.py
+++ b/packages/wheatslipd/wheatslipd/http/connection.py
@@ -63,6 +63,12 @@
         self.closed = True
         self.resume_writing()
 
+    def set_receive_buffer(self, size: int) -> None:
+        """Set how much the system holds that was not read, in bytes."""
+        sock = self.transport.get_extra_info("socket") if self.transport is not None else None
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
     def pause_writing(self) -> None:
         loop = asyncio.get_running_loop()
         self._writable = loop.create_future()
--- a/packages/wheatslipd/wheatslipd/http/listener.py
+++ b/packages/wheatslipd/wheatslipd/http/listener.py
@@ -10,7 +10,7 @@
 import ssl
 from collections.abc import Callable
 
-from wheatslipd.http.bounds import SOCKET_BUFFER_BYTES
+from wheatslipd.http.bounds import BODY_SOCKET_BYTES, SEND_SOCKET_BYTES, UNSENT_BYTES
 from wheatslipd.telemetry import logs
 
 BACKLOG = 1024  # connections that wait to be accepted
@@ -38,9 +38,11 @@
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         self._socket = socket.create_server((host, port), family=family, backlog=BACKLOG)
         self._socket.setblocking(False)
-        # Accepted connections inherit both. The system would let them grow to megabytes.
-        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
-            self._socket.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES)
+        # Accepted connections inherit these. The system would let buffers grow to megabytes.
+        # The window that a connection may ever get is settled here.
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BODY_SOCKET_BYTES)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_SOCKET_BYTES)
+        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, UNSENT_BYTES)
         self.port = self._socket.getsockname()[1]
         self._resume()
 
--- a/packages/wheatslipd/wheatslipd/http/requestparser.py
+++ b/packages/wheatslipd/wheatslipd/http/requestparser.py
@@ -14,7 +14,11 @@
 from wheatslipd.http.bounds import (
     BODY_BUFFER_BYTES,
     BODY_COPIES,
+    BODY_SOCKET_BYTES,
     FIELD_BYTES,
+    HEAD_READ_BYTES,
+    READ_BYTES,
+    SOCKET_BUFFER_BYTES,
     PortBounds,
 )
 from wheatslipd.http.connection import Connection
@@ -85,6 +89,17 @@
         self._body_left = 0  # bytes that are still to come, if it has a length
         self._framing_bytes = 0  # received since its last bytes, if it is in chunks
 
+    @property
+    def next_read_bytes(self) -> int:
+        """How much to read at once: bodies are passed on, but requests ahead have to wait."""
+        if self._body_left:
+            return max(HEAD_READ_BYTES, self._body_left)
+        return READ_BYTES if self.incoming and self._is_body_long else HEAD_READ_BYTES
+
+    @property
+    def _is_body_long(self) -> bool:
+        return self._body_bytes > HEAD_READ_BYTES
+
     def parse(self, data: bytes, position: int) -> int | Rejection:
         """Parse a piece of the data from `position` on; returns where it ends.
 
@@ -166,7 +181,10 @@
         if exchange is None:
             return
         buffered_before = min(self._body_bytes, BODY_BUFFER_BYTES)
+        was_long = self._is_body_long
         self._body_bytes += len(data)
+        if self._is_body_long and not was_long:
+            self._connection.set_receive_buffer(BODY_SOCKET_BYTES)
         if self._body_bytes > self._limits.body_bytes:
             raise _Rejected(BODY_TOO_LARGE)
         grown = min(self._body_bytes, BODY_BUFFER_BYTES) - buffered_before
@@ -247,4 +265,7 @@
         if self.incoming is not None:
             self.incoming.body.finish()
             self.incoming = None
+        if self._is_body_long:
+            self._connection.set_receive_buffer(SOCKET_BUFFER_BYTES)
+            self._body_bytes = 0
         self._body_left = 0
--- a/packages/wheatslipd/wheatslipd/http/serverconnection.py
+++ b/packages/wheatslipd/wheatslipd/http/serverconnection.py
@@ -19,6 +19,7 @@
     MAX_QUEUED,
     PATIENCE_SECONDS,
     READ_BYTES,
+    SOCKET_BUFFER_BYTES,
     STALL_SECONDS,
     Closing,
     PortBounds,
@@ -110,6 +111,10 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
+        # Whatever the system does not take at once shows that the peer does not keep up.
+        assert self.transport is not None
+        self.transport.set_write_buffer_limits(0)
+        self.set_receive_buffer(SOCKET_BUFFER_BYTES)
         self._received_at = asyncio.get_running_loop().time()
         self._mark_idle()
         self._connections.add(self)
@@ -117,6 +122,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the handler of the current request."""
         super().connection_lost(exc)
+        self._bounds.blocked.discard(self)
         self._connections.discard(self)
         self._parser.close()
         if self._linger_timer is not None:
@@ -129,6 +135,10 @@
         self._rejected_exchange = None
         self._drop_queued()
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read: a small one for what may have to wait."""
+        return super().get_buffer(sizehint)[: self._parser.next_read_bytes]
+
     def data_received(self, data: bytes) -> None:
         """Parse what the read has received; a malformed request gets a 4xx and a close."""
         if len(data) >= LONG_READ_BYTES and not self._bounds.turns.take():
@@ -192,6 +202,17 @@
             raise ConnectionResetError
         await super().send(data)
 
+    def pause_writing(self) -> None:
+        super().pause_writing()
+        self._bounds.blocked.add(self)
+
+    def resume_writing(self) -> None:
+        super().resume_writing()
+        self._bounds.blocked.discard(self)
+
+    def give_up(self) -> None:
+        self.cut_off(Closing.SLOW_READER)
+
     def count(self, closing: Closing) -> None:
         self._connections.count(closing)
 
--- a/test/test_connection_bounds.py
+++ b/test/test_connection_bounds.py
@@ -11,9 +11,14 @@
 
 import pytest
 from wheatslipd.http import serverconnection
+from wheatslipd.http.blocked import BlockedConnections
 from wheatslipd.http.bounds import (
+    AHEAD_BYTES,
+    BODY_SOCKET_BYTES,
+    HEAD_READ_BYTES,
     PATIENCE_SECONDS,
     RESPONSE_BUFFER_BYTES,
+    SOCKET_BUFFER_BYTES,
     Closing,
     PortBounds,
 )
@@ -293,6 +298,21 @@
             caller.close()
 
 
+def test_above_the_most_blocked_connections_the_longest_blocked_is_closed():
+    """Guards against crowds that leave buffers full at every connection of a daemon."""
+
+    async def scenario():
+        bounds = PortBounds(lambda: LIMITS, blocked=BlockedConnections(2))
+        async with served(bounds) as (server, handler, _), slow_callers(server, 3) as callers:
+            handler.answer = b"x" * 100_000
+            for caller in callers:
+                await caller.send(GET)
+            await until(lambda: server.open_connections == 2)
+            assert server.connections.closings["slow-reader"] == 1
+
+    run(scenario)
+
+
 def test_a_connection_that_makes_room_is_closed_also_if_its_caller_does_not_read():
     """Guards against descriptors that are held until a caller reads its answer."""
 
@@ -355,6 +375,52 @@
     run(scenario)
 
 
+@pytest.mark.parametrize("body", [b"", b"x" * 20_000], ids=["", "after-a-body"])
+def test_requests_sent_ahead_wait_in_small_buffers(body):
+    """Guards against 32 KiB a connection for what will not be served for long."""
+
+    async def scenario():
+        limits = replace(LIMITS, idle_seconds=30.0)
+        async with served(PortBounds(lambda: limits)) as (server, handler, connect):
+            handler.may_answer.clear()
+            caller = await connect()
+            if body:
+                head = b"PUT /a HTTP/1.1\r\ncontent-length: %d\r\n\r\n" % len(body)
+                await caller.send(head + body)
+            caller.writer.write(GET * 20_000)
+            await until(lambda: server.open_connections)
+            connection = the_connection(server)
+            await until(lambda: connection._rest)
+            await asyncio.sleep(0.1)
+            assert len(connection._rest) <= HEAD_READ_BYTES + AHEAD_BYTES
+            sock = connection.transport.get_extra_info("socket")
+            size = sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+            assert size <= 2 * SOCKET_BUFFER_BYTES  # Linux doubles it
+
+    run(scenario)
+
+
+def test_a_long_body_gets_a_longer_buffer_of_the_system():
+    async def scenario():
+        async with served() as (server, handler, connect):
+            handler.may_answer.clear()
+            caller = await connect()
+            await caller.send(
+                b"PUT /a HTTP/1.1\r\ncontent-length: 90000\r\n\r\n" + b"x" * 30_000
+            )
+            await until(lambda: server.open_connections)
+            sock = the_connection(server).transport.get_extra_info("socket")
+
+            def size():
+                return sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+
+            await until(lambda: size() >= 2 * BODY_SOCKET_BYTES)
+            await caller.send(b"x" * 60_000)
+            await until(lambda: size() <= 2 * SOCKET_BUFFER_BYTES)
+
+    run(scenario)
+
+
 @pytest.mark.parametrize(
     "sent",
     [b"", GET[:-2], GET, GET + GET, b"PUT /a HTTP/1.1\r\ncontent-length: 9\r\n\r\nabc"],
--- a/test/test_rude_clients.py
+++ b/test/test_rude_clients.py
@@ -28,6 +28,7 @@
     path: str = READ_PATH
     port: str = "entry"
     answer_bytes: int = 0  # of the servers' answers, above the usual ones
+    seconds: float = PLAY_SECONDS
 
     def __str__(self):
         place = self.path.strip("/").replace("/", "-")
@@ -72,6 +73,7 @@
 ]
 LONG_ANSWERS = [
     Case(Conduct.SLOW_READER, 300, answer_bytes=250_000),
+    Case(Conduct.USUAL_AHEAD, 1500, answer_bytes=30_000, seconds=2 * PLAY_SECONDS),
     Case(Conduct.USUAL_AHEAD, 300, answer_bytes=250_000),
     Case(Conduct.SLOW_READER, 300, answer_bytes=2_500_000),
 ]
@@ -85,7 +87,7 @@
         async with rude_fleet(tmp_path) as fleet:
             crowd = fleet.crowd(case.conduct, case.connections, case.path, case.port)
             result = await fleet.play(
-                crowd, seconds=PLAY_SECONDS, answer_bytes=case.answer_bytes
+                crowd, seconds=case.seconds, answer_bytes=case.answer_bytes
             )
         print(f"{case}: {result}")
         (came,) = result.crowds
