Probe a server that is assumed cold, also while its responses report its load

What callers saw: after the restore of a zone, or after its server was lost, a server got the load of a cold one for the pool's whole `cold_start_s` although it was warm, unless a request happened to be worth a probe.

Cause: the first response with a usual load took the need of a probe back, and the task that probes waited for as long as reports were recent. Load reports say nothing of coldness, only a probe does.

With requests that bring no probe, the code before fails it each time in that place (a trial on a copy), this one passes.

A server that is assumed cold keeps needing a probe, and gets it whatever is reported; the probe's answer ends that. The new test failed before; 71 tests of gate, probes, cold starts and drains pass.

--- a/packages/wheatslipd/wheatslipd/gate/gate.py
+++ b/packages/wheatslipd/wheatslipd/gate/gate.py
@@ -243,6 +243,11 @@
             self._paced_start_timer = None
         self._end_waits(self.admission.admit(now))
 
+    @property
+    def is_assumed_cold(self) -> bool:
+        """Whether the server has the load of a cold one until a probe tells its state."""
+        return self.admission.cold.is_assumed_cold(self._clock())
+
     def should_probe(self) -> bool:
         """Whether to probe now, while `needs_probe` is set.
 
@@ -253,7 +258,7 @@
         if self.is_closed_by(ClosedBy.ZONE_UNKNOWN) or self.is_closed_by(ClosedBy.ZONE_DRAINED):
             return False
         now = self._clock()
-        if admission.cold.is_assumed_cold(now):
+        if self.is_assumed_cold:
             return True
         if not admission.timing.is_speed_known or admission.queued:
             return True
@@ -278,9 +283,11 @@
             self._end_wait(ticket, FASTER_ELSEWHERE)
 
     def _resume_normal_speed(self) -> None:
-        if self.needs_probe.is_set() and not self.is_closed_by(ClosedBy.SERVER_LOST):
+        if not self.needs_probe.is_set() or self.is_closed_by(ClosedBy.SERVER_LOST):
+            return
+        if not self.is_assumed_cold:
             self.needs_probe.clear()
-            self._end_waits(self.admission.admit(self._clock()))
+        self._end_waits(self.admission.admit(self._clock()))
 
     async def _wait_for_start(self, ticket: Ticket, now: float) -> Ticket | NotRun:
         future: asyncio.Future[NotRun | None] = asyncio.get_running_loop().create_future()
--- a/packages/wheatslipd/wheatslipd/gate/recoveryprobe.py
+++ b/packages/wheatslipd/wheatslipd/gate/recoveryprobe.py
@@ -34,7 +34,8 @@
             await self._check.has_path.wait()
             await self._gate.needs_probe.wait()
             report_age = self._clock() - self._gate.load_reported_at
-            if report_age < self._interval:
+            # Reports with responses say nothing of coldness.
+            if report_age < self._interval and not self._gate.is_assumed_cold:
                 await asyncio.sleep(self._interval - report_age)
                 continue
             if self._gate.should_probe():
--- a/test/test_recoveryprobe.py
+++ b/test/test_recoveryprobe.py
@@ -4,6 +4,7 @@
 from contextlib import suppress
 
 from wheatslip.admission import Admission, AdmissionSettings
+from wheatslip.admission.coldstart import ColdRate
 from wheatslip.backendload import BackendLoad
 from wheatslip.call import UNLIMITED, Call, RequestKind
 from wheatslip.outcome import NotRun, Reason
@@ -215,3 +216,27 @@
         assert gate.should_probe()
 
     run(scenario)
+
+
+def test_a_server_that_is_assumed_cold_is_probed_also_if_responses_report_its_load():
+    """Guards against a restored zone that gets the load of a cold one for its whole time."""
+
+    async def scenario():
+        clock = asyncio.get_running_loop().time
+        gate = Gate(Admission(AdmissionSettings()), View(), clock)
+        gate.admission.cold.set_rate(ColdRate(5.0, 8.0))
+        backend = SilentBackend()
+        check = make_speed_check(backend)
+        check.use_path("/health")
+        task = asyncio.create_task(RecoveryProbe(gate, check, clock, 0.2).run())
+        gate.on_zone_restored()
+        for _ in range(20):
+            gate.update_load(BackendLoad(1, 0, 4))
+            await asyncio.sleep(0.02)
+        assert backend.heads
+        gate.update_cold_state(0.0)
+        gate.update_load(BackendLoad(1, 0, 4))
+        assert not gate.needs_probe.is_set()
+        await cancel_task(task)
+
+    run(scenario)
