Let callers that are cut off for memory wait for the end of their connection

Cause: a caller that was cut off asked again 50 ms later, on a new connection, and got the next answer of 250 kB.

It gets nothing more now, its answer's memory is returned, and its connection ends 5 s later, or sooner where another needs its place. Connections that are blocked for that are bounded by the number that are blocked at all (256 now, 128 before; 15 MB more).

The new test fails without `close_late`. The fake connection of test_answer_memory counts and closes late in place of being cut off; its assertions are the same.

--- a/packages/wheatslipd/wheatslipd/entry/answermemory.py
+++ b/packages/wheatslipd/wheatslipd/entry/answermemory.py
@@ -59,7 +59,8 @@
     def _make_room(self, share: Share) -> bool:
         """Cut off callers that do not read until `share` fits; returns whether it does."""
         for connection in slow_readers(self._shares, ANSWER_PATIENCE_SECONDS):
-            connection.cut_off(Closing.SLOW_READER)
+            connection.count(Closing.SLOW_READER)
+            connection.close_late()
             self._shares.pop(connection).release()
             if share.grow(0):
                 return True
--- a/packages/wheatslipd/wheatslipd/http/bounds.py
+++ b/packages/wheatslipd/wheatslipd/http/bounds.py
@@ -78,7 +78,7 @@
 
 # Whose peers do not read, at all ports; above it the one that has waited for the longest time
 # is reset. Each may fill the buffers of both directions, some 190 KiB.
-MAX_BLOCKED = 128
+MAX_BLOCKED = 256
 
 
 class Closing(StrEnum):
--- a/packages/wheatslipd/wheatslipd/http/connection.py
+++ b/packages/wheatslipd/wheatslipd/http/connection.py
@@ -19,6 +19,7 @@
     BODY = 1  # the reader of a body has not kept up
     QUEUE = 2  # requests wait behind the current one
     TURN = 4  # others have their turn
+    CUT_OFF = 8  # until it is closed
 
 
 # What a read receives is parsed before the next read, so that all connections share the memory.
@@ -121,6 +122,10 @@
         self.count(closing)
         self.reset()
 
+    def close_late(self) -> None:
+        """Send nothing more, and close; the end of a server may do so later."""
+        self.abort()
+
     def pause(self, why: Pause = Pause.BODY) -> None:
         """Pause reading from the socket, until `resume` for each reason."""
         was_paused = bool(self._pauses)
--- a/packages/wheatslipd/wheatslipd/http/serverconnection.py
+++ b/packages/wheatslipd/wheatslipd/http/serverconnection.py
@@ -216,6 +216,20 @@
     def count(self, closing: Closing) -> None:
         self._connections.count(closing)
 
+    def close_late(self) -> None:
+        """Send nothing more of an answer that is not read, and close in `STALL_SECONDS`.
+
+        A caller that does not read comes again as soon as its connection ends.
+        """
+        if self._linger_timer is not None or self.closed:
+            return
+        loop = asyncio.get_running_loop()
+        self._linger_timer = loop.call_later(STALL_SECONDS, self.reset)
+        self.pause(Pause.CUT_OFF)
+        self._drop_queued()
+        if self._task is not None:
+            self._task.cancel()
+
     def check(self, now: float) -> None:
         """Close the connection if it takes longer than the bounds allow."""
         limits = self._bounds.limits()
@@ -398,7 +412,9 @@
         self.has_served = True
         if exchange.admitted:
             self._connections.prove(self)
-        if not exchange.finished:
+        if not exchange.finished and self._writable is not None:
+            self.close_late()
+        elif not exchange.finished:
             self.abort()
         elif not exchange.head.keep_alive or not exchange.body.complete:
             self.close()
--- a/test/test_answer_memory.py
+++ b/test/test_answer_memory.py
@@ -27,8 +27,10 @@
     def blocked_seconds(self, now):
         return self._blocked_seconds
 
-    def cut_off(self, closing):
+    def count(self, closing):
         assert closing is Closing.SLOW_READER
+
+    def close_late(self):
         self.is_cut_off = True
 
 
--- a/test/test_connection_bounds.py
+++ b/test/test_connection_bounds.py
@@ -25,6 +25,7 @@
 from wheatslipd.http.memory import FREE_BYTES, MemoryBudget, Share
 from wheatslipd.http.messages import RequestHead
 from wheatslipd.http.pool import ConnectionPool
+from wheatslipd.http.serverconnections import Rank
 from wheatslipd.http.turns import WORK_PER_TURN, Turns
 
 from standins.cluster import HOST
@@ -421,6 +422,35 @@
     run(scenario)
 
 
+def test_an_answer_that_is_given_up_holds_nothing_and_its_caller_waits_for_the_end(monkeypatch):
+    """Guards against callers that do not read and come again as soon as they are cut off."""
+    monkeypatch.setattr(serverconnection, "STALL_SECONDS", 0.5)
+
+    async def scenario():
+        async with served() as (server, handler, connect):
+            handler.answer = b"x" * 1_000_000
+            caller = await connect(limit=1024)
+            caller.writer.transport.pause_reading()
+            await caller.send(GET)
+            await until(lambda: server.open_connections)
+            connection = the_connection(server)
+            await until(lambda: connection.blocked_seconds(0.0) != 0.0)
+            given_up_at = asyncio.get_running_loop().time()
+            connection.close_late()
+            await until(lambda: connection._task.done())
+            now = asyncio.get_running_loop().time()
+            assert server.open_connections == 1
+            assert connection.expendability(now).rank is Rank.DONE
+            await until(lambda: not server.open_connections)
+            waited = asyncio.get_running_loop().time() - given_up_at
+            assert waited >= 0.9 * 0.5
+            caller.writer.transport.resume_reading()
+            with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+                await caller.reader.readexactly(len(handler.answer))
+
+    run(scenario)
+
+
 @pytest.mark.parametrize(
     "sent",
     [b"", GET[:-2], GET, GET + GET, b"PUT /a HTTP/1.1\r\ncontent-length: 9\r\n\r\nabc"],
