Start the first requests of connections in turns, after callers that were served

Cause: the requests of all new connections were started in one turn of the event loop, before those of callers that were served before, so that timers and connects of all were late.

First requests start in turns now, four between two looks at the sockets, as requests sent ahead do; a connection whose last request was answered waits for none.

The new test of the order failed before: the caller that was served came last of 41.

--- a/packages/wheatslipd/wheatslipd/http/serverconnection.py
+++ b/packages/wheatslipd/wheatslipd/http/serverconnection.py
@@ -362,8 +362,8 @@
     def _start_next(self, *, has_turn: bool = False, is_ahead: bool = False) -> None:
         """Start the next queued request, if none is handled.
 
-        One that was sent ahead of the answer before it, or has a long head, waits for its
-        turn.
+        One that was sent ahead of the answer before it, has a long head or is the first of its
+        connection waits for its turn, so that callers that were served before go first.
         """
         if self._current is not None or self.closed or self._linger_timer is not None:
             return
@@ -374,7 +374,8 @@
             return
         is_long = len(self._waiting[0].head.headers) > LONG_HEAD_FIELDS
         work = WORK_PER_TURN if is_long else 1
-        if (is_long or is_ahead) and not has_turn and not self._bounds.turns.take(work):
+        is_in_turn = is_long or is_ahead or not self.has_served
+        if is_in_turn and not has_turn and not self._bounds.turns.take(work):
             self._awaits_turn = True
             self._bounds.turns.wait(self._begin_turn, work)
             return
--- a/standins/rude.py
+++ b/standins/rude.py
@@ -31,6 +31,7 @@
 TINY_CHUNK = b"2\r\nab\r\n"
 FIELDS_HEAD_BYTES = 15_000  # below the usual limit of 16 KiB
 REQUESTS_AHEAD = 200  # in one write
+SMALL_BUFFER_BYTES = 1  # for answers; the system takes its smallest
 
 
 class Conduct(StrEnum):
@@ -48,6 +49,7 @@
     SLOW_BODY = "slow-body"  # byte by byte
     STOPPED_BODY = "stopped-body"  # stops half-way
     SLOW_READER = "slow-reader"  # reads its answers byte by byte
+    STOPPED_READER = "stopped-reader"  # asks once, with a small buffer, and reads nothing
     SILENT = "silent"  # sends nothing
 
 
@@ -99,7 +101,7 @@
     async def _connect_and_play(self, number: int) -> None:
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-                reader, writer = await asyncio.open_connection(self.host, self.port)
+                reader, writer = await asyncio.open_connection(sock=await self._connect())
         except (OSError, TimeoutError):
             self.summary.refused += 1
             return
@@ -112,6 +114,18 @@
         finally:
             writer.transport.abort()
 
+    async def _connect(self) -> socket.socket:
+        sock = socket.socket()
+        try:
+            if self.conduct is Conduct.STOPPED_READER:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+            sock.setblocking(False)
+            await asyncio.get_running_loop().sock_connect(sock, (self.host, self.port))
+        except BaseException:
+            sock.close()
+            raise
+        return sock
+
     def note_status(self, line: bytes) -> None:
         words = line.split(b" ")
         self._statuses[words[1].decode() if len(words) > 1 else "none"] += 1
@@ -257,6 +271,17 @@
                 raise ConnectionResetError
 
 
+async def _stop_reading(connection: _Connection) -> None:
+    connection.read_nothing()
+    await connection.send(connection.crowd.head("GET"))
+    sock = connection.writer.get_extra_info("socket")
+    while True:
+        await asyncio.sleep(TRICKLE_SECONDS)
+        error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            raise OSError(error, "the connection was reset")
+
+
 async def _say_nothing(connection: _Connection) -> None:
     await connection.read_until_closed()
 
@@ -285,6 +310,7 @@
     Conduct.SLOW_BODY: _send_slow_body,
     Conduct.STOPPED_BODY: _stop_in_body,
     Conduct.SLOW_READER: _read_slowly,
+    Conduct.STOPPED_READER: _stop_reading,
     Conduct.SILENT: _say_nothing,
 }
 
--- a/test/test_connection_bounds.py
+++ b/test/test_connection_bounds.py
@@ -536,6 +536,35 @@
     run(scenario)
 
 
+def test_a_caller_that_was_served_goes_before_the_first_requests_of_others():
+    """Guards against crowds of new connections whose requests all start at once."""
+
+    class Recording(Held):
+        def __init__(self):
+            super().__init__()
+            self.targets = []
+
+        async def handle(self, exchange):
+            self.targets.append(exchange.head.target)
+            await super().handle(exchange)
+
+    async def scenario():
+        async with served(handler=Recording()) as (server, handler, connect):
+            kept = await connect()
+            await kept.send(GET)
+            assert await kept.status() == 200
+            crowd = [await connect() for _ in range(40)]
+            await until(lambda: server.open_connections == 41)
+            for caller in crowd:
+                caller.writer.write(GET)
+            kept.writer.write(GET.replace(b"/a", b"/kept"))
+            assert await kept.status() == 200
+            assert [await caller.status() for caller in crowd] == [200] * len(crowd)
+            assert handler.targets.index(b"/kept") <= 2 * WORK_PER_TURN
+
+    run(scenario)
+
+
 def test_long_work_of_many_goes_in_turns():
     async def scenario():
         turns = Turns()
--- a/test/test_rude_clients.py
+++ b/test/test_rude_clients.py
@@ -50,6 +50,7 @@
     Conduct.SLOW_BODY: 1500,
     Conduct.STOPPED_BODY: 1500,
     Conduct.SLOW_READER: 300,
+    Conduct.STOPPED_READER: 1500,
     Conduct.SILENT: 4500,
 }
 PLACES = [("entry", READ_PATH), ("entry", NO_ROUTE), ("pages", HEALTH), ("peer", READ_PATH)]
@@ -72,6 +73,7 @@
     )
 ]
 LONG_ANSWERS = [
+    Case(Conduct.STOPPED_READER, 1500, answer_bytes=30_000),
     Case(Conduct.SLOW_READER, 300, answer_bytes=250_000),
     Case(Conduct.USUAL_AHEAD, 1500, answer_bytes=30_000, seconds=2 * PLAY_SECONDS),
     Case(Conduct.USUAL_AHEAD, 300, answer_bytes=250_000),
