Let first requests of connections have turns of their own

Cause: the first requests of connections waited in the same queue as the long reads and heads of the crowd.

They have turns of their own now, beside those of long work.

--- a/packages/wheatslipd/wheatslipd/http/bounds.py
+++ b/packages/wheatslipd/wheatslipd/http/bounds.py
@@ -132,7 +132,8 @@
     extra_head_bytes: int = 0
     memory: MemoryBudget = field(default_factory=lambda: MemoryBudget(REQUEST_BUDGET_BYTES))
     blocked: BlockedConnections = field(default_factory=lambda: BlockedConnections(MAX_BLOCKED))
-    turns: Turns = field(default_factory=Turns)
+    turns: Turns = field(default_factory=Turns)  # of long work
+    first_turns: Turns = field(default_factory=Turns)  # of the first requests of connections
     closings: Counter[Closing] = field(default_factory=Counter)  # how often a bound was met
 
 
@@ -144,7 +145,7 @@
         have open.
         """
         self.memory = MemoryBudget(REQUEST_BUDGET_BYTES)
-        turns = Turns()
+        turns, first_turns = Turns(), Turns()
         blocked = BlockedConnections(MAX_BLOCKED)
         part = int(descriptors * MAX_CONNECTIONS_PART)
         own = min(MAX_OWN_CONNECTIONS, part)
@@ -158,9 +159,9 @@
         def port(
             name: str, limits: Callable[[], RequestLimits], connections: int
         ) -> PortBounds:
-            return PortBounds(
-                limits, name, connections, memory=self.memory, blocked=blocked, turns=turns
-            )
+            bounds = PortBounds(limits, name, connections, memory=self.memory)
+            bounds.blocked, bounds.turns, bounds.first_turns = blocked, turns, first_turns
+            return bounds
 
         self.entry = port("entry", limits, min(MAX_CONNECTIONS, part))
         self.peer = port("peer", peer_limits, int(descriptors * MAX_PEERS_PART))
--- a/packages/wheatslipd/wheatslipd/http/serverconnection.py
+++ b/packages/wheatslipd/wheatslipd/http/serverconnection.py
@@ -374,10 +374,11 @@
             return
         is_long = len(self._waiting[0].head.headers) > LONG_HEAD_FIELDS
         work = WORK_PER_TURN if is_long else 1
+        turns = self._bounds.turns if is_long or is_ahead else self._bounds.first_turns
         is_in_turn = is_long or is_ahead or not self.has_served
-        if is_in_turn and not has_turn and not self._bounds.turns.take(work):
+        if is_in_turn and not has_turn and not turns.take(work):
             self._awaits_turn = True
-            self._bounds.turns.wait(self._begin_turn, work)
+            turns.wait(self._begin_turn, work)
             return
         self._current = self._waiting.popleft()
         self._task = asyncio.get_running_loop().create_task(self._run(self._current))
--- a/test/test_connection_bounds.py
+++ b/test/test_connection_bounds.py
@@ -565,6 +565,23 @@
     run(scenario)
 
 
+def test_a_first_request_does_not_wait_for_the_long_work_of_others():
+    """Guards against new callers that wait behind the long heads of a crowd."""
+
+    async def scenario():
+        bounds = PortBounds(lambda: LIMITS)
+        async with served(bounds) as (_, _, connect):
+            done = []
+            for number in range(5000):
+                bounds.turns.wait(lambda number=number: done.append(number), WORK_PER_TURN)
+            caller = await connect()
+            await caller.send(GET)
+            assert await caller.status() == 200
+            assert len(done) < 1000
+
+    run(scenario)
+
+
 def test_long_work_of_many_goes_in_turns():
     async def scenario():
         turns = Turns()
