Keep connections whose first request waits for its turn, and turns of each port apart

Cause: a connection that waited for a turn made room before those that had not sent a whole request, and the health page's requests waited behind the crowd at another port.

Such a connection makes room after those now, and each port has first turns of its own. The new test failed before.

test_the_system_holds_nothing_* took the first line of the system's table with the caller's port, which may be another connection's (it failed once of three runs of the file: 0 bytes where some are held): it looks for both ports now. Its assertions are the same.

--- a/packages/wheatslipd/wheatslipd/http/bounds.py
+++ b/packages/wheatslipd/wheatslipd/http/bounds.py
@@ -133,7 +133,8 @@
     memory: MemoryBudget = field(default_factory=lambda: MemoryBudget(REQUEST_BUDGET_BYTES))
     blocked: BlockedConnections = field(default_factory=lambda: BlockedConnections(MAX_BLOCKED))
     turns: Turns = field(default_factory=Turns)  # of long work
-    first_turns: Turns = field(default_factory=Turns)  # of the first requests of connections
+    # Of the first requests of connections; a port's own: health pages wait for no crowd.
+    first_turns: Turns = field(default_factory=Turns)
     closings: Counter[Closing] = field(default_factory=Counter)  # how often a bound was met
 
 
@@ -145,7 +146,7 @@
         have open.
         """
         self.memory = MemoryBudget(REQUEST_BUDGET_BYTES)
-        turns, first_turns = Turns(), Turns()
+        turns = Turns()
         blocked = BlockedConnections(MAX_BLOCKED)
         part = int(descriptors * MAX_CONNECTIONS_PART)
         own = min(MAX_OWN_CONNECTIONS, part)
@@ -159,9 +160,9 @@
         def port(
             name: str, limits: Callable[[], RequestLimits], connections: int
         ) -> PortBounds:
-            bounds = PortBounds(limits, name, connections, memory=self.memory)
-            bounds.blocked, bounds.turns, bounds.first_turns = blocked, turns, first_turns
-            return bounds
+            return PortBounds(
+                limits, name, connections, memory=self.memory, blocked=blocked, turns=turns
+            )
 
         self.entry = port("entry", limits, min(MAX_CONNECTIONS, part))
         self.peer = port("peer", peer_limits, int(descriptors * MAX_PEERS_PART))
--- a/packages/wheatslipd/wheatslipd/http/serverconnection.py
+++ b/packages/wheatslipd/wheatslipd/http/serverconnection.py
@@ -88,7 +88,7 @@
         self._rest = b""  # received and not parsed
         self._waiting: deque[Exchange] = deque()  # queued behind the current request
         self._current: Exchange | None = None  # the request being handled
-        self._awaits_turn = False  # whether the next request starts in a later turn
+        self._turn_rank: Rank | None = None  # while the next request waits for its turn
         self._task: asyncio.Task[None] | None = None  # runs the handler
         self._rejection: Rejection | None = None  # None: nothing is wrong
         self._rejected_exchange: Exchange | None = None  # the request with a malformed body
@@ -274,8 +274,8 @@
         if self._writable is not None:
             is_stalled = self.blocked_seconds(now) > PATIENCE_SECONDS
             return Expendability(Rank.DONE, self._blocked_since) if is_stalled else None
-        if self._awaits_turn:
-            return Expendability(Rank.WAITING, self._received_at)
+        if self._turn_rank is not None:
+            return Expendability(self._turn_rank, self._received_at)
         if self.is_unused and self.has_served:
             return Expendability(Rank.KEPT, self.idle_since)
         awaits_body = (
@@ -367,7 +367,7 @@
         """
         if self._current is not None or self.closed or self._linger_timer is not None:
             return
-        if self._awaits_turn:
+        if self._turn_rank is not None:
             return
         if not self._waiting:
             self._finish_or_wait()
@@ -377,14 +377,14 @@
         turns = self._bounds.turns if is_long or is_ahead else self._bounds.first_turns
         is_in_turn = is_long or is_ahead or not self.has_served
         if is_in_turn and not has_turn and not turns.take(work):
-            self._awaits_turn = True
+            self._turn_rank = Rank.WAITING if is_long or is_ahead else Rank.FIRST
             turns.wait(self._begin_turn, work)
             return
         self._current = self._waiting.popleft()
         self._task = asyncio.get_running_loop().create_task(self._run(self._current))
 
     def _begin_turn(self) -> None:
-        self._awaits_turn = False
+        self._turn_rank = None
         self._start_next(has_turn=True)
         self._parse_rest()
 
--- a/packages/wheatslipd/wheatslipd/http/serverconnections.py
+++ b/packages/wheatslipd/wheatslipd/http/serverconnections.py
@@ -28,9 +28,10 @@
     """Which connections make room for others; the lowest go first."""
 
     DONE = 0  # its answer is sent, or not read
-    WAITING = 1  # for its peer for `FRESH_SECONDS` or longer, or for a turn
+    WAITING = 1  # for its peer for `FRESH_SECONDS` or longer, or for a turn of long work
     FRESH = 2  # it has not sent a whole request yet
-    KEPT = 3  # at rest between requests
+    FIRST = 3  # its first request waits for a turn
+    KEPT = 4  # at rest between requests
 
 
 class Expendability(NamedTuple):
--- a/test/test_connection_bounds.py
+++ b/test/test_connection_bounds.py
@@ -354,11 +354,12 @@
 def test_the_system_holds_nothing_of_a_caller_that_was_cut_off():
     """Guards against answers that the system keeps for as long as the caller does not read."""
 
-    def unsent_bytes(port):
+    def unsent_bytes(*ports):
+        """What the system holds for the connection between two ports."""
         for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
-            columns = line.split()
-            if int(columns[2].rpartition(":")[2], 16) == port:
-                return int(columns[4].partition(":")[0], 16)
+            _, local, remote, _, queues, *_ = line.split()
+            if ports == tuple(int(end.rpartition(":")[2], 16) for end in (local, remote)):
+                return int(queues.partition(":")[0], 16)
         return 0
 
     async def scenario():
@@ -368,10 +369,10 @@
             await until(lambda: server.open_connections)
             connection = the_connection(server)
             await until(lambda: connection.blocked_seconds(0.0))
-            assert unsent_bytes(slow.port)
+            assert unsent_bytes(server.port, slow.port)
             connection.cut_off(Closing.SLOW_READER)
             await until(lambda: connection.closed)
-            assert not unsent_bytes(slow.port)
+            assert not unsent_bytes(server.port, slow.port)
 
     run(scenario)
 
@@ -582,6 +583,39 @@
     run(scenario)
 
 
+class HeldTurns:
+    """Turns that a test gives."""
+
+    def __init__(self):
+        self.waiting = []
+
+    def take(self, size=1):
+        return False
+
+    def wait(self, work, size=1):
+        self.waiting.append(work)
+
+
+def test_a_first_request_that_waits_for_its_turn_makes_no_room_for_silent_ones():
+    """Guards against whole requests that give their place to connections that send nothing."""
+
+    async def scenario():
+        limits = replace(LIMITS, idle_seconds=30.0, head_seconds=30.0)
+        bounds = PortBounds(lambda: limits, connections=2, first_turns=HeldTurns())
+        async with served(bounds) as (server, _, connect):
+            waiting = await connect()
+            await waiting.send(GET)
+            await until(lambda: bounds.first_turns.waiting)
+            silent = await connect()
+            await until(lambda: server.open_connections == 2)
+            await connect()
+            assert await silent.status() == 0
+            bounds.first_turns.waiting.pop()()
+            assert await waiting.status() == 200
+
+    run(scenario)
+
+
 def test_long_work_of_many_goes_in_turns():
     async def scenario():
         turns = Turns()
