--- a/test/test_rude_clients.py
+++ b/test/test_rude_clients.py
@@ -72,6 +72,11 @@
         (Conduct.OVER_LIMIT, "/", "control"),
     )
 ]
+# More connections than the entry has, from those that cost it most.
+FULL = [
+    Case(conduct, 1500, seconds=2 * PLAY_SECONDS)
+    for conduct in (Conduct.FIELDS, Conduct.PIECES, Conduct.CHUNKS)
+]
 LONG_ANSWERS = [
     Case(Conduct.STOPPED_READER, 1500, answer_bytes=30_000),
     Case(Conduct.SLOW_READER, 300, answer_bytes=250_000),
@@ -81,7 +86,7 @@
 ]
 
 
-@pytest.mark.parametrize("case", EACH_AT_EACH_PLACE + OTHERS + LONG_ANSWERS, ids=str)
+@pytest.mark.parametrize("case", EACH_AT_EACH_PLACE + OTHERS + FULL + LONG_ANSWERS, ids=str)
 def test_ordinary_callers_are_served_beside_a_crowd(case, tmp_path):
     """Guards against processes that ran out of memory, and callers that got no turn."""
 
