--- a/packages/wheatslipd/wheatslipd/http/bounds.py
+++ b/packages/wheatslipd/wheatslipd/http/bounds.py
@@ -19,9 +19,9 @@
 # Received at once; it is parsed before anything else happens.
 READ_BYTES = 32 * 1024  # of a body
 HEAD_READ_BYTES = 8 * 1024  # of anything else
-# Of the system's buffers of an accepted connection. Linux doubles it, for its own records.
-SOCKET_BUFFER_BYTES = 16 * 1024  # to receive
-SEND_SOCKET_BYTES = 32 * 1024
+# Of the system's buffers of an accepted connection. Linux doubles them, for its own records.
+SOCKET_BUFFER_BYTES = 16 * 1024  # for what is received
+SEND_SOCKET_BYTES = 32 * 1024  # for what is sent
 # The same for what is received of a body that needs more than one read.
 BODY_SOCKET_BYTES = 32 * 1024
 # The same of a connection to a server or another daemon, for responses.
@@ -74,10 +74,8 @@
 PATIENCE_SECONDS = 0.1
 # The same, where its memory is needed for the answers of others, which hold slots meanwhile.
 ANSWER_PATIENCE_SECONDS = 0.05
-
-
-# Whose peers do not read, at all ports; above it the one that has waited for the longest time
-# is reset. Each may fill the buffers of both directions, some 190 KiB.
+# Connections of all ports whose peers do not read; above it the one that has waited for the
+# longest time is reset. Each may fill the buffers of both directions, some 150 KiB.
 MAX_BLOCKED = 256
 
 
